--- /dev/null
+++ b/crates/crocusdale_core/src/admission/mod.rs
@@ -0,0 +1,5 @@
+//! Limits on what runs at one time.
+
+mod admission_gate;
+
+pub use admission_gate::{AdmissionGate, AdmissionPermit};
--- /dev/null
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -0,0 +1,24 @@
+//! Settings and declarations, checked wholly before use, and the revision in force.
+
+mod configuration_error;
+mod configuration_ledger;
+mod declarations;
+mod label_selector;
+mod label_set;
+mod process_settings;
+mod section_reader;
+mod stage_plan;
+
+pub use configuration_error::{ConfigurationError, ConfigurationErrorKind};
+pub use configuration_ledger::{ConfigurationLedger, InForce, LedgerVerdict};
+pub use declarations::{
+    Declarations, DeploymentRules, PipelineRules, PriorityRules, RequestRule, StageRules,
+    UpstreamKind, UpstreamRules, WorkspaceRules,
+};
+pub use label_selector::LabelSelector;
+pub use label_set::LabelSet;
+pub use process_settings::{LimitSettings, LogFormat, MembershipSettings, ProcessSettings};
+pub use stage_plan::StagePlan;
+
+/// Largest declarations that are read, in bytes.
+pub const DECLARATIONS_LIMIT: usize = 1 << 20;
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -0,0 +1,232 @@
+use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
+use crate::membership::{ExchangeMessage, WitnessSet};
+use crate::pipeline::{AttemptOrder, FinalAnswer};
+
+/// What the process around the core has to do.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Give `call` its final answer.
+    Reply {
+        /// The call.
+        call: CallId,
+        /// Its answer.
+        answer: FinalAnswer,
+    },
+    /// Pass a piece of the last stage's stream on to `call`.
+    Forward {
+        /// The call.
+        call: CallId,
+        /// The piece.
+        text: String,
+    },
+    /// Call an upstream.
+    Send(AttemptOrder),
+    /// Give up a call of an upstream, and close its connection.
+    Cancel(AttemptId),
+    /// Close all idle connections to an upstream.
+    Distrust(String),
+    /// Ask a witness to claim `key` for this process, or to bury it.
+    Register {
+        /// Call that the reply goes to.
+        call: CallId,
+        /// The witness.
+        witness: String,
+        /// The key.
+        key: RequestKey,
+        /// All witnesses of the key.
+        witnesses: WitnessSet,
+        /// Whether to bury.
+        bury: bool,
+    },
+    /// Leave an outcome with a witness.
+    RecordOutcome {
+        /// The witness.
+        witness: String,
+        /// The key.
+        key: RequestKey,
+        /// JSON of the outcome.
+        body: std::sync::Arc<[u8]>,
+    },
+    /// Ask the holder of a key how its request ended.
+    AskHolder {
+        /// Call that the reply goes to.
+        call: CallId,
+        /// The key.
+        key: RequestKey,
+        /// Its holder.
+        holder: InstanceId,
+    },
+    /// Exchange heartbeats with a peer.
+    Exchange {
+        /// The peer.
+        vm: String,
+        /// This daemon's half.
+        message: Box<ExchangeMessage>,
+    },
+    /// Fetch the configuration that a peer has in force.
+    FetchConfiguration {
+        /// The peer.
+        vm: String,
+        /// Revision in force here.
+        known: u64,
+    },
+    /// Read the configuration service, waiting there for a revision other than `known`.
+    WatchConfiguration {
+        /// Revision that was last read from the service.
+        known: u64,
+    },
+    /// Read the VM list, if it is newer than `known`.
+    ReadRoster {
+        /// Revision of the list in use.
+        known: u64,
+    },
+    /// Give back [`super::DaemonEvent::Timer`] at `at`.
+    SetTimer {
+        /// What for.
+        timer: TimerKey,
+        /// When.
+        at: MonotonicTime,
+    },
+    /// Raise a counter by one.
+    Count(CounterName),
+    /// Log a change of state.
+    Note(StateChange),
+    /// End the process: it has drained.
+    Exit,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum TimerKey {
+    /// Deadline of a request.
+    Deadline(CallId),
+    /// End of the patience with witnesses.
+    Claim(CallId),
+    /// Check of an attempt for silence.
+    Silence(AttemptId),
+    /// End of an inquiry.
+    Inquiry(CallId),
+    /// Next question to the holder of a key.
+    Holder(CallId),
+    /// Next heartbeat.
+    Heartbeat,
+    /// Next look at waiting work, pauses and the drain.
+    Housekeeping,
+    /// Next read of the VM list.
+    Roster,
+    /// Next read of the configuration service.
+    Configuration,
+    /// End of the time for which addresses given out may still point here.
+    Drain,
+}
+
+/// Counters; each is a metric.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    Hash,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumCount,
+    strum::IntoStaticStr,
+    strum::VariantArray,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum CounterName {
+    /// Attempts handed out to be sent.
+    AttemptsSent,
+    /// Attempts of which no byte was written.
+    AttemptsNotSent,
+    /// Attempts that an upstream answered with an error status.
+    AttemptsDeclined,
+    /// Attempts after a failed one.
+    Retries,
+    /// Retries that the budget did not allow.
+    RetriesDenied,
+    /// Answers with the id of another attempt; dropped.
+    ForeignAnswers,
+    /// Answers that were cut or could not be read; dropped.
+    BrokenAnswers,
+    /// Attempts given up because nothing came.
+    SilentAttempts,
+    /// Answers to attempts that had ended; dropped.
+    LateAnswers,
+    /// Requests given up because their caller was gone.
+    CallersGone,
+    /// Keys that could not be claimed.
+    ClaimsRefused,
+    /// Votes that this daemon abstained from as a witness.
+    WitnessAbstentions,
+    /// Claims that this daemon wrote as a witness.
+    WitnessClaims,
+    /// Tombstones that this daemon wrote as a witness.
+    WitnessTombstones,
+    /// Heartbeats that failed.
+    ExchangesFailed,
+    /// Revisions taken into force.
+    ConfigurationsAccepted,
+    /// Revisions rejected.
+    ConfigurationsRejected,
+    /// Two texts under one revision.
+    ConfigurationConflicts,
+    /// Reads of the platform that failed.
+    PlatformReadsFailed,
+    /// Pauses of this process that were noticed.
+    PausesNoticed,
+}
+
+/// Changes of state that are worth a line in the log.
+#[derive(Clone, Debug, strum::IntoStaticStr, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum StateChange {
+    /// A revision is in force.
+    ConfigurationInForce {
+        /// The revision.
+        revision: u64,
+    },
+    /// A revision was rejected.
+    ConfigurationRejected {
+        /// The revision.
+        revision: u64,
+        /// First of its errors.
+        error: String,
+        /// Number of its errors.
+        errors: usize,
+    },
+    /// Two texts have the same revision.
+    ConfigurationConflict {
+        /// The revision.
+        revision: u64,
+    },
+    /// A new VM list is in use.
+    RosterTaken {
+        /// Its revision.
+        revision: u64,
+        /// Its number of VMs.
+        vms: usize,
+    },
+    /// An upstream is leaving.
+    UpstreamLeaving {
+        /// The upstream.
+        upstream: String,
+    },
+    /// This daemon drains.
+    Draining,
+    /// This daemon has drained.
+    Drained,
+    /// This process was paused.
+    Paused {
+        /// For how long at least, in milliseconds.
+        millis: u64,
+    },
+    /// A peer's status changed.
+    PeerStatus {
+        /// The peer.
+        vm: String,
+        /// What it is now.
+        status: String,
+    },
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -0,0 +1,183 @@
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::Duration;
+
+use super::{DaemonCore, FleetState};
+use crate::admission::AdmissionGate;
+use crate::claims::RegisterShard;
+use crate::configuration::{Declarations, MembershipSettings};
+use crate::identity::{InstanceId, MonotonicTime, RequestKey};
+use crate::membership::{MemberViewBuilder, RosterHistory};
+use crate::pipeline::RequestShard;
+use crate::routing::UpstreamRouter;
+
+/// Shards of requests and of registers.
+const SHARDS: usize = 16;
+/// Requests that run at one time, unless set.
+const DEFAULT_REQUESTS: usize = 8_192;
+
+/// Parts of the core, each under its own lock; no lock is held while another part is called.
+#[derive(Debug)]
+pub(super) struct CoreState {
+    pub(super) own: InstanceId,
+    pub(super) zone: String,
+    pub(super) started: MonotonicTime,
+    pub(super) shards: Vec<Mutex<RequestShard>>,
+    pub(super) registers: Vec<Mutex<RegisterShard>>,
+    pub(super) gate: Mutex<AdmissionGate>,
+    pub(super) fleet: Mutex<FleetState>,
+    router: RwLock<Arc<UpstreamRouter>>,
+    basis: RwLock<Arc<RequestBasis>>,
+    next_call: AtomicU64,
+    /// Whether addresses that were given out may no longer point here.
+    pub(super) window_over: AtomicBool,
+    pub(super) last_housekeeping: Mutex<MonotonicTime>,
+}
+
+/// What every request needs to know of configuration and membership, in one reading.
+#[derive(Clone, Debug)]
+pub(super) struct RequestBasis {
+    pub(super) declarations: Option<Arc<Declarations>>,
+    pub(super) history: RosterHistory,
+    pub(super) key_life: Duration,
+}
+
+/// Builds a [`DaemonCore`].
+///
+/// # Examples
+///
+/// ```
+/// use crocusdale_core::DaemonCoreBuilder;
+/// use crocusdale_core::identity::{InstanceId, MonotonicTime};
+///
+/// let own = InstanceId::new("gl-entry-a1", 1);
+/// let core = DaemonCoreBuilder::new(own, "a").seed(7).build(MonotonicTime::from_millis(0));
+/// assert!(!core.is_ready(MonotonicTime::from_millis(0)));
+/// ```
+#[derive(Debug)]
+pub struct DaemonCoreBuilder {
+    own: InstanceId,
+    zone: String,
+    requests: usize,
+    membership: Option<MembershipSettings>,
+    roster_period: Option<Duration>,
+    seed: u64,
+}
+
+impl DaemonCoreBuilder {
+    /// Begins the core of the process life `own` in `zone`.
+    #[must_use]
+    pub fn new(own: InstanceId, zone: impl Into<String>) -> Self {
+        Self {
+            own,
+            zone: zone.into(),
+            requests: DEFAULT_REQUESTS,
+            membership: None,
+            roster_period: None,
+            seed: 0,
+        }
+    }
+
+    /// Sets how many requests run at one time.
+    #[must_use]
+    pub fn requests(mut self, requests: usize) -> Self {
+        self.requests = requests;
+        self
+    }
+
+    /// Sets the pace of heartbeats.
+    #[must_use]
+    pub fn membership(mut self, membership: MembershipSettings) -> Self {
+        self.membership = Some(membership);
+        self
+    }
+
+    /// Sets the pause between two reads of the VM list.
+    #[must_use]
+    pub fn roster_period(mut self, period: Duration) -> Self {
+        self.roster_period = Some(period);
+        self
+    }
+
+    /// Seeds all random choices.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Builds the core, at `now`.
+    #[must_use]
+    pub fn build(self, now: MonotonicTime) -> DaemonCore {
+        let mut view = MemberViewBuilder::new(self.own.clone()).seed(self.seed);
+        if let Some(membership) = self.membership {
+            view = view.period(membership.period).suspicion(membership.suspicion);
+        }
+        let mut fleet = FleetState::new(view.build(), &self.zone, now, self.seed.wrapping_add(1));
+        if let Some(period) = self.roster_period {
+            fleet.set_roster_period(period);
+        }
+        let basis = RequestBasis {
+            declarations: None,
+            history: fleet.history.clone(),
+            key_life: fleet.key_life(),
+        };
+        let router = UpstreamRouter::new(&self.zone, self.seed.wrapping_add(2));
+        DaemonCore::from_state(CoreState {
+            shards: (0..SHARDS).map(|_| Mutex::new(RequestShard::new(self.own.clone()))).collect(),
+            registers: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            own: self.own,
+            zone: self.zone,
+            started: now,
+            gate: Mutex::new(AdmissionGate::new(self.requests)),
+            fleet: Mutex::new(fleet),
+            router: RwLock::new(Arc::new(router)),
+            basis: RwLock::new(Arc::new(basis)),
+            next_call: AtomicU64::new(1),
+            window_over: AtomicBool::new(false),
+            last_housekeeping: Mutex::new(now),
+        })
+    }
+}
+
+impl CoreState {
+    pub(super) fn router(&self) -> Arc<UpstreamRouter> {
+        Arc::clone(&self.router.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(super) fn set_router(&self, router: UpstreamRouter) {
+        *self.router.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(router);
+    }
+
+    pub(super) fn basis(&self) -> Arc<RequestBasis> {
+        Arc::clone(&self.basis.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(super) fn set_basis(&self, basis: RequestBasis) {
+        *self.basis.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(basis);
+    }
+
+    /// Numbers a call so that its shard can be told from the number.
+    pub(super) fn next_call(&self, key: &RequestKey) -> u64 {
+        let number = self.next_call.fetch_add(1, Ordering::Relaxed);
+        number * SHARDS as u64 + key.stable_hash() % SHARDS as u64
+    }
+
+    pub(super) fn shard(&self, call: u64) -> MutexGuard<'_, RequestShard> {
+        lock(&self.shards[(call % SHARDS as u64) as usize])
+    }
+
+    pub(super) fn shard_of_key(&self, key: &RequestKey) -> MutexGuard<'_, RequestShard> {
+        self.shard(key.stable_hash())
+    }
+
+    pub(super) fn register(&self, key: &RequestKey) -> MutexGuard<'_, RegisterShard> {
+        lock(&self.registers[(key.stable_hash() % SHARDS as u64) as usize])
+    }
+}
+
+/// Locks a part; a panic that poisoned it has been reported, and the part is still consistent
+/// enough to go on refusing or answering.
+pub(super) fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -0,0 +1,341 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::core_state::{CoreState, RequestBasis, lock};
+use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
+use crate::claims::RegisterReply;
+use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
+use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, VmRoster, WitnessSet};
+use crate::pipeline::HolderReply;
+
+/// Pause between two looks at waiting work, pauses and the drain.
+const HOUSEKEEPING: Duration = Duration::from_millis(100);
+/// Lateness of a timer that counts as a pause of the process.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// All decisions of one daemon: events and time in, commands out.
+///
+/// Calls may come from several threads; each part has its own lock, and none is held across
+/// calls of another. With one thread and one seed, the same events give the same commands.
+#[derive(Debug)]
+pub struct DaemonCore {
+    state: CoreState,
+}
+
+impl DaemonCore {
+    pub(super) fn from_state(state: CoreState) -> Self {
+        Self { state }
+    }
+
+    /// This life of this process.
+    #[must_use]
+    pub fn instance(&self) -> &InstanceId {
+        &self.state.own
+    }
+
+    /// Gives the first commands of a process.
+    pub fn start(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        out.push(Command::ReadRoster { known: 0 });
+        for timer in [TimerKey::Heartbeat, TimerKey::Housekeeping, TimerKey::Configuration] {
+            out.push(Command::SetTimer { timer, at: now });
+        }
+    }
+
+    /// Numbers a new call about `key`.
+    #[must_use]
+    pub fn open_call(&self, key: &RequestKey) -> CallId {
+        CallId(self.state.next_call(key))
+    }
+
+    /// Takes an event at `now`; what has to be done about it is added to `out`.
+    pub fn handle(&self, event: DaemonEvent, now: MonotonicTime, out: &mut Vec<Command>) {
+        let mut steps = Vec::new();
+        match event {
+            DaemonEvent::Submitted { call, request } => self.state.submit(call, *request, now, out),
+            DaemonEvent::Inquired { call, key } => self.state.inquire(call, key, now, out),
+            DaemonEvent::Abandoned(call) => self.state.shard(call.0).abandon(call, now, &mut steps),
+            DaemonEvent::Attempt { attempt, event } => {
+                self.state.shard(attempt.call.0).attempt_event(attempt, event, now, &mut steps);
+            }
+            DaemonEvent::RegisterReplied { call, witness, reply } => {
+                let mut shard = self.state.shard(call.0);
+                shard.register_replied(call, &witness, reply, now, &mut steps);
+            }
+            DaemonEvent::HolderReplied { call, reply } => {
+                self.state.shard(call.0).holder_replied(call, reply, now, &mut steps);
+            }
+            DaemonEvent::Timer(timer) => self.timer(timer, now, out),
+            event => self.fleet_event(event, now, out),
+        }
+        self.state.run_steps(steps, now, out);
+    }
+
+    /// Answers a peer's heartbeat.
+    pub fn exchange(
+        &self,
+        message: &ExchangeMessage,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> ExchangeMessage {
+        let (news, reply) = {
+            let mut fleet = lock(&self.state.fleet);
+            let news = fleet.take_message(message, now, out);
+            let position = fleet.ledger.position();
+            (news, fleet.view.message(&message.sender.instance.vm, position))
+        };
+        self.state.take_leaving(&news, now, out);
+        reply
+    }
+
+    /// Answers as a witness of `key`: claims it for `claimant`, or buries it for `None`.
+    pub fn witness(
+        &self,
+        key: &RequestKey,
+        claimant: Option<&InstanceId>,
+        witnesses: &WitnessSet,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> RegisterReply {
+        self.state.witness(key, claimant, witnesses, now, out)
+    }
+
+    /// Keeps the outcome of `key` that its holder left here.
+    pub fn record_outcome(&self, key: &RequestKey, holder: &InstanceId, body: &[u8]) {
+        self.state.register(key).record(key, holder, body);
+    }
+
+    /// Answers a peer that asks what became of `key` at `holder`.
+    #[must_use]
+    pub fn holder_reply(&self, key: &RequestKey, holder: &InstanceId) -> HolderReply {
+        if *holder != self.state.own {
+            return HolderReply::Gone;
+        }
+        self.state.shard_of_key(key).holder_reply(key)
+    }
+
+    /// Configuration in force, if it is newer than `known`.
+    #[must_use]
+    pub fn configuration_after(&self, known: u64) -> Option<(u64, Arc<str>)> {
+        let fleet = lock(&self.state.fleet);
+        let in_force = fleet.ledger.in_force()?;
+        // The same revision is given too: the asker may have another text under it.
+        (in_force.revision >= known).then(|| (in_force.revision, Arc::clone(&in_force.text)))
+    }
+
+    /// Whether the daemon may serve callers.
+    #[must_use]
+    pub fn is_ready(&self, now: MonotonicTime) -> bool {
+        lock(&self.state.fleet).is_ready(now)
+    }
+
+    /// Whether the daemon drains.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        lock(&self.state.fleet).view.is_own_leaving()
+    }
+
+    /// Addresses for `caller`, as seen from `zone` or from the own one.
+    #[must_use]
+    pub fn addresses(&self, caller: &str, zone: Option<&str>) -> AddressAnswer {
+        let fleet = lock(&self.state.fleet);
+        let hold = fleet.ledger.in_force();
+        let hold = hold.map_or(Duration::ZERO, |each| each.declarations.deployment().address_hold);
+        let order = AddressOrder::new(fleet.history.current(), &fleet.view, hold);
+        order.answer(caller, zone.unwrap_or(&self.state.zone))
+    }
+
+    /// Where the daemon on `vm` listens for other daemons.
+    #[must_use]
+    pub fn peer_address(&self, vm: &str) -> Option<SocketAddr> {
+        self.state.basis().history.current().get(vm)?.peer
+    }
+
+    /// State of the daemon, for operators.
+    #[must_use]
+    pub fn dump(&self, now: MonotonicTime) -> StateDump {
+        let router = self.state.router();
+        let running = lock(&self.state.gate).running();
+        let registers = self.state.registers.iter().map(|each| lock(each).len()).sum();
+        let keys = self.state.shards.iter().map(|each| lock(each).key_count()).sum();
+        let open_calls = self.open_calls();
+        let fleet = lock(&self.state.fleet);
+        let (revision, digest) = fleet.ledger.position();
+        let rejected = fleet.ledger.rejected();
+        let members: Vec<_> = fleet.view.records().cloned().collect();
+        let leaving = members.iter().map(|each| &each.instance.vm);
+        let leaving_members = leaving.filter(|vm| fleet.view.is_leaving(vm)).cloned().collect();
+        StateDump {
+            instance: self.state.own.clone(),
+            zone: self.state.zone.clone(),
+            uptime_ms: u64::try_from(now.since(self.state.started).as_millis()).unwrap_or(u64::MAX),
+            ready: fleet.is_ready(now),
+            leaving: fleet.view.is_own_leaving(),
+            revision,
+            digest: format!("{digest:016x}"),
+            rejected_revision: rejected.map(|(revision, _)| revision),
+            rejected_errors: rejected
+                .map(|(_, errors)| errors.iter().map(ToString::to_string).collect())
+                .unwrap_or_default(),
+            configuration_conflicts: fleet.ledger.conflicts(),
+            roster_revision: fleet.history.current().revision,
+            peers: fleet.view.peer_count(),
+            members,
+            leaving_members,
+            running,
+            open_calls,
+            registers,
+            keys,
+            waiting: router.waiting(),
+            upstreams: router.summaries(now),
+        }
+    }
+
+    fn open_calls(&self) -> usize {
+        self.state.shards.iter().map(|shard| lock(shard).open_count()).sum()
+    }
+
+    fn timer(&self, timer: TimerKey, now: MonotonicTime, out: &mut Vec<Command>) {
+        match timer {
+            TimerKey::Deadline(call)
+            | TimerKey::Claim(call)
+            | TimerKey::Inquiry(call)
+            | TimerKey::Holder(call) => self.request_timer(call, timer, now, out),
+            TimerKey::Silence(attempt) => self.request_timer(attempt.call, timer, now, out),
+            TimerKey::Heartbeat => lock(&self.state.fleet).heartbeat(now, out),
+            TimerKey::Configuration => lock(&self.state.fleet).decide_watch(now, out),
+            TimerKey::Housekeeping => self.housekeeping(now, out),
+            TimerKey::Roster => out.push(Command::ReadRoster { known: self.roster_revision() }),
+            TimerKey::Drain => self.state.window_over.store(true, Ordering::Relaxed),
+        }
+    }
+
+    fn request_timer(
+        &self,
+        call: CallId,
+        timer: TimerKey,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let mut steps = Vec::new();
+        self.state.shard(call.0).timer(timer, now, &mut steps);
+        self.state.run_steps(steps, now, out);
+    }
+
+    fn fleet_event(&self, event: DaemonEvent, now: MonotonicTime, out: &mut Vec<Command>) {
+        match event {
+            DaemonEvent::Exchanged(message) => {
+                let news = lock(&self.state.fleet).take_message(&message, now, out);
+                self.state.take_leaving(&news, now, out);
+            }
+            DaemonEvent::ExchangeFailed(vm) => {
+                lock(&self.state.fleet).exchange_failed(&vm, now, out);
+            }
+            DaemonEvent::ConfigurationFetched(fetched) => {
+                lock(&self.state.fleet).fetch_ended();
+                self.take_configuration(fetched, now, out);
+            }
+            DaemonEvent::ConfigurationWatched(read) => {
+                let revision = read.as_ref().map(|(revision, _)| *revision);
+                self.take_configuration(read, now, out);
+                lock(&self.state.fleet).watch_ended(revision, now, out);
+            }
+            DaemonEvent::ConfigurationUnread => lock(&self.state.fleet).watch_failed(now, out),
+            DaemonEvent::RosterRead(read) => {
+                self.take_roster(read, now, out);
+                lock(&self.state.fleet).await_roster(now, out);
+            }
+            DaemonEvent::RosterUnread => {
+                out.push(Command::Count(CounterName::PlatformReadsFailed));
+                lock(&self.state.fleet).await_roster(now, out);
+            }
+            DaemonEvent::DrainAsked => self.drain(now, out),
+            _ => debug_assert!(false, "an event of a request reached the fleet"),
+        }
+    }
+
+    fn take_configuration(
+        &self,
+        offered: Option<(u64, String)>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let Some((revision, text)) = offered else { return };
+        let declarations = {
+            let mut fleet = lock(&self.state.fleet);
+            if !fleet.offer(revision, &text, out) {
+                return;
+            }
+            fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
+        };
+        if let Some(declarations) = declarations {
+            let router = self.state.router().reconfigured(&declarations);
+            router.take_roster(self.state.basis().history.current());
+            self.state.set_router(router);
+        }
+        self.refresh_basis();
+        let grants = self.state.router().serve_all_waiting(now);
+        let steps = self.state.run_grants(grants, now);
+        self.state.run_steps(steps, now, out);
+    }
+
+    fn take_roster(&self, read: Option<VmRoster>, now: MonotonicTime, out: &mut Vec<Command>) {
+        let Some(roster) = read else { return };
+        if lock(&self.state.fleet).take_roster(roster, now, out) {
+            self.refresh_basis();
+            self.state.router().take_roster(self.state.basis().history.current());
+        }
+    }
+
+    fn refresh_basis(&self) {
+        let fleet = lock(&self.state.fleet);
+        let basis = RequestBasis {
+            declarations: fleet.ledger.in_force().map(|each| Arc::clone(&each.declarations)),
+            history: fleet.history.clone(),
+            key_life: fleet.key_life(),
+        };
+        self.state.set_basis(basis);
+    }
+
+    fn roster_revision(&self) -> u64 {
+        self.state.basis().history.current().revision
+    }
+
+    fn housekeeping(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let last = std::mem::replace(&mut *lock(&self.state.last_housekeeping), now);
+        if now.since(last) > HOUSEKEEPING + PAUSE {
+            self.noticed_pause(now.since(last), out);
+        }
+        let grants = self.state.router().serve_all_waiting(now);
+        let steps = self.state.run_grants(grants, now);
+        self.state.run_steps(steps, now, out);
+        if self.state.window_over.load(Ordering::Relaxed) && self.open_calls() == 0 {
+            out.push(Command::Note(StateChange::Drained));
+            out.push(Command::Exit);
+        }
+        out.push(Command::SetTimer { timer: TimerKey::Housekeeping, at: now + HOUSEKEEPING });
+    }
+
+    /// After a pause everything that was believed before it is asked for again. No promise rests
+    /// on noticing: deadlines are checked before each dispatch, claims never expire into a run.
+    fn noticed_pause(&self, pause: Duration, out: &mut Vec<Command>) {
+        let millis = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+        out.push(Command::Count(CounterName::PausesNoticed));
+        out.push(Command::Note(StateChange::Paused { millis }));
+        let mut fleet = lock(&self.state.fleet);
+        let partners = fleet.view.random_partners(4);
+        fleet.exchange_with(partners, out);
+    }
+
+    fn drain(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let mut fleet = lock(&self.state.fleet);
+        if fleet.view.is_own_leaving() {
+            return;
+        }
+        fleet.drain(out);
+        let window = fleet.drain_window();
+        out.push(Command::Note(StateChange::Draining));
+        out.push(Command::SetTimer { timer: TimerKey::Drain, at: now + window });
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -0,0 +1,68 @@
+use crate::claims::RegisterReply;
+use crate::identity::{AttemptId, CallId, RequestKey};
+use crate::membership::{ExchangeMessage, VmRoster};
+use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply};
+
+use super::TimerKey;
+
+/// What happened around the core.
+#[derive(Debug)]
+pub enum DaemonEvent {
+    /// A caller sent a request.
+    Submitted {
+        /// Its call, from [`super::DaemonCore::open_call`].
+        call: CallId,
+        /// The request.
+        request: Box<CallerRequest>,
+    },
+    /// A caller asked what became of a key.
+    Inquired {
+        /// Its call.
+        call: CallId,
+        /// The key.
+        key: RequestKey,
+    },
+    /// The caller of a call is gone.
+    Abandoned(CallId),
+    /// An upstream did something about an attempt.
+    Attempt {
+        /// The attempt.
+        attempt: AttemptId,
+        /// What it did.
+        event: AttemptEvent,
+    },
+    /// A witness replied, or did not.
+    RegisterReplied {
+        /// Call that asked.
+        call: CallId,
+        /// The witness.
+        witness: String,
+        /// Its reply.
+        reply: Option<RegisterReply>,
+    },
+    /// The holder of a key replied, or did not.
+    HolderReplied {
+        /// Call that asked.
+        call: CallId,
+        /// Its reply.
+        reply: Option<HolderReply>,
+    },
+    /// A peer answered a heartbeat.
+    Exchanged(Box<ExchangeMessage>),
+    /// A peer did not answer a heartbeat.
+    ExchangeFailed(String),
+    /// A peer sent its configuration, or did not.
+    ConfigurationFetched(Option<(u64, String)>),
+    /// The configuration service answered; `None` if it had nothing new.
+    ConfigurationWatched(Option<(u64, String)>),
+    /// The configuration service did not answer.
+    ConfigurationUnread,
+    /// The VM list was read; `None` if it had nothing new.
+    RosterRead(Option<VmRoster>),
+    /// The VM list did not answer.
+    RosterUnread,
+    /// A timer is due.
+    Timer(TimerKey),
+    /// The process was asked to drain.
+    DrainAsked,
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -0,0 +1,289 @@
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use super::{Command, CounterName, StateChange, TimerKey};
+use crate::configuration::{ConfigurationLedger, LedgerVerdict};
+use crate::identity::{MonotonicTime, stable_hash};
+use crate::membership::{ExchangeMessage, MemberStatus, MemberView, RosterHistory, VmRoster};
+
+/// Daemons of each zone that hold the watch on the configuration service.
+const READERS_PER_ZONE: usize = 2;
+/// Time after which a daemon that heard no peer reads the configuration service itself.
+const READ_BOUND: Duration = Duration::from_secs(5);
+/// Pause of a daemon that is no reader before it looks again whether it must read.
+const READER_CHECK: Duration = Duration::from_secs(2);
+/// First pause after a failed read of the platform, and the longest one.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(4));
+/// Peers that are told at once of a new revision.
+const EAGER_PARTNERS: usize = 4;
+/// Peers that are told at once of a drain.
+const FAREWELL_PARTNERS: usize = 16;
+/// Pause between two reads of the VM list, unless set.
+const ROSTER_PERIOD: Duration = Duration::from_secs(2);
+/// Pause between two reads of the VM list for each daemon of the fleet, which bounds the reads
+/// of the whole fleet to 200 a second.
+const ROSTER_SHARE: Duration = Duration::from_millis(5);
+/// Time after which a fetch from a peer counts as lost.
+const FETCH_PATIENCE: Duration = Duration::from_secs(2);
+/// Time after the start for which an unheard peer keeps a daemon from being ready.
+const START_GRACE: Duration = Duration::from_secs(2);
+
+/// Membership and configuration of one daemon, under one lock.
+#[derive(Debug)]
+pub struct FleetState {
+    /// What is believed of the peers.
+    pub view: MemberView,
+    /// Which configuration is in force.
+    pub ledger: ConfigurationLedger,
+    /// VM lists in use.
+    pub history: RosterHistory,
+    zone: String,
+    started: MonotonicTime,
+    roster_period: Duration,
+    service_revision: u64,
+    watching: bool,
+    failures: u32,
+    fetching: Option<MonotonicTime>,
+    random: SmallRng,
+}
+
+impl FleetState {
+    /// The state of a daemon in `zone` that starts at `started`.
+    #[must_use]
+    pub fn new(view: MemberView, zone: &str, started: MonotonicTime, seed: u64) -> Self {
+        Self {
+            view,
+            ledger: ConfigurationLedger::default(),
+            history: RosterHistory::new(started),
+            zone: zone.to_owned(),
+            started,
+            roster_period: ROSTER_PERIOD,
+            service_revision: 0,
+            watching: false,
+            failures: 0,
+            fetching: None,
+            random: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets the pause between two reads of the VM list.
+    pub fn set_roster_period(&mut self, period: Duration) {
+        self.roster_period = period;
+    }
+
+    /// Arms the next read of the VM list.
+    pub fn await_roster(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let peers = u32::try_from(self.view.peer_count()).unwrap_or(u32::MAX);
+        let pause = self.jittered(self.roster_period.max(ROSTER_SHARE.saturating_mul(peers)));
+        out.push(Command::SetTimer { timer: TimerKey::Roster, at: now + pause });
+    }
+
+    /// Whether the daemon may serve callers: it has a configuration and a VM list, and every peer
+    /// was asked for a newer configuration.
+    ///
+    /// Guards against a fresh process that reads an old revision from a stale service while its
+    /// peers act on a newer one.
+    #[must_use]
+    pub fn is_ready(&self, now: MonotonicTime) -> bool {
+        let asked = self.view.has_asked_all();
+        self.ledger.in_force().is_some()
+            && self.history.current().revision > 0
+            && (asked || now.since(self.started) >= START_GRACE)
+    }
+
+    /// Runs one heartbeat period.
+    pub fn heartbeat(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let partners = self.view.tick(now);
+        self.exchange_with(partners, out);
+        let pause = self.jittered(self.view.period());
+        out.push(Command::SetTimer { timer: TimerKey::Heartbeat, at: now + pause });
+    }
+
+    /// Takes a peer's half of an exchange; returns the upstreams newly known to leave.
+    pub fn take_message(
+        &mut self,
+        message: &ExchangeMessage,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> Vec<crate::membership::LeavingUpstream> {
+        let vm = &message.sender.instance.vm;
+        let before = self.view.status(vm);
+        let news = self.view.take_message(message, now);
+        self.note_status(vm, before, out);
+        let fetching = self.fetching.is_some_and(|since| now.since(since) < FETCH_PATIENCE);
+        if !fetching && self.ledger.wants(message.revision, message.digest) {
+            self.fetching = Some(now);
+            let known = self.ledger.position().0;
+            out.push(Command::FetchConfiguration { vm: vm.clone(), known });
+        }
+        news
+    }
+
+    /// Takes the news that a heartbeat failed.
+    pub fn exchange_failed(&mut self, vm: &str, now: MonotonicTime, out: &mut Vec<Command>) {
+        out.push(Command::Count(CounterName::ExchangesFailed));
+        let before = self.view.status(vm);
+        self.view.exchange_failed(vm, now);
+        self.note_status(vm, before, out);
+    }
+
+    /// A fetch from a peer has ended.
+    pub fn fetch_ended(&mut self) {
+        self.fetching = None;
+    }
+
+    /// Offers a revision to the ledger; returns whether another one is in force now.
+    pub fn offer(&mut self, revision: u64, text: &str, out: &mut Vec<Command>) -> bool {
+        let before = self.ledger.position();
+        match self.ledger.offer(revision, text) {
+            LedgerVerdict::Accepted => {
+                out.push(Command::Count(CounterName::ConfigurationsAccepted));
+                out.push(Command::Note(StateChange::ConfigurationInForce { revision }));
+            }
+            LedgerVerdict::Rejected(errors) => {
+                out.push(Command::Count(CounterName::ConfigurationsRejected));
+                let error = errors.first().map(ToString::to_string).unwrap_or_default();
+                let errors = errors.len();
+                out.push(Command::Note(StateChange::ConfigurationRejected {
+                    revision,
+                    error,
+                    errors,
+                }));
+            }
+            LedgerVerdict::Conflict => {
+                out.push(Command::Count(CounterName::ConfigurationConflicts));
+                out.push(Command::Note(StateChange::ConfigurationConflict { revision }));
+            }
+            LedgerVerdict::AlreadyInForce
+            | LedgerVerdict::Older
+            | LedgerVerdict::RejectedBefore => {}
+        }
+        let changed = before != self.ledger.position();
+        if changed {
+            let partners = self.view.random_partners(EAGER_PARTNERS);
+            self.exchange_with(partners, out);
+        }
+        changed
+    }
+
+    /// Takes a VM list; returns whether it is in use now.
+    pub fn take_roster(
+        &mut self,
+        roster: VmRoster,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let key_life = self.key_life();
+        if !self.history.take(roster, now, key_life) {
+            return false;
+        }
+        let current = self.history.current().clone();
+        let first = self.view.peer_count() == 0;
+        self.view.take_roster(&current, now);
+        let (revision, vms) = (current.revision, current.vms.len());
+        out.push(Command::Note(StateChange::RosterTaken { revision, vms }));
+        if first {
+            let partners = self.view.random_partners(FAREWELL_PARTNERS);
+            self.exchange_with(partners, out);
+        }
+        true
+    }
+
+    /// How long keys are remembered under what is in force.
+    #[must_use]
+    pub fn key_life(&self) -> Duration {
+        let in_force = self.ledger.in_force();
+        in_force.map_or(Duration::from_secs(3_600), |each| each.declarations.deployment().key_life)
+    }
+
+    /// Takes the end of a watch, and decides when to read next.
+    ///
+    /// A few readers of each zone keep watching; the others hear of revisions from peers. That
+    /// keeps the reads of a large fleet far below what the service allows, also after an outage.
+    pub fn watch_ended(&mut self, read: Option<u64>, now: MonotonicTime, out: &mut Vec<Command>) {
+        self.watching = false;
+        self.failures = 0;
+        if let Some(revision) = read {
+            self.service_revision = revision;
+        }
+        self.decide_watch(now, out);
+    }
+
+    /// Takes a failed read, and decides when to read next.
+    pub fn watch_failed(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        out.push(Command::Count(CounterName::PlatformReadsFailed));
+        self.watching = false;
+        self.failures += 1;
+        let longest = BACK_OFF.0 * 2_u32.pow(self.failures.min(8));
+        let pause = self.jittered(longest.min(BACK_OFF.1));
+        out.push(Command::SetTimer { timer: TimerKey::Configuration, at: now + pause });
+    }
+
+    /// Watches if this daemon is a reader or has heard of no peer for too long.
+    pub fn decide_watch(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        if self.watching {
+            return;
+        }
+        let bound = MonotonicTime::from_start(now.since_start().saturating_sub(READ_BOUND));
+        let none_yet = self.ledger.in_force().is_none();
+        if self.is_reader() || none_yet || !self.view.heard_since(bound) {
+            self.watching = true;
+            out.push(Command::WatchConfiguration { known: self.service_revision });
+        } else {
+            let pause = self.jittered(READER_CHECK);
+            out.push(Command::SetTimer { timer: TimerKey::Configuration, at: now + pause });
+        }
+    }
+
+    /// Announces that this daemon drains.
+    pub fn drain(&mut self, out: &mut Vec<Command>) {
+        self.view.leave();
+        let partners = self.view.random_partners(FAREWELL_PARTNERS);
+        self.exchange_with(partners, out);
+    }
+
+    /// Time between the announcement of a drain and the last address answer that names this
+    /// daemon having been forgotten.
+    #[must_use]
+    pub fn drain_window(&self) -> Duration {
+        let hold = self.ledger.in_force();
+        let hold = hold.map_or(Duration::ZERO, |each| each.declarations.deployment().address_hold);
+        hold + self.view.period() * 4
+    }
+
+    /// Exchanges heartbeats with `partners`.
+    pub fn exchange_with(&mut self, partners: Vec<String>, out: &mut Vec<Command>) {
+        let position = self.ledger.position();
+        for vm in partners {
+            let message = Box::new(self.view.message(&vm, position));
+            out.push(Command::Exchange { vm, message });
+        }
+    }
+
+    /// `pause`, shortened at random by up to a quarter, so that daemons don't act in step.
+    pub fn jittered(&mut self, pause: Duration) -> Duration {
+        pause.mul_f64(self.random.random_range(0.75..=1.0))
+    }
+
+    fn is_reader(&self) -> bool {
+        let own = &self.view.own().instance.vm;
+        let weight = |vm: &str| stable_hash(&["configuration reader", vm]);
+        let usable = |vm: &str| {
+            !self.view.is_leaving(vm) && self.view.status(vm) != Some(MemberStatus::Unreachable)
+        };
+        let roster = self.history.current();
+        let before = roster.entries().filter(|vm| vm.zone == self.zone && vm.name != *own);
+        let before = before.filter(|vm| usable(&vm.name) && weight(&vm.name) > weight(own));
+        before.count() < READERS_PER_ZONE
+    }
+
+    fn note_status(&self, vm: &str, before: Option<MemberStatus>, out: &mut Vec<Command>) {
+        let after = self.view.status(vm);
+        if let Some(status) = after.filter(|status| Some(*status) != before) {
+            let (vm, status) = (vm.to_owned(), status.to_string());
+            out.push(Command::Note(StateChange::PeerStatus { vm, status }));
+        }
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -0,0 +1,16 @@
+//! All decisions of a daemon behind one pair of events and commands.
+
+mod command;
+mod core_state;
+mod daemon_core;
+mod daemon_event;
+mod fleet_state;
+mod request_flow;
+mod state_dump;
+
+pub use command::{Command, CounterName, StateChange, TimerKey};
+pub use core_state::DaemonCoreBuilder;
+pub use daemon_core::DaemonCore;
+pub use daemon_event::DaemonEvent;
+pub use fleet_state::FleetState;
+pub use state_dump::StateDump;
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -0,0 +1,293 @@
+use std::collections::VecDeque;
+
+use super::core_state::{CoreState, lock};
+use super::{Command, CounterName, StateChange};
+use crate::claims::{RegisterReply, RegisterState};
+use crate::configuration::Declarations;
+use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
+use crate::membership::{LeavingUpstream, WitnessSet};
+use crate::pipeline::{
+    CallerRequest, FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason, RegisterCall,
+    RequestPlan, RequestShard, ShardStep,
+};
+use crate::routing::{SlotGrant, SlotRequest};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// When a caller is told to come back after a limit was reached.
+const LIMIT_RETRY: Duration = Duration::from_millis(250);
+/// When a caller is told to come back to a daemon that is not ready.
+const READY_RETRY: Duration = Duration::from_millis(1_000);
+/// When a witness that sees other witnesses of a key may be asked again.
+const DISAGREEMENT_RETRY: Duration = Duration::from_millis(1_000);
+
+impl CoreState {
+    /// Begins a request, or refuses it.
+    pub(super) fn submit(
+        &self,
+        call: CallId,
+        request: CallerRequest,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let mut steps = Vec::new();
+        let key = request.key.clone();
+        if !request.repeatable && self.shard(call.0).join(call, &key, now, &mut steps) {
+            self.run_steps(steps, now, out);
+            return;
+        }
+        let basis = self.basis();
+        let Some(declarations) = &basis.declarations else {
+            let refusal = refusal(&key, RefusalReason::NotReady, READY_RETRY);
+            self.refuse(call, key, request.repeatable, refusal, now, out);
+            return;
+        };
+        let repeatable = request.repeatable;
+        match self.admit(request, declarations, now) {
+            Ok(plan) if plan.repeatable => self.shard(call.0).start(call, plan, now, &mut steps),
+            Ok(plan) => self.start_claimed(call, plan, now, &mut steps),
+            Err((refusal, repeatable_there)) => {
+                self.refuse(call, key, repeatable && repeatable_there, refusal, now, out);
+            }
+        }
+        self.run_steps(steps, now, out);
+    }
+
+    /// Finds out what became of `key`.
+    pub(super) fn inquire(
+        &self,
+        call: CallId,
+        key: RequestKey,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let mut steps = Vec::new();
+        if !self.shard(call.0).join(call, &key, now, &mut steps) {
+            steps = self.begin_inquiry(call, key, None, now);
+        }
+        self.run_steps(steps, now, out);
+    }
+
+    /// Carries steps out until nothing but commands is left.
+    pub(super) fn run_steps(
+        &self,
+        steps: Vec<ShardStep>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let mut queue = VecDeque::from(steps);
+        while let Some(step) = queue.pop_front() {
+            queue.extend(self.run_step(step, now, out));
+        }
+    }
+
+    /// Gives upstreams that were found for attempts to their requests.
+    pub(super) fn run_grants(&self, grants: Vec<SlotGrant>, now: MonotonicTime) -> Vec<ShardStep> {
+        let mut steps = Vec::new();
+        for grant in grants {
+            self.shard(grant.request.call.0).granted(grant, now, &mut steps);
+        }
+        steps
+    }
+
+    /// Answers as a witness of `key`: claims it for `claimant`, or buries it.
+    pub(super) fn witness(
+        &self,
+        key: &RequestKey,
+        claimant: Option<&InstanceId>,
+        witnesses: &WitnessSet,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> RegisterReply {
+        let basis = self.basis();
+        let own = WitnessSet::choose(key, basis.history.current());
+        if basis.declarations.is_none()
+            || !own.contains(&self.own.vm)
+            || !own.agrees_with(witnesses)
+        {
+            out.push(Command::Count(CounterName::WitnessAbstentions));
+            return RegisterReply::Abstains(DISAGREEMENT_RETRY);
+        }
+        if let Some(wait) = basis.history.abstention(&self.own.vm, key, now, basis.key_life) {
+            out.push(Command::Count(CounterName::WitnessAbstentions));
+            return RegisterReply::Abstains(wait);
+        }
+        let mut register = self.register(key);
+        let reply = match claimant {
+            Some(claimant) => register.claim(key, claimant, now, basis.key_life),
+            None => register.bury(key, now, basis.key_life),
+        };
+        out.push(Command::Count(match &reply {
+            RegisterReply::Holds(RegisterState::Claimed { .. }) => CounterName::WitnessClaims,
+            RegisterReply::Holds(RegisterState::Buried) => CounterName::WitnessTombstones,
+            RegisterReply::Abstains(_) => CounterName::WitnessAbstentions,
+        }));
+        reply
+    }
+
+    /// Takes the news that an upstream is leaving, and lets its waiting work go elsewhere.
+    pub(super) fn take_leaving(
+        &self,
+        news: &[LeavingUpstream],
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let router = self.router();
+        let fresh: Vec<_> = news.iter().filter(|each| router.take_leaving(each)).collect();
+        for leaving in &fresh {
+            let upstream = leaving.upstream.clone();
+            out.push(Command::Note(StateChange::UpstreamLeaving { upstream }));
+        }
+        if !fresh.is_empty() {
+            let steps = self.run_grants(router.serve_all_waiting(now), now);
+            self.run_steps(steps, now, out);
+        }
+    }
+
+    fn admit(
+        &self,
+        request: CallerRequest,
+        declarations: &Arc<Declarations>,
+        now: MonotonicTime,
+    ) -> Result<RequestPlan, (Box<FinalOutcome>, bool)> {
+        let key = request.key.clone();
+        let mut plan =
+            RequestPlan::make(request, declarations, now).map_err(|refusal| (refusal, true))?;
+        let repeatable = plan.repeatable;
+        let admitted = lock(&self.gate).admit(declarations, &key.workspace, &plan.labels);
+        plan.permit =
+            admitted.map_err(|reason| (refusal(&key, reason, LIMIT_RETRY), repeatable))?;
+        Ok(plan)
+    }
+
+    fn start_claimed(
+        &self,
+        call: CallId,
+        plan: RequestPlan,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let key = plan.request.key.clone();
+        let mut shard = self.shard(call.0);
+        // A request that its caller calls repeatable may reach a pipeline that is not.
+        if plan.request.repeatable && shard.join(call, &key, now, steps) {
+            steps.push(ShardStep::GiveBack(plan.permit));
+            return;
+        }
+        if shard.has_given_up(&key) || !shard.has_memory() {
+            drop(shard);
+            steps.push(ShardStep::GiveBack(plan.permit));
+            let refusal = refusal(&key, RefusalReason::NeverRun, Duration::ZERO);
+            steps.extend(self.begin_inquiry(call, key, Some(refusal), now));
+            return;
+        }
+        let witnesses = WitnessSet::choose(&key, self.basis().history.current());
+        shard.start_claimed(call, plan, witnesses, now, steps);
+    }
+
+    /// Refuses a request. Of one that must not be repeated, "not run" is said only once its
+    /// witnesses prove it: the same key may have run through another daemon.
+    fn refuse(
+        &self,
+        call: CallId,
+        key: RequestKey,
+        repeatable: bool,
+        refusal: Box<FinalOutcome>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        if repeatable {
+            out.push(Command::Reply { call, answer: FinalAnswer::from(*refusal) });
+        } else {
+            let steps = self.begin_inquiry(call, key, Some(refusal), now);
+            self.run_steps(steps, now, out);
+        }
+    }
+
+    fn begin_inquiry(
+        &self,
+        call: CallId,
+        key: RequestKey,
+        refusal: Option<Box<FinalOutcome>>,
+        now: MonotonicTime,
+    ) -> Vec<ShardStep> {
+        let basis = self.basis();
+        let witnesses = WitnessSet::choose(&key, basis.history.current());
+        self.shard(call.0).inquire(call, key, witnesses, refusal, basis.key_life, now)
+    }
+
+    fn run_step(
+        &self,
+        step: ShardStep,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> Vec<ShardStep> {
+        let mut steps = Vec::new();
+        match step {
+            ShardStep::Command(command) => out.push(command),
+            ShardStep::Acquire(request) => {
+                self.acquire(request, RefusalReason::NoUpstream, now, &mut steps);
+            }
+            ShardStep::Retry { request, reason } => {
+                if self.router().allow_retry(&request.stage) {
+                    out.push(Command::Count(CounterName::Retries));
+                    self.acquire(request, reason, now, &mut steps);
+                } else {
+                    out.push(Command::Count(CounterName::RetriesDenied));
+                    self.shard(request.call.0).denied(request.call, reason, now, &mut steps);
+                }
+            }
+            ShardStep::Withdraw(request) => self.router().withdraw(&request),
+            ShardStep::Release { upstream, report } => {
+                steps = self.run_grants(self.router().release(&upstream, report, now), now);
+            }
+            ShardStep::GiveBack(permit) => lock(&self.gate).release(&permit),
+            ShardStep::Register(register) => self.ask_witness(register, now, &mut steps, out),
+            ShardStep::Greet { upstream, life, leaving: false } => {
+                self.router().greet(&upstream, &life)
+            }
+            ShardStep::Greet { upstream, life, leaving: true } => {
+                let news = LeavingUpstream { upstream, life };
+                lock(&self.fleet).view.take_leaving_upstream(&news);
+                self.take_leaving(&[news], now, out);
+            }
+        }
+        steps
+    }
+
+    fn acquire(
+        &self,
+        request: SlotRequest,
+        reason: RefusalReason,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        match self.router().acquire(request, now) {
+            Ok(Some(grant)) => self.shard(grant.request.call.0).granted(grant, now, steps),
+            Ok(None) => {}
+            Err(request) => self.shard(request.call.0).denied(request.call, reason, now, steps),
+        }
+    }
+
+    fn ask_witness(
+        &self,
+        register: RegisterCall,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let RegisterCall { call, witness, key, witnesses, bury } = register;
+        if witness != self.own.vm {
+            out.push(Command::Register { call, witness, key, witnesses, bury });
+            return;
+        }
+        let claimant = (!bury).then_some(&self.own);
+        let reply = self.witness(&key, claimant, &witnesses, now, out);
+        let mut shard: std::sync::MutexGuard<'_, RequestShard> = self.shard(call.0);
+        shard.register_replied(call, &witness, Some(reply), now, steps);
+    }
+}
+
+fn refusal(key: &RequestKey, reason: RefusalReason, retry: Duration) -> Box<FinalOutcome> {
+    Box::new(FinalOutcome::new(OutcomeKind::Refused, key).reason(reason).retry(retry, true))
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -0,0 +1,50 @@
+use serde::Serialize;
+
+use crate::identity::InstanceId;
+use crate::membership::MemberRecord;
+use crate::routing::UpstreamSummary;
+
+/// State of one daemon, as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct StateDump {
+    /// The process.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: String,
+    /// Time since its start, in milliseconds.
+    pub uptime_ms: u64,
+    /// Whether it is ready for callers.
+    pub ready: bool,
+    /// Whether it drains.
+    pub leaving: bool,
+    /// Revision in force, 0 for none.
+    pub revision: u64,
+    /// Digest of its text, in hexadecimal.
+    pub digest: String,
+    /// Newest rejected revision.
+    pub rejected_revision: Option<u64>,
+    /// Errors of that revision.
+    pub rejected_errors: Vec<String>,
+    /// Times that two texts had one revision.
+    pub configuration_conflicts: u64,
+    /// Revision of the VM list.
+    pub roster_revision: u64,
+    /// Peers in the VM list.
+    pub peers: usize,
+    /// What is believed of the peers.
+    pub members: Vec<MemberRecord>,
+    /// Peers known to drain.
+    pub leaving_members: Vec<String>,
+    /// Requests that run.
+    pub running: usize,
+    /// Calls that are open in all.
+    pub open_calls: usize,
+    /// Registers kept as a witness.
+    pub registers: usize,
+    /// Keys of not repeatable requests remembered.
+    pub keys: usize,
+    /// Attempts that wait, by stage.
+    pub waiting: Vec<(String, usize)>,
+    /// Upstreams.
+    pub upstreams: Vec<UpstreamSummary>,
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/lib.rs
@@ -0,0 +1,40 @@
+//! Decisions of crocusdale, without sockets, clocks or unseeded randomness.
+//!
+//! Events and the current time go in, commands come out; whoever embeds [`DaemonCore`] carries the
+//! commands out. The daemon does so over the network, tests do so in virtual time.
+//!
+//! * [`identity`]: names, incarnations, request keys, time.
+//! * [`configuration`]: settings and declarations, checked wholly; which revision is in force.
+//! * [`membership`]: the VM list, heartbeats, addresses for callers, witnesses of a key.
+//! * [`claims`]: at most one run per key, and honest answers about it.
+//! * [`admission`]: limits on what runs at one time.
+//! * [`routing`]: which upstream gets an attempt.
+//! * [`retry`]: when an attempt may be repeated.
+//! * [`pipeline`]: the life of one request through its stages.
+//! * [`daemon`]: all of it behind one pair of events and commands.
+//!
+//! # Examples
+//!
+//! ```
+//! use crocusdale_core::configuration::Declarations;
+//!
+//! let text = "[deployment]\nname = small\n";
+//! let declarations = Declarations::check("small.ini", text).expect("accepted");
+//! assert_eq!(declarations.deployment().name, "small");
+//! ```
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod admission;
+pub mod claims;
+pub mod configuration;
+pub mod daemon;
+pub mod identity;
+pub mod membership;
+pub mod pipeline;
+pub mod retry;
+pub mod routing;
+mod wire;
+
+pub use daemon::{DaemonCore, DaemonCoreBuilder};
--- /dev/null
+++ b/crates/crocusdale_core/src/membership/exchange_message.rs
@@ -0,0 +1,30 @@
+use super::MemberRecord;
+use crate::identity::InstanceId;
+
+/// News that an upstream is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize)]
+pub struct LeavingUpstream {
+    /// Name of the upstream.
+    pub upstream: String,
+    /// Identity of the process behind it, as it reported it.
+    pub life: String,
+}
+
+/// One half of a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExchangeMessage {
+    /// The sender.
+    pub sender: MemberRecord,
+    /// Whether the sender drains.
+    pub sender_leaving: bool,
+    /// Revision that the sender has in force, 0 for none.
+    pub revision: u64,
+    /// Digest of that revision's text.
+    pub digest: u64,
+    /// Records about others.
+    pub records: Vec<MemberRecord>,
+    /// Members that drain.
+    pub leaving: Vec<InstanceId>,
+    /// Upstreams that are leaving.
+    pub leaving_upstreams: Vec<LeavingUpstream>,
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/membership/member_record.rs
@@ -0,0 +1,53 @@
+use serde::Serialize;
+
+use crate::identity::InstanceId;
+
+/// Status of a member.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    strum::Display,
+    strum::EnumIter,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum MemberStatus {
+    /// Answers its peers.
+    Alive,
+    /// Missed a heartbeat.
+    Suspect,
+    /// Missed heartbeats for longer than a suspicion lasts.
+    Unreachable,
+}
+
+/// What a daemon believes of one member.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct MemberRecord {
+    /// The member.
+    pub instance: InstanceId,
+    /// Raised by the member itself to refute a suspicion.
+    pub refutation: u32,
+    /// What is believed.
+    pub status: MemberStatus,
+}
+
+impl MemberRecord {
+    /// Whether `self` is newer news of the same VM than `other`.
+    ///
+    /// A later incarnation goes before an earlier one, a refutation before the suspicion that it
+    /// refutes, a worse status before a better one. The order is total, so that daemons which
+    /// heard the same news in different orders agree.
+    #[must_use]
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        debug_assert_eq!(self.instance.vm, other.instance.vm);
+        let rank = |record: &Self| (record.instance.incarnation, record.refutation, record.status);
+        rank(self) > rank(other)
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -0,0 +1,390 @@
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
+use rand::{Rng as _, SeedableRng as _};
+
+use super::{ExchangeMessage, LeavingUpstream, MemberRecord, MemberStatus, VmRoster};
+use crate::identity::{InstanceId, MonotonicTime};
+
+/// Partners of one period.
+const PARTNERS: usize = 2;
+/// Records that one message carries at most.
+const RECORDS_LIMIT: usize = 16;
+/// Records of no news that a message carries, so that lost news spreads in the end.
+const REPAIR_RECORDS: usize = 3;
+/// Leaving members, and leaving upstreams, that one message carries at most.
+const LEAVING_LIMIT: usize = 16;
+/// Messages that carry each piece of news, times the logarithm of the fleet's size.
+const SPREAD_FACTOR: u32 = 3;
+/// Periods between two attempts to reach an unreachable member.
+const UNREACHABLE_PACE: u64 = 4;
+
+/// What one daemon believes of the fleet.
+///
+/// No promise rests on two views being equal; addresses and the spread of news use them.
+#[derive(Debug)]
+pub struct MemberView {
+    own: MemberRecord,
+    own_leaving: bool,
+    period: Duration,
+    suspicion: Duration,
+    peers: BTreeMap<String, PeerState>,
+    leaving: BTreeMap<InstanceId, Gossip>,
+    leaving_upstreams: HashMap<String, (String, Gossip)>,
+    rounds: u64,
+    order: Vec<String>,
+    last_tick: Option<MonotonicTime>,
+    random: SmallRng,
+}
+
+#[derive(Debug)]
+struct PeerState {
+    record: Option<MemberRecord>,
+    since: MonotonicTime,
+    heard: Option<MonotonicTime>,
+    /// Whether it was heard or failed to answer, at least once.
+    asked: bool,
+    gossip: Gossip,
+}
+
+/// How many more messages carry a piece of news.
+#[derive(Clone, Copy, Debug, Default)]
+struct Gossip(u32);
+
+/// Builds a [`MemberView`].
+#[derive(Debug)]
+pub struct MemberViewBuilder {
+    own: InstanceId,
+    period: Duration,
+    suspicion: Duration,
+    seed: u64,
+}
+
+impl MemberViewBuilder {
+    /// Begins a view of `own`.
+    #[must_use]
+    pub fn new(own: InstanceId) -> Self {
+        let (period, suspicion) = (Duration::from_millis(500), Duration::from_secs(2));
+        Self { own, period, suspicion, seed: 0 }
+    }
+
+    /// Sets the pause between two heartbeats.
+    #[must_use]
+    pub fn period(mut self, period: Duration) -> Self {
+        self.period = period;
+        self
+    }
+
+    /// Sets how long a suspected member may refute.
+    #[must_use]
+    pub fn suspicion(mut self, suspicion: Duration) -> Self {
+        self.suspicion = suspicion;
+        self
+    }
+
+    /// Seeds the choice of partners.
+    #[must_use]
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+
+    /// Builds the view.
+    #[must_use]
+    pub fn build(self) -> MemberView {
+        MemberView {
+            own: MemberRecord { instance: self.own, refutation: 0, status: MemberStatus::Alive },
+            own_leaving: false,
+            period: self.period,
+            suspicion: self.suspicion,
+            peers: BTreeMap::new(),
+            leaving: BTreeMap::new(),
+            leaving_upstreams: HashMap::new(),
+            rounds: 0,
+            order: Vec::new(),
+            last_tick: None,
+            random: SmallRng::seed_from_u64(self.seed),
+        }
+    }
+}
+
+impl MemberView {
+    /// The daemon that has this view.
+    #[must_use]
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Pause between two heartbeats.
+    #[must_use]
+    pub fn period(&self) -> Duration {
+        self.period
+    }
+
+    /// Takes the VM list: the only source of newcomers.
+    pub fn take_roster(&mut self, roster: &VmRoster, now: MonotonicTime) {
+        let own = &self.own.instance.vm;
+        self.peers.retain(|vm, _| roster.get(vm).is_some());
+        for vm in roster.entries().filter(|vm| vm.name != *own && vm.peer.is_some()) {
+            self.peers.entry(vm.name.clone()).or_insert_with(|| PeerState::unknown(now));
+        }
+        self.leaving.retain(|instance, _| roster.get(&instance.vm).is_some());
+        self.order.clear();
+    }
+
+    /// Marks this daemon as leaving, for the rest of its life.
+    pub fn leave(&mut self) {
+        self.own_leaving = true;
+    }
+
+    /// Whether this daemon is leaving.
+    #[must_use]
+    pub fn is_own_leaving(&self) -> bool {
+        self.own_leaving
+    }
+
+    /// Runs one period: returns the partners to exchange with.
+    ///
+    /// After a pause of this process the silence of others proves nothing, so suspicions begin
+    /// again rather than end.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<String> {
+        let paused = self.last_tick.is_some_and(|last| now.since(last) > self.period * 3);
+        self.last_tick = Some(now);
+        self.rounds += 1;
+        for peer in self.peers.values_mut() {
+            peer.age(now, self.suspicion, paused);
+        }
+        self.choose_partners(PARTNERS)
+    }
+
+    /// Chooses `count` random reachable partners, to spread news at once.
+    pub fn random_partners(&mut self, count: usize) -> Vec<String> {
+        let reachable: Vec<&String> =
+            self.peers.iter().filter(|(_, peer)| peer.is_reachable()).map(|(vm, _)| vm).collect();
+        reachable.choose_multiple(&mut self.random, count).map(|vm| (*vm).clone()).collect()
+    }
+
+    /// Builds this daemon's half of an exchange with `partner`.
+    pub fn message(&mut self, partner: &str, position: (u64, u64)) -> ExchangeMessage {
+        let mut records = Vec::new();
+        // A partner must learn that it is suspected, or it can't refute.
+        let about_partner = self.peers.get(partner).and_then(|peer| peer.record.as_ref());
+        records
+            .extend(about_partner.filter(|record| record.status != MemberStatus::Alive).cloned());
+        for (vm, peer) in &mut self.peers {
+            if vm != partner && records.len() < RECORDS_LIMIT && peer.gossip.spend() {
+                records.extend(peer.record.clone());
+            }
+        }
+        let vms: Vec<&String> = self.peers.keys().collect();
+        for vm in vms.choose_multiple(&mut self.random, REPAIR_RECORDS) {
+            let record = self.peers[*vm].record.as_ref();
+            if records.len() < RECORDS_LIMIT && vm.as_str() != partner {
+                records.extend(record.filter(|record| !records.contains(record)).cloned());
+            }
+        }
+        ExchangeMessage {
+            sender: self.own.clone(),
+            sender_leaving: self.own_leaving,
+            revision: position.0,
+            digest: position.1,
+            records,
+            leaving: self.spend_leaving(),
+            leaving_upstreams: self.spend_leaving_upstreams(),
+        }
+    }
+
+    /// Takes a partner's half. Returns upstreams that are newly known to leave.
+    pub fn take_message(
+        &mut self,
+        message: &ExchangeMessage,
+        now: MonotonicTime,
+    ) -> Vec<LeavingUpstream> {
+        self.take_record(&message.sender, now);
+        if let Some(peer) = self.peers.get_mut(&message.sender.instance.vm) {
+            peer.heard = Some(now);
+            peer.asked = true;
+        }
+        for record in &message.records {
+            self.take_record(record, now);
+        }
+        if message.sender_leaving {
+            self.take_leaving(&message.sender.instance);
+        }
+        for instance in &message.leaving {
+            self.take_leaving(instance);
+        }
+        let news = message.leaving_upstreams.iter();
+        news.filter(|each| self.take_leaving_upstream(each)).cloned().collect()
+    }
+
+    /// Takes the news that an exchange with `vm` failed.
+    pub fn exchange_failed(&mut self, vm: &str, now: MonotonicTime) {
+        let spread = self.spread();
+        let Some(peer) = self.peers.get_mut(vm) else { return };
+        peer.asked = true;
+        match &mut peer.record {
+            Some(record) if record.status == MemberStatus::Alive => {
+                record.status = MemberStatus::Suspect;
+                peer.since = now;
+                peer.gossip = spread;
+            }
+            _ => {}
+        }
+    }
+
+    /// Takes the news that an upstream is leaving; returns whether it was new.
+    pub fn take_leaving_upstream(&mut self, leaving: &LeavingUpstream) -> bool {
+        let spread = self.spread();
+        let known = self.leaving_upstreams.get(&leaving.upstream);
+        if known.is_some_and(|(life, _)| *life == leaving.life) {
+            return false;
+        }
+        self.leaving_upstreams.insert(leaving.upstream.clone(), (leaving.life.clone(), spread));
+        true
+    }
+
+    /// Whether `vm` is known to drain in its current life.
+    #[must_use]
+    pub fn is_leaving(&self, vm: &str) -> bool {
+        if vm == self.own.instance.vm {
+            return self.own_leaving;
+        }
+        let instance = self.peers.get(vm).and_then(|peer| peer.record.as_ref());
+        instance.is_some_and(|record| self.leaving.contains_key(&record.instance))
+    }
+
+    /// Status of `vm`; this daemon is alive, and a VM never heard of has none.
+    #[must_use]
+    pub fn status(&self, vm: &str) -> Option<MemberStatus> {
+        if vm == self.own.instance.vm {
+            return Some(MemberStatus::Alive);
+        }
+        self.peers.get(vm)?.record.as_ref().map(|record| record.status)
+    }
+
+    /// Records of all peers that were ever heard of.
+    pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.peers.values().filter_map(|peer| peer.record.as_ref())
+    }
+
+    /// Number of peers in the VM list.
+    #[must_use]
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Whether any peer was heard since `since`.
+    #[must_use]
+    pub fn heard_since(&self, since: MonotonicTime) -> bool {
+        self.peers.values().any(|peer| peer.heard.is_some_and(|heard| heard >= since))
+    }
+
+    /// Whether every peer has answered, or failed to, at least once.
+    #[must_use]
+    pub fn has_asked_all(&self) -> bool {
+        self.peers.values().all(|peer| peer.asked)
+    }
+
+    fn take_record(&mut self, record: &MemberRecord, now: MonotonicTime) {
+        if record.instance.vm == self.own.instance.vm {
+            self.refute(record);
+            return;
+        }
+        let spread = self.spread();
+        let Some(peer) = self.peers.get_mut(&record.instance.vm) else { return };
+        if peer.record.as_ref().is_none_or(|known| record.is_newer_than(known)) {
+            peer.record = Some(record.clone());
+            peer.since = now;
+            peer.gossip = spread;
+        }
+    }
+
+    /// Guards against being left out while alive: a paused daemon shows as unreachable to its
+    /// peers. A higher refutation goes before any suspicion of this life.
+    fn refute(&mut self, record: &MemberRecord) {
+        let about_this_life = record.instance == self.own.instance;
+        if about_this_life && record.status != MemberStatus::Alive {
+            self.own.refutation = self.own.refutation.max(record.refutation + 1);
+        }
+    }
+
+    fn take_leaving(&mut self, instance: &InstanceId) {
+        if *instance != self.own.instance && !self.leaving.contains_key(instance) {
+            let spread = self.spread();
+            self.leaving.insert(instance.clone(), spread);
+        }
+    }
+
+    fn spend_leaving(&mut self) -> Vec<InstanceId> {
+        let fresh =
+            self.leaving.iter_mut().filter_map(|(each, gossip)| gossip.spend().then_some(each));
+        fresh.take(LEAVING_LIMIT).cloned().collect()
+    }
+
+    fn spend_leaving_upstreams(&mut self) -> Vec<LeavingUpstream> {
+        let all = self.leaving_upstreams.iter_mut();
+        let fresh = all.filter_map(|(upstream, (life, gossip))| {
+            gossip
+                .spend()
+                .then(|| LeavingUpstream { upstream: upstream.clone(), life: life.clone() })
+        });
+        fresh.take(LEAVING_LIMIT).collect()
+    }
+
+    fn choose_partners(&mut self, count: usize) -> Vec<String> {
+        let mut partners = Vec::new();
+        while partners.len() < count.min(self.peers.len()) {
+            if self.order.is_empty() {
+                self.order = self.peers.keys().cloned().collect();
+                self.order.shuffle(&mut self.random);
+            }
+            let Some(vm) = self.order.pop() else { break };
+            let unreachable = self.status(&vm) == Some(MemberStatus::Unreachable);
+            let skipped = unreachable && !self.random.random_ratio(1, UNREACHABLE_PACE as u32);
+            if partners.contains(&vm) || (skipped && !self.order.is_empty()) {
+                continue;
+            }
+            partners.push(vm);
+        }
+        partners
+    }
+
+    fn spread(&self) -> Gossip {
+        let size = u32::try_from(self.peers.len() + 2).unwrap_or(u32::MAX);
+        Gossip(SPREAD_FACTOR * (size.ilog2() + 1))
+    }
+}
+
+impl PeerState {
+    fn unknown(now: MonotonicTime) -> Self {
+        Self { record: None, since: now, heard: None, asked: false, gossip: Gossip(0) }
+    }
+
+    fn is_reachable(&self) -> bool {
+        self.record.as_ref().is_none_or(|record| record.status != MemberStatus::Unreachable)
+    }
+
+    fn age(&mut self, now: MonotonicTime, suspicion: Duration, paused: bool) {
+        let Some(record) = &mut self.record else { return };
+        if record.status != MemberStatus::Suspect {
+            return;
+        }
+        if paused {
+            self.since = now;
+        } else if now.since(self.since) >= suspicion {
+            record.status = MemberStatus::Unreachable;
+            self.since = now;
+        }
+    }
+}
+
+impl Gossip {
+    fn spend(&mut self) -> bool {
+        let left = self.0 > 0;
+        self.0 = self.0.saturating_sub(1);
+        left
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/membership/mod.rs
@@ -0,0 +1,17 @@
+//! The VM list, heartbeats between daemons, addresses for callers, witnesses of a key.
+
+mod address_order;
+mod exchange_message;
+mod member_record;
+mod member_view;
+mod roster_history;
+mod vm_roster;
+mod witness_set;
+
+pub use address_order::{AddressAnswer, AddressOrder};
+pub use exchange_message::{ExchangeMessage, LeavingUpstream};
+pub use member_record::{MemberRecord, MemberStatus};
+pub use member_view::{MemberView, MemberViewBuilder};
+pub use roster_history::RosterHistory;
+pub use vm_roster::{VmEntry, VmRole, VmRoster, VmState};
+pub use witness_set::{WITNESS_COUNT, WITNESS_QUORUM, WitnessSet};
--- /dev/null
+++ b/crates/crocusdale_core/src/pipeline/caller_request.rs
@@ -0,0 +1,82 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use super::{FinalOutcome, OutcomeKind, RefusalReason};
+use crate::configuration::LabelSet;
+use crate::identity::RequestKey;
+
+/// Longest workspace name or key, in bytes.
+pub const KEY_LIMIT: usize = 128;
+
+/// A request as its caller sends it, in JSON.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SubmittedRequest {
+    /// Workspace of the request.
+    pub workspace: String,
+    /// Key, chosen by the caller.
+    pub key: String,
+    /// Labels for selectors.
+    #[serde(default)]
+    pub labels: LabelSet,
+    /// Deadline, in milliseconds from now.
+    pub deadline_ms: u64,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Whether the last stage's stream is passed on as it comes.
+    #[serde(default)]
+    pub stream: bool,
+    /// What the stages work on.
+    pub payload: Box<RawValue>,
+}
+
+/// A request that could be read.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Workspace and key.
+    pub key: RequestKey,
+    /// Labels for selectors.
+    pub labels: LabelSet,
+    /// Time within which the caller wants the answer.
+    pub deadline: Duration,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// Whether the last stage's stream is passed on as it comes.
+    pub stream: bool,
+    /// What the stages work on.
+    pub payload: Box<RawValue>,
+}
+
+impl TryFrom<SubmittedRequest> for CallerRequest {
+    type Error = Box<FinalOutcome>;
+
+    fn try_from(wire: SubmittedRequest) -> Result<Self, Self::Error> {
+        let key = RequestKey::new(wire.workspace, wire.key);
+        let refuse = |reason, detail: String| {
+            Err(Box::new(
+                FinalOutcome::new(OutcomeKind::Refused, &key).reason(reason).detail(detail),
+            ))
+        };
+        for (name, value) in [("workspace", &key.workspace), ("key", &key.key)] {
+            if value.is_empty() || value.len() > KEY_LIMIT {
+                let detail = format!("{name}: accepted: 1 to {KEY_LIMIT} bytes");
+                return refuse(RefusalReason::Malformed, detail);
+            }
+        }
+        if let Some(fault) = wire.labels.first_fault() {
+            let detail =
+                format!("labels: {fault}; accepted: up to {} pairs of words", LabelSet::MOST);
+            return refuse(RefusalReason::BadLabels, detail);
+        }
+        Ok(Self {
+            key,
+            labels: wire.labels,
+            deadline: Duration::from_millis(wire.deadline_ms),
+            repeatable: wire.repeatable,
+            stream: wire.stream,
+            payload: wire.payload,
+        })
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -0,0 +1,70 @@
+use std::collections::BTreeMap;
+
+use crate::identity::{CallId, MonotonicTime};
+use crate::retry::RetryBudget;
+
+/// Attempts that one pool lets wait at most.
+const WAITING_LIMIT: usize = 8_192;
+
+/// An attempt that needs an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotRequest {
+    /// Call that the attempt serves.
+    pub call: CallId,
+    /// Branch of the pipeline's current step.
+    pub branch: usize,
+    /// Stage, which names the pool.
+    pub stage: String,
+    /// Priority level, 0 goes first.
+    pub level: u8,
+    /// Deadline of the request.
+    pub deadline: MonotonicTime,
+    /// Upstreams that already failed it.
+    pub tried: Vec<String>,
+}
+
+/// What waits for one pool, most urgent first.
+#[derive(Debug, Default)]
+pub struct StagePool {
+    waiting: BTreeMap<(u8, MonotonicTime, u64), SlotRequest>,
+    arrivals: u64,
+    /// Retries that the pool still allows.
+    pub budget: RetryBudget,
+}
+
+impl StagePool {
+    /// Number of attempts that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lets `request` wait; returns whether there is room for it.
+    pub fn wait(&mut self, request: SlotRequest) -> bool {
+        if self.waiting.len() >= WAITING_LIMIT {
+            return false;
+        }
+        self.arrivals += 1;
+        self.waiting.insert((request.level, request.deadline, self.arrivals), request);
+        true
+    }
+
+    /// Takes out the most urgent attempt that has not tried `upstream`.
+    pub fn next_for(&mut self, upstream: &str) -> Option<SlotRequest> {
+        let mut urgent = self.waiting.iter();
+        let rank = urgent.find(|(_, request)| request.tried.iter().all(|tried| tried != upstream));
+        let rank = *rank?.0;
+        self.waiting.remove(&rank)
+    }
+
+    /// Takes out everything that waits for `call`.
+    pub fn withdraw(&mut self, call: CallId, level: u8, deadline: MonotonicTime) {
+        let range = (level, deadline, 0)..=(level, deadline, u64::MAX);
+        let ranks: Vec<_> =
+            self.waiting.range(range).filter(|(_, each)| each.call == call).collect();
+        let ranks: Vec<_> = ranks.into_iter().map(|(rank, _)| *rank).collect();
+        for rank in ranks {
+            self.waiting.remove(&rank);
+        }
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -0,0 +1,174 @@
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::identity::MonotonicTime;
+
+/// Failures in a row after which an upstream is ejected.
+const EJECTION_FAILURES: u32 = 3;
+/// First ejection; each further one in a row lasts twice as long.
+const EJECTION_BASE: Duration = Duration::from_millis(500);
+/// Doublings of an ejection at most.
+const EJECTION_DOUBLINGS: u32 = 6;
+/// Weight of the newest answer in the learned time.
+const LEARNING_WEIGHT: f64 = 0.2;
+
+/// How an attempt ended, as far as its upstream is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptReport {
+    /// It answered in that time.
+    Answered(Duration),
+    /// It failed, was silent, or answered wrongly.
+    Failed,
+    /// It was given up for no fault of the upstream's.
+    Cancelled,
+}
+
+/// What one daemon knows of one upstream.
+#[derive(Debug)]
+pub struct UpstreamState {
+    name: String,
+    limit: u32,
+    in_flight: u32,
+    failures: u32,
+    ejections: u32,
+    ejected_until: Option<MonotonicTime>,
+    learned: Option<Duration>,
+    listed_leaving: bool,
+    leaving_life: Option<String>,
+}
+
+/// What the state dump shows of one upstream.
+#[derive(Clone, Debug, Serialize)]
+pub struct UpstreamSummary {
+    /// Name of the upstream.
+    pub name: String,
+    /// Attempts that this daemon has open there.
+    pub in_flight: u32,
+    /// Whether it gets no new work because it is leaving.
+    pub leaving: bool,
+    /// Whether it gets no new work because it failed.
+    pub ejected: bool,
+    /// Learned time of an answer, in milliseconds.
+    pub learned_ms: Option<f64>,
+}
+
+impl UpstreamState {
+    /// An upstream of which nothing is known yet.
+    #[must_use]
+    pub fn new(name: impl Into<String>, limit: u32) -> Self {
+        Self {
+            name: name.into(),
+            limit,
+            in_flight: 0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: None,
+            learned: None,
+            listed_leaving: false,
+            leaving_life: None,
+        }
+    }
+
+    /// Sets how many attempts it takes at one time.
+    pub fn set_limit(&mut self, limit: u32) {
+        self.limit = limit;
+    }
+
+    /// Sets what the VM list says; the list alone may also take it back.
+    pub fn set_listed_leaving(&mut self, leaving: bool) {
+        self.listed_leaving = leaving;
+    }
+
+    /// Takes the news that the process `life` is leaving. Returns whether it was new.
+    pub fn leave(&mut self, life: &str) -> bool {
+        let new = self.leaving_life.as_deref() != Some(life);
+        self.leaving_life = Some(life.to_owned());
+        new
+    }
+
+    /// Takes the news that the process `life` answers and isn't leaving: a later process than the
+    /// one that left may have its place.
+    pub fn greet(&mut self, life: &str) {
+        if self.leaving_life.as_deref().is_some_and(|leaving| leaving != life) {
+            self.leaving_life = None;
+        }
+    }
+
+    /// Whether it gets no new work because it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.listed_leaving || self.leaving_life.is_some()
+    }
+
+    /// Whether it gets no new work because it failed.
+    #[must_use]
+    pub fn is_ejected(&self, now: MonotonicTime) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it has room for one more attempt.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.in_flight < self.limit
+    }
+
+    /// Expected wait for a new attempt, for comparison with other upstreams of a pool.
+    #[must_use]
+    pub fn cost(&self) -> f64 {
+        let learned = self.learned.map_or(0.001, |learned| learned.as_secs_f64());
+        f64::from(self.in_flight + 1) * learned
+    }
+
+    /// Counts an attempt as open.
+    pub fn begin(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Counts an attempt as ended.
+    pub fn end(&mut self, report: AttemptReport, now: MonotonicTime) {
+        debug_assert!(self.in_flight > 0, "an attempt ends once");
+        self.in_flight = self.in_flight.saturating_sub(1);
+        match report {
+            AttemptReport::Answered(time) => {
+                self.failures = 0;
+                self.ejections = 0;
+                self.ejected_until = None;
+                self.learn(time);
+            }
+            AttemptReport::Failed => self.fail(now),
+            AttemptReport::Cancelled => {}
+        }
+    }
+
+    /// What the state dump shows.
+    #[must_use]
+    pub fn summary(&self, now: MonotonicTime) -> UpstreamSummary {
+        UpstreamSummary {
+            name: self.name.clone(),
+            in_flight: self.in_flight,
+            leaving: self.is_leaving(),
+            ejected: self.is_ejected(now),
+            learned_ms: self.learned.map(|learned| learned.as_secs_f64() * 1e3),
+        }
+    }
+
+    fn learn(&mut self, time: Duration) {
+        let learned = self.learned.unwrap_or(time).as_secs_f64();
+        let mixed = learned + LEARNING_WEIGHT * (time.as_secs_f64() - learned);
+        self.learned = Some(Duration::from_secs_f64(mixed));
+    }
+
+    /// Guards against an upstream that fails fast: it always has room and would attract the work
+    /// of its whole pool.
+    fn fail(&mut self, now: MonotonicTime) {
+        self.failures += 1;
+        if self.failures >= EJECTION_FAILURES {
+            let length = EJECTION_BASE * 2_u32.pow(self.ejections.min(EJECTION_DOUBLINGS));
+            self.ejected_until = Some(now + length);
+            self.ejections += 1;
+            // One failure is enough to eject it again when it comes back.
+            self.failures = EJECTION_FAILURES - 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -0,0 +1,99 @@
+use crocusdale_schema::peer;
+
+use crate::identity::InstanceId;
+use crate::membership::{ExchangeMessage, LeavingUpstream, MemberRecord, MemberStatus};
+
+/// A message lacked a part that it must have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MissingPart(&'static str);
+
+impl std::fmt::Display for MissingPart {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "the message lacks {}", self.0)
+    }
+}
+
+impl std::error::Error for MissingPart {}
+
+impl From<InstanceId> for peer::Instance {
+    fn from(instance: InstanceId) -> Self {
+        Self { vm: instance.vm, incarnation: instance.incarnation }
+    }
+}
+
+impl From<peer::Instance> for InstanceId {
+    fn from(wire: peer::Instance) -> Self {
+        Self { vm: wire.vm, incarnation: wire.incarnation }
+    }
+}
+
+impl From<MemberRecord> for peer::MemberRecord {
+    fn from(record: MemberRecord) -> Self {
+        let status = match record.status {
+            MemberStatus::Alive => peer::MemberStatus::Alive,
+            MemberStatus::Suspect => peer::MemberStatus::Suspect,
+            MemberStatus::Unreachable => peer::MemberStatus::Unreachable,
+        };
+        Self {
+            instance: Some(record.instance.into()),
+            refutation: record.refutation,
+            status: status.into(),
+        }
+    }
+}
+
+impl TryFrom<peer::MemberRecord> for MemberRecord {
+    type Error = MissingPart;
+
+    fn try_from(wire: peer::MemberRecord) -> Result<Self, Self::Error> {
+        let status = match wire.status() {
+            peer::MemberStatus::Alive => MemberStatus::Alive,
+            peer::MemberStatus::Suspect => MemberStatus::Suspect,
+            peer::MemberStatus::Unreachable => MemberStatus::Unreachable,
+        };
+        let instance = wire.instance.ok_or(MissingPart("the instance of a record"))?;
+        Ok(Self { instance: instance.into(), refutation: wire.refutation, status })
+    }
+}
+
+impl From<LeavingUpstream> for peer::LeavingUpstream {
+    fn from(leaving: LeavingUpstream) -> Self {
+        Self { upstream: leaving.upstream, life: leaving.life }
+    }
+}
+
+impl From<peer::LeavingUpstream> for LeavingUpstream {
+    fn from(wire: peer::LeavingUpstream) -> Self {
+        Self { upstream: wire.upstream, life: wire.life }
+    }
+}
+
+impl From<ExchangeMessage> for peer::ExchangeMessage {
+    fn from(message: ExchangeMessage) -> Self {
+        Self {
+            sender: Some(message.sender.into()),
+            sender_leaving: message.sender_leaving,
+            revision: message.revision,
+            digest: message.digest,
+            records: message.records.into_iter().map(Into::into).collect(),
+            leaving: message.leaving.into_iter().map(Into::into).collect(),
+            leaving_upstreams: message.leaving_upstreams.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl TryFrom<peer::ExchangeMessage> for ExchangeMessage {
+    type Error = MissingPart;
+
+    fn try_from(wire: peer::ExchangeMessage) -> Result<Self, Self::Error> {
+        Ok(Self {
+            sender: wire.sender.ok_or(MissingPart("its sender"))?.try_into()?,
+            sender_leaving: wire.sender_leaving,
+            revision: wire.revision,
+            digest: wire.digest,
+            records: wire.records.into_iter().map(TryInto::try_into).collect::<Result<_, _>>()?,
+            leaving: wire.leaving.into_iter().map(Into::into).collect(),
+            leaving_upstreams: wire.leaving_upstreams.into_iter().map(Into::into).collect(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -0,0 +1,135 @@
+use std::sync::Arc;
+
+use crocusdale_core::DaemonCore;
+use crocusdale_core::daemon::{Command, DaemonEvent};
+use crocusdale_core::identity::{CallId, MonotonicTime};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::{CallReply, CallTable, MonotonicClock, TimerService};
+use crate::peer::PeerClient;
+use crate::platform::PlatformReader;
+use crate::telemetry::Telemetry;
+use crate::upstream::UpstreamClient;
+
+/// The core with everything that carries its commands out.
+#[derive(Debug)]
+pub struct DaemonEngine {
+    /// The decisions.
+    pub core: DaemonCore,
+    /// Time of this process.
+    pub clock: MonotonicClock,
+    /// Logs and metrics.
+    pub telemetry: Telemetry,
+    /// Set when the process has drained.
+    pub drained: Notify,
+    calls: CallTable,
+    timers: TimerService,
+    upstreams: UpstreamClient,
+    peers: PeerClient,
+    platform: PlatformReader,
+}
+
+impl DaemonEngine {
+    /// Starts the core and the task that feeds it with timers.
+    #[must_use]
+    pub fn start(
+        core: DaemonCore,
+        clock: MonotonicClock,
+        telemetry: Telemetry,
+        platform: PlatformReader,
+    ) -> Arc<Self> {
+        let (timers, due) = TimerService::subscribe(clock);
+        let engine = Arc::new(Self {
+            core,
+            clock,
+            telemetry,
+            drained: Notify::new(),
+            calls: CallTable::default(),
+            timers,
+            upstreams: UpstreamClient::default(),
+            peers: PeerClient::default(),
+            platform,
+        });
+        tokio::spawn(feed_timers(Arc::clone(&engine), due));
+        let mut commands = Vec::new();
+        engine.core.start(engine.now(), &mut commands);
+        engine.carry_out(commands);
+        engine
+    }
+
+    /// Time now.
+    #[must_use]
+    pub fn now(&self) -> MonotonicTime {
+        self.clock.now()
+    }
+
+    /// Calls of upstreams.
+    pub(crate) fn upstreams(&self) -> &UpstreamClient {
+        &self.upstreams
+    }
+
+    /// Calls of other daemons.
+    pub(crate) fn peers(&self) -> &PeerClient {
+        &self.peers
+    }
+
+    /// Opens a call; its replies come out of the receiver.
+    #[must_use]
+    pub fn open_call(&self, call: CallId) -> UnboundedReceiver<CallReply> {
+        self.calls.open(call)
+    }
+
+    /// Tells the core that the caller of `call` is gone.
+    pub fn abandon_call(self: &Arc<Self>, call: CallId) {
+        self.calls.close(call);
+        self.feed(DaemonEvent::Abandoned(call));
+    }
+
+    /// Gives an event to the core, and carries out what it answers.
+    pub fn feed(self: &Arc<Self>, event: DaemonEvent) {
+        let mut commands = Vec::new();
+        self.core.handle(event, self.now(), &mut commands);
+        self.carry_out(commands);
+    }
+
+    /// Carries out commands of the core.
+    pub fn carry_out(self: &Arc<Self>, commands: Vec<Command>) {
+        for command in commands {
+            self.carry_out_one(command);
+        }
+    }
+
+    fn carry_out_one(self: &Arc<Self>, command: Command) {
+        match command {
+            Command::Reply { call, answer } => {
+                self.telemetry.count_outcome(&answer);
+                self.calls.finish(call, answer);
+            }
+            Command::Forward { call, text } => self.calls.forward(call, text),
+            Command::Send(order) => self.upstreams.send(self, order),
+            Command::Cancel(attempt) => self.upstreams.cancel(attempt),
+            Command::Distrust(upstream) => self.upstreams.distrust(&upstream),
+            Command::SetTimer { timer, at } => self.timers.set(timer, at),
+            Command::Count(counter) => self.telemetry.count(counter),
+            Command::Note(change) => self.telemetry.note(&change),
+            Command::Exit => self.drained.notify_one(),
+            Command::WatchConfiguration { known } => self.platform.watch_configuration(self, known),
+            Command::ReadRoster { known } => self.platform.read_roster(self, known),
+            command @ (Command::Register { .. }
+            | Command::RecordOutcome { .. }
+            | Command::AskHolder { .. }
+            | Command::Exchange { .. }
+            | Command::FetchConfiguration { .. }) => self.peers.carry_out(self, command),
+        }
+    }
+}
+
+async fn feed_timers(
+    engine: Arc<DaemonEngine>,
+    mut due: UnboundedReceiver<crocusdale_core::daemon::TimerKey>,
+) {
+    while let Some(timer) = due.recv().await {
+        engine.feed(DaemonEvent::Timer(timer));
+    }
+}
--- /dev/null
+++ b/crates/crocusdaled/src/main.rs
@@ -0,0 +1,147 @@
+//! `crocusdaled`: the daemon of crocusdale.
+
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context as _, Result};
+use crocusdale_core::DaemonCoreBuilder;
+use crocusdale_core::configuration::ProcessSettings;
+use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::identity::InstanceId;
+use crocusdaled::engine::{DaemonEngine, MonotonicClock};
+use crocusdaled::http::HttpListenerBuilder;
+use crocusdaled::peer::PeerServer;
+use crocusdaled::platform::PlatformReader;
+use crocusdaled::service::{CallerService, OperatorService};
+use crocusdaled::telemetry::{Telemetry, start_log};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+const HELP: &str = "\
+crocusdaled: the daemon of crocusdale
+
+Usage: crocusdaled --settings FILE [--check]
+
+Options:
+  --settings FILE  process settings (INI)
+  --check          check the settings and exit
+  --help           print this text
+  --version        print the version
+
+Signals: SIGTERM and SIGINT drain the daemon; it exits when every request has ended.
+
+Exit codes: 0 done, 1 failure while running, 2 bad arguments or settings
+";
+
+/// Exit code for bad arguments or settings.
+const BAD_INPUT: u8 = 2;
+/// Bits of an incarnation that are random, below the time of the start.
+const RANDOM_BITS: u32 = 16;
+
+fn main() -> ExitCode {
+    let settings = match read_arguments() {
+        Ok(Some(settings)) => settings,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("crocusdaled: {error:#}");
+            return ExitCode::from(BAD_INPUT);
+        }
+    };
+    let mut runtime = tokio::runtime::Builder::new_multi_thread();
+    let runtime = runtime.worker_threads(settings.threads).enable_all().build();
+    match runtime.context("starting threads").and_then(|runtime| runtime.block_on(run(settings))) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("crocusdaled: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Reads arguments and settings; `None` if there is nothing left to do.
+fn read_arguments() -> Result<Option<ProcessSettings>> {
+    let mut arguments = pico_args::Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return Ok(None);
+    }
+    if arguments.contains("--version") {
+        println!("crocusdaled {}", env!("CARGO_PKG_VERSION"));
+        return Ok(None);
+    }
+    let check = arguments.contains("--check");
+    let path: PathBuf = arguments.value_from_str("--settings").context("see --help")?;
+    let rest = arguments.finish();
+    anyhow::ensure!(rest.is_empty(), "unknown arguments {rest:?}; see --help");
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(&path).with_context(|| format!("reading {name}"))?;
+    let settings = ProcessSettings::check(&name, &text).map_err(|errors| {
+        let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        anyhow::anyhow!("bad settings\n{}", lines.join("\n"))
+    })?;
+    Ok((!check).then_some(settings))
+}
+
+async fn run(settings: ProcessSettings) -> Result<()> {
+    let (log, _guard) = start_log(settings.log, &settings.vm);
+    let peers = PeerServer::bind(settings.peer).await.context("binding [listen] peer")?;
+    let limits = &settings.limits;
+    let callers = HttpListenerBuilder::default()
+        .connections(limits.connections)
+        .head_bytes(limits.head_bytes)
+        .head_time(limits.head_time);
+    let callers = callers.bind(settings.caller).await.context("binding [listen] caller")?;
+    let operators = HttpListenerBuilder::default().bind(settings.operator).await;
+    let operators = operators.context("binding [listen] operator")?;
+
+    let engine = start_engine(&settings, log)?;
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(PeerServer::new(Arc::clone(&engine)).serve(peers));
+    let router = OperatorService::new(Arc::clone(&engine)).router();
+    tokio::spawn(operators.serve(router, stopped.clone()));
+    let router = CallerService::new(Arc::clone(&engine), limits).router();
+    let callers = tokio::spawn(callers.serve(router, stopped));
+
+    tokio::spawn(drain_on_signal(Arc::clone(&engine)));
+    engine.drained.notified().await;
+    // The last answers are still on their way out of their connections.
+    stop.send(true).context("stopping the listeners")?;
+    callers.await.context("finishing the connections of callers")
+}
+
+fn start_engine(settings: &ProcessSettings, log: slog::Logger) -> Result<Arc<DaemonEngine>> {
+    let clock = MonotonicClock::start();
+    let instance = InstanceId::new(settings.vm.clone(), incarnation()?);
+    let core = DaemonCoreBuilder::new(instance, settings.zone.clone())
+        .requests(settings.limits.requests)
+        .membership(settings.membership)
+        .roster_period(settings.vm_list_period)
+        .seed(rand::random())
+        .build(clock.now());
+    let platform = PlatformReader::new(settings.configuration, settings.vm_list)?;
+    Ok(DaemonEngine::start(core, clock, Telemetry::new(log), platform))
+}
+
+/// Numbers this life of the process: later starts on a VM get higher numbers, and two starts in
+/// one millisecond different ones.
+fn incarnation() -> Result<u64> {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).context("the clock is unset")?;
+    let millis = u64::try_from(since_epoch.as_millis()).context("the clock is far off")?;
+    Ok((millis << RANDOM_BITS) | u64::from(rand::random::<u16>()))
+}
+
+async fn drain_on_signal(engine: Arc<DaemonEngine>) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        engine.feed(DaemonEvent::DrainAsked);
+    }
+}
--- /dev/null
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -0,0 +1,170 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use crocusdale_core::daemon::{Command, DaemonEvent};
+use crocusdale_core::membership::ExchangeMessage;
+use crocusdale_schema::peer::peer_service_client::PeerServiceClient;
+use crocusdale_schema::peer::{
+    AskOutcomeRequest, BuryRequest, ClaimRequest, FetchConfigurationRequest, RecordOutcomeRequest,
+    RecordedOutcome,
+};
+use tonic::transport::{Channel, Endpoint};
+
+use crate::engine::DaemonEngine;
+
+/// Time that a peer has to answer a call.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// Time that a peer has to answer a question whose asker's request waits for it.
+const SHORT_PATIENCE: Duration = Duration::from_millis(300);
+/// Time that a peer has to send its configuration.
+const FETCH_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Largest message between peers, in bytes.
+pub(super) const MESSAGE_LIMIT: usize = 4 << 20;
+
+/// Calls other daemons.
+#[derive(Debug, Default)]
+pub struct PeerClient {
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+}
+
+/// A call of a peer did not succeed.
+#[derive(Clone, Copy, Debug)]
+struct PeerSilence;
+
+impl PeerClient {
+    /// Carries out a command that concerns a peer; the reply goes to the core.
+    pub fn carry_out(&self, engine: &Arc<DaemonEngine>, command: Command) {
+        let engine = Arc::clone(engine);
+        tokio::spawn(async move {
+            match command {
+                Command::Exchange { vm, message } => exchange(&engine, vm, *message).await,
+                Command::FetchConfiguration { vm, known } => fetch(&engine, &vm, known).await,
+                Command::RecordOutcome { .. } => record(&engine, command).await,
+                Command::AskHolder { .. } => ask_holder(&engine, command).await,
+                Command::Register { .. } => register(&engine, command).await,
+                _ => debug_assert!(false, "not a command about a peer"),
+            }
+        });
+    }
+
+    fn channel(&self, address: SocketAddr) -> Channel {
+        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        let connect = || {
+            let endpoint = Endpoint::from_shared(format!("http://{address}"));
+            let endpoint = endpoint.expect("an address makes a valid URI");
+            endpoint.connect_timeout(SHORT_PATIENCE).tcp_nodelay(true).connect_lazy()
+        };
+        channels.entry(address).or_insert_with(connect).clone()
+    }
+
+    /// Guards against a connection to a peer that went silent for good: after a call without an
+    /// answer the next one opens a new connection.
+    fn forget(&self, address: SocketAddr) {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+    }
+}
+
+/// Calls the daemon on `vm`, within `patience`.
+async fn call<R, F>(
+    engine: &Arc<DaemonEngine>,
+    vm: &str,
+    patience: Duration,
+    run: impl FnOnce(PeerServiceClient<Channel>) -> F,
+) -> Result<R, PeerSilence>
+where
+    F: Future<Output = Result<tonic::Response<R>, tonic::Status>>,
+{
+    let address = engine.core.peer_address(vm).ok_or(PeerSilence)?;
+    let channel = engine.peers().channel(address);
+    let client = PeerServiceClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
+    match tokio::time::timeout(patience, run(client)).await {
+        Ok(Ok(response)) => Ok(response.into_inner()),
+        Ok(Err(_)) => Err(PeerSilence),
+        Err(_) => {
+            engine.peers().forget(address);
+            Err(PeerSilence)
+        }
+    }
+}
+
+async fn exchange(engine: &Arc<DaemonEngine>, vm: String, message: ExchangeMessage) {
+    let wire = crocusdale_schema::peer::ExchangeMessage::from(message);
+    let reply =
+        call(engine, &vm, PATIENCE, |mut client| async move { client.exchange(wire).await });
+    let message = reply.await.ok().and_then(|wire| ExchangeMessage::try_from(wire).ok());
+    engine.feed(match message {
+        // Another VM may have taken over the address since the list was read.
+        Some(message) if message.sender.instance.vm == vm => {
+            DaemonEvent::Exchanged(Box::new(message))
+        }
+        _ => DaemonEvent::ExchangeFailed(vm),
+    });
+}
+
+async fn fetch(engine: &Arc<DaemonEngine>, vm: &str, known: u64) {
+    let request = FetchConfigurationRequest { known_revision: known };
+    let reply = call(engine, vm, FETCH_PATIENCE, |mut client| async move {
+        client.fetch_configuration(request).await
+    });
+    let fetched = reply.await.ok().filter(|reply| reply.revision > 0);
+    engine
+        .feed(DaemonEvent::ConfigurationFetched(fetched.map(|reply| (reply.revision, reply.text))));
+}
+
+async fn register(engine: &Arc<DaemonEngine>, command: Command) {
+    let Command::Register { call: asker, witness, key, witnesses, bury } = command else { return };
+    let (key, vms) = (Some(key.into()), witnesses.vms().to_vec());
+    let reply =
+        if bury {
+            let request = BuryRequest { key, witnesses: vms };
+            call(engine, &witness, SHORT_PATIENCE, |mut client| async move {
+                client.bury(request).await
+            })
+            .await
+        } else {
+            let claimant = Some(engine.core.instance().clone().into());
+            let request = ClaimRequest { key, claimant, witnesses: vms };
+            call(engine, &witness, SHORT_PATIENCE, |mut client| async move {
+                client.claim(request).await
+            })
+            .await
+        };
+    let reply = reply.ok().map(Into::into);
+    engine.feed(DaemonEvent::RegisterReplied { call: asker, witness, reply });
+}
+
+async fn record(engine: &Arc<DaemonEngine>, command: Command) {
+    let Command::RecordOutcome { witness, key, body } = command else { return };
+    let holder = engine.core.instance();
+    if witness == holder.vm {
+        engine.core.record_outcome(&key, holder, &body);
+        return;
+    }
+    let request = RecordOutcomeRequest {
+        key: Some(key.into()),
+        holder: Some(holder.clone().into()),
+        outcome: Some(RecordedOutcome { body: body.to_vec() }),
+    };
+    // A lost record costs a later "unknown" at most: the holder still answers for itself.
+    let _ = call(engine, &witness, PATIENCE, |mut client| async move {
+        client.record_outcome(request).await
+    })
+    .await;
+}
+
+async fn ask_holder(engine: &Arc<DaemonEngine>, command: Command) {
+    let Command::AskHolder { call: asker, key, holder } = command else { return };
+    let vm = holder.vm.clone();
+    let request = AskOutcomeRequest { key: Some(key.into()), holder: Some(holder.into()) };
+    let reply =
+        call(
+            engine,
+            &vm,
+            SHORT_PATIENCE,
+            |mut client| async move { client.ask_outcome(request).await },
+        );
+    let reply = reply.await.ok().map(Into::into);
+    engine.feed(DaemonEvent::HolderReplied { call: asker, reply });
+}
--- /dev/null
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -0,0 +1,136 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crocusdale_core::claims::RegisterReply as CoreReply;
+use crocusdale_core::identity::{InstanceId, RequestKey};
+use crocusdale_core::membership::{ExchangeMessage as CoreMessage, WitnessSet};
+use crocusdale_schema::peer::peer_service_server::{PeerService, PeerServiceServer};
+use crocusdale_schema::peer::{
+    AskOutcomeReply, AskOutcomeRequest, BuryRequest, ClaimRequest, ExchangeMessage,
+    FetchConfigurationReply, FetchConfigurationRequest, RecordOutcomeReply, RecordOutcomeRequest,
+    RegisterReply,
+};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+use super::peer_client::MESSAGE_LIMIT;
+use crate::engine::DaemonEngine;
+
+/// Answers other daemons.
+#[derive(Debug)]
+pub struct PeerServer {
+    engine: Arc<DaemonEngine>,
+}
+
+impl PeerServer {
+    /// Answers on behalf of `engine`.
+    #[must_use]
+    pub fn new(engine: Arc<DaemonEngine>) -> Self {
+        Self { engine }
+    }
+
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the system if the address can't be had.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+        TcpListener::bind(address).await
+    }
+
+    /// Serves until the process ends: peers may need this daemon's registers to its last moment.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the transport fails.
+    pub async fn serve(self, listener: TcpListener) -> Result<(), tonic::transport::Error> {
+        let service = PeerServiceServer::new(self)
+            .max_decoding_message_size(MESSAGE_LIMIT)
+            .max_encoding_message_size(MESSAGE_LIMIT);
+        let server = tonic::transport::Server::builder().tcp_nodelay(true).add_service(service);
+        server.serve_with_incoming(TcpListenerStream::new(listener)).await
+    }
+
+    fn witness(
+        &self,
+        key: Option<crocusdale_schema::peer::RequestKey>,
+        claimant: Option<&InstanceId>,
+        witnesses: Vec<String>,
+    ) -> Result<Response<RegisterReply>, Status> {
+        let key: RequestKey = key.ok_or_else(|| missing("key"))?.into();
+        let witnesses = WitnessSet::from_names(witnesses);
+        let mut commands = Vec::new();
+        let now = self.engine.now();
+        let reply: CoreReply =
+            self.engine.core.witness(&key, claimant, &witnesses, now, &mut commands);
+        self.engine.carry_out(commands);
+        Ok(Response::new(reply.into()))
+    }
+}
+
+#[tonic::async_trait]
+impl PeerService for PeerServer {
+    async fn exchange(
+        &self,
+        request: Request<ExchangeMessage>,
+    ) -> Result<Response<ExchangeMessage>, Status> {
+        let message = CoreMessage::try_from(request.into_inner())
+            .map_err(|fault| Status::invalid_argument(fault.to_string()))?;
+        let mut commands = Vec::new();
+        let reply = self.engine.core.exchange(&message, self.engine.now(), &mut commands);
+        self.engine.carry_out(commands);
+        Ok(Response::new(reply.into()))
+    }
+
+    async fn fetch_configuration(
+        &self,
+        request: Request<FetchConfigurationRequest>,
+    ) -> Result<Response<FetchConfigurationReply>, Status> {
+        let known = request.into_inner().known_revision;
+        let newer = self.engine.core.configuration_after(known);
+        let reply = newer
+            .map(|(revision, text)| FetchConfigurationReply { revision, text: text.to_string() });
+        Ok(Response::new(reply.unwrap_or_default()))
+    }
+
+    async fn claim(
+        &self,
+        request: Request<ClaimRequest>,
+    ) -> Result<Response<RegisterReply>, Status> {
+        let request = request.into_inner();
+        let claimant: InstanceId = request.claimant.ok_or_else(|| missing("claimant"))?.into();
+        self.witness(request.key, Some(&claimant), request.witnesses)
+    }
+
+    async fn bury(&self, request: Request<BuryRequest>) -> Result<Response<RegisterReply>, Status> {
+        let request = request.into_inner();
+        self.witness(request.key, None, request.witnesses)
+    }
+
+    async fn record_outcome(
+        &self,
+        request: Request<RecordOutcomeRequest>,
+    ) -> Result<Response<RecordOutcomeReply>, Status> {
+        let request = request.into_inner();
+        let key: RequestKey = request.key.ok_or_else(|| missing("key"))?.into();
+        let holder: InstanceId = request.holder.ok_or_else(|| missing("holder"))?.into();
+        let outcome = request.outcome.ok_or_else(|| missing("outcome"))?;
+        self.engine.core.record_outcome(&key, &holder, &outcome.body);
+        Ok(Response::new(RecordOutcomeReply {}))
+    }
+
+    async fn ask_outcome(
+        &self,
+        request: Request<AskOutcomeRequest>,
+    ) -> Result<Response<AskOutcomeReply>, Status> {
+        let request = request.into_inner();
+        let key: RequestKey = request.key.ok_or_else(|| missing("key"))?.into();
+        let holder: InstanceId = request.holder.ok_or_else(|| missing("holder"))?.into();
+        Ok(Response::new(self.engine.core.holder_reply(&key, &holder).into()))
+    }
+}
+
+fn missing(part: &str) -> Status {
+    Status::invalid_argument(format!("the message lacks {part}"))
+}
--- /dev/null
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -0,0 +1,146 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use crocusdale_core::configuration::LimitSettings;
+use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::identity::RequestKey;
+use crocusdale_core::pipeline::{
+    CallerRequest, FinalOutcome, KEY_LIMIT, OutcomeKind, RefusalReason, SubmittedRequest,
+};
+use http::StatusCode;
+use serde::Deserialize;
+use volo_http::body::Body;
+use volo_http::request::Request;
+use volo_http::response::Response;
+use volo_http::server::extract::Query;
+use volo_http::server::route::{Router, get, post};
+use volo_http::server::{IntoResponse as _, extract::Json};
+
+use super::answer_response::{OpenCall, answer_response, refusal_response, stream_response};
+use crate::engine::{CallReply, DaemonEngine};
+use crate::http::{BodyFault, read_body};
+
+/// Serves callers.
+#[derive(Clone, Debug)]
+pub struct CallerService {
+    engine: Arc<DaemonEngine>,
+    body_bytes: usize,
+    body_time: Duration,
+}
+
+/// Query of an address question.
+#[derive(Debug, Deserialize)]
+struct AddressQuery {
+    #[serde(default)]
+    caller: String,
+    zone: Option<String>,
+}
+
+/// Query of an outcome question.
+#[derive(Debug, Deserialize)]
+struct OutcomeQuery {
+    workspace: String,
+    key: String,
+}
+
+impl CallerService {
+    /// Serves callers of `engine` within `limits`.
+    #[must_use]
+    pub fn new(engine: Arc<DaemonEngine>, limits: &LimitSettings) -> Self {
+        Self { engine, body_bytes: limits.body_bytes, body_time: limits.body_time }
+    }
+
+    /// Routes of callers.
+    pub fn router(self) -> Router {
+        let (submit, outcome, addresses) = (self.clone(), self.clone(), self);
+        Router::new()
+            .route("/v1/requests", post(async move |request: Request| submit.submit(request).await))
+            .route(
+                "/v1/outcomes",
+                get(async move |query: Option<Query<OutcomeQuery>>| outcome.outcome(query).await),
+            )
+            .route(
+                "/v1/addresses",
+                get(async move |query: Option<Query<AddressQuery>>| addresses.addresses(query)),
+            )
+    }
+
+    async fn submit(&self, request: Request) -> Response {
+        let request = match self.read(request.into_body()).await {
+            Ok(request) => request,
+            Err(outcome) => return refusal_response(*outcome, self.engine.core.is_leaving()),
+        };
+        let stream = request.stream;
+        let mut call = self.open_call(&request.key);
+        let event = DaemonEvent::Submitted { call: call.call, request: Box::new(request) };
+        self.engine.feed(event);
+        match call.next().await {
+            Some(CallReply::Final(answer)) if !stream => self.finish(&answer),
+            Some(reply) if stream => stream_response(call, reply),
+            _ => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        }
+    }
+
+    async fn outcome(&self, query: Option<Query<OutcomeQuery>>) -> Response {
+        let Some(Query(query)) = query else {
+            let detail = "accepted: /v1/outcomes?workspace=NAME&key=KEY";
+            return self.malformed(detail);
+        };
+        if query.workspace.len() > KEY_LIMIT || query.key.len() > KEY_LIMIT {
+            return self.malformed("workspace and key: accepted: 1 to 128 bytes");
+        }
+        let key = RequestKey::new(query.workspace, query.key);
+        let mut call = self.open_call(&key);
+        self.engine.feed(DaemonEvent::Inquired { call: call.call, key });
+        match call.next().await {
+            Some(CallReply::Final(answer)) => self.finish(&answer),
+            _ => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+        }
+    }
+
+    fn addresses(&self, query: Option<Query<AddressQuery>>) -> Response {
+        let (caller, zone) =
+            query.map(|Query(query)| (query.caller, query.zone)).unwrap_or_default();
+        Json(self.engine.core.addresses(&caller, zone.as_deref())).into_response()
+    }
+
+    fn open_call(&self, key: &RequestKey) -> OpenCall {
+        let call = self.engine.core.open_call(key);
+        let replies = self.engine.open_call(call);
+        OpenCall { engine: Arc::clone(&self.engine), call, replies, answered: false }
+    }
+
+    fn finish(&self, answer: &crocusdale_core::pipeline::FinalAnswer) -> Response {
+        answer_response(answer, self.engine.core.is_leaving())
+    }
+
+    fn malformed(&self, detail: &str) -> Response {
+        refusal_response(refusal(RefusalReason::Malformed, detail), self.engine.core.is_leaving())
+    }
+
+    async fn read(&self, body: Body) -> Result<CallerRequest, Box<FinalOutcome>> {
+        let read = tokio::time::timeout(self.body_time, read_body(body, self.body_bytes));
+        let body = match read.await {
+            Ok(Ok(body)) => body,
+            Ok(Err(BodyFault::TooLarge)) => {
+                let detail = format!("body: accepted: at most {} bytes", self.body_bytes);
+                return Err(Box::new(refusal(RefusalReason::TooLarge, &detail)));
+            }
+            Ok(Err(BodyFault::Cut)) => {
+                return Err(Box::new(refusal(RefusalReason::Malformed, "the body was cut")));
+            }
+            Err(_) => {
+                let detail = format!("body: accepted: within {} ms", self.body_time.as_millis());
+                return Err(Box::new(refusal(RefusalReason::TooSlow, &detail)));
+            }
+        };
+        let wire: SubmittedRequest = serde_json::from_slice(&body)
+            .map_err(|fault| Box::new(refusal(RefusalReason::Malformed, &fault.to_string())))?;
+        CallerRequest::try_from(wire)
+    }
+}
+
+fn refusal(reason: RefusalReason, detail: &str) -> FinalOutcome {
+    let nobody = RequestKey::new("", "");
+    FinalOutcome::new(OutcomeKind::Refused, &nobody).reason(reason).detail(detail)
+}
--- /dev/null
+++ b/crates/crocusdaled/src/service/operator_service.rs
@@ -0,0 +1,63 @@
+use std::sync::Arc;
+
+use crocusdale_core::daemon::DaemonEvent;
+use http::{HeaderValue, StatusCode, header};
+use volo_http::body::Body;
+use volo_http::response::Response;
+use volo_http::server::IntoResponse as _;
+use volo_http::server::extract::Json;
+use volo_http::server::route::{Router, get, post};
+
+use crate::engine::DaemonEngine;
+
+/// Serves operators.
+#[derive(Clone, Debug)]
+pub struct OperatorService {
+    engine: Arc<DaemonEngine>,
+}
+
+impl OperatorService {
+    /// Serves operators of `engine`.
+    #[must_use]
+    pub fn new(engine: Arc<DaemonEngine>) -> Self {
+        Self { engine }
+    }
+
+    /// Routes of operators.
+    pub fn router(self) -> Router {
+        let (state, metrics, ready, drain) = (self.clone(), self.clone(), self.clone(), self);
+        Router::new()
+            .route("/state", get(async move || state.state()))
+            .route("/metrics", get(async move || metrics.metrics()))
+            .route("/live", get(async || "live\n"))
+            .route("/ready", get(async move || ready.ready()))
+            .route("/drain", post(async move || drain.drain()))
+    }
+
+    fn state(&self) -> Response {
+        Json(self.engine.core.dump(self.engine.now())).into_response()
+    }
+
+    fn metrics(&self) -> Response {
+        let dump = self.engine.core.dump(self.engine.now());
+        let mut response = Response::new(Body::from(self.engine.telemetry.metrics.text(&dump)));
+        let kind = HeaderValue::from_static("text/plain; version=0.0.4");
+        response.headers_mut().insert(header::CONTENT_TYPE, kind);
+        response
+    }
+
+    fn ready(&self) -> Response {
+        let (ready, leaving) =
+            (self.engine.core.is_ready(self.engine.now()), self.engine.core.is_leaving());
+        match (ready, leaving) {
+            (true, false) => "ready\n".into_response(),
+            (true, true) => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n").into_response(),
+            (false, _) => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n").into_response(),
+        }
+    }
+
+    fn drain(&self) -> Response {
+        self.engine.feed(DaemonEvent::DrainAsked);
+        (StatusCode::ACCEPTED, "draining\n").into_response()
+    }
+}
--- /dev/null
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -0,0 +1,316 @@
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context as _, Result, bail, ensure};
+use crocusdale_core::membership::{VmEntry, VmRole, VmRoster, VmState};
+
+use crate::{CallerClient, PlatformStandIn, RelayStandIn};
+
+/// Zones of a test fleet.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Pause between two looks at a condition.
+const LOOK: Duration = Duration::from_millis(20);
+/// Time that a fleet has to become ready.
+const READY_PATIENCE: Duration = Duration::from_secs(20);
+
+/// A fleet of daemons as separate processes, with one platform.
+#[derive(Debug)]
+pub struct DaemonFleet {
+    /// The platform.
+    pub platform: PlatformStandIn,
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    binary: PathBuf,
+    directory: PathBuf,
+    relays: bool,
+}
+
+/// Builds a [`DaemonFleet`].
+#[derive(Debug)]
+pub struct DaemonFleetBuilder {
+    binary: PathBuf,
+    directory: PathBuf,
+    size: usize,
+    relays: bool,
+    configuration: String,
+}
+
+/// One daemon.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Name of its VM.
+    pub name: String,
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where operators connect.
+    pub operator: SocketAddr,
+    /// Path by which other daemons reach it, if the fleet has relays.
+    pub relay: Option<RelayStandIn>,
+    peer: SocketAddr,
+    zone: String,
+    child: Option<Child>,
+}
+
+impl DaemonFleetBuilder {
+    /// Starts `binary`, with files in a new folder below `directory`.
+    #[must_use]
+    pub fn new(binary: &str, directory: &str) -> Self {
+        let directory = Path::new(directory).join(format!("fleet-{:016x}", rand::random::<u64>()));
+        let (size, configuration) = (6, String::new());
+        Self { binary: binary.into(), directory, size, relays: false, configuration }
+    }
+
+    /// Sets the number of daemons, spread over three zones.
+    #[must_use]
+    pub fn size(mut self, size: usize) -> Self {
+        self.size = size;
+        self
+    }
+
+    /// Puts a relay before each daemon's peer address, so that it can be cut off.
+    #[must_use]
+    pub fn relays(mut self) -> Self {
+        self.relays = true;
+        self
+    }
+
+    /// Publishes `text` as revision 1.
+    #[must_use]
+    pub fn configuration(mut self, text: impl Into<String>) -> Self {
+        self.configuration = text.into();
+        self
+    }
+
+    /// Starts everything and waits until all daemons are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process does not start or become ready.
+    pub async fn start(self) -> Result<DaemonFleet> {
+        std::fs::create_dir_all(&self.directory)?;
+        let platform = PlatformStandIn::start(loopback(0))?;
+        let daemons: Result<Vec<_>> =
+            (0..self.size).map(|index| DaemonProcess::plan(index, self.relays)).collect();
+        let mut fleet = DaemonFleet {
+            platform,
+            daemons: daemons?,
+            binary: self.binary,
+            directory: self.directory,
+            relays: self.relays,
+        };
+        let vms = fleet.daemons.iter().map(DaemonProcess::entry).collect();
+        fleet.platform.set_roster(VmRoster { revision: 1, vms });
+        fleet.platform.publish(1, self.configuration);
+        for index in 0..self.size {
+            fleet.launch(index)?;
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+}
+
+impl DaemonFleet {
+    /// Starts the daemon `index` as a new process, on the addresses that it had.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not start.
+    pub fn launch(&mut self, index: usize) -> Result<()> {
+        let platform = self.platform.address();
+        let daemon = &mut self.daemons[index];
+        ensure!(daemon.child.is_none(), "{} runs already", daemon.name);
+        let path = self.directory.join(format!("{}.ini", daemon.name));
+        std::fs::write(&path, daemon.settings(platform))?;
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.directory.join(format!("{}.log", daemon.name)))?;
+        let child = Command::new(&self.binary)
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("starting {}", self.binary.display()))?;
+        daemon.child = Some(child);
+        Ok(())
+    }
+
+    /// Adds one more daemon to the fleet and to the VM list, without starting it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no address can be had.
+    pub fn add(&mut self) -> Result<usize> {
+        let index = self.daemons.len();
+        let daemon = DaemonProcess::plan(index, self.relays)?;
+        let entry = daemon.entry();
+        self.platform.change_roster(|roster| roster.vms.push(entry));
+        self.daemons.push(daemon);
+        Ok(index)
+    }
+
+    /// Waits until every daemon that runs is ready and has seen every other that runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub async fn wait_ready(&self) -> Result<()> {
+        let client = CallerClient::new();
+        for daemon in self.daemons.iter().filter(|daemon| daemon.child.is_some()) {
+            wait_for(READY_PATIENCE, &format!("{} is ready", daemon.name), async || {
+                client.get(daemon.operator, "/ready").await.is_ok_and(|(status, _)| status == 200)
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until daemons vote as witnesses: for the life of a key after their start.
+    pub async fn wait_for_witnesses(&self, key_life: Duration) {
+        // The abstention is a promise in time, so there is no condition to wait on but time.
+        tokio::time::sleep(key_life + Duration::from_millis(600)).await;
+    }
+
+    /// Addresses for callers of all daemons that run.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let running = self.daemons.iter().filter(|daemon| daemon.child.is_some());
+        running.map(|daemon| daemon.caller).collect()
+    }
+}
+
+impl Drop for DaemonFleet {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.kill();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+impl DaemonProcess {
+    fn plan(index: usize, relays: bool) -> Result<Self> {
+        let peer = free_address()?;
+        let relay = relays.then(|| RelayStandIn::start(loopback(0), peer)).transpose()?;
+        Ok(Self {
+            name: format!("entry-{index}"),
+            caller: free_address()?,
+            operator: free_address()?,
+            relay,
+            peer,
+            zone: ZONES[index % ZONES.len()].to_owned(),
+            child: None,
+        })
+    }
+
+    fn entry(&self) -> VmEntry {
+        let peer = self.relay.as_ref().map_or(self.peer, RelayStandIn::address);
+        VmEntry {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            role: VmRole::Entry,
+            state: VmState::Live,
+            peer: Some(peer),
+            caller: Some(self.caller),
+            operator: Some(self.operator),
+        }
+    }
+
+    fn settings(&self, platform: SocketAddr) -> String {
+        format!(
+            "[daemon]\nname = {}\nzone = {}\n[listen]\ncaller = {}\npeer = {}\noperator = {}\n\
+             [platform]\nconfiguration = {platform}\nvm_list = {platform}\n\
+             vm_list_period_ms = 200\n[membership]\nperiod_ms = 100\nsuspicion_ms = 500\n",
+            self.name, self.zone, self.caller, self.peer, self.operator,
+        )
+    }
+
+    /// Identifier of its process.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not run.
+    pub fn id(&self) -> Result<u32> {
+        self.child.as_ref().map(Child::id).with_context(|| format!("{} does not run", self.name))
+    }
+
+    /// Kills it, as a VM that loses its power.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends it the signal `name`, as `STOP`, `CONT` or `TERM`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not run.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let status =
+            Command::new("kill").arg(format!("-{name}")).arg(self.id()?.to_string()).status()?;
+        ensure!(status.success(), "no {name} for {}", self.name);
+        Ok(())
+    }
+
+    /// Waits until its process has ended by itself; gives its exit code.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes longer than `patience`.
+    pub async fn wait_exit(&mut self, patience: Duration) -> Result<Option<i32>> {
+        let mut child = self.child.take().with_context(|| format!("{} does not run", self.name))?;
+        let until = Instant::now() + patience;
+        loop {
+            if let Some(status) = child.try_wait()? {
+                return Ok(status.code());
+            }
+            if Instant::now() > until {
+                self.child = Some(child);
+                bail!("{} did not end within {patience:?}", self.name);
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+/// Waits until `condition` holds.
+///
+/// # Errors
+///
+/// Returns an error if that takes longer than `patience`.
+pub async fn wait_for(
+    patience: Duration,
+    what: &str,
+    mut condition: impl AsyncFnMut() -> bool,
+) -> Result<()> {
+    let until = Instant::now() + patience;
+    while !condition().await {
+        ensure!(Instant::now() < until, "not within {patience:?}: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+    Ok(())
+}
+
+/// An address of the loopback network that nobody else uses: the network has so many hosts that a
+/// random one is free.
+///
+/// # Errors
+///
+/// Returns an error if the system gives no port.
+pub fn free_address() -> Result<SocketAddr> {
+    let host =
+        Ipv4Addr::new(127, rand::random_range(1..255), rand::random(), rand::random_range(1..255));
+    Ok(TcpListener::bind((host, 0))?.local_addr()?)
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
--- /dev/null
+++ b/crates/stand_ins/src/lib.rs
@@ -0,0 +1,22 @@
+//! Small fakes of what stands around crocusdale: the platform, upstreams, a path that loses its
+//! connections, and callers. They run inside a test or, as examples, as processes of their own.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod caller_client;
+mod daemon_fleet;
+mod declaration_text;
+mod platform_stand_in;
+mod relay_stand_in;
+mod server_thread;
+mod upstream_answer;
+mod upstream_stand_in;
+
+pub use caller_client::{CallerAnswer, CallerClient, RequestBuilder};
+pub use daemon_fleet::{DaemonFleet, DaemonFleetBuilder, DaemonProcess, free_address, wait_for};
+pub use declaration_text::DeclarationText;
+pub use platform_stand_in::{PlatformMode, PlatformStandIn};
+pub use relay_stand_in::RelayStandIn;
+pub use server_thread::ServerThread;
+pub use upstream_stand_in::{UpstreamFault, UpstreamPlan, UpstreamStandIn};
