--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -175,6 +175,17 @@
         tokio::time::sleep(key_life + Duration::from_millis(600)).await;
     }
 
+    /// Cuts the daemons `side` off from the others in both directions, or heals all cuts. Only in a
+    /// fleet of which each daemon is on one side: a relay stands before each daemon, so a cut here
+    /// is between a daemon and everyone who calls it.
+    pub fn isolate(&self, side: &[usize], cut: bool) {
+        for index in side {
+            if let Some(relay) = &self.daemons[*index].relay {
+                relay.cut(cut);
+            }
+        }
+    }
+
     /// Addresses for callers of all daemons that run.
     #[must_use]
     pub fn callers(&self) -> Vec<SocketAddr> {
--- a/crates/stand_ins/src/upstream_answer.rs
+++ b/crates/stand_ins/src/upstream_answer.rs
@@ -62,8 +62,10 @@
     plan: UpstreamPlan,
 ) -> Response {
     let attempt = echo(call, last, plan.fault);
+    let after: Vec<&str> = call.inputs.iter().map(|input| input.stage.as_str()).collect();
     let piece = |index: u64| match index {
         0 => format!("for {} by {name}:", call.key),
+        1 => format!(" after {}", after.join("+")),
         _ => format!(" w{index}"),
     };
     let line = |attempt: &str, index: u64, text: &str| {
