Cut daemons off in both directions, with a relay on each path

Cause: a relay before each daemon cut only what others sent to it; its own calls went through, so a test of a 3|3 cut was one of a half cut.

Change: each daemon sees the others behind relays of its own, by a VM list of its own. A new test sends each order to both sides of a cut.

Conclusion: both sides of a cut serve, and at most once holds across it.

--- a/crates/crocusdaled/tests/at_most_once_test.rs
+++ b/crates/crocusdaled/tests/at_most_once_test.rs
@@ -129,14 +129,14 @@
     let text = upstreams.declare(DeclarationText::default()).build();
     let fleet = fleet(6).relays().configuration(text).start().await?;
     fleet.wait_for_witnesses(KEY_LIFE).await;
-    fleet.isolate(&[0, 1, 2, 3, 4, 5], true);
+    fleet.isolate_all(true);
     let client = CallerClient::new();
     for (index, daemon) in fleet.daemons.iter().enumerate() {
         let answer = client.submit(daemon.caller, &order(&format!("cut-{index}"))).await?;
         assert_eq!(answer.kind(), OutcomeKind::Unknown, "{answer:?}");
         assert_eq!(upstreams.shred_runs(&format!("cut-{index}")), 0);
     }
-    fleet.isolate(&[0, 1, 2, 3, 4, 5], false);
+    fleet.isolate_all(false);
     let mut tries = 0;
     wait_for(SOON, "orders run again", async || {
         tries += 1;
@@ -175,3 +175,42 @@
     }
     Ok(())
 }
+
+// Three daemons are cut off from three, and impatient callers send each order to one daemon on
+// either side at the same time, and again after the heal. However the claims fall, no order runs
+// twice, and none that ran is said not to have run.
+#[tokio::test]
+async fn callers_on_both_sides_of_a_cut() -> Result<()> {
+    let upstreams = Upstreams::start()?;
+    let text = upstreams.declare(DeclarationText::default()).build();
+    let fleet = fleet(6).relays().configuration(text).start().await?;
+    fleet.wait_for_witnesses(KEY_LIFE).await;
+    fleet.isolate(&[0, 1, 2], true);
+    let mut answers = Vec::new();
+    for healed in [false, true] {
+        if healed {
+            fleet.isolate(&[0, 1, 2], false);
+        }
+        let mut calls = tokio::task::JoinSet::new();
+        for number in 0..24 {
+            for side in [number % 3, 3 + number % 3] {
+                let (key, address) = (format!("k-{number}"), fleet.daemons[side].caller);
+                calls.spawn(async move {
+                    let answer = CallerClient::new().submit(address, &order(&key)).await;
+                    (key, answer)
+                });
+            }
+        }
+        answers.extend(calls.join_all().await);
+    }
+    let (mut known, all) = (0, answers.len());
+    for (key, answer) in answers {
+        let (answer, runs) = (answer?, upstreams.shred_runs(&key));
+        assert!(runs <= 1, "{key} ran {runs} times");
+        assert!(answer.kind() != OutcomeKind::Refused || runs == 0, "{key}: {answer:?}");
+        assert!(answer.kind() != OutcomeKind::Answered || runs == 1, "{key}: {answer:?}");
+        known += usize::from(answer.kind() != OutcomeKind::Unknown);
+    }
+    println!("{known} of {all} outcomes known");
+    Ok(())
+}
--- a/crates/crocusdaled/tests/configuration_test.rs
+++ b/crates/crocusdaled/tests/configuration_test.rs
@@ -142,8 +142,8 @@
     .await
 }
 
-// Half of the fleet is cut off while a change is published to a service that only the other half
-// reads in time. After the cut is healed all have the newest revision; none went back.
+// Each half of the fleet is cut off from the other in turn while changes are published; both halves
+// read the service for themselves. After the cuts are healed all have the newest revision.
 #[tokio::test]
 async fn partition_and_heal() -> Result<()> {
     let upstreams = Upstreams::start()?;
--- a/crates/crocusdaled/tests/partition_test.rs
+++ b/crates/crocusdaled/tests/partition_test.rs
@@ -31,8 +31,8 @@
     Ok(())
 }
 
-// Three daemons are cut off from everyone, healed, and cut off again, while callers reach them
-// all. Work that may repeat goes on everywhere, and all agree on who is alive soon after each heal.
+// Three daemons are cut off from the three others, healed, and cut off again, while callers reach
+// all six. Work that may repeat goes on everywhere, and all agree on who is alive soon after each heal.
 #[tokio::test]
 async fn three_cut_from_three_twice() -> Result<()> {
     let upstreams = Upstreams::start()?;
@@ -40,10 +40,7 @@
     let fleet = fleet(6).relays().configuration(text).start().await?;
     for round in 0..2 {
         fleet.isolate(&[0, 1, 2], true);
-        wait_for(SOON, "the cut is noticed", async || {
-            alive(&fleet).await.iter().any(|count| *count < 5)
-        })
-        .await?;
+        wait_for(SOON, "the cut is noticed", async || alive(&fleet).await == [2; 6]).await?;
         answers_everywhere(&fleet, &format!("cut-{round}")).await?;
         fleet.isolate(&[0, 1, 2], false);
         let start = Instant::now();
@@ -62,9 +59,7 @@
     let text = upstreams.declare(DeclarationText::default()).build();
     let fleet = fleet(3).relays().configuration(text).start().await?;
     wait_for(SOON, "all agree", async || alive(&fleet).await == [2; 3]).await?;
-    for daemon in &fleet.daemons {
-        daemon.relay.as_ref().expect("this fleet has relays").silence_open();
-    }
+    fleet.silence_links();
     fleet
         .platform
         .publish(2, upstreams.declare(DeclarationText::default().silence_ms(900)).build());
--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -22,9 +22,18 @@
     pub platform: PlatformStandIn,
     /// The daemons.
     pub daemons: Vec<DaemonProcess>,
+    /// The path from each daemon to each other one, if the fleet has relays.
+    links: Vec<FleetLink>,
     binary: PathBuf,
     directory: PathBuf,
-    relays: bool,
+}
+
+/// The path by which one daemon reaches another.
+#[derive(Debug)]
+struct FleetLink {
+    from: usize,
+    to: usize,
+    relay: RelayStandIn,
 }
 
 /// Builds a [`DaemonFleet`].
@@ -46,10 +55,10 @@
     pub caller: SocketAddr,
     /// Where operators connect.
     pub operator: SocketAddr,
-    /// Path by which other daemons reach it, if the fleet has relays.
-    pub relay: Option<RelayStandIn>,
     peer: SocketAddr,
     zone: String,
+    /// VM list of its own, which shows it the other daemons behind relays.
+    vm_list: Option<PlatformStandIn>,
     child: Option<Child>,
 }
 
@@ -69,7 +78,7 @@
         self
     }
 
-    /// Puts a relay before each daemon's peer address, so that it can be cut off.
+    /// Puts a relay between each two daemons in each direction, so that they can be cut off.
     #[must_use]
     pub fn relays(mut self) -> Self {
         self.relays = true;
@@ -91,15 +100,17 @@
     pub async fn start(self) -> Result<DaemonFleet> {
         std::fs::create_dir_all(&self.directory)?;
         let platform = PlatformStandIn::start(loopback(0))?;
-        let daemons: Result<Vec<_>> =
-            (0..self.size).map(|index| DaemonProcess::plan(index, self.relays)).collect();
+        let daemons: Result<Vec<_>> = (0..self.size).map(DaemonProcess::plan).collect();
         let mut fleet = DaemonFleet {
             platform,
             daemons: daemons?,
+            links: Vec::new(),
             binary: self.binary,
             directory: self.directory,
-            relays: self.relays,
         };
+        if self.relays {
+            fleet.link()?;
+        }
         let vms = fleet.daemons.iter().map(DaemonProcess::entry).collect();
         fleet.platform.set_roster(VmRoster { revision: 1, vms });
         fleet.platform.publish(1, self.configuration);
@@ -120,9 +131,10 @@
     pub fn launch(&mut self, index: usize) -> Result<()> {
         let platform = self.platform.address();
         let daemon = &mut self.daemons[index];
+        let vm_list = daemon.vm_list.as_ref().map_or(platform, PlatformStandIn::address);
         ensure!(daemon.child.is_none(), "{} runs already", daemon.name);
         let path = self.directory.join(format!("{}.ini", daemon.name));
-        std::fs::write(&path, daemon.settings(platform))?;
+        std::fs::write(&path, daemon.settings(platform, vm_list))?;
         let log = std::fs::File::options()
             .create(true)
             .append(true)
@@ -139,20 +151,6 @@
         Ok(())
     }
 
-    /// Adds one more daemon to the fleet and to the VM list, without starting it.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if no address can be had.
-    pub fn add(&mut self) -> Result<usize> {
-        let index = self.daemons.len();
-        let daemon = DaemonProcess::plan(index, self.relays)?;
-        let entry = daemon.entry();
-        self.platform.change_roster(|roster| roster.vms.push(entry));
-        self.daemons.push(daemon);
-        Ok(index)
-    }
-
     /// Waits until every daemon that runs is ready and has seen every other that runs.
     ///
     /// # Errors
@@ -175,17 +173,48 @@
         tokio::time::sleep(key_life + Duration::from_millis(600)).await;
     }
 
-    /// Cuts the daemons `side` off from the others in both directions, or heals all cuts. Only in a
-    /// fleet of which each daemon is on one side: a relay stands before each daemon, so a cut here
-    /// is between a daemon and everyone who calls it.
+    /// Cuts the daemons `side` off from the others, in both directions, or heals that cut.
     pub fn isolate(&self, side: &[usize], cut: bool) {
-        for index in side {
-            if let Some(relay) = &self.daemons[*index].relay {
-                relay.cut(cut);
+        for link in &self.links {
+            if side.contains(&link.from) != side.contains(&link.to) {
+                link.relay.cut(cut);
             }
         }
     }
 
+    /// Cuts every daemon off from every other, or heals all cuts.
+    pub fn isolate_all(&self, cut: bool) {
+        for link in &self.links {
+            link.relay.cut(cut);
+        }
+    }
+
+    /// Makes every open connection between daemons silent for good; new ones work.
+    pub fn silence_links(&self) {
+        for link in &self.links {
+            link.relay.silence_open();
+        }
+    }
+
+    /// Puts a relay on each path between two daemons, and gives each daemon a VM list that shows
+    /// the others behind its own relays.
+    fn link(&mut self) -> Result<()> {
+        let entries: Vec<VmEntry> = self.daemons.iter().map(DaemonProcess::entry).collect();
+        for (from, daemon) in self.daemons.iter_mut().enumerate() {
+            let mut vms = entries.clone();
+            for (to, vm) in vms.iter_mut().enumerate().filter(|(to, _)| *to != from) {
+                let target = vm.peer.context("an entry VM has a peer address")?;
+                let relay = RelayStandIn::start(loopback(0), target)?;
+                vm.peer = Some(relay.address());
+                self.links.push(FleetLink { from, to, relay });
+            }
+            let vm_list = PlatformStandIn::start(loopback(0))?;
+            vm_list.set_roster(VmRoster { revision: 1, vms });
+            daemon.vm_list = Some(vm_list);
+        }
+        Ok(())
+    }
+
     /// Addresses for callers of all daemons that run.
     #[must_use]
     pub fn callers(&self) -> Vec<SocketAddr> {
@@ -206,37 +235,34 @@
 }
 
 impl DaemonProcess {
-    fn plan(index: usize, relays: bool) -> Result<Self> {
-        let peer = free_address()?;
-        let relay = relays.then(|| RelayStandIn::start(loopback(0), peer)).transpose()?;
+    fn plan(index: usize) -> Result<Self> {
         Ok(Self {
             name: format!("entry-{index}"),
             caller: free_address()?,
             operator: free_address()?,
-            relay,
-            peer,
+            peer: free_address()?,
+            vm_list: None,
             zone: ZONES[index % ZONES.len()].to_owned(),
             child: None,
         })
     }
 
     fn entry(&self) -> VmEntry {
-        let peer = self.relay.as_ref().map_or(self.peer, RelayStandIn::address);
         VmEntry {
             name: self.name.clone(),
             zone: self.zone.clone(),
             role: VmRole::Entry,
             state: VmState::Live,
-            peer: Some(peer),
+            peer: Some(self.peer),
             caller: Some(self.caller),
             operator: Some(self.operator),
         }
     }
 
-    fn settings(&self, platform: SocketAddr) -> String {
+    fn settings(&self, platform: SocketAddr, vm_list: SocketAddr) -> String {
         format!(
             "[daemon]\nname = {}\nzone = {}\n[listen]\ncaller = {}\npeer = {}\noperator = {}\n\
-             [platform]\nconfiguration = {platform}\nvm_list = {platform}\n\
+             [platform]\nconfiguration = {platform}\nvm_list = {vm_list}\n\
              vm_list_period_ms = 200\n[membership]\nperiod_ms = 100\nsuspicion_ms = 500\n",
             self.name, self.zone, self.caller, self.peer, self.operator,
         )
