--- a/crates/stand_ins/examples/demo.rs
+++ b/crates/stand_ins/examples/demo.rs
@@ -1,8 +1,11 @@
-//! Runs a whole deployment on this machine: `demo DIRECTORY [--keep SECONDS]`.
+//! Runs a whole deployment on this machine: `demo DIRECTORY [--keep SECONDS] [--instant]
+//! [--pieces N]`.
 //!
 //! Starts the platform, the upstreams and six daemons as separate processes, asks a daemon for
 //! an address, sends one request through encode, retrieve, rerank and generate, prints its answer
-//! with time and cost by stage, and ends what it started.
+//! with time and cost by stage, and ends what it started. With `--instant` upstreams answer at
+//! once, to measure the
+//! system itself; `--pieces` sets the length of generated streams, 16 unless given.
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -15,6 +18,7 @@
 use crocusdale_core::pipeline::OutcomeKind;
 use serde_json::{Value, json};
 use stand_ins::{CallerAnswer, CallerClient, wait_for};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Time that the daemons have to become ready.
 const READY_PATIENCE: Duration = Duration::from_secs(20);
@@ -23,6 +27,16 @@
 /// Upstreams in one process.
 const UPSTREAMS_PER_PROCESS: usize = 16;
 
+/// Pieces of a generated stream unless given.
+const PIECES: u64 = 16;
+
+/// How the upstreams work.
+#[derive(Clone, Copy)]
+struct UpstreamLoad {
+    instant: bool,
+    pieces: u64,
+}
+
 /// Processes that are ended when this is dropped.
 struct Processes(Vec<Child>);
 
@@ -39,16 +53,32 @@
 async fn main() -> Result<()> {
     let mut arguments = pico_args::Arguments::from_env();
     let keep: Option<u64> = arguments.opt_value_from_str("--keep")?;
+    let load = UpstreamLoad {
+        instant: arguments.contains("--instant"),
+        pieces: arguments.opt_value_from_str("--pieces")?.unwrap_or(PIECES),
+    };
     let directory: PathBuf = arguments.free_from_str().context("usage: demo DIRECTORY")?;
     let bin = std::env::current_exe()?.parent().context("no folder")?.to_owned();
     let work = std::env::temp_dir().join(format!("crocusdale-demo-{}", std::process::id()));
     std::fs::create_dir_all(&work)?;
-    let end = run(&directory, &bin, &work, keep).await;
+    let mut terminate = signal(SignalKind::terminate())?;
+    // Dropping the run ends what it started, so nothing is left when it is interrupted either.
+    let end = tokio::select! {
+        end = run(&directory, &bin, &work, keep, load) => end,
+        _ = terminate.recv() => Ok(()),
+        _ = tokio::signal::ctrl_c() => Ok(()),
+    };
     std::fs::remove_dir_all(&work)?;
     end
 }
 
-async fn run(directory: &Path, bin: &Path, work: &Path, keep: Option<u64>) -> Result<()> {
+async fn run(
+    directory: &Path,
+    bin: &Path,
+    work: &Path,
+    keep: Option<u64>,
+    load: UpstreamLoad,
+) -> Result<()> {
     let declarations = directory.join("declarations.ini");
     let text = std::fs::read_to_string(&declarations)?;
     let checked = Declarations::check(&declarations.display().to_string(), &text);
@@ -56,7 +86,7 @@
     let settings = read_settings(directory)?;
     let mut stand_ins = Processes(Vec::new());
     start_platform(&settings, &declarations, bin, work, &mut stand_ins)?;
-    start_upstreams(&checked, bin, &mut stand_ins)?;
+    start_upstreams(&checked, bin, load, &mut stand_ins)?;
     let mut daemons = Processes(Vec::new());
     for (path, _) in &settings {
         let child = Command::new(bin.join("../crocusdaled"))
@@ -129,12 +159,18 @@
 fn start_upstreams(
     declarations: &Declarations,
     bin: &Path,
+    load: UpstreamLoad,
     processes: &mut Processes,
 ) -> Result<()> {
     for group in declarations.upstreams().chunks(UPSTREAMS_PER_PROCESS) {
         let specs = group.iter().map(|upstream| {
-            let times = if upstream.name.contains("generate") { "120/10" } else { "15" };
-            format!("{}={}@{times}", upstream.name, upstream.address)
+            let times = match (load.instant, upstream.name.contains("generate")) {
+                (true, _) => "0/0",
+                (false, true) => "120/10",
+                (false, false) => "15/0",
+            };
+            let pieces = load.pieces;
+            format!("{}={}@{times}/{pieces}", upstream.name, upstream.address)
         });
         let child = Command::new(bin.join("upstreams")).args(specs).spawn();
         processes.0.push(child.context("starting upstreams")?);
