--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -5,6 +5,8 @@
 use crocusdale_schema::sections::DECLARATIONS;
 
 use super::section_reader::{CheckedSection, ErrorCollector, read_sections};
+use crate::orders::EngineOrder;
+
 use super::{ConfigurationError, ConfigurationErrorKind, LabelSelector, LabelSet, StagePlan};
 
 /// Priority level of a request that no priority matches.
@@ -20,6 +22,7 @@
     stages: HashMap<String, StageRules>,
     priorities: Vec<PriorityRules>,
     rules: Vec<RequestRule>,
+    placements: Vec<PlacementRules>,
 }
 
 /// What holds for the whole deployment.
@@ -127,6 +130,15 @@
     pub concurrency: Option<u32>,
 }
 
+/// What some engines must hold.
+#[derive(Clone, Debug)]
+pub struct PlacementRules {
+    /// Engines that it governs.
+    pub upstreams: LabelSelector,
+    /// What they must hold; its fencing number is that of the revision in force.
+    pub order: EngineOrder,
+}
+
 impl Declarations {
     /// Checks `text` wholly; the same text gives the same verdict in every process.
     ///
@@ -149,6 +161,7 @@
             stages,
             priorities: of("priority").map(read_priority).collect(),
             rules: of("rule").map(read_rule).collect(),
+            placements: of("placement").map(read_placement).collect(),
         })
     }
 
@@ -206,6 +219,12 @@
         matching.map(|priority| priority.level).min().unwrap_or(DEFAULT_LEVEL)
     }
 
+    /// First placement that governs engines with `labels`.
+    #[must_use]
+    pub fn placement_for(&self, labels: &LabelSet) -> Option<&PlacementRules> {
+        self.placements.iter().find(|placement| placement.upstreams.matches(labels))
+    }
+
     /// Rules that govern requests with `labels`.
     pub fn rules_for<'a>(&'a self, labels: &'a LabelSet) -> impl Iterator<Item = &'a RequestRule> {
         self.rules.iter().filter(|rule| rule.when.matches(labels))
@@ -357,3 +376,14 @@
         concurrency: section.get("concurrency"),
     }
 }
+
+fn read_placement(section: &CheckedSection) -> PlacementRules {
+    let order = EngineOrder {
+        fence: 0,
+        model: section.owned("model"),
+        version: section.owned("version"),
+        adapter: section.text("adapter").map(str::to_owned),
+        role: section.get("role").unwrap_or_default(),
+    };
+    PlacementRules { upstreams: section.selector("upstreams"), order }
+}
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -12,8 +12,8 @@
 pub use configuration_error::{ConfigurationError, ConfigurationErrorKind};
 pub use configuration_ledger::{ConfigurationLedger, InForce, LedgerVerdict};
 pub use declarations::{
-    Declarations, DeploymentRules, PipelineRules, PriorityRules, RequestRule, StageRules,
-    UpstreamKind, UpstreamRules, WorkspaceRules,
+    Declarations, DeploymentRules, PipelineRules, PlacementRules, PriorityRules, RequestRule,
+    StageRules, UpstreamKind, UpstreamRules, WorkspaceRules,
 };
 pub use label_selector::LabelSelector;
 pub use label_set::LabelSet;
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -1,5 +1,8 @@
+use std::net::SocketAddr;
+
 use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{ExchangeMessage, WitnessSet};
+use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptOrder, FinalAnswer};
 
 /// What the process around the core has to do.
@@ -80,6 +83,22 @@
         /// Revision of the list in use.
         known: u64,
     },
+    /// Ask an engine what it holds.
+    ReadPlacement {
+        /// The engine.
+        upstream: String,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// Give an engine an order.
+    GiveOrder {
+        /// The engine.
+        upstream: String,
+        /// Where it listens.
+        address: SocketAddr,
+        /// The order.
+        order: EngineOrder,
+    },
     /// Give back [`super::DaemonEvent::Timer`] at `at`.
     SetTimer {
         /// What for.
@@ -112,6 +131,8 @@
     Heartbeat,
     /// Next look at waiting work, pauses and the drain.
     Housekeeping,
+    /// Next look at the engines that this daemon keeps in order.
+    Orders,
     /// Next read of the VM list.
     Roster,
     /// Next read of the configuration service.
@@ -174,6 +195,12 @@
     ConfigurationConflicts,
     /// Reads of the platform that failed.
     PlatformReadsFailed,
+    /// Orders given to engines.
+    OrdersGiven,
+    /// Orders that an engine refused, for its fencing number or another cause.
+    OrdersRefused,
+    /// Engines left alone because they hold the order of a later revision.
+    OrdersOutdated,
     /// Pauses of this process that were noticed.
     PausesNoticed,
 }
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -38,7 +38,9 @@
     /// Gives the first commands of a process.
     pub fn start(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         out.push(Command::ReadRoster { known: 0 });
-        for timer in [TimerKey::Heartbeat, TimerKey::Housekeeping, TimerKey::Configuration] {
+        for timer in
+            [TimerKey::Heartbeat, TimerKey::Housekeeping, TimerKey::Configuration, TimerKey::Orders]
+        {
             out.push(Command::SetTimer { timer, at: now });
         }
     }
@@ -217,6 +219,7 @@
             TimerKey::Heartbeat => lock(&self.state.fleet).heartbeat(now, out),
             TimerKey::Configuration => lock(&self.state.fleet).decide_watch(now, out),
             TimerKey::Housekeeping => self.housekeeping(now, out),
+            TimerKey::Orders => lock(&self.state.fleet).look_at_engines(now, out),
             TimerKey::Roster => out.push(Command::ReadRoster { known: self.roster_revision() }),
             TimerKey::Drain => self.state.window_over.store(true, Ordering::Relaxed),
         }
@@ -261,6 +264,13 @@
                 out.push(Command::Count(CounterName::PlatformReadsFailed));
                 lock(&self.state.fleet).await_roster(now, out);
             }
+            DaemonEvent::PlacementRead { upstream, held } => {
+                lock(&self.state.fleet).placement_read(upstream, held, out);
+            }
+            DaemonEvent::OrderAnswered { taken: true } => {}
+            DaemonEvent::OrderAnswered { taken: false } => {
+                out.push(Command::Count(CounterName::OrdersRefused));
+            }
             DaemonEvent::DrainAsked => self.drain(now, out),
             _ => debug_assert!(false, "an event of a request reached the fleet"),
         }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -3,6 +3,7 @@
 use crate::claims::RegisterReply;
 use crate::identity::{AttemptId, CallId, RequestKey};
 use crate::membership::{ExchangeMessage, VmRoster};
+use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply};
 
 use super::TimerKey;
@@ -65,6 +66,18 @@
     RosterRead(Option<VmRoster>),
     /// The VM list did not answer.
     RosterUnread,
+    /// An engine said what it holds, or did not.
+    PlacementRead {
+        /// The engine.
+        upstream: String,
+        /// What it holds.
+        held: Option<EngineOrder>,
+    },
+    /// An engine took an order, or did not.
+    OrderAnswered {
+        /// Whether it took it.
+        taken: bool,
+    },
     /// A timer is due.
     Timer(TimerKey),
     /// The process was asked to drain.
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -7,6 +7,7 @@
 use crate::configuration::{ConfigurationLedger, LedgerVerdict};
 use crate::identity::{MonotonicTime, stable_hash};
 use crate::membership::{ExchangeMessage, MemberStatus, MemberView, RosterHistory, VmRoster};
+use crate::orders::{EngineOrder, OrderKeeper, OrderStep};
 
 /// Daemons of each zone that hold the watch on the configuration service.
 const READERS_PER_ZONE: usize = 2;
@@ -25,6 +26,8 @@
 /// Pause between two reads of the VM list for each daemon of the fleet, which bounds the reads
 /// of the whole fleet to 200 a second.
 const ROSTER_SHARE: Duration = Duration::from_millis(5);
+/// Pause between two looks at the engines that a daemon keeps in order.
+const ORDER_PERIOD: Duration = Duration::from_secs(1);
 /// Time after which a fetch from a peer counts as lost.
 const FETCH_PATIENCE: Duration = Duration::from_secs(2);
 /// Time after the start for which an unheard peer keeps a daemon from being ready.
@@ -257,6 +260,38 @@
         }
     }
 
+    /// Asks the engines that this daemon keeps what they hold.
+    pub fn look_at_engines(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        if let Some(in_force) = self.ledger.in_force().filter(|_| self.ready) {
+            let keeper = OrderKeeper::new(&in_force.declarations, in_force.revision);
+            for engine in keeper.kept(self.history.current(), &self.view) {
+                let (upstream, address) = (engine.name.clone(), engine.address);
+                out.push(Command::ReadPlacement { upstream, address });
+            }
+        }
+        let pause = self.jittered(ORDER_PERIOD);
+        out.push(Command::SetTimer { timer: TimerKey::Orders, at: now + pause });
+    }
+
+    /// Takes what an engine says that it holds, and gives it an order if it must have one.
+    pub fn placement_read(
+        &mut self,
+        upstream: String,
+        held: Option<EngineOrder>,
+        out: &mut Vec<Command>,
+    ) {
+        let (Some(held), Some(in_force)) = (held, self.ledger.in_force()) else { return };
+        let keeper = OrderKeeper::new(&in_force.declarations, in_force.revision);
+        match keeper.decide(&upstream, &held) {
+            OrderStep::Nothing => {}
+            OrderStep::Newer => out.push(Command::Count(CounterName::OrdersOutdated)),
+            OrderStep::Give { address, order } => {
+                out.push(Command::Count(CounterName::OrdersGiven));
+                out.push(Command::GiveOrder { upstream, address, order });
+            }
+        }
+    }
+
     /// Announces that this daemon drains.
     pub fn drain(&mut self, out: &mut Vec<Command>) {
         self.view.leave();
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`tickets`]: proof of a request's age by the clock of one process.
 //! * [`admission`]: limits on what runs at one time.
 //! * [`routing`]: which upstream gets an attempt.
+//! * [`orders`]: what model engines must hold, and who tells them.
 //! * [`retry`]: when an attempt may be repeated.
 //! * [`pipeline`]: the life of one request through its stages.
 //! * [`daemon`]: all of it behind one pair of events and commands.
@@ -33,6 +34,7 @@
 pub mod daemon;
 pub mod identity;
 pub mod membership;
+pub mod orders;
 pub mod pipeline;
 pub mod retry;
 pub mod routing;
--- a/crates/crocusdaled/src/upstream/upstream_client.rs
+++ b/crates/crocusdaled/src/upstream/upstream_client.rs
@@ -136,7 +136,7 @@
     cause.is_some_and(hyper::Error::is_canceled)
 }
 
-fn build_client(idle: usize) -> Option<Client> {
+pub(super) fn build_client(idle: usize) -> Option<Client> {
     let mut builder = ClientBuilder::new();
     builder.set_connect_timeout(CONNECT_PATIENCE);
     builder.set_max_idle_per_host(idle).set_pool_idle_timeout(IDLE_TIME);
--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -43,6 +43,7 @@
     directory: PathBuf,
     size: usize,
     relays: bool,
+    zones: Vec<String>,
     configuration: String,
 }
 
@@ -67,8 +68,9 @@
     #[must_use]
     pub fn new(binary: &str, directory: &str) -> Self {
         let directory = Path::new(directory).join(format!("fleet-{:016x}", rand::random::<u64>()));
+        let zones = ZONES.iter().map(|zone| (*zone).to_owned()).collect();
         let (size, configuration) = (6, String::new());
-        Self { binary: binary.into(), directory, size, relays: false, configuration }
+        Self { binary: binary.into(), directory, size, relays: false, zones, configuration }
     }
 
     /// Sets the number of daemons, spread over three zones.
@@ -85,6 +87,13 @@
         self
     }
 
+    /// Sets the zones over which the daemons are spread.
+    #[must_use]
+    pub fn zones(mut self, zones: Vec<String>) -> Self {
+        self.zones = zones;
+        self
+    }
+
     /// Publishes `text` as revision 1.
     #[must_use]
     pub fn configuration(mut self, text: impl Into<String>) -> Self {
@@ -100,7 +109,9 @@
     pub async fn start(self) -> Result<DaemonFleet> {
         std::fs::create_dir_all(&self.directory)?;
         let platform = PlatformStandIn::start(loopback(0))?;
-        let daemons: Result<Vec<_>> = (0..self.size).map(DaemonProcess::plan).collect();
+        let daemons: Result<Vec<_>> = (0..self.size)
+            .map(|index| DaemonProcess::plan(index, &self.zones[index % self.zones.len()]))
+            .collect();
         let mut fleet = DaemonFleet {
             platform,
             daemons: daemons?,
@@ -235,14 +246,14 @@
 }
 
 impl DaemonProcess {
-    fn plan(index: usize) -> Result<Self> {
+    fn plan(index: usize, zone: &str) -> Result<Self> {
         Ok(Self {
             name: format!("entry-{index}"),
             caller: free_address()?,
             operator: free_address()?,
             peer: free_address()?,
             vm_list: None,
-            zone: ZONES[index % ZONES.len()].to_owned(),
+            zone: zone.to_owned(),
             child: None,
         })
     }
--- a/crates/stand_ins/src/upstream_stand_in.rs
+++ b/crates/stand_ins/src/upstream_stand_in.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use crocusdale_core::orders::EngineOrder;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use volo_http::response::Response;
@@ -77,6 +78,9 @@
     runs: Mutex<HashMap<String, u64>>,
     calls: AtomicU64,
     last_attempt: Mutex<String>,
+    /// Orders that the engine took, in order; the last one is what it holds.
+    orders: Mutex<Vec<EngineOrder>>,
+    ignores_fence: AtomicBool,
 }
 
 impl UpstreamStandIn {
@@ -94,6 +98,8 @@
             runs: Mutex::default(),
             calls: AtomicU64::new(0),
             last_attempt: Mutex::default(),
+            orders: Mutex::default(),
+            ignores_fence: AtomicBool::new(false),
         });
         let server = ServerThread::start(address, router(&state))?;
         Ok(Self { state, server })
@@ -105,6 +111,12 @@
         self.server.address()
     }
 
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.state.name
+    }
+
     /// Sets how it works from now on.
     pub fn set_plan(&self, plan: UpstreamPlan) {
         *lock(&self.state.plan) = plan;
@@ -120,6 +132,17 @@
         self.state.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Takes every order from now on, whatever its fencing number.
+    pub fn ignore_fence(&self) {
+        self.state.ignores_fence.store(true, Ordering::Relaxed);
+    }
+
+    /// Orders that it took, in order.
+    #[must_use]
+    pub fn orders(&self) -> Vec<EngineOrder> {
+        lock(&self.state.orders).clone()
+    }
+
     /// Calls that were begun.
     #[must_use]
     pub fn calls(&self) -> u64 {
@@ -142,6 +165,7 @@
 fn router(state: &Arc<UpstreamWork>) -> Router {
     let (run, stream) = (Arc::clone(state), Arc::clone(state));
     let (plan, runs) = (Arc::clone(state), Arc::clone(state));
+    let (held, order) = (Arc::clone(state), Arc::clone(state));
     Router::new()
         .route("/run", post(async move |Json(call): Json<StageCall>| run.run(call, false).await))
         .route(
@@ -155,10 +179,25 @@
                 "set\n"
             }),
         )
+        .route(
+            "/placement",
+            get(async move || Json(lock(&held.orders).last().cloned().unwrap_or_default()))
+                .put(async move |Json(next): Json<EngineOrder>| order.take_order(next)),
+        )
         .route("/runs", get(async move || Json(lock(&runs.runs).clone())))
 }
 
 impl UpstreamWork {
+    fn take_order(&self, order: EngineOrder) -> StatusCode {
+        let mut orders = lock(&self.orders);
+        let fence = orders.last().map(|held| held.fence).unwrap_or_default();
+        if order.fence < fence && !self.ignores_fence.load(Ordering::Relaxed) {
+            return StatusCode::CONFLICT;
+        }
+        orders.push(order);
+        StatusCode::OK
+    }
+
     async fn run(self: Arc<Self>, call: StageCall, stream: bool) -> Response {
         let plan = *lock(&self.plan);
         self.calls.fetch_add(1, Ordering::Relaxed);
