Share the replay with callers that do as they are told

Cause: the fault run held its own replay, which the experiments need too.

Conclusion: no change of behaviour.

--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -10,6 +10,7 @@
 mod platform_stand_in;
 mod relay_stand_in;
 mod server_thread;
+mod trace_replay;
 mod upstream_answer;
 mod upstream_stand_in;
 
@@ -19,4 +20,7 @@
 pub use platform_stand_in::{PlatformMode, PlatformStandIn};
 pub use relay_stand_in::RelayStandIn;
 pub use server_thread::ServerThread;
+pub use trace_replay::{
+    EndedRequest, ReplayTally, TraceLine, judge_replay, read_trace, replay_trace,
+};
 pub use upstream_stand_in::{UpstreamFault, UpstreamPlan, UpstreamStandIn};
