--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -38,6 +38,19 @@
     pub longest_deadline: Duration,
     /// Weight of attainment against cost by stage.
     pub attainment_weight: f64,
+    /// How upstreams are chosen and failures met.
+    pub policy: RoutingPolicy,
+}
+
+/// How upstreams are chosen and failures met.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::EnumString, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum RoutingPolicy {
+    /// Learned times, ejection, limits, early refusals and a retry budget.
+    #[default]
+    Adaptive,
+    /// Round robin, no limits and three blind retries: what the adaptive policy is measured against.
+    Baseline,
 }
 
 /// Kind of back end.
@@ -250,6 +263,7 @@
         address_hold: section.duration("address_hold_ms").unwrap_or_default(),
         longest_deadline: section.duration("longest_deadline_ms").unwrap_or_default(),
         attainment_weight: section.get("attainment_weight").unwrap_or_default(),
+        policy: section.get("policy").unwrap_or_default(),
     };
     // A register that is forgotten while its request may still be dispatched would let a second
     // daemon run the same key: it shows as a doubled run. A life longer than every deadline holds
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -13,7 +13,7 @@
 pub use configuration_ledger::{ConfigurationLedger, InForce, LedgerVerdict};
 pub use declarations::{
     Declarations, DeploymentRules, PipelineRules, PlacementRules, PriorityRules, RequestRule,
-    StageRules, UpstreamKind, UpstreamRules, WorkspaceRules,
+    RoutingPolicy, StageRules, UpstreamKind, UpstreamRules, WorkspaceRules,
 };
 pub use label_selector::LabelSelector;
 pub use label_set::LabelSet;
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -157,6 +157,12 @@
         let mut plan =
             RequestPlan::make(request, declarations, now).map_err(|refusal| (refusal, true))?;
         let repeatable = plan.repeatable;
+        // A request that can't end in time is refused before it takes anything from those that can.
+        let needed = self.router().estimate(plan.pipeline.plan.steps());
+        if now + needed > plan.deadline {
+            let retry = needed.saturating_sub(plan.request.deadline).max(LIMIT_RETRY);
+            return Err((refusal(&key, RefusalReason::Overload, retry), repeatable));
+        }
         let admitted = lock(&self.gate).admit(declarations, &key.workspace, &plan.labels);
         plan.permit =
             admitted.map_err(|reason| (refusal(&key, reason, LIMIT_RETRY), repeatable))?;
@@ -271,7 +277,7 @@
                 self.acquire(request, RefusalReason::NoUpstream, now, &mut steps);
             }
             ShardStep::Retry { request, reason } => {
-                if self.router().allow_retry(&request.stage) {
+                if self.router().allow_retry(&request) {
                     out.push(Command::Count(CounterName::Retries));
                     self.acquire(request, reason, now, &mut steps);
                 } else {
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -72,6 +72,8 @@
     WorkspaceLimit,
     /// Too many requests of a rule run in this daemon.
     RuleLimit,
+    /// The answer could not come within the deadline.
+    Overload,
     /// No upstream of a stage can be used.
     NoUpstream,
     /// The deadline passed.
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::identity::{CallId, MonotonicTime};
 use crate::retry::RetryBudget;
@@ -6,6 +7,9 @@
 /// Attempts that one pool lets wait at most.
 const WAITING_LIMIT: usize = 8_192;
 
+/// Weight of the newest answer in what is learned.
+const LEARNING_WEIGHT: f64 = 0.1;
+
 /// An attempt that needs an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SlotRequest {
@@ -28,6 +32,11 @@
 pub struct StagePool {
     waiting: BTreeMap<(u8, MonotonicTime, u64), SlotRequest>,
     arrivals: u64,
+    /// Learned time of an answer.
+    learned: Option<Duration>,
+    /// Learned time between two answers while work waits, which is what a place in the queue costs.
+    pace: Option<Duration>,
+    last_answer: Option<MonotonicTime>,
     /// Retries that the pool still allows.
     pub budget: RetryBudget,
 }
@@ -49,6 +58,23 @@
         true
     }
 
+    /// Learns from an answer that took `time`.
+    pub fn learn(&mut self, time: Duration, now: MonotonicTime) {
+        self.learned = Some(mix(self.learned, time));
+        if let Some(last) = self.last_answer.filter(|_| !self.waiting.is_empty()) {
+            self.pace = Some(mix(self.pace, now.since(last)));
+        }
+        self.last_answer = Some(now);
+    }
+
+    /// Time that a new attempt would need, its wait included.
+    #[must_use]
+    pub fn expected_time(&self) -> Duration {
+        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+        let wait = self.pace.unwrap_or_default().saturating_mul(waiting);
+        self.learned.unwrap_or_default() + wait
+    }
+
     /// Takes out the most urgent attempt that has not tried `upstream`.
     pub fn next_for(&mut self, upstream: &str) -> Option<SlotRequest> {
         let mut urgent = self.waiting.iter();
@@ -68,3 +94,8 @@
         }
     }
 }
+
+fn mix(learned: Option<Duration>, newest: Duration) -> Duration {
+    let learned = learned.unwrap_or(newest).as_secs_f64();
+    Duration::from_secs_f64(learned + LEARNING_WEIGHT * (newest.as_secs_f64() - learned))
+}
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -1,23 +1,30 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{AttemptReport, SlotRequest, StagePool, UpstreamState, UpstreamSummary};
-use crate::configuration::{Declarations, UpstreamRules};
+use crate::configuration::{Declarations, RoutingPolicy, UpstreamRules};
 use crate::identity::MonotonicTime;
 use crate::membership::{LeavingUpstream, VmRoster};
 
 /// Upstreams that are looked at in each zone before the whole pool is.
 const SAMPLES: usize = 2;
 
+/// Retries that the baseline makes, whatever fails.
+const BLIND_RETRIES: usize = 3;
+
 /// Chooses upstreams for attempts; each pool and each upstream has its own lock.
 #[derive(Debug)]
 pub struct UpstreamRouter {
     zone: String,
     random: Mutex<SmallRng>,
+    policy: RoutingPolicy,
+    turn: AtomicUsize,
     upstreams: Vec<RoutedUpstream>,
     positions: HashMap<String, usize>,
     pools: HashMap<String, RoutedPool>,
@@ -55,6 +62,8 @@
         Self {
             zone: zone.to_owned(),
             random: Mutex::new(SmallRng::seed_from_u64(seed)),
+            policy: RoutingPolicy::default(),
+            turn: AtomicUsize::new(0),
             upstreams: Vec::new(),
             positions: HashMap::new(),
             pools: HashMap::new(),
@@ -66,6 +75,7 @@
     pub fn reconfigured(&self, declarations: &Declarations) -> Self {
         let seed = lock(&self.random).random();
         let mut router = Self::new(&self.zone, seed);
+        router.policy = declarations.deployment().policy;
         for rules in declarations.upstreams() {
             router.add_upstream(rules, self.known_state(rules));
         }
@@ -104,8 +114,26 @@
 
     /// Whether a first attempt may become another one at the same stage.
     #[must_use]
-    pub fn allow_retry(&self, stage: &str) -> bool {
-        self.pools.get(stage).is_some_and(|routed| lock(&routed.pool).budget.spend())
+    pub fn allow_retry(&self, request: &SlotRequest) -> bool {
+        if self.policy == RoutingPolicy::Baseline {
+            return request.tried.len() <= BLIND_RETRIES;
+        }
+        self.pools.get(&request.stage).is_some_and(|routed| lock(&routed.pool).budget.spend())
+    }
+
+    /// Time that a new request would need for the stages of `steps`, the waits for their upstreams
+    /// included, as far as it was learned.
+    #[must_use]
+    pub fn estimate(&self, steps: &[Vec<String>]) -> Duration {
+        if self.policy == RoutingPolicy::Baseline {
+            return Duration::ZERO;
+        }
+        let pool_time = |stage: &String| {
+            let routed = self.pools.get(stage);
+            routed.map_or(Duration::ZERO, |routed| lock(&routed.pool).expected_time())
+        };
+        let step_time = |step: &Vec<String>| step.iter().map(pool_time).max().unwrap_or_default();
+        steps.iter().map(step_time).sum()
     }
 
     /// Finds an upstream for `request`, or lets it wait for one.
@@ -140,6 +168,11 @@
     ) -> Vec<SlotGrant> {
         let Some(upstream) = self.upstream(upstream) else { return Vec::new() };
         lock(&upstream.state).end(report, now);
+        if let AttemptReport::Answered(time) = report {
+            for routed in upstream.pools.iter().filter_map(|stage| self.pools.get(stage)) {
+                lock(&routed.pool).learn(time, now);
+            }
+        }
         self.serve_waiting(&upstream.pools, now)
     }
 
@@ -213,6 +246,9 @@
         request: &SlotRequest,
         now: MonotonicTime,
     ) -> Option<usize> {
+        if self.policy == RoutingPolicy::Baseline {
+            return self.next_in_turn(routed);
+        }
         let healthy = |position: usize| self.cost_if_usable(position, request, Some(now));
         let any = |position: usize| self.cost_if_usable(position, request, None);
         self.best_of(&self.sample(&routed.near), healthy)
@@ -229,6 +265,14 @@
             })
     }
 
+    /// The next upstream of the pool that isn't leaving, whatever is known of it.
+    fn next_in_turn(&self, routed: &RoutedPool) -> Option<usize> {
+        let all: Vec<usize> = routed.near.iter().chain(&routed.far).copied().collect();
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        let mut from_turn = all.iter().cycle().skip(turn % all.len().max(1)).take(all.len());
+        from_turn.find(|position| !lock(&self.upstreams[**position].state).is_leaving()).copied()
+    }
+
     fn sample(&self, positions: &[usize]) -> Vec<usize> {
         if positions.is_empty() {
             return Vec::new();
--- a/crates/crocusdaled/src/platform/platform_reader.rs
+++ b/crates/crocusdaled/src/platform/platform_reader.rs
@@ -52,11 +52,12 @@
         let (client, address) = (self.client.clone(), self.configuration);
         let engine = Arc::clone(engine);
         tokio::spawn(async move {
-            let wait = if known == 0 { 0 } else { WATCH_HOLD.as_millis() };
-            let path = format!("/configuration?known={known}&wait_ms={wait}");
+            // A daemon without any configuration can't wait for a change.
+            let wait = if known == 0 { Duration::ZERO } else { WATCH_HOLD };
+            let path = format!("/configuration?known={known}&wait_ms={}", wait.as_millis());
             let limit = DECLARATIONS_LIMIT * JSON_FACTOR;
             let read = get(&client, address, &path, limit);
-            let event = match tokio::time::timeout(WATCH_HOLD + ANSWER_PATIENCE, read).await {
+            let event = match tokio::time::timeout(wait + ANSWER_PATIENCE, read).await {
                 Ok(Ok(None)) => DaemonEvent::ConfigurationWatched(None),
                 Ok(Ok(Some(body))) => match serde_json::from_slice::<PublishedConfiguration>(&body)
                 {
--- a/crates/crocusdaled/src/service/answer_response.rs
+++ b/crates/crocusdaled/src/service/answer_response.rs
@@ -125,6 +125,7 @@
         | RefusalReason::KeyExpired
         | RefusalReason::BadTicket => StatusCode::CONFLICT,
         RefusalReason::NotReady
+        | RefusalReason::Overload
         | RefusalReason::NoUpstream
         | RefusalReason::Deadline
         | RefusalReason::UpstreamError
--- a/crates/stand_ins/examples/fault_run.rs
+++ b/crates/stand_ins/examples/fault_run.rs
@@ -40,12 +40,13 @@
     fleet.wait_for_witnesses(declarations.deployment().key_life).await;
 
     let calm = replay_trace(&trace, fleet.callers(), "calm").await;
-    let calm = judge_replay(&calm, &upstreams);
+    let all: Vec<&UpstreamStandIn> = upstreams.iter().collect();
+    let calm = judge_replay(&calm, &all);
     println!("without faults: {calm:?}");
     let callers = fleet.callers();
     let replaying = tokio::spawn(async move { replay_trace(&trace, callers, "faults").await });
     let faults = inject(&mut fleet, &upstreams, seed, || replaying.is_finished()).await?;
-    let rough = judge_replay(&replaying.await?, &upstreams);
+    let rough = judge_replay(&replaying.await?, &all);
     println!("with {faults} faults: {rough:?}");
     let share = |tally: &ReplayTally| f64::from(tally.attained) / f64::from(tally.all()) * 100.0;
     println!("attainment {:.2}% without, {:.2}% with faults", share(&calm), share(&rough));
--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -173,11 +173,18 @@
             wait_for(READY_PATIENCE, &format!("{} is ready", daemon.name), async || {
                 client.get(daemon.operator, "/ready").await.is_ok_and(|(status, _)| status == 200)
             })
-            .await?;
+            .await
+            .with_context(|| self.log_of(daemon))?;
         }
         Ok(())
     }
 
+    /// Log of a daemon, for the report of a failure.
+    fn log_of(&self, daemon: &DaemonProcess) -> String {
+        let log = std::fs::read_to_string(self.directory.join(format!("{}.log", daemon.name)));
+        format!("log of {}:\n{}", daemon.name, log.unwrap_or_default())
+    }
+
     /// Waits until daemons vote as witnesses: for the life of a key after their start.
     pub async fn wait_for_witnesses(&self, key_life: Duration) {
         // The abstention is a promise in time, so there is no condition to wait on but time.
--- a/crates/stand_ins/src/trace_replay.rs
+++ b/crates/stand_ins/src/trace_replay.rs
@@ -61,6 +61,15 @@
     pub lost: u32,
 }
 
+impl EndedRequest {
+    /// Whether it was answered whole within its deadline.
+    #[must_use]
+    pub fn is_attained(&self) -> bool {
+        let answer = self.answer.as_ref();
+        self.in_time && answer.is_some_and(|answer| answer.kind() == OutcomeKind::Answered)
+    }
+}
+
 impl ReplayTally {
     /// Number of requests.
     #[must_use]
@@ -190,9 +199,9 @@
 
 /// Holds what callers got against what `upstreams` ran.
 #[must_use]
-pub fn judge_replay(ended: &[EndedRequest], upstreams: &[UpstreamStandIn]) -> ReplayTally {
+pub fn judge_replay(ended: &[EndedRequest], upstreams: &[&UpstreamStandIn]) -> ReplayTally {
     let mut runs: HashMap<String, u64> = HashMap::new();
-    for (key, count) in upstreams.iter().flat_map(UpstreamStandIn::all_runs) {
+    for (key, count) in upstreams.iter().flat_map(|upstream| upstream.all_runs()) {
         *runs.entry(key).or_default() += count;
     }
     let mut tally = ReplayTally::default();
--- a/crates/stand_ins/src/upstream_answer.rs
+++ b/crates/stand_ins/src/upstream_answer.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -5,6 +6,7 @@
 use http_body::Frame;
 use serde::Deserialize;
 use serde_json::json;
+use tokio::sync::OwnedSemaphorePermit;
 use volo_http::body::Body;
 use volo_http::error::BoxError;
 use volo_http::response::Response;
@@ -56,12 +58,13 @@
     }
 }
 
-/// Answers a call as a stream of lines, unless `plan` has it otherwise.
+/// Answers a call as a stream of lines, unless `plan` has it otherwise; holds `slot` to its end.
 pub(crate) fn stream_answer(
     name: &str,
     call: &StageCall,
     last: &str,
     plan: UpstreamPlan,
+    slot: Option<OwnedSemaphorePermit>,
 ) -> Response {
     let attempt = echo(call, last, plan.fault);
     let after: Vec<&str> = call.inputs.iter().map(|input| input.stage.as_str()).collect();
@@ -91,11 +94,16 @@
         _ => {}
     }
     let pause = Duration::from_millis(plan.piece_ms);
-    let frames = stream::iter(lines).then(move |line| async move {
-        if !pause.is_zero() {
-            tokio::time::sleep(pause).await;
+    let slot = Arc::new(slot);
+    let frames = stream::iter(lines).then(move |line| {
+        let slot = Arc::clone(&slot);
+        async move {
+            let _slot = slot;
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            Ok::<_, BoxError>(Frame::data(Bytes::from(line)))
         }
-        Ok::<_, BoxError>(Frame::data(Bytes::from(line)))
     });
     Response::new(Body::from_stream(sync_wrapper::SyncStream::new(frames)))
 }
--- a/crates/stand_ins/src/upstream_stand_in.rs
+++ b/crates/stand_ins/src/upstream_stand_in.rs
@@ -8,6 +8,7 @@
 use crocusdale_core::orders::EngineOrder;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
+use tokio::sync::Semaphore;
 use volo_http::response::Response;
 use volo_http::server::IntoResponse as _;
 use volo_http::server::extract::Json;
@@ -78,6 +79,8 @@
     runs: Mutex<HashMap<String, u64>>,
     calls: AtomicU64,
     last_attempt: Mutex<String>,
+    /// Calls that are worked on at one time; the others wait here, as in an engine's own queue.
+    slots: Mutex<Option<Arc<Semaphore>>>,
     /// Orders that the engine took, in order; the last one is what it holds.
     orders: Mutex<Vec<EngineOrder>>,
     ignores_fence: AtomicBool,
@@ -98,6 +101,7 @@
             runs: Mutex::default(),
             calls: AtomicU64::new(0),
             last_attempt: Mutex::default(),
+            slots: Mutex::default(),
             orders: Mutex::default(),
             ignores_fence: AtomicBool::new(false),
         });
@@ -132,6 +136,11 @@
         self.state.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Works on `slots` calls at one time from now on.
+    pub fn limit_slots(&self, slots: usize) {
+        *lock(&self.state.slots) = Some(Arc::new(Semaphore::new(slots)));
+    }
+
     /// Takes every order from now on, whatever its fencing number.
     pub fn ignore_fence(&self) {
         self.state.ignores_fence.store(true, Ordering::Relaxed);
@@ -204,6 +213,11 @@
         if plan.fault == UpstreamFault::Refuse {
             return StatusCode::SERVICE_UNAVAILABLE.into_response();
         }
+        let slots = lock(&self.slots).clone();
+        let slot = match slots {
+            Some(slots) => slots.acquire_owned().await.ok(),
+            None => None,
+        };
         // The work is done from here on, whether or not anybody waits for the answer.
         *lock(&self.runs).entry(run_key(&call.workspace, &call.key)).or_default() += 1;
         let last = std::mem::replace(&mut *lock(&self.last_attempt), call.attempt.clone());
@@ -214,7 +228,7 @@
             std::future::pending::<()>().await;
         }
         let mut response = if stream {
-            stream_answer(&self.name, &call, &last, plan)
+            stream_answer(&self.name, &call, &last, plan, slot)
         } else {
             whole_answer(&self.name, &call, &last, plan.fault)
         };
