Test the connection limit with 64 places

Change: the test sets a limit of 64.

Conclusion: the limit held; the test was too slow for its own premise.

--- a/crates/crocusdaled/tests/bad_input_test.rs
+++ b/crates/crocusdaled/tests/bad_input_test.rs
@@ -7,13 +7,16 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use common::deployment;
+use common::{Upstreams, deployment, fleet};
 use crocusdale_core::pipeline::{OutcomeKind, RefusalReason};
-use stand_ins::{CallerClient, RequestBuilder};
+use stand_ins::{CallerClient, DeclarationText, RequestBuilder};
 
 /// Time within which a slow or endless caller must be let go.
 const LET_GO: Duration = Duration::from_secs(20);
 
+/// Connections that a daemon may have in the test of that limit.
+const PLACES: usize = 64;
+
 async fn reason_for(address: SocketAddr, body: String) -> Result<(u16, Option<RefusalReason>)> {
     let answer = CallerClient::new().post(address, body).await?;
     assert_eq!(answer.kind(), OutcomeKind::Refused, "{answer:?}");
@@ -100,10 +103,12 @@
 // taking memory, and are served when others leave.
 #[tokio::test]
 async fn connections_beyond_the_limit_wait() -> Result<()> {
-    let (_upstreams, fleet) = deployment(1).await?;
+    let upstreams = Upstreams::start()?;
+    let text = upstreams.declare(DeclarationText::default()).build();
+    let fleet = fleet(1).connections(PLACES).configuration(text).start().await?;
     let address = fleet.daemons[0].caller;
     let idle: Vec<TcpStream> =
-        (0..4_096).map(|_| TcpStream::connect(address)).collect::<Result<_, _>>()?;
+        (0..PLACES).map(|_| TcpStream::connect(address)).collect::<Result<_, _>>()?;
     let late = tokio::spawn(async move {
         CallerClient::new().submit(address, &RequestBuilder::new("late", "read")).await
     });
--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -24,6 +24,8 @@
     pub daemons: Vec<DaemonProcess>,
     /// The path from each daemon to each other one, if the fleet has relays.
     links: Vec<FleetLink>,
+    /// Section of the settings, or nothing.
+    limits: String,
     binary: PathBuf,
     directory: PathBuf,
 }
@@ -44,6 +46,7 @@
     size: usize,
     relays: bool,
     zones: Vec<String>,
+    limits: String,
     configuration: String,
 }
 
@@ -69,8 +72,15 @@
     pub fn new(binary: &str, directory: &str) -> Self {
         let directory = Path::new(directory).join(format!("fleet-{:016x}", rand::random::<u64>()));
         let zones = ZONES.iter().map(|zone| (*zone).to_owned()).collect();
-        let (size, configuration) = (6, String::new());
-        Self { binary: binary.into(), directory, size, relays: false, zones, configuration }
+        Self {
+            binary: binary.into(),
+            directory,
+            size: 6,
+            relays: false,
+            zones,
+            limits: String::new(),
+            configuration: String::new(),
+        }
     }
 
     /// Sets the number of daemons, spread over three zones.
@@ -94,6 +104,13 @@
         self
     }
 
+    /// Lets each daemon have `connections` open connections from callers.
+    #[must_use]
+    pub fn connections(mut self, connections: usize) -> Self {
+        self.limits = format!("[limits]\nconnections = {connections}\n");
+        self
+    }
+
     /// Publishes `text` as revision 1.
     #[must_use]
     pub fn configuration(mut self, text: impl Into<String>) -> Self {
@@ -116,6 +133,7 @@
             platform,
             daemons: daemons?,
             links: Vec::new(),
+            limits: self.limits,
             binary: self.binary,
             directory: self.directory,
         };
@@ -145,7 +163,7 @@
         let vm_list = daemon.vm_list.as_ref().map_or(platform, PlatformStandIn::address);
         ensure!(daemon.child.is_none(), "{} runs already", daemon.name);
         let path = self.directory.join(format!("{}.ini", daemon.name));
-        std::fs::write(&path, daemon.settings(platform, vm_list))?;
+        std::fs::write(&path, daemon.settings(platform, vm_list) + &self.limits)?;
         let log = std::fs::File::options()
             .create(true)
             .append(true)
