Tell a connection that was never made from a call that broke off

Cause: found by the experiment with one dead upstream in each pool. An order whose upstream refused the connection ended as unknown: the HTTP client reports a connection that could not be made as a request error, like a call that broke off, and the daemon took it for one that may have run.

Ruled out: the stand-in taking the connection before it dies; the test with a closed port shows the same.

Change: the source of the error tells the two apart. Upstreams get a window of open attempts that shrinks when answers take more than twice the fastest one, waits of more urgent work alone count in early refusals, and an attempt that can't be answered in time is not dispatched.

Figures: upstream_that_refuses_connections_costs_nothing fails before and passes after.

--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -158,7 +158,7 @@
             RequestPlan::make(request, declarations, now).map_err(|refusal| (refusal, true))?;
         let repeatable = plan.repeatable;
         // A request that can't end in time is refused before it takes anything from those that can.
-        let needed = self.router().estimate(plan.pipeline.plan.steps());
+        let needed = self.router().estimate(plan.pipeline.plan.steps(), plan.level);
         if now + needed > plan.deadline {
             let retry = needed.saturating_sub(plan.request.deadline).max(LIMIT_RETRY);
             return Err((refusal(&key, RefusalReason::Overload, retry), repeatable));
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -111,10 +111,12 @@
         let wanted = branch.is_some_and(|branch| {
             branch.stage == grant.request.stage && branch.open.is_none() && branch.answer.is_none()
         });
-        if !wanted || now >= self.plan.deadline {
+        // What can't be answered in time any more would only take the place of what can.
+        let hopeless = now + grant.fastest >= self.plan.deadline;
+        if !wanted || hopeless {
             let report = AttemptReport::Cancelled;
             steps.push(ShardStep::Release { upstream: grant.upstream, report });
-            return (now >= self.plan.deadline).then(|| self.end(RefusalReason::Deadline, steps));
+            return (wanted && hopeless).then(|| self.end(RefusalReason::Overload, steps));
         }
         self.sequence += 1;
         let id =
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -67,10 +67,12 @@
         self.last_answer = Some(now);
     }
 
-    /// Time that a new attempt would need, its wait included.
+    /// Time that a new attempt of `level` would need, its wait behind work of its level and of more
+    /// urgent ones included.
     #[must_use]
-    pub fn expected_time(&self) -> Duration {
-        let waiting = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
+    pub fn expected_time(&self, level: u8) -> Duration {
+        let before = self.waiting.range(..(level.saturating_add(1), MonotonicTime::default(), 0));
+        let waiting = u32::try_from(before.count()).unwrap_or(u32::MAX);
         let wait = self.pace.unwrap_or_default().saturating_mul(waiting);
         self.learned.unwrap_or_default() + wait
     }
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -53,6 +53,8 @@
     pub upstream: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Shortest time in which it has answered of late.
+    pub fastest: Duration,
 }
 
 impl UpstreamRouter {
@@ -124,13 +126,13 @@
     /// Time that a new request would need for the stages of `steps`, the waits for their upstreams
     /// included, as far as it was learned.
     #[must_use]
-    pub fn estimate(&self, steps: &[Vec<String>]) -> Duration {
+    pub fn estimate(&self, steps: &[Vec<String>], level: u8) -> Duration {
         if self.policy == RoutingPolicy::Baseline {
             return Duration::ZERO;
         }
         let pool_time = |stage: &String| {
             let routed = self.pools.get(stage);
-            routed.map_or(Duration::ZERO, |routed| lock(&routed.pool).expected_time())
+            routed.map_or(Duration::ZERO, |routed| lock(&routed.pool).expected_time(level))
         };
         let step_time = |step: &Vec<String>| step.iter().map(pool_time).max().unwrap_or_default();
         steps.iter().map(step_time).sum()
@@ -311,8 +313,16 @@
 
     fn grant(&self, position: usize, request: SlotRequest) -> SlotGrant {
         let upstream = &self.upstreams[position];
-        lock(&upstream.state).begin();
+        let fastest = {
+            let mut state = lock(&upstream.state);
+            state.begin();
+            match self.policy {
+                RoutingPolicy::Adaptive => state.fastest(),
+                RoutingPolicy::Baseline => Duration::ZERO,
+            }
+        };
         SlotGrant {
+            fastest,
             request,
             upstream: upstream.rules.name.clone(),
             address: upstream.rules.address,
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -13,6 +13,13 @@
 /// Weight of the newest answer in the learned time.
 const LEARNING_WEIGHT: f64 = 0.2;
 
+/// Answer that has waited in a queue, in multiples of the fastest one.
+const CONGESTION: f64 = 2.0;
+/// By how much the fastest answer of late drifts up with each answer, so that it can be unlearned.
+const FASTEST_DRIFT: f64 = 1.01;
+/// What is left of the window after an answer that has waited.
+const WINDOW_CUT: f64 = 0.8;
+
 /// How an attempt ended, as far as its upstream is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptReport {
@@ -34,6 +41,10 @@
     ejections: u32,
     ejected_until: Option<MonotonicTime>,
     learned: Option<Duration>,
+    /// Shortest answer of late.
+    fastest: Option<Duration>,
+    /// Attempts that may be open at one time, as learned; never above `limit`.
+    window: f64,
     listed_leaving: bool,
     leaving_life: Option<String>,
 }
@@ -65,6 +76,8 @@
             ejections: 0,
             ejected_until: None,
             learned: None,
+            fastest: None,
+            window: f64::from(limit),
             listed_leaving: false,
             leaving_life: None,
         }
@@ -73,6 +86,7 @@
     /// Sets how many attempts it takes at one time.
     pub fn set_limit(&mut self, limit: u32) {
         self.limit = limit;
+        self.window = self.window.clamp(1.0, f64::from(limit));
     }
 
     /// Sets what the VM list says; the list alone may also take it back.
@@ -110,7 +124,13 @@
     /// Whether it has room for one more attempt.
     #[must_use]
     pub fn has_room(&self) -> bool {
-        self.in_flight < self.limit
+        f64::from(self.in_flight) < self.window.floor()
+    }
+
+    /// Shortest time in which it has answered of late.
+    #[must_use]
+    pub fn fastest(&self) -> Duration {
+        self.fastest.unwrap_or_default()
     }
 
     /// Expected wait for a new attempt, for comparison with other upstreams of a pool.
@@ -157,6 +177,18 @@
         let learned = self.learned.unwrap_or(time).as_secs_f64();
         let mixed = learned + LEARNING_WEIGHT * (time.as_secs_f64() - learned);
         self.learned = Some(Duration::from_secs_f64(mixed));
+        let fastest = self.fastest.map_or(time, |fastest| fastest.mul_f64(FASTEST_DRIFT).min(time));
+        self.fastest = Some(fastest);
+        self.adapt(time > fastest.mul_f64(CONGESTION));
+    }
+
+    /// Guards against queues inside upstreams: there priorities and deadlines count for nothing,
+    /// and quick work stands behind long work that is already too late. An answer that took much
+    /// longer than the fastest one has waited there, so fewer attempts are kept open.
+    fn adapt(&mut self, congested: bool) {
+        let window =
+            if congested { self.window * WINDOW_CUT } else { self.window + 1.0 / self.window };
+        self.window = window.clamp(1.0, f64::from(self.limit));
     }
 
     /// Guards against an upstream that fails fast: it always has room and would attract the work
--- a/crates/crocusdaled/src/upstream/upstream_client.rs
+++ b/crates/crocusdaled/src/upstream/upstream_client.rs
@@ -128,12 +128,17 @@
 
 /// Whether no byte of the request was written: the connection was never made, or closed before
 /// the request was taken up.
+///
+/// The client reports a connection that could not be made with the same kind as a request that
+/// broke off; only its source tells them apart. Making a connection fails with the error of the
+/// system itself, sending over one with an error of hyper.
 fn is_unsent(error: &ClientError) -> bool {
     if matches!(error.kind(), ErrorKind::Connect | ErrorKind::Builder) {
         return true;
     }
-    let cause = error.source().and_then(|source| source.downcast_ref::<hyper::Error>());
-    cause.is_some_and(hyper::Error::is_canceled)
+    let Some(source) = error.source() else { return false };
+    source.is::<std::io::Error>()
+        || source.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled)
 }
 
 pub(super) fn build_client(idle: usize) -> Option<Client> {
--- a/crates/crocusdaled/tests/at_most_once_test.rs
+++ b/crates/crocusdaled/tests/at_most_once_test.rs
@@ -224,3 +224,19 @@
     println!("{known} of {all} outcomes known");
     Ok(())
 }
+
+// One of two upstreams refuses connections. Nothing was written to it, so an order may go on to
+// the other one, and every order is answered.
+#[tokio::test]
+async fn upstream_that_refuses_connections_costs_nothing() -> Result<()> {
+    let (mut upstreams, fleet) = deployment(3).await?;
+    fleet.wait_for_witnesses(KEY_LIFE).await;
+    drop(upstreams.shred.remove(0));
+    let client = CallerClient::new();
+    for number in 0..30 {
+        let address = fleet.daemons[number % 3].caller;
+        let answer = client.submit(address, &order(&format!("k-{number}"))).await?;
+        assert_eq!(answer.kind(), OutcomeKind::Answered, "{answer:?}");
+    }
+    Ok(())
+}
