Keep queues out of upstreams, and answer a question that crosses its order

An inquiry at a daemon that was asked to run the same key a moment later met that run's own claims, took them for claims of one who never runs, and said "not run" of an order that ran. An upstream that had left and come back under its name never got work again.

Change: windows begin at two open attempts and shrink with failures too. An inquiry about a key that begins to run here waits for its outcome. A VM that the list shows as live again, and a new address, end what was said of a leaving upstream. What a life has done with keys has a file of its own.

--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -4,6 +4,7 @@
 mod caller_request;
 mod final_answer;
 mod key_inquiry;
+mod key_memory;
 mod request_plan;
 mod request_run;
 mod request_shard;
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -1,6 +1,7 @@
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
+use super::key_memory::{KeyMemory, KeyUse};
 use super::{
     AttemptEvent, FinalAnswer, FinalOutcome, HolderReply, InquiryStep, KeyInquiry, OutcomeKind,
     RefusalReason, RegisterCall, RequestPlan, RequestRun, ShardStep,
@@ -17,10 +18,6 @@
 const INQUIRY_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Pause before the holder of a key is asked again.
 const HOLDER_PACE: Duration = Duration::from_millis(50);
-/// Lives of a key for which its outcome is remembered here; longer than any register.
-const MEMORY_LIVES: u32 = 10;
-/// Outcomes of not repeatable requests that one shard remembers at most.
-const MEMORY_LIMIT: usize = 65_536;
 
 /// Requests whose keys hash to one shard.
 #[derive(Debug)]
@@ -28,9 +25,7 @@
     own: InstanceId,
     runs: HashMap<CallId, ActiveRun>,
     inquiries: HashMap<CallId, KeyInquiry>,
-    keys: HashMap<RequestKey, KeyUse>,
-    /// When each remembered key may be forgotten.
-    memory: BTreeSet<(MonotonicTime, RequestKey)>,
+    keys: KeyMemory,
 }
 
 #[derive(Debug)]
@@ -53,26 +48,11 @@
     pub provable_until: MonotonicTime,
 }
 
-/// What this process life has done with the key of a not repeatable request.
-#[derive(Debug)]
-enum KeyUse {
-    Running(CallId),
-    /// Never run here, and given up: it must not be claimed again. With the time to forget it.
-    GivenUp(MonotonicTime),
-    Finished(FinalAnswer, MonotonicTime),
-}
-
 impl RequestShard {
     /// A shard of the process life `own`.
     #[must_use]
     pub fn new(own: InstanceId) -> Self {
-        Self {
-            own,
-            runs: HashMap::new(),
-            inquiries: HashMap::new(),
-            keys: HashMap::new(),
-            memory: BTreeSet::new(),
-        }
+        Self { own, runs: HashMap::new(), inquiries: HashMap::new(), keys: KeyMemory::default() }
     }
 
     /// Number of requests that run or are being resolved.
@@ -95,7 +75,7 @@
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) -> bool {
-        self.forget(now);
+        self.keys.forget(now);
         match self.keys.get(key) {
             Some(KeyUse::Running(runner)) => {
                 let runner = *runner;
@@ -104,24 +84,24 @@
                 }
                 true
             }
-            Some(KeyUse::Finished(answer, _)) => {
+            Some(KeyUse::Finished(answer)) => {
                 steps.push(reply(call, answer.clone()));
                 true
             }
-            Some(KeyUse::GivenUp(_)) | None => false,
+            Some(KeyUse::GivenUp) | None => false,
         }
     }
 
     /// Whether another key can be remembered.
     #[must_use]
     pub fn has_memory(&self) -> bool {
-        self.keys.len() < MEMORY_LIMIT
+        self.keys.has_room()
     }
 
     /// Whether this process life has given up `key` and must not claim it again.
     #[must_use]
     pub fn has_given_up(&self, key: &RequestKey) -> bool {
-        matches!(self.keys.get(key), Some(KeyUse::GivenUp(_)))
+        matches!(self.keys.get(key), Some(KeyUse::GivenUp))
     }
 
     /// Begins a repeatable request.
@@ -155,8 +135,9 @@
         steps.extend(register_calls(call, &key, &witnesses, witnesses.vms().to_vec(), false));
         let poll = Some(WitnessPoll::new(self.own.clone(), witnesses));
         let run = RequestRun::new(call, self.own.incarnation, plan);
-        self.keys.insert(key, KeyUse::Running(call));
-        self.runs.insert(call, ActiveRun { run, poll, witnesses: None, followers: Vec::new() });
+        let followers = self.take_inquiries(&key);
+        self.keys.begin(key, call);
+        self.runs.insert(call, ActiveRun { run, poll, witnesses: None, followers });
     }
 
     /// Finds out what became of `key`, which this daemon will not run; with `refusal`, the caller
@@ -320,8 +301,8 @@
     pub fn holder_reply(&self, key: &RequestKey) -> HolderReply {
         match self.keys.get(key) {
             Some(KeyUse::Running(_)) => HolderReply::Running,
-            Some(KeyUse::Finished(answer, _)) => HolderReply::Finished(answer.body.to_vec()),
-            Some(KeyUse::GivenUp(_)) | None => HolderReply::Gone,
+            Some(KeyUse::Finished(answer)) => HolderReply::Finished(answer.body.to_vec()),
+            Some(KeyUse::GivenUp) | None => HolderReply::Gone,
         }
     }
 
@@ -347,7 +328,7 @@
         let key = active.run.plan().request.key.clone();
         let key_life = active.run.plan().declarations.deployment().key_life;
         let provable_until = active.run.plan().provable_until;
-        self.remember(key.clone(), None, key_life, now);
+        self.keys.end(key.clone(), None, key_life, now);
         steps.push(ShardStep::GiveBack(active.run.plan().permit.clone()));
         steps.push(ShardStep::Command(Command::Count(CounterName::ClaimsRefused)));
         let asked = poll.ask_again();
@@ -397,7 +378,7 @@
         if let Some(inquiry) = self.inquiries.remove(&call) {
             // "Not run" may rest on claims of this process life: they must never be used again.
             if answer.kind == OutcomeKind::Refused {
-                self.remember(inquiry.key, None, inquiry.key_life, now);
+                self.keys.end(inquiry.key, None, inquiry.key_life, now);
             }
             steps.push(reply(call, answer));
         }
@@ -449,7 +430,7 @@
                 steps.push(ShardStep::Command(Command::RecordOutcome { witness, key, body }));
             }
             let life = plan.declarations.deployment().key_life;
-            self.remember(key, Some(answer.clone()), life, now);
+            self.keys.end(key, Some(answer.clone()), life, now);
         }
         for follower in active.followers {
             steps.push(reply(follower, answer.clone()));
@@ -457,34 +438,17 @@
         steps.push(reply(call, answer));
     }
 
-    /// Remembers that `key` was given up here or, with `answer`, how it ended.
-    fn remember(
-        &mut self,
-        key: RequestKey,
-        answer: Option<FinalAnswer>,
-        key_life: Duration,
-        now: MonotonicTime,
-    ) {
-        let until = now + key_life * MEMORY_LIVES;
-        if let Some(KeyUse::GivenUp(earlier) | KeyUse::Finished(_, earlier)) = self.keys.get(&key) {
-            self.memory.remove(&(*earlier, key.clone()));
-        }
-        self.memory.insert((until, key.clone()));
-        let key_use =
-            answer.map_or(KeyUse::GivenUp(until), |answer| KeyUse::Finished(answer, until));
-        self.keys.insert(key, key_use);
-        self.forget(now);
-    }
-
-    /// Forgets keys whose registers are gone everywhere. None is forgotten earlier to save memory:
-    /// this process life would then run a key again for which its old claims still stand.
-    fn forget(&mut self, now: MonotonicTime) {
-        while self.memory.first().is_some_and(|(until, _)| *until <= now) {
-            let Some((_, key)) = self.memory.pop_first() else { break };
-            if !matches!(self.keys.get(&key), Some(KeyUse::Running(_))) {
-                self.keys.remove(&key);
-            }
+    /// Takes out the inquiries about `key`; their callers will get the outcome of its run.
+    ///
+    /// Guards against an inquiry that meets the claims of a run of this same life. It would count
+    /// them as claims of one who never runs, and say "not run" of what is running.
+    fn take_inquiries(&mut self, key: &RequestKey) -> Vec<CallId> {
+        let about = self.inquiries.iter().filter(|(_, inquiry)| inquiry.key == *key);
+        let calls: Vec<CallId> = about.map(|(call, _)| *call).collect();
+        for call in &calls {
+            self.inquiries.remove(call);
         }
+        calls
     }
 }
 
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -233,7 +233,8 @@
 
     fn known_state(&self, rules: &UpstreamRules) -> Option<Arc<Mutex<UpstreamState>>> {
         let known = self.upstream(&rules.name)?;
-        Some(Arc::clone(&known.state))
+        // Under another address stands another process, of which nothing is known.
+        (known.rules.address == rules.address).then(|| Arc::clone(&known.state))
     }
 
     fn upstream(&self, name: &str) -> Option<&RoutedUpstream> {
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -17,6 +17,8 @@
 const CONGESTION: f64 = 2.0;
 /// By how much the fastest answer of late drifts up with each answer, so that it can be unlearned.
 const FASTEST_DRIFT: f64 = 1.01;
+/// Window before anything was learned: work that waits is better kept here than sent ahead.
+const FIRST_WINDOW: f64 = 2.0;
 /// What is left of the window after an answer that has waited.
 const WINDOW_CUT: f64 = 0.8;
 
@@ -77,7 +79,7 @@
             ejected_until: None,
             learned: None,
             fastest: None,
-            window: f64::from(limit),
+            window: FIRST_WINDOW.min(f64::from(limit)),
             listed_leaving: false,
             leaving_life: None,
         }
@@ -91,6 +93,10 @@
 
     /// Sets what the VM list says; the list alone may also take it back.
     pub fn set_listed_leaving(&mut self, leaving: bool) {
+        // A VM that the list showed as leaving and shows as live again runs another process now.
+        if self.listed_leaving && !leaving {
+            self.leaving_life = None;
+        }
         self.listed_leaving = leaving;
     }
 
@@ -194,6 +200,7 @@
     /// Guards against an upstream that fails fast: it always has room and would attract the work
     /// of its whole pool.
     fn fail(&mut self, now: MonotonicTime) {
+        self.adapt(true);
         self.failures += 1;
         if self.failures >= EJECTION_FAILURES {
             let length = EJECTION_BASE * 2_u32.pow(self.ejections.min(EJECTION_DOUBLINGS));
--- a/crates/crocusdale_core/tests/at_most_once_test.rs
+++ b/crates/crocusdale_core/tests/at_most_once_test.rs
@@ -232,3 +232,20 @@
     fleet.settle();
     assert_eq!(fleet.run_count(&key), 1);
 }
+
+// One caller asks a daemon for an order that it has not seen; another caller sends that order to
+// the same daemon just then. The claims arrive before the tombstones, so the question finds the
+// daemon's own claims. They are in use, and must not be taken for claims of one who never runs.
+#[test]
+fn question_that_crosses_the_order_at_one_daemon() {
+    let (mut fleet, key) = (CoreFleet::new(6), key("order"));
+    fleet.inquire(0, &key, Some(0));
+    let tombstones = std::mem::take(&mut fleet.network);
+    fleet.submit(0, request(&key, "once", false));
+    fleet.network.extend(tombstones);
+    fleet.settle();
+    assert_eq!(fleet.run_count(&key), 1);
+    fleet.answer_attempt(0, whole_answer);
+    fleet.settle();
+    assert_eq!(fleet.kinds(&key), [OutcomeKind::Answered, OutcomeKind::Answered]);
+}
--- /dev/null
+++ b/crates/crocusdale_core/tests/upstream_state_test.rs
@@ -0,0 +1,84 @@
+//! What a daemon knows of one upstream.
+
+use std::time::Duration;
+
+use crocusdale_core::identity::MonotonicTime;
+use crocusdale_core::routing::{AttemptReport, UpstreamState};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn answered(state: &mut UpstreamState, millis: u64) {
+    state.begin();
+    state.end(AttemptReport::Answered(Duration::from_millis(millis)), at(0));
+}
+
+/// Attempts that it takes at one time now.
+fn room(state: &mut UpstreamState) -> u32 {
+    let mut open = 0;
+    while state.has_room() {
+        state.begin();
+        open += 1;
+    }
+    for _ in 0..open {
+        state.end(AttemptReport::Cancelled, at(0));
+    }
+    open
+}
+
+// An upstream said that it was leaving, left, and its VM runs a new process. Nobody gives work to
+// one that is leaving, so nobody would ever hear from the new process that it stays.
+#[test]
+fn upstream_whose_vm_is_live_again_gets_work() {
+    let mut state = UpstreamState::new("u", 4);
+    state.leave("first life");
+    state.set_listed_leaving(true);
+    assert!(state.is_leaving());
+    state.set_listed_leaving(false);
+    assert!(!state.is_leaving());
+}
+
+// The list lags behind the upstream's own word: it still shows the VM as live.
+#[test]
+fn word_of_the_upstream_outlasts_a_lagging_list() {
+    let mut state = UpstreamState::new("u", 4);
+    state.leave("first life");
+    state.set_listed_leaving(false);
+    assert!(state.is_leaving());
+}
+
+// An upstream that fails at once always has room, and would attract the work of its pool.
+#[test]
+fn failing_upstream_is_ejected_for_longer_each_time() {
+    let mut state = UpstreamState::new("u", 4);
+    for _ in 0..3 {
+        state.begin();
+        state.end(AttemptReport::Failed, at(0));
+    }
+    assert!(state.is_ejected(at(499)) && !state.is_ejected(at(500)));
+    state.begin();
+    state.end(AttemptReport::Failed, at(500));
+    assert!(state.is_ejected(at(1_499)) && !state.is_ejected(at(1_500)));
+    answered(&mut state, 10);
+    assert!(!state.is_ejected(at(501)));
+}
+
+// Answers get slower because calls wait inside the upstream; fewer are sent there until they are
+// fast again.
+#[test]
+fn window_follows_the_upstream() {
+    let mut state = UpstreamState::new("u", 16);
+    for _ in 0..200 {
+        answered(&mut state, 10);
+    }
+    assert_eq!(room(&mut state), 16);
+    for _ in 0..10 {
+        answered(&mut state, 50);
+    }
+    assert!(room(&mut state) <= 2);
+    for _ in 0..200 {
+        answered(&mut state, 10);
+    }
+    assert_eq!(room(&mut state), 16);
+}
--- a/model/at_most_once.pml
+++ b/model/at_most_once.pml
@@ -19,6 +19,7 @@
  *   CLAIM_AGAIN      a life that gave up claims the key again
  *   NO_DEADLINE      a life dispatches after the key's life, as one that was paused
  *   NO_AGE           "not run" is said after the key's life
+ *   OWN_CLAIMS       an inquiry at C counts C's claims as dead while C may still run
  *   OVERWRITE        a register is not write-once
  */
 #ifndef RESTARTS
@@ -164,6 +165,9 @@
             deliver_bury(w);
             if
             :: !abstains[w] && cell[w] == TOMB -> asker_seen = asker_seen | (1 << w)
+#ifdef OWN_CLAIMS
+            :: !abstains[w] && cell[w] == 2 -> asker_seen = asker_seen | (1 << w)
+#endif
             :: skip
             fi
         :: else -> skip
--- a/model/check.sh
+++ b/model/check.sh
@@ -26,7 +26,7 @@
 grep -q "errors: 0" "$report" || { echo "the specification is violated"; cat "$report"; exit 1; }
 grep -qE "max search depth too small|out of memory" "$report" && { echo "the search is not whole"; exit 1; }
 
-for mutant in QUORUM_ONE VOTE_AT_ONCE NEW_VOTES TRUST_ONESELF CLAIM_AGAIN NO_DEADLINE NO_AGE OVERWRITE; do
+for mutant in QUORUM_ONE VOTE_AT_ONCE NEW_VOTES TRUST_ONESELF CLAIM_AGAIN NO_DEADLINE NO_AGE OWN_CLAIMS OVERWRITE; do
     search "$mutant" "-D$mutant"
     if grep -q "errors: 1" "$work/$mutant/report.txt"; then
         echo "mutant $mutant: rejected, as it must be"
