Avoid an upstream that failed last, and take locks in one way

Ruled out: ejection after one failure; a single lost connection would close an upstream to all.

Change: each failure in a row makes an upstream ten times as dear until it answers.

--- a/crates/crocusctl/src/replay/replay_target.rs
+++ b/crates/crocusctl/src/replay/replay_target.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, Result};
 use crocusdale_core::pipeline::{FinalOutcome, SubmittedRequest};
+use crocusdale_core::sync::lock;
 use serde::Deserialize;
 
 use super::DirectCaller;
@@ -72,7 +73,7 @@
 
     async fn addresses(&self, number: usize) -> Result<Arc<[SocketAddr]>> {
         let slot = &self.kept[number % self.kept.len()];
-        let kept = slot.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let kept = lock(slot).clone();
         if let Some(kept) = kept.filter(|kept| Instant::now() < kept.until) {
             return Ok(kept.addresses);
         }
@@ -84,7 +85,7 @@
                     let answer: AddressAnswer = serde_json::from_str(&body)?;
                     let until = Instant::now() + Duration::from_millis(answer.hold_ms);
                     let kept = KeptAddresses { addresses: answer.addresses.into(), until };
-                    *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(kept.clone());
+                    *lock(slot) = Some(kept.clone());
                     return Ok(kept.addresses);
                 }
                 Err(error) => last = Some(error),
--- a/crates/crocusdale_core/examples/decision_slopes.rs
+++ b/crates/crocusdale_core/examples/decision_slopes.rs
@@ -11,7 +11,9 @@
 use crocusdale_core::daemon::{Command, DaemonEvent};
 use crocusdale_core::identity::{InstanceId, MonotonicTime, RequestKey};
 use crocusdale_core::membership::VmRoster;
-use crocusdale_core::pipeline::{AttemptEvent, CallerRequest, StreamAssembler, StreamLine};
+use crocusdale_core::pipeline::{
+    AttemptEvent, CallerRequest, OutcomeKind, StreamAssembler, StreamLine,
+};
 use serde_json::value::RawValue;
 
 const ROUNDS: usize = 9;
@@ -46,7 +48,9 @@
     let mut commands = Vec::new();
     let text = declarations(workers, workspaces);
     core.handle(DaemonEvent::ConfigurationWatched(Some((1, text))), now, &mut commands);
-    core.handle(DaemonEvent::RosterRead(Some(VmRoster::default())), now, &mut commands);
+    let roster = VmRoster { revision: 1, vms: Vec::new() };
+    core.handle(DaemonEvent::RosterRead(Some(roster)), now, &mut commands);
+    assert!(core.is_ready());
     let requests: Vec<CallerRequest> =
         (0..REQUESTS).map(|index| request(index, workspaces)).collect();
     let start = Instant::now();
@@ -72,7 +76,10 @@
                     let event = AttemptEvent::Answered { echo: Some(attempt), answer };
                     core.handle(DaemonEvent::Attempt { attempt, event }, now, commands);
                 }
-                Command::Reply { .. } => answered = true,
+                Command::Reply { answer, .. } => {
+                    assert_eq!(answer.kind, OutcomeKind::Answered);
+                    answered = true;
+                }
                 _ => {}
             }
         }
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{ExchangeMessage, WitnessSet};
@@ -48,7 +49,7 @@
         /// The key.
         key: RequestKey,
         /// JSON of the outcome.
-        body: std::sync::Arc<[u8]>,
+        body: Arc<[u8]>,
     },
     /// Ask the holder of a key how its request ended.
     AskHolder {
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -10,6 +10,7 @@
 use crate::membership::{MemberViewBuilder, RosterHistory};
 use crate::pipeline::RequestShard;
 use crate::routing::UpstreamRouter;
+use crate::sync::lock;
 use crate::tickets::TicketBook;
 
 /// Shards of requests and of registers.
@@ -208,9 +209,3 @@
         lock(&self.registers[(key.stable_hash() % SHARDS as u64) as usize])
     }
 }
-
-/// Locks a part; a panic that poisoned it has been reported, and the part is still consistent
-/// enough to go on refusing or answering.
-pub(super) fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
-    part.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -3,12 +3,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::core_state::{CoreState, RequestBasis, lock};
+use super::core_state::{CoreState, RequestBasis};
 use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
 use crate::claims::RegisterReply;
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, VmRoster, WitnessSet};
 use crate::pipeline::HolderReply;
+use crate::sync::lock;
 
 /// Pause between two looks at waiting work, pauses and the drain.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -1,6 +1,8 @@
 use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
 
-use super::core_state::{CoreState, lock};
+use super::core_state::CoreState;
 use super::{Command, CounterName, StateChange};
 use crate::claims::{RegisterReply, RegisterState};
 use crate::configuration::Declarations;
@@ -11,8 +13,7 @@
     RegisterCall, RequestPlan, RequestShard, ShardStep,
 };
 use crate::routing::{SlotGrant, SlotRequest};
-use std::sync::Arc;
-use std::time::Duration;
+use crate::sync::lock;
 
 /// When a caller is told to come back after a limit was reached.
 const LIMIT_RETRY: Duration = Duration::from_millis(250);
@@ -331,8 +332,7 @@
         }
         let claimant = (!bury).then_some(&self.own);
         let reply = self.witness(&key, claimant, &witnesses, now, out);
-        let mut shard: std::sync::MutexGuard<'_, RequestShard> = self.shard(call.0);
-        shard.register_replied(call, &witness, Some(reply), now, steps);
+        self.shard(call.0).register_replied(call, &witness, Some(reply), now, steps);
     }
 }
 
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`orders`]: what model engines must hold, and who tells them.
 //! * [`retry`]: when an attempt may be repeated.
 //! * [`pipeline`]: the life of one request through its stages.
+//! * [`sync`]: the one way of taking a lock.
 //! * [`daemon`]: all of it behind one pair of events and commands.
 //!
 //! # Examples
@@ -38,6 +39,7 @@
 pub mod pipeline;
 pub mod retry;
 pub mod routing;
+pub mod sync;
 pub mod tickets;
 mod wire;
 
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -10,7 +10,7 @@
 use crate::daemon::{Command, CounterName, TimerKey};
 use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::WitnessSet;
-use crate::routing::SlotGrant;
+use crate::routing::{AttemptReport, SlotGrant};
 
 /// Time that the witnesses have to answer a claim before the key is given up.
 const CLAIM_PATIENCE: Duration = Duration::from_millis(400);
@@ -210,7 +210,7 @@
                 self.finish_if(call, end, now, steps);
             }
             None => {
-                let report = crate::routing::AttemptReport::Cancelled;
+                let report = AttemptReport::Cancelled;
                 steps.push(ShardStep::Release { upstream: grant.upstream, report });
             }
         }
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -11,6 +11,7 @@
 use crate::configuration::{Declarations, RoutingPolicy, UpstreamRules};
 use crate::identity::MonotonicTime;
 use crate::membership::{LeavingUpstream, VmRoster};
+use crate::sync::lock;
 
 /// Upstreams that are looked at in each zone before the whole pool is.
 const SAMPLES: usize = 2;
@@ -350,8 +351,3 @@
         }
     }
 }
-
-/// Locks a part; a panic elsewhere has already ended the process's work on it.
-fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
-    part.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -13,6 +13,8 @@
 /// Weight of the newest answer in the learned time.
 const LEARNING_WEIGHT: f64 = 0.2;
 
+/// What each failure in a row adds to the cost of an upstream.
+const FAILURE_PENALTY: f64 = 10.0;
 /// Answer that has waited in a queue, in multiples of the fastest one.
 const CONGESTION: f64 = 2.0;
 /// By how much the fastest answer of late drifts up with each answer, so that it can be unlearned.
@@ -139,11 +141,13 @@
         self.fastest.unwrap_or_default()
     }
 
-    /// Expected wait for a new attempt, for comparison with other upstreams of a pool.
+    /// Expected wait for a new attempt, for comparison with other upstreams of a pool. One that
+    /// failed last time is taken only where nothing better was found: work that must not repeat
+    /// has one attempt, and each daemon would spend several of them before it ejects an upstream.
     #[must_use]
     pub fn cost(&self) -> f64 {
         let learned = self.learned.map_or(0.001, |learned| learned.as_secs_f64());
-        f64::from(self.in_flight + 1) * learned
+        f64::from(self.in_flight + 1) * learned * (1.0 + FAILURE_PENALTY * f64::from(self.failures))
     }
 
     /// Counts an attempt as open.
--- a/crates/crocusdale_core/tests/upstream_state_test.rs
+++ b/crates/crocusdale_core/tests/upstream_state_test.rs
@@ -82,3 +82,18 @@
     }
     assert_eq!(room(&mut state), 16);
 }
+
+// Orders that must not repeat have one attempt each. An upstream that failed the last one must not
+// be given the next while others do well.
+#[test]
+fn upstream_that_failed_costs_more_until_it_answers() {
+    let (mut good, mut bad) = (UpstreamState::new("good", 4), UpstreamState::new("bad", 4));
+    answered(&mut good, 10);
+    answered(&mut bad, 2);
+    assert!(bad.cost() < good.cost());
+    bad.begin();
+    bad.end(AttemptReport::Failed, at(0));
+    assert!(bad.cost() > good.cost());
+    answered(&mut bad, 2);
+    assert!(bad.cost() < good.cost());
+}
--- a/crates/crocusdaled/src/engine/call_table.rs
+++ b/crates/crocusdaled/src/engine/call_table.rs
@@ -1,8 +1,9 @@
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use crocusdale_core::identity::CallId;
 use crocusdale_core::pipeline::FinalAnswer;
+use crocusdale_core::sync::lock;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 /// Shards of the table.
@@ -54,6 +55,6 @@
 
     fn shard(&self, call: CallId) -> MutexGuard<'_, HashMap<CallId, UnboundedSender<CallReply>>> {
         let index = (call.0 as usize / SHARDS) % SHARDS;
-        self.shards[index].lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shards[index])
     }
 }
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -1,10 +1,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crocusdale_core::daemon::{Command, DaemonEvent};
 use crocusdale_core::membership::ExchangeMessage;
+use crocusdale_core::sync::lock;
 use crocusdale_schema::peer::peer_service_client::PeerServiceClient;
 use crocusdale_schema::peer::{
     AskOutcomeRequest, BuryRequest, ClaimRequest, FetchConfigurationRequest, RecordOutcomeRequest,
@@ -51,7 +52,7 @@
     }
 
     fn channel(&self, address: SocketAddr) -> Channel {
-        let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut channels = lock(&self.channels);
         let connect = || {
             let endpoint = Endpoint::from_shared(format!("http://{address}"));
             let endpoint = endpoint.expect("an address makes a valid URI");
@@ -63,7 +64,7 @@
     /// Guards against a connection to a peer that went silent for good: after a call without an
     /// answer the next one opens a new connection.
     fn forget(&self, address: SocketAddr) {
-        self.channels.lock().unwrap_or_else(PoisonError::into_inner).remove(&address);
+        lock(&self.channels).remove(&address);
     }
 }
 
--- a/crates/crocusdaled/src/service/caller_service.rs
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -5,7 +5,8 @@
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::RequestKey;
 use crocusdale_core::pipeline::{
-    CallerRequest, FinalOutcome, KEY_LIMIT, OutcomeKind, RefusalReason, SubmittedRequest,
+    CallerRequest, FinalAnswer, FinalOutcome, KEY_LIMIT, OutcomeKind, RefusalReason,
+    SubmittedRequest,
 };
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
@@ -140,7 +141,7 @@
         OpenCall { engine: Arc::clone(&self.engine), call, replies, answered: false }
     }
 
-    fn finish(&self, answer: &crocusdale_core::pipeline::FinalAnswer) -> Response {
+    fn finish(&self, answer: &FinalAnswer) -> Response {
         answer_response(answer, self.engine.core.is_leaving())
     }
 
--- a/crates/crocusdaled/src/upstream/upstream_client.rs
+++ b/crates/crocusdaled/src/upstream/upstream_client.rs
@@ -1,12 +1,13 @@
 use std::collections::HashMap;
 use std::error::Error as _;
 use std::fmt;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::AttemptId;
 use crocusdale_core::pipeline::{AttemptEvent, AttemptOrder, BreakReason};
+use crocusdale_core::sync::lock;
 use tokio::task::AbortHandle;
 use volo_http::body::Body;
 use volo_http::client::{Client, ClientBuilder};
@@ -147,7 +148,3 @@
     builder.set_max_idle_per_host(idle).set_pool_idle_timeout(IDLE_TIME);
     builder.build().ok()
 }
-
-fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
-    part.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/stand_ins/src/platform_stand_in.rs
+++ b/crates/stand_ins/src/platform_stand_in.rs
@@ -1,10 +1,11 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::Result;
 use crocusdale_core::membership::VmRoster;
+use crocusdale_core::sync::lock;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -166,7 +167,3 @@
         }
     }
 }
-
-fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
-    part.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/stand_ins/src/upstream_stand_in.rs
+++ b/crates/stand_ins/src/upstream_stand_in.rs
@@ -1,11 +1,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::Result;
 use crocusdale_core::orders::EngineOrder;
+use crocusdale_core::sync::lock;
 use http::StatusCode;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
@@ -246,7 +247,3 @@
 fn run_key(workspace: &str, key: &str) -> String {
     format!("{workspace}/{key}")
 }
-
-fn lock<T>(part: &Mutex<T>) -> MutexGuard<'_, T> {
-    part.lock().unwrap_or_else(PoisonError::into_inner)
-}
