Prove nothing without a configuration, and give no empty address answers

Found by repeating the suite: a daemon that has just started knows no peers and answered an empty list of addresses with 200.

Change: without a configuration nothing is proved; a daemon that is not ready answers 503 with a time to come back.

--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -260,7 +260,10 @@
     ) -> Vec<ShardStep> {
         let basis = self.basis();
         let witnesses = WitnessSet::choose(&key, basis.history.current());
-        let left = age.map_or(Duration::ZERO, |age| basis.key_life.saturating_sub(age));
+        // A daemon that has no configuration yet does not know how long the others remember keys.
+        let known_life = basis.declarations.as_ref().map(|_| basis.key_life);
+        let left =
+            known_life.zip(age).map_or(Duration::ZERO, |(life, age)| life.saturating_sub(age));
         let inquiry = InquiryBasis { key_life: basis.key_life, provable_until: now + left };
         self.shard(call.0).inquire(call, key, witnesses, refusal, inquiry, now)
     }
--- a/crates/crocusdale_core/tests/at_most_once_test.rs
+++ b/crates/crocusdale_core/tests/at_most_once_test.rs
@@ -249,3 +249,22 @@
     fleet.settle();
     assert_eq!(fleet.kinds(&key), [OutcomeKind::Answered, OutcomeKind::Answered]);
 }
+
+// A fresh daemon has the VM list and no configuration yet, so it does not know how long the others
+// remember keys. It is asked about an order that they have forgotten; it must not take that for
+// "not run".
+#[test]
+fn daemon_without_configuration_proves_nothing() {
+    let (mut fleet, key) = (CoreFleet::new(6), key("order"));
+    fleet.submit(0, request(&key, "once", false));
+    fleet.settle();
+    fleet.answer_attempt(0, whole_answer);
+    fleet.settle();
+    fleet.advance(20 * KEY_LIFE_MS);
+    fleet.answers.clear();
+    fleet.restart_without_configuration(1);
+    fleet.inquire(1, &key, Some(20 * KEY_LIFE_MS));
+    fleet.settle();
+    fleet.advance(2_000);
+    assert_eq!(fleet.kinds(&key), [OutcomeKind::Unknown]);
+}
--- a/crates/crocusdale_core/tests/support/mod.rs
+++ b/crates/crocusdale_core/tests/support/mod.rs
@@ -180,6 +180,13 @@
         self.now = until;
     }
 
+    /// Ends a daemon and starts another one on its VM, which can't read the configuration.
+    pub fn restart_without_configuration(&mut self, index: usize) {
+        self.nodes[index] = self.fresh_node(index);
+        let roster = self.roster.clone();
+        self.feed(index, DaemonEvent::RosterRead(Some(roster)));
+    }
+
     /// Sends a request to a daemon.
     pub fn submit(&mut self, index: usize, request: CallerRequest) {
         let key = request.key.clone();
--- a/crates/crocusdaled/src/service/caller_service.rs
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -21,6 +21,9 @@
 use crate::engine::{CallReply, DaemonEngine};
 use crate::http::{BodyFault, read_body};
 
+/// When a caller is told to ask a daemon for addresses again that has just started.
+const READY_RETRY: Duration = Duration::from_millis(1_000);
+
 /// Serves callers.
 #[derive(Clone, Debug)]
 pub struct CallerService {
@@ -130,6 +133,12 @@
     }
 
     fn addresses(&self, query: Option<Query<AddressQuery>>) -> Response {
+        // A daemon that has just started knows of no peers yet; an empty answer would leave its
+        // caller with nowhere to go for as long as answers may be kept.
+        if !self.engine.core.is_ready() {
+            let outcome = refusal(RefusalReason::NotReady, "this daemon has just started");
+            return refusal_response(outcome.retry(READY_RETRY, true), false);
+        }
         let (caller, zone) =
             query.map(|Query(query)| (query.caller, query.zone)).unwrap_or_default();
         Json(self.engine.core.addresses(&caller, zone.as_deref())).into_response()
--- a/crates/crocusdaled/tests/whole_path_test.rs
+++ b/crates/crocusdaled/tests/whole_path_test.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use anyhow::Result;
-use common::{KEY_LIFE, deployment};
+use common::{KEY_LIFE, SOON, deployment};
 use crocusdale_core::pipeline::OutcomeKind;
-use stand_ins::{CallerClient, RequestBuilder};
+use stand_ins::{CallerClient, PlatformMode, RequestBuilder, wait_for};
 
 #[tokio::test]
 async fn request_passes_all_stages() -> Result<()> {
@@ -49,3 +49,21 @@
     assert_eq!(upstreams.shred_runs("order"), 1);
     Ok(())
 }
+
+// A daemon has just been replaced and can't read the VM list yet. It must not give its callers an
+// empty list of addresses, which they would keep; they are told to ask again, and ask another one.
+#[tokio::test]
+async fn daemon_that_is_not_ready_gives_no_addresses() -> Result<()> {
+    let (_upstreams, mut fleet) = deployment(2).await?;
+    fleet.platform.set_mode(PlatformMode::Down);
+    fleet.daemons[0].kill();
+    fleet.launch(0)?;
+    let (client, caller) = (CallerClient::new(), fleet.daemons[0].caller);
+    wait_for(SOON, "the fresh daemon answers", async || {
+        client.get(caller, "/v1/addresses").await.is_ok()
+    })
+    .await?;
+    assert_eq!(client.get(caller, "/v1/addresses").await?.0, 503);
+    assert_eq!(client.get(fleet.daemons[1].caller, "/v1/addresses").await?.0, 200);
+    Ok(())
+}
