Name unreachable daemons rather than none in an address answer

Cause: daemons_replaced_under_load failed in 1 of 3 runs beside eight busy loops. A draining daemon that is starved of time takes all others for unreachable, leaves itself out, and answered an empty list.

Change: if nobody is alive or suspected, those who are unreachable are named; an answer that would still be empty is a 503.

Conclusion: callers of a daemon that can reach nobody still have somewhere to go.

--- a/crates/crocusdale_core/src/membership/address_order.rs
+++ b/crates/crocusdale_core/src/membership/address_order.rs
@@ -33,27 +33,39 @@
     /// Answers the caller `caller` in `zone`: reachable before suspected, own zone before others,
     /// and within those in an order that differs from caller to caller, so that callers spread
     /// over the daemons without anyone keeping count. Leaving daemons are left out.
+    ///
+    /// Guards against an answer without any address, which leaves its caller with nowhere to go: a
+    /// daemon that drains on a starved VM takes all others for unreachable. It names them then,
+    /// since more likely it is the one that was away.
     #[must_use]
     pub fn answer(&self, caller: &str, zone: &str) -> AddressAnswer {
-        let mut ranked: Vec<_> = self
+        let usable = |status| matches!(status, MemberStatus::Alive | MemberStatus::Suspect);
+        let mut addresses = self.ranked(caller, zone, usable);
+        if addresses.is_empty() {
+            addresses = self.ranked(caller, zone, |status| status == MemberStatus::Unreachable);
+        }
+        let hold_ms = u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX);
+        AddressAnswer { addresses, hold_ms }
+    }
+
+    fn ranked(
+        &self,
+        caller: &str,
+        zone: &str,
+        usable: impl Fn(MemberStatus) -> bool,
+    ) -> Vec<SocketAddr> {
+        let candidates = self
             .roster
             .entries()
-            .filter(|vm| vm.state == VmState::Live && !self.view.is_leaving(&vm.name))
+            .filter(|vm| vm.state == VmState::Live && !self.view.is_leaving(&vm.name));
+        let mut ranked: Vec<_> = candidates
             .filter_map(|vm| {
-                let status = self.view.status(&vm.name)?;
+                let status = self.view.status(&vm.name).filter(|status| usable(*status))?;
                 let weight = stable_hash(&[caller, &vm.name]);
-                matches!(status, MemberStatus::Alive | MemberStatus::Suspect).then_some((
-                    status,
-                    vm.zone != zone,
-                    weight,
-                    vm.caller?,
-                ))
+                Some((status, vm.zone != zone, weight, vm.caller?))
             })
             .collect();
         ranked.sort_unstable();
-        AddressAnswer {
-            addresses: ranked.into_iter().map(|(.., address)| address).collect(),
-            hold_ms: u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX),
-        }
+        ranked.into_iter().map(|(.., address)| address).collect()
     }
 }
--- a/crates/crocusdaled/src/service/caller_service.rs
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -133,15 +133,16 @@
     }
 
     fn addresses(&self, query: Option<Query<AddressQuery>>) -> Response {
+        let (caller, zone) =
+            query.map(|Query(query)| (query.caller, query.zone)).unwrap_or_default();
+        let answer = self.engine.core.addresses(&caller, zone.as_deref());
         // A daemon that has just started knows of no peers yet; an empty answer would leave its
         // caller with nowhere to go for as long as answers may be kept.
-        if !self.engine.core.is_ready() {
-            let outcome = refusal(RefusalReason::NotReady, "this daemon has just started");
+        if !self.engine.core.is_ready() || answer.addresses.is_empty() {
+            let outcome = refusal(RefusalReason::NotReady, "this daemon knows of none to use");
             return refusal_response(outcome.retry(READY_RETRY, true), false);
         }
-        let (caller, zone) =
-            query.map(|Query(query)| (query.caller, query.zone)).unwrap_or_default();
-        Json(self.engine.core.addresses(&caller, zone.as_deref())).into_response()
+        Json(answer).into_response()
     }
 
     fn open_call(&self, key: &RequestKey) -> OpenCall {
