--- a/crates/crocusctl/src/replay/direct_caller.rs
+++ b/crates/crocusctl/src/replay/direct_caller.rs
@@ -26,8 +26,8 @@
         let labels = request.labels.or(&workspace.labels);
         let pipeline = self.declarations.pipeline_for(&labels).context("pipeline")?;
         let mut inputs: Vec<Value> = Vec::new();
-        for step in pipeline.plan.steps() {
-            let calls = step.iter().map(|stage| self.call(stage, request, &inputs));
+        for group in pipeline.plan.groups() {
+            let calls = group.iter().map(|step| self.call(&step.stage, request, &inputs));
             inputs = join_all(calls).await?;
         }
         let key = RequestKey::new(request.workspace.clone(), request.key.clone());
--- a/crates/crocusdale_core/examples/decision_slopes.rs
+++ b/crates/crocusdale_core/examples/decision_slopes.rs
@@ -12,7 +12,7 @@
 use crocusdale_core::identity::{InstanceId, MonotonicTime, RequestKey};
 use crocusdale_core::membership::VmRoster;
 use crocusdale_core::pipeline::{
-    AttemptEvent, CallerRequest, OutcomeKind, StreamAssembler, StreamLine,
+    AttemptEvent, CallerRequest, OutcomeKind, RequestContent, StreamAssembler, StreamLine,
 };
 use serde_json::value::RawValue;
 
@@ -119,7 +119,7 @@
         stream: false,
         age: Duration::ZERO,
         ticket: None,
-        payload: RawValue::from_string("{}".into()).expect("JSON"),
+        content: RequestContent::Json(RawValue::from_string("{}".into()).expect("JSON")),
     }
 }
 
--- /dev/null
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -0,0 +1,151 @@
+use std::collections::HashMap;
+
+use super::{BatchId, BatchOrder, BatchOutcome, BatchPool};
+use crate::configuration::{Declarations, PoolKind};
+use crate::identity::{AttemptId, MonotonicTime};
+use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
+use crate::retry::RetryLimits;
+use crate::routing::UpstreamDirectory;
+
+/// Dispatchers that a pool may have at one time, for the retry budget: while members disagree on
+/// the dispatcher, two daemons spend.
+const DISPATCHERS: usize = 2;
+
+/// The batched pools that this daemon dispatches, or would if it were asked to.
+#[derive(Debug, Default)]
+pub struct BatchDesk {
+    pools: HashMap<String, BatchPool>,
+    /// Pool of each open call.
+    calls: HashMap<BatchId, String>,
+    retries: RetryLimits,
+    next: u64,
+}
+
+/// What a desk wants done.
+#[derive(Debug)]
+pub enum DeskStep {
+    /// Call an upstream.
+    Call(BatchOrder),
+    /// Give up a call, and close its connection.
+    Cancel(BatchId),
+    /// Tell whoever offered them what became of pieces.
+    Settle {
+        /// Attempt that the pieces were for.
+        attempt: AttemptId,
+        /// Their results in order, or why there are none.
+        outcome: Result<Vec<PlacedResult>, PieceFault>,
+    },
+    /// Give up results.
+    Free(Vec<ResultHandle>),
+}
+
+impl DeskStep {
+    /// Tells that pieces have no results.
+    #[must_use]
+    pub fn fail(attempt: AttemptId, fault: PieceFault) -> Self {
+        Self::Settle { attempt, outcome: Err(fault) }
+    }
+}
+
+impl BatchDesk {
+    /// Sets how many retries the daemons may make together.
+    pub fn set_retries(&mut self, limits: RetryLimits) {
+        self.retries = limits;
+    }
+
+    /// Takes pools and upstreams as they are now.
+    pub fn reconfigure(
+        &mut self,
+        declarations: &Declarations,
+        directory: &UpstreamDirectory,
+        now: MonotonicTime,
+        steps: &mut Vec<DeskStep>,
+    ) {
+        for (name, stage) in declarations.stages() {
+            let PoolKind::Batch(rules) = stage.kind else { continue };
+            let budget = self.retries.budget(DISPATCHERS);
+            let fresh = || BatchPool::new(rules, budget);
+            let pool = self.pools.entry(name.to_owned()).or_insert_with(fresh);
+            pool.set_rules(rules);
+            pool.set_upstreams(directory.entries().filter(|entry| entry.pool == name), now);
+        }
+        let declared = |name: &String| {
+            declarations.stage(name).is_some_and(|stage| matches!(stage.kind, PoolKind::Batch(_)))
+        };
+        self.pools.retain(|name, pool| declared(name) || !pool.is_idle());
+        self.turn(now, steps);
+    }
+
+    /// Takes the pieces of a step.
+    pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+        let name = order.pool.clone();
+        let Some(pool) = self.pools.get_mut(&name) else {
+            steps.push(DeskStep::fail(order.attempt, PieceFault::NoUpstream));
+            return;
+        };
+        pool.offer(order, now, steps);
+        self.turn_pool(&name, now, steps);
+    }
+
+    /// Nobody wants the results for `attempt` any more.
+    pub fn withdraw(&mut self, attempt: AttemptId, pool: &str, steps: &mut Vec<DeskStep>) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.withdraw(attempt, steps);
+        }
+    }
+
+    /// Takes the end of a call.
+    pub fn answered(
+        &mut self,
+        batch: BatchId,
+        outcome: BatchOutcome,
+        now: MonotonicTime,
+        steps: &mut Vec<DeskStep>,
+    ) {
+        let Some(name) = self.calls.remove(&batch) else { return };
+        if let Some(pool) = self.pools.get_mut(&name) {
+            pool.answered(batch, outcome, now, steps);
+        }
+        self.turn_pool(&name, now, steps);
+    }
+
+    /// Lets time pass for all pools.
+    pub fn turn(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+        let names: Vec<String> = self.pools.keys().cloned().collect();
+        for name in names {
+            self.turn_pool(&name, now, steps);
+        }
+    }
+
+    /// Pieces that wait, by pool.
+    #[must_use]
+    pub fn waiting(&self) -> Vec<(String, usize)> {
+        let mut waiting: Vec<_> =
+            self.pools.iter().map(|(name, pool)| (name.clone(), pool.waiting())).collect();
+        waiting.sort();
+        waiting
+    }
+
+    /// Whether nothing waits and no call is open.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.pools.values().all(BatchPool::is_idle)
+    }
+
+    fn turn_pool(&mut self, name: &str, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+        let Some(pool) = self.pools.get_mut(name) else { return };
+        let (next, calls) = (&mut self.next, &mut self.calls);
+        let mut number = || {
+            *next += 1;
+            calls.insert(BatchId(*next), name.to_owned());
+            BatchId(*next)
+        };
+        let before = steps.len();
+        pool.turn(&mut number, now, steps);
+        for step in &steps[before..] {
+            if let DeskStep::Cancel(batch) = step {
+                self.calls.remove(batch);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -0,0 +1,59 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::BatchItem;
+use crate::identity::MonotonicTime;
+use crate::pipeline::{PieceOrder, PlacedResult};
+
+/// What a level of priority is worth in the order of jobs: one of a lower priority goes first only
+/// if its results are needed that much sooner. Half a call of a few tenths of a second.
+const LEVEL_STEP: Duration = Duration::from_millis(100);
+
+/// The pieces of one step of one request, on their way to results.
+#[derive(Debug)]
+pub(super) struct BatchJob {
+    pub(super) order: PieceOrder,
+    /// Results of the pieces.
+    pub(super) results: Vec<Option<PlacedResult>>,
+    /// Pieces that are in no call.
+    pub(super) waiting: VecDeque<u32>,
+}
+
+impl BatchJob {
+    pub(super) fn new(order: PieceOrder) -> Self {
+        let pieces = order.pieces;
+        Self { results: vec![None; pieces as usize], waiting: (0..pieces).collect(), order }
+    }
+
+    /// Place in the order of jobs: the earliest time by which results are needed goes first.
+    pub(super) fn rank(&self) -> MonotonicTime {
+        self.order.due + LEVEL_STEP * u32::from(self.order.level)
+    }
+
+    /// Whether all pieces have results.
+    pub(super) fn is_made(&self) -> bool {
+        self.results.iter().all(Option::is_some)
+    }
+
+    /// Takes up to `limit` waiting pieces out for a call.
+    pub(super) fn take(&mut self, limit: usize) -> Vec<BatchItem> {
+        let count = limit.min(self.waiting.len());
+        let pieces: Vec<u32> = self.waiting.drain(..count).collect();
+        let item = |piece| BatchItem {
+            request: self.order.request.clone(),
+            step: self.order.step,
+            piece,
+            source: self.order.source.clone(),
+            expires: self.order.expires,
+        };
+        pieces.into_iter().map(item).collect()
+    }
+
+    /// Lets `piece` wait for another call.
+    pub(super) fn put_back(&mut self, piece: u32) {
+        let made = self.results.get(piece as usize).is_some_and(Option::is_some);
+        if !made && !self.waiting.contains(&piece) {
+            self.waiting.push_front(piece);
+        }
+    }
+}
--- a/crates/crocusdale_core/src/configuration/configuration_ledger.rs
+++ b/crates/crocusdale_core/src/configuration/configuration_ledger.rs
@@ -3,6 +3,10 @@
 use super::{ConfigurationError, Declarations};
 use crate::identity::stable_hash;
 
+/// Reads a text, whose source the first argument names, into declarations; the same text must give
+/// the same verdict in every process.
+pub type DeclarationReader = fn(&str, &str) -> Result<Declarations, Vec<ConfigurationError>>;
+
 /// The configuration that a daemon acts on.
 #[derive(Clone, Debug)]
 pub struct InForce {
@@ -37,8 +41,9 @@
 ///
 /// Guards against a stale or restarted configuration service, which shows as an older revision
 /// after a newer one: only a higher revision replaces what is in force.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConfigurationLedger {
+    reader: DeclarationReader,
     in_force: Option<InForce>,
     rejected: Option<RejectedRevision>,
     conflicts: u64,
@@ -51,7 +56,19 @@
     errors: Vec<ConfigurationError>,
 }
 
+impl Default for ConfigurationLedger {
+    fn default() -> Self {
+        Self::new(Declarations::check)
+    }
+}
+
 impl ConfigurationLedger {
+    /// A ledger of texts that `reader` can read.
+    #[must_use]
+    pub fn new(reader: DeclarationReader) -> Self {
+        Self { reader, in_force: None, rejected: None, conflicts: 0 }
+    }
+
     /// Returns what is in force, if anything was ever accepted.
     #[must_use]
     pub fn in_force(&self) -> Option<&InForce> {
@@ -109,7 +126,7 @@
         {
             return LedgerVerdict::RejectedBefore;
         }
-        match Declarations::check(&format!("revision {revision}"), text) {
+        match (self.reader)(&format!("revision {revision}"), text) {
             Ok(declarations) => {
                 self.take(InForce {
                     revision,
--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -7,7 +7,10 @@
 use super::section_reader::{CheckedSection, ErrorCollector, read_sections};
 use crate::orders::EngineOrder;
 
-use super::{ConfigurationError, ConfigurationErrorKind, LabelSelector, LabelSet, StagePlan};
+use super::{
+    ConfigurationError, ConfigurationErrorKind, ForwardRules, LabelSelector, LabelSet, PoolKind,
+    RouteTable, StagePlan,
+};
 
 /// Priority level of a request that no priority matches.
 const DEFAULT_LEVEL: u8 = 5;
@@ -23,6 +26,9 @@
     priorities: Vec<PriorityRules>,
     rules: Vec<RequestRule>,
     placements: Vec<PlacementRules>,
+    routes: RouteTable,
+    /// Workspaces by the access keys of their callers.
+    access: HashMap<String, String>,
 }
 
 /// What holds for the whole deployment.
@@ -91,6 +97,8 @@
     pub labels: LabelSet,
     /// Requests that may run at one time in each daemon.
     pub concurrency: u32,
+    /// Priority level of its forwarded requests, which goes before that of the pipeline.
+    pub level: Option<u8>,
 }
 
 /// One pipeline.
@@ -104,6 +112,8 @@
     pub plan: StagePlan,
     /// Whether its requests may ever run twice.
     pub repeatable: bool,
+    /// What holds if the pipeline ends in a forwarded request.
+    pub forward: Option<ForwardRules>,
 }
 
 /// One stage.
@@ -119,6 +129,10 @@
     pub silence: Duration,
     /// Cost of one second of an upstream's time.
     pub cost: f64,
+    /// How its upstreams take work.
+    pub kind: PoolKind,
+    /// Connections that one upstream accepts, of all daemons together.
+    pub connections: Option<u32>,
 }
 
 /// One priority.
@@ -175,6 +189,8 @@
             priorities: of("priority").map(read_priority).collect(),
             rules: of("rule").map(read_rule).collect(),
             placements: of("placement").map(read_placement).collect(),
+            routes: RouteTable::default(),
+            access: HashMap::new(),
         })
     }
 
@@ -196,6 +212,24 @@
         self.workspaces.get(name)
     }
 
+    /// The pipeline that serves `path` of `host`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&PipelineRules> {
+        self.routes.find(host, path).map(|position| &self.pipelines[position])
+    }
+
+    /// Whether callers of forwarded requests need access keys.
+    #[must_use]
+    pub fn needs_access(&self) -> bool {
+        !self.access.is_empty()
+    }
+
+    /// The workspace whose callers have the access key `key`.
+    #[must_use]
+    pub fn workspace_of_access(&self, key: &str) -> Option<&str> {
+        self.access.get(key).map(String::as_str)
+    }
+
     /// Number of workspaces.
     #[must_use]
     pub fn workspace_count(&self) -> usize {
@@ -244,6 +278,89 @@
     }
 }
 
+/// Builds declarations that were not written as sections.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use crocusdale_core::configuration::DeclarationsBuilder;
+///
+/// let declarations = DeclarationsBuilder::new("small", Duration::from_secs(1)).build();
+/// assert!(!declarations.needs_access());
+/// ```
+#[derive(Debug)]
+pub struct DeclarationsBuilder {
+    declarations: Declarations,
+}
+
+impl DeclarationsBuilder {
+    /// Begins declarations of the deployment `name`, whose callers keep an address answer for
+    /// `address_hold`.
+    #[must_use]
+    pub fn new(name: &str, address_hold: Duration) -> Self {
+        let deployment = DeploymentRules {
+            name: name.to_owned(),
+            key_life: Duration::ZERO,
+            address_hold,
+            longest_deadline: Duration::MAX,
+            attainment_weight: 0.0,
+            policy: RoutingPolicy::Adaptive,
+        };
+        Self {
+            declarations: Declarations {
+                deployment,
+                upstreams: Vec::new(),
+                workspaces: HashMap::new(),
+                pipelines: Vec::new(),
+                stages: HashMap::new(),
+                priorities: Vec::new(),
+                rules: Vec::new(),
+                placements: Vec::new(),
+                routes: RouteTable::default(),
+                access: HashMap::new(),
+            },
+        }
+    }
+
+    /// Adds a workspace, and the access keys of its callers.
+    #[must_use]
+    pub fn workspace(
+        mut self,
+        name: &str,
+        rules: WorkspaceRules,
+        keys: impl IntoIterator<Item = String>,
+    ) -> Self {
+        for key in keys {
+            self.declarations.access.insert(key, name.to_owned());
+        }
+        self.declarations.workspaces.insert(name.to_owned(), rules);
+        self
+    }
+
+    /// Adds a stage, whose name is that of its pool.
+    #[must_use]
+    pub fn stage(mut self, name: &str, rules: StageRules) -> Self {
+        self.declarations.stages.insert(name.to_owned(), rules);
+        self
+    }
+
+    /// Adds a pipeline that serves paths of `host` which begin with `prefix`.
+    #[must_use]
+    pub fn route(mut self, host: &str, prefix: &str, pipeline: PipelineRules) -> Self {
+        let position = self.declarations.pipelines.len();
+        self.declarations.pipelines.push(pipeline);
+        self.declarations.routes.insert(host, prefix, position);
+        self
+    }
+
+    /// Builds the declarations.
+    #[must_use]
+    pub fn build(self) -> Declarations {
+        self.declarations
+    }
+}
+
 fn read_deployment(
     sections: &[CheckedSection],
     errors: &mut ErrorCollector<'_>,
@@ -340,6 +457,8 @@
             stream: section.flag("stream"),
             silence: section.duration("silence_ms").unwrap_or_default(),
             cost: section.get("cost").unwrap_or_default(),
+            kind: PoolKind::Plain,
+            connections: None,
         };
         stages.insert(section.name.clone(), stage);
     }
@@ -364,6 +483,7 @@
             when: section.selector("when"),
             plan,
             repeatable: section.flag("repeatable"),
+            forward: None,
         });
     }
     pipelines
@@ -373,6 +493,7 @@
     let rules = WorkspaceRules {
         labels: section.labels("labels"),
         concurrency: section.get("concurrency").unwrap_or(1),
+        level: None,
     };
     (section.name.clone(), rules)
 }
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -3,22 +3,32 @@
 mod configuration_error;
 mod configuration_ledger;
 mod declarations;
+mod forward_rules;
 mod label_selector;
 mod label_set;
 mod process_settings;
+mod route_table;
 mod section_reader;
 mod stage_plan;
 
 pub use configuration_error::{ConfigurationError, ConfigurationErrorKind};
-pub use configuration_ledger::{ConfigurationLedger, InForce, LedgerVerdict};
+pub use configuration_ledger::{ConfigurationLedger, DeclarationReader, InForce, LedgerVerdict};
 pub use declarations::{
-    Declarations, DeploymentRules, PipelineRules, PlacementRules, PriorityRules, RequestRule,
-    RoutingPolicy, StageRules, UpstreamKind, UpstreamRules, WorkspaceRules,
+    Declarations, DeclarationsBuilder, DeploymentRules, PipelineRules, PlacementRules,
+    PriorityRules, RequestRule, RoutingPolicy, StageRules, UpstreamKind, UpstreamRules,
+    WorkspaceRules,
+};
+pub use forward_rules::{
+    BatchRules, EngineRules, ForwardRules, PoolKind, RepeatRule, WeightedPool,
 };
 pub use label_selector::LabelSelector;
 pub use label_set::LabelSet;
-pub use process_settings::{LimitSettings, LogFormat, MembershipSettings, ProcessSettings};
-pub use stage_plan::StagePlan;
+pub use process_settings::{
+    LimitSettings, LogFormat, MembershipSettings, PlatformSettings, ProcessSettings,
+    PublishedSettings,
+};
+pub use route_table::RouteTable;
+pub use stage_plan::{PlanStep, StagePlan, StepWork};
 
 /// Largest declarations that are read, in bytes.
 pub const DECLARATIONS_LIMIT: usize = 1 << 20;
--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -3,8 +3,9 @@
 
 use crocusdale_schema::sections::SETTINGS;
 
-use super::section_reader::{CheckedSection, ErrorCollector, read_sections};
+use super::section_reader::{CheckedSection, ErrorCollector, parse_addresses, read_sections};
 use super::{ConfigurationError, ConfigurationErrorKind};
+use crate::retry::RetryLimits;
 
 /// Settings of one process.
 #[derive(Clone, Debug)]
@@ -21,12 +22,8 @@
     pub peer: SocketAddr,
     /// Where operators connect.
     pub operator: SocketAddr,
-    /// Configuration service.
-    pub configuration: SocketAddr,
-    /// VM list.
-    pub vm_list: SocketAddr,
-    /// Pause between two reads of the VM list.
-    pub vm_list_period: Duration,
+    /// Where the platform publishes what the system reads.
+    pub platform: PlatformSettings,
     /// Bounds on what callers may send.
     pub limits: LimitSettings,
     /// Heartbeats between daemons.
@@ -35,6 +32,39 @@
     pub log: LogFormat,
 }
 
+/// Where the platform publishes what the system reads.
+#[derive(Clone, Debug)]
+pub enum PlatformSettings {
+    /// A configuration service and a VM list; callers send JSON requests.
+    Services {
+        /// Configuration service.
+        configuration: SocketAddr,
+        /// VM list.
+        vm_list: SocketAddr,
+        /// Pause between two reads of the VM list.
+        vm_list_period: Duration,
+    },
+    /// One store; callers' requests are passed through.
+    Published(PublishedSettings),
+}
+
+/// A platform whose one store publishes configuration and upstreams.
+#[derive(Clone, Debug)]
+pub struct PublishedSettings {
+    /// The store.
+    pub store: SocketAddr,
+    /// Addresses at which daemons may listen for other daemons.
+    pub seeds: Vec<SocketAddr>,
+    /// Where the platform asks whether the VM is ready.
+    pub readiness: SocketAddr,
+    /// Where callers ask which addresses to use.
+    pub addresses: SocketAddr,
+    /// Time between the signal to end and the kill.
+    pub grace: Duration,
+    /// How many retries all daemons may make together at one pool.
+    pub retries: RetryLimits,
+}
+
 /// Bounds on what callers may send.
 #[derive(Clone, Debug)]
 pub struct LimitSettings {
@@ -95,6 +125,7 @@
             }
             sections.push(CheckedSection::empty(spec));
         }
+        check_platform(&sections, &mut errors);
         errors.finish(())?;
         Ok(Self::read(&sections))
     }
@@ -120,9 +151,7 @@
             caller: address("listen", "caller"),
             peer: address("listen", "peer"),
             operator: address("listen", "operator"),
-            configuration: address("platform", "configuration"),
-            vm_list: address("platform", "vm_list"),
-            vm_list_period: duration("platform", "vm_list_period_ms"),
+            platform: read_platform(&section),
             limits: LimitSettings {
                 body_bytes: number("limits", "body_bytes"),
                 head_bytes: number("limits", "head_bytes"),
@@ -139,3 +168,68 @@
         }
     }
 }
+
+/// One of `[platform]` and `[published]` must stand, with the keys that it can't do without.
+fn check_platform(sections: &[CheckedSection], errors: &mut ErrorCollector<'_>) {
+    // Sections that were not written stand here as empty ones, without a header.
+    let found = |name: &str| {
+        let written = |section: &&CheckedSection| !section.header.is_empty();
+        sections.iter().filter(written).find(|section| section.spec.name == name)
+    };
+    let (services, published) = (found("platform"), found("published"));
+    if services.is_some() && published.is_some() {
+        let accepted = "either [platform] or [published]";
+        errors.report(ConfigurationErrorKind::RepeatedSection, ("published", ""), "", accepted);
+        return;
+    }
+    let needed: &[(&str, &str)] = match published {
+        Some(_) => &[
+            ("published", "store"),
+            ("published", "seeds"),
+            ("listen", "readiness"),
+            ("listen", "addresses"),
+        ],
+        None if services.is_some() => &[("platform", "configuration"), ("platform", "vm_list")],
+        None => {
+            let accepted = "a section [platform] or [published]";
+            errors.report(ConfigurationErrorKind::MissingSection, ("platform", ""), "", accepted);
+            return;
+        }
+    };
+    for (name, key) in needed {
+        let stands = found(name).is_some_and(|section| section.text(key).is_some());
+        if !stands {
+            let place = (*name, *key);
+            errors.report(ConfigurationErrorKind::MissingKey, place, "", "an address");
+        }
+    }
+}
+
+fn read_platform<'a>(section: &impl Fn(&str) -> &'a CheckedSection) -> PlatformSettings {
+    let address = |name: &str, key: &str| {
+        section(name).get::<SocketAddr>(key).expect("a needed address was checked")
+    };
+    let published = section("published");
+    if published.text("store").is_none() {
+        let period = section("platform").duration("vm_list_period_ms");
+        return PlatformSettings::Services {
+            configuration: address("platform", "configuration"),
+            vm_list: address("platform", "vm_list"),
+            vm_list_period: period.expect("a duration with a default was checked"),
+        };
+    }
+    let number =
+        |key: &str| published.get::<f64>(key).expect("a number with a default was checked");
+    PlatformSettings::Published(PublishedSettings {
+        store: address("published", "store"),
+        seeds: published.text("seeds").and_then(parse_addresses).unwrap_or_default(),
+        readiness: address("listen", "readiness"),
+        addresses: address("listen", "addresses"),
+        grace: Duration::from_secs_f64(number("grace_s")),
+        retries: RetryLimits {
+            ratio: number("retry_ratio"),
+            reserve: number("retry_reserve"),
+            window: Duration::from_secs_f64(number("retry_window_s")),
+        },
+    })
+}
--- a/crates/crocusdale_core/src/configuration/section_reader.rs
+++ b/crates/crocusdale_core/src/configuration/section_reader.rs
@@ -212,6 +212,7 @@
     match form {
         KeyForm::Name => is_word(value),
         KeyForm::Address => value.parse::<SocketAddr>().is_ok(),
+        KeyForm::Addresses => parse_addresses(value).is_some(),
         KeyForm::Count { min, max } | KeyForm::Duration { min, max } => {
             value.parse::<u64>().is_ok_and(|number| (min..=max).contains(&number))
         }
@@ -231,6 +232,7 @@
     match form {
         KeyForm::Name => "1 to 64 letters, digits, `-`, `_`, `.`".into(),
         KeyForm::Address => "IP address and port, as 127.0.0.1:8080".into(),
+        KeyForm::Addresses => "IP addresses with ports, separated by commas".into(),
         KeyForm::Count { min, max } => format!("a whole number from {min} to {max}"),
         KeyForm::Duration { min, max } => {
             format!("milliseconds, a whole number from {min} to {max}")
@@ -271,3 +273,9 @@
     }
     row[right.len()]
 }
+
+/// Reads addresses separated by commas.
+pub(super) fn parse_addresses(text: &str) -> Option<Vec<SocketAddr>> {
+    let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+    parts.map(|part| part.parse().ok()).collect()
+}
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -1,10 +1,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::batching::{BatchId, BatchOrder};
 use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{ExchangeMessage, WitnessSet};
 use crate::orders::EngineOrder;
-use crate::pipeline::{AttemptOrder, FinalAnswer};
+use crate::pipeline::{
+    AttemptOrder, FinalAnswer, PieceFault, PieceOrder, PlacedResult, RelayOrder, ResultHandle,
+};
 
 /// What the process around the core has to do.
 #[derive(Clone, Debug)]
@@ -25,8 +28,39 @@
     },
     /// Call an upstream.
     Send(AttemptOrder),
+    /// Pass a caller's own request to an upstream.
+    Relay(RelayOrder),
+    /// Pass the answer that an attempt waits with on to its caller.
+    PassOn {
+        /// The caller's call.
+        call: CallId,
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// Give up a call of an upstream, and close its connection.
     Cancel(AttemptId),
+    /// Have another daemon make the pieces of a step.
+    SendPieces {
+        /// The daemon.
+        vm: String,
+        /// The pieces.
+        order: Box<PieceOrder>,
+    },
+    /// Tell the daemon that makes pieces that nobody wants them any more.
+    CancelPieces(AttemptId),
+    /// Tell another daemon what became of the pieces that it offered.
+    AnswerPieces {
+        /// Attempt that the pieces were for.
+        attempt: AttemptId,
+        /// Their results, or why there are none.
+        outcome: Result<Vec<PlacedResult>, PieceFault>,
+    },
+    /// Call a batched upstream.
+    CallBatch(BatchOrder),
+    /// Give up a call of a batched upstream, and close its connection.
+    CancelBatch(BatchId),
+    /// Tell upstreams that results are not needed any more.
+    FreeResults(Vec<ResultHandle>),
     /// Close all idle connections to an upstream.
     Distrust(String),
     /// Ask a witness to claim `key` for this process, or to bury it.
@@ -67,6 +101,23 @@
         /// This daemon's half.
         message: Box<ExchangeMessage>,
     },
+    /// Exchange heartbeats with whoever listens for daemons at an address.
+    Greet {
+        /// The address.
+        address: SocketAddr,
+        /// This daemon's half.
+        message: Box<ExchangeMessage>,
+    },
+    /// Fetch the published upstreams that a peer knows.
+    FetchDirectory {
+        /// The peer.
+        vm: String,
+    },
+    /// Read the published upstreams: what changed since `known`, or all for 0.
+    ReadDirectory {
+        /// Revision up to which everything has been read.
+        known: u64,
+    },
     /// Fetch the configuration that a peer has in force.
     FetchConfiguration {
         /// The peer.
@@ -138,6 +189,12 @@
     Roster,
     /// Next read of the configuration service.
     Configuration,
+    /// Next read of the published upstreams.
+    Directory,
+    /// Next greeting of the seeds.
+    Seeds,
+    /// Last moment at which a draining process can still end by itself.
+    Exit,
     /// End of the time for which addresses given out may still point here.
     Drain,
 }
@@ -164,6 +221,18 @@
     AttemptsNotSent,
     /// Attempts that an upstream answered with an error status.
     AttemptsDeclined,
+    /// Attempts that an upstream says it did not run.
+    AttemptsNotRun,
+    /// Batched steps that a dispatcher gave up.
+    PiecesFailed,
+    /// Dispatchers that were lost while they had pieces of this daemon.
+    DispatchersLost,
+    /// Batched steps begun anew because their results were gone.
+    StepsRemade,
+    /// Calls of batched upstreams.
+    BatchCalls,
+    /// Pieces in calls of batched upstreams.
+    BatchPieces,
     /// Attempts after a failed one.
     Retries,
     /// Retries that the budget did not allow.
@@ -236,6 +305,17 @@
         /// Its number of VMs.
         vms: usize,
     },
+    /// Published upstreams changed.
+    DirectoryTaken {
+        /// Revision of the change.
+        revision: u64,
+        /// Upstreams that stay.
+        upstreams: usize,
+    },
+    /// The platform can't be read any more.
+    PlatformLost,
+    /// The platform can be read again.
+    PlatformRegained,
     /// An upstream is leaving.
     UpstreamLeaving {
         /// The upstream.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -1,14 +1,18 @@
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
+use super::directory_state::DirectoryState;
 use super::{DaemonCore, FleetState};
 use crate::admission::AdmissionGate;
+use crate::batching::BatchDesk;
 use crate::claims::RegisterShard;
-use crate::configuration::{Declarations, MembershipSettings};
+use crate::configuration::{DeclarationReader, Declarations, MembershipSettings};
 use crate::identity::{InstanceId, MonotonicTime, RequestKey};
-use crate::membership::{MemberViewBuilder, RosterHistory};
+use crate::membership::{MemberPlace, MemberViewBuilder, RosterHistory};
 use crate::pipeline::RequestShard;
+use crate::retry::RetryLimits;
 use crate::routing::UpstreamRouter;
 use crate::sync::lock;
 use crate::tickets::TicketBook;
@@ -31,6 +35,10 @@
     pub(super) registers: Vec<Mutex<RegisterShard>>,
     pub(super) gate: Mutex<AdmissionGate>,
     pub(super) fleet: Mutex<FleetState>,
+    pub(super) directory: Mutex<DirectoryState>,
+    pub(super) desk: Mutex<BatchDesk>,
+    /// Time for which a draining process may still end by itself, if it is killed after it.
+    pub(super) grace: Option<Duration>,
     router: RwLock<Arc<UpstreamRouter>>,
     basis: RwLock<Arc<RequestBasis>>,
     next_call: AtomicU64,
@@ -69,9 +77,25 @@
     requests: usize,
     membership: Option<MembershipSettings>,
     roster_period: Option<Duration>,
+    published: Option<PublishedFleet>,
     seed: u64,
 }
 
+/// How a daemon finds its peers and upstreams without a VM list and without declared upstreams.
+#[derive(Clone, Debug)]
+pub struct PublishedFleet {
+    /// Where this daemon is.
+    pub place: MemberPlace,
+    /// Addresses at which daemons may listen for others; they may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// What reads configurations.
+    pub reader: DeclarationReader,
+    /// How many retries all daemons may make together at one pool.
+    pub retries: RetryLimits,
+    /// Time between the wish that a process ends and the moment at which it is killed.
+    pub grace: Duration,
+}
+
 impl DaemonCoreBuilder {
     /// Begins the core of the process life `own` in `zone`.
     #[must_use]
@@ -82,6 +106,7 @@
             requests: DEFAULT_REQUESTS,
             membership: None,
             roster_period: None,
+            published: None,
             seed: 0,
         }
     }
@@ -107,6 +132,13 @@
         self
     }
 
+    /// Finds peers and upstreams as `published` says.
+    #[must_use]
+    pub fn published(mut self, published: PublishedFleet) -> Self {
+        self.published = Some(published);
+        self
+    }
+
     /// Seeds all random choices.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
@@ -121,16 +153,27 @@
         if let Some(membership) = self.membership {
             view = view.period(membership.period).suspicion(membership.suspicion);
         }
+        if let Some(published) = &self.published {
+            view = view.place(published.place.clone());
+        }
         let mut fleet = FleetState::new(view.build(), &self.zone, now, self.seed.wrapping_add(1));
         if let Some(period) = self.roster_period {
             fleet.set_roster_period(period);
         }
+        let retries = self.published.as_ref().map(|each| each.retries).unwrap_or_default();
+        let mut desk = BatchDesk::default();
+        desk.set_retries(retries);
+        let grace = self.published.as_ref().map(|each| each.grace);
+        if let Some(published) = self.published {
+            fleet.set_reader(published.reader);
+            fleet.set_seeds(published.seeds, now);
+        }
         let basis = RequestBasis {
             declarations: None,
             history: fleet.history.clone(),
             key_life: fleet.key_life(),
         };
-        let router = UpstreamRouter::new(&self.zone, self.seed.wrapping_add(2));
+        let router = UpstreamRouter::new(&self.zone, self.seed.wrapping_add(2)).retries(retries);
         let incarnation = self.own.incarnation;
         DaemonCore::from_state(CoreState {
             shards: (0..SHARDS).map(|_| Mutex::new(RequestShard::new(self.own.clone()))).collect(),
@@ -140,6 +183,9 @@
             started: now,
             gate: Mutex::new(AdmissionGate::new(self.requests)),
             fleet: Mutex::new(fleet),
+            directory: Mutex::default(),
+            desk: Mutex::new(desk),
+            grace,
             router: RwLock::new(Arc::new(router)),
             basis: RwLock::new(Arc::new(basis)),
             next_call: AtomicU64::new(1),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -6,13 +6,17 @@
 use super::core_state::{CoreState, RequestBasis};
 use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
 use crate::claims::RegisterReply;
+use crate::configuration::Declarations;
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, VmRoster, WitnessSet};
 use crate::pipeline::HolderReply;
+use crate::routing::DirectoryEntry;
 use crate::sync::lock;
 
 /// Pause between two looks at waiting work, pauses and the drain.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
+/// Time before a draining process is killed at which it ends by itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Lateness of a timer that counts as a pause of the process.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -38,7 +42,14 @@
 
     /// Gives the first commands of a process.
     pub fn start(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        out.push(Command::ReadRoster { known: 0 });
+        let published = lock(&self.state.fleet).view.own().place.is_some();
+        if published {
+            for timer in [TimerKey::Directory, TimerKey::Seeds] {
+                out.push(Command::SetTimer { timer, at: now });
+            }
+        } else {
+            out.push(Command::ReadRoster { known: 0 });
+        }
         for timer in
             [TimerKey::Heartbeat, TimerKey::Housekeeping, TimerKey::Configuration, TimerKey::Orders]
         {
@@ -72,6 +83,17 @@
                 self.state.shard(call.0).holder_replied(call, reply, now, &mut steps);
             }
             DaemonEvent::Timer(timer) => self.timer(timer, now, out),
+            DaemonEvent::PiecesOffered(order) => {
+                self.state.dispatch_pieces(*order, now, &mut steps, out);
+            }
+            DaemonEvent::PiecesWithdrawn { attempt, pool } => {
+                let mut desk_steps = Vec::new();
+                lock(&self.state.desk).withdraw(attempt, &pool, &mut desk_steps);
+                self.state.run_desk(desk_steps, now, &mut steps, out);
+            }
+            DaemonEvent::BatchEnded { batch, outcome } => {
+                self.state.batch_ended(batch, outcome, now, &mut steps, out);
+            }
             event => self.fleet_event(event, now, out),
         }
         self.state.run_steps(steps, now, out);
@@ -95,9 +117,11 @@
             let mut fleet = lock(&self.state.fleet);
             let news = fleet.take_message(message, now, out);
             let position = fleet.ledger.position();
-            (news, fleet.view.message(&message.sender.instance.vm, position))
+            let directory = fleet.directory;
+            (news, fleet.view.message(&message.sender.instance.vm, position, directory))
         };
         self.state.take_leaving(&news, now, out);
+        self.heard(message, now, out);
         reply
     }
 
@@ -202,6 +226,7 @@
             outcomes,
             keys,
             waiting: router.waiting(),
+            waiting_pieces: lock(&self.state.desk).waiting(),
             upstreams: router.summaries(now),
         }
     }
@@ -217,6 +242,15 @@
             | TimerKey::Inquiry(call)
             | TimerKey::Holder(call) => self.request_timer(call, timer, now, out),
             TimerKey::Silence(attempt) => self.request_timer(attempt.call, timer, now, out),
+            TimerKey::Directory => {
+                let is_reader = lock(&self.state.fleet).is_reader();
+                lock(&self.state.directory).decide_read(is_reader, now, out);
+            }
+            TimerKey::Seeds => lock(&self.state.fleet).greet_seed(now, out),
+            TimerKey::Exit => {
+                out.push(Command::Note(StateChange::Drained));
+                out.push(Command::Exit);
+            }
             TimerKey::Heartbeat => lock(&self.state.fleet).heartbeat(now, out),
             TimerKey::Configuration => lock(&self.state.fleet).decide_watch(now, out),
             TimerKey::Housekeeping => self.housekeeping(now, out),
@@ -243,6 +277,25 @@
             DaemonEvent::Exchanged(message) => {
                 let news = lock(&self.state.fleet).take_message(&message, now, out);
                 self.state.take_leaving(&news, now, out);
+                self.heard(&message, now, out);
+            }
+            DaemonEvent::GreetingFailed => out.push(Command::Count(CounterName::ExchangesFailed)),
+            DaemonEvent::DirectoryRead { revision, entries } => {
+                let mut directory = lock(&self.state.directory);
+                let changed = directory.read_whole(revision, entries, now, out);
+                drop(directory);
+                self.directory_read(changed, now, out);
+            }
+            DaemonEvent::DirectoryChanged { revision, changes } => {
+                let mut directory = lock(&self.state.directory);
+                let changed = directory.read_changes(revision, changes, now, out);
+                drop(directory);
+                self.directory_read(changed, now, out);
+            }
+            DaemonEvent::DirectoryUnread => lock(&self.state.directory).read_failed(now, out),
+            DaemonEvent::DirectoryFetched(list) => {
+                let changed = lock(&self.state.directory).fetched(list, now, out);
+                self.directory_read(changed, now, out);
             }
             DaemonEvent::ExchangeFailed(vm) => {
                 lock(&self.state.fleet).exchange_failed(&vm, now, out);
@@ -301,9 +354,7 @@
             fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
         };
         if let Some(declarations) = declarations {
-            let router = self.state.router().reconfigured(&declarations);
-            router.take_roster(self.state.basis().history.current());
-            self.state.set_router(router);
+            self.reroute(&declarations, now, out);
         }
         self.refresh_basis();
         let grants = self.state.router().serve_all_waiting(now);
@@ -311,6 +362,62 @@
         self.state.run_steps(steps, now, out);
     }
 
+    /// Takes pools and upstreams as they are now.
+    fn reroute(&self, declarations: &Declarations, now: MonotonicTime, out: &mut Vec<Command>) {
+        let directory = lock(&self.state.directory).directory.clone();
+        let router = self.state.router().reconfigured(declarations, &directory);
+        router.take_roster(self.state.basis().history.current());
+        self.state.set_router(router);
+        let (mut steps, mut desk_steps) = (Vec::new(), Vec::new());
+        lock(&self.state.desk).reconfigure(declarations, &directory, now, &mut desk_steps);
+        self.state.run_desk(desk_steps, now, &mut steps, out);
+        self.state.run_steps(steps, now, out);
+    }
+
+    /// The published upstreams were read or heard of.
+    fn directory_read(&self, changed: bool, now: MonotonicTime, out: &mut Vec<Command>) {
+        let revision = {
+            let directory = lock(&self.state.directory);
+            directory.directory.changed().max(u64::from(directory.directory.is_known()))
+        };
+        let declarations = {
+            let mut fleet = lock(&self.state.fleet);
+            fleet.directory = revision;
+            if changed {
+                fleet.tell_at_once(out);
+            }
+            fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
+        };
+        if let Some(declarations) = declarations.filter(|_| changed) {
+            self.reroute(&declarations, now, out);
+            let grants = self.state.router().serve_all_waiting(now);
+            let steps = self.state.run_grants(grants, now);
+            self.state.run_steps(steps, now, out);
+        }
+    }
+
+    /// A peer's half of a heartbeat came: takes what it says of others and of the upstreams.
+    fn heard(&self, message: &ExchangeMessage, now: MonotonicTime, out: &mut Vec<Command>) {
+        let vm = &message.sender.instance.vm;
+        let (news, daemons) = {
+            let mut fleet = lock(&self.state.fleet);
+            let news = fleet.take_places(now, out);
+            (news, fleet.view.alive_count() + 1)
+        };
+        if news {
+            self.refresh_basis();
+        }
+        self.state.router().set_daemons(daemons);
+        lock(&self.state.directory).heard_of(vm, message.directory, now, out);
+    }
+
+    /// Published upstreams that this daemon knows, for a peer that can't read them.
+    #[must_use]
+    pub fn published_upstreams(&self) -> (u64, Vec<(u64, DirectoryEntry)>) {
+        let directory = lock(&self.state.directory);
+        (directory.directory.revision(), directory.directory.snapshot())
+    }
+
     fn take_roster(&self, read: Option<VmRoster>, now: MonotonicTime, out: &mut Vec<Command>) {
         let Some(roster) = read else { return };
         if lock(&self.state.fleet).take_roster(roster, now, out) {
@@ -341,10 +448,16 @@
             self.noticed_pause(now.since(last), out);
         }
         self.check_ready(now);
+        let lost = lock(&self.state.directory).drop_missing(now);
+        if lost {
+            self.directory_read(true, now, out);
+        }
         let grants = self.state.router().serve_all_waiting(now);
-        let steps = self.state.run_grants(grants, now);
+        let mut steps = self.state.run_grants(grants, now);
+        self.state.turn_desk(now, &mut steps, out);
         self.state.run_steps(steps, now, out);
-        if self.state.window_over.load(Ordering::Relaxed) && self.open_calls() == 0 {
+        let idle = self.open_calls() == 0 && lock(&self.state.desk).is_idle();
+        if self.state.window_over.load(Ordering::Relaxed) && idle {
             out.push(Command::Note(StateChange::Drained));
             out.push(Command::Exit);
         }
@@ -370,6 +483,12 @@
         fleet.drain(out);
         let window = fleet.drain_window();
         out.push(Command::Note(StateChange::Draining));
+        if let Some(grace) = self.state.grace {
+            // Whatever is open by then can't be finished: a process that is killed resets its
+            // connections, one that exits closes them.
+            let last = grace.saturating_sub(EXIT_MARGIN);
+            out.push(Command::SetTimer { timer: TimerKey::Exit, at: now + last });
+        }
         out.push(Command::SetTimer { timer: TimerKey::Drain, at: now + window });
     }
 }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -1,10 +1,12 @@
 use std::time::Duration;
 
+use crate::batching::{BatchId, BatchOutcome};
 use crate::claims::RegisterReply;
 use crate::identity::{AttemptId, CallId, RequestKey};
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::orders::EngineOrder;
-use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply};
+use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder};
+use crate::routing::{DirectoryChange, DirectoryEntry};
 
 use super::TimerKey;
 
@@ -62,6 +64,42 @@
     ConfigurationWatched(Option<(u64, String)>),
     /// The configuration service did not answer.
     ConfigurationUnread,
+    /// All published upstreams were read, each with the revision of its last change.
+    DirectoryRead {
+        /// Revision of the list.
+        revision: u64,
+        /// The upstreams.
+        entries: Vec<(u64, DirectoryEntry)>,
+    },
+    /// What changed of the published upstreams was read.
+    DirectoryChanged {
+        /// Revision up to which everything has been read.
+        revision: u64,
+        /// The changes with their revisions.
+        changes: Vec<(u64, DirectoryChange)>,
+    },
+    /// The published upstreams could not be read.
+    DirectoryUnread,
+    /// A peer told the published upstreams that it knows, or did not.
+    DirectoryFetched(Option<(u64, Vec<(u64, DirectoryEntry)>)>),
+    /// Nobody answered a greeting at a seed.
+    GreetingFailed,
+    /// Another daemon offers pieces of a step.
+    PiecesOffered(Box<PieceOrder>),
+    /// Another daemon no longer wants pieces.
+    PiecesWithdrawn {
+        /// Attempt that they were for.
+        attempt: AttemptId,
+        /// Their pool.
+        pool: String,
+    },
+    /// A call of a batched upstream ended.
+    BatchEnded {
+        /// The call.
+        batch: BatchId,
+        /// How it ended.
+        outcome: BatchOutcome,
+    },
     /// The VM list was read; `None` if it had nothing new.
     RosterRead(Option<VmRoster>),
     /// The VM list did not answer.
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -0,0 +1,166 @@
+use std::time::Duration;
+
+use super::{Command, CounterName, StateChange, TimerKey};
+use crate::identity::MonotonicTime;
+use crate::routing::{DirectoryChange, DirectoryEntry, UpstreamDirectory};
+
+/// Pause between two reads of what changed. Each upstream renews its entry about every second, so
+/// that a waiting read ends at once; reading seldom gathers changes. The users bound the time from
+/// a notice to the last request at two seconds.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+/// First pause after a failed read, and the longest one.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(1_000));
+/// Time without a successful read after which peers are asked.
+const STALE_AFTER: Duration = Duration::from_millis(1_000);
+/// Time after which a fetch from a peer counts as lost.
+const FETCH_PATIENCE: Duration = Duration::from_millis(800);
+/// Time for which reads must have failed for the list to count as away: entries may have lapsed
+/// meanwhile.
+const AWAY_AFTER: Duration = Duration::from_millis(700);
+
+/// Time after the return of the published list within which a missing upstream may come back. The
+/// users state two seconds for entries that lapsed while the list could not be written.
+const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+
+/// The published upstreams, and when to read them.
+#[derive(Debug, Default)]
+pub(super) struct DirectoryState {
+    pub(super) directory: UpstreamDirectory,
+    reading: bool,
+    failures: u32,
+    last_read: Option<MonotonicTime>,
+    failing_since: Option<MonotonicTime>,
+    /// Whether entries may have lapsed since the last read that succeeded.
+    away: bool,
+    /// Time until which entries that lapsed may come back.
+    grace_until: Option<MonotonicTime>,
+    fetching: Option<MonotonicTime>,
+}
+
+impl DirectoryState {
+    /// Reads again, unless a read is under way or another daemon reads for this one.
+    pub(super) fn decide_read(
+        &mut self,
+        is_reader: bool,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        if self.reading {
+            return;
+        }
+        if is_reader || self.is_stale(now) {
+            self.reading = true;
+            out.push(Command::ReadDirectory { known: self.directory.revision() });
+        } else {
+            out.push(Command::SetTimer { timer: TimerKey::Directory, at: now + READ_PAUSE });
+        }
+    }
+
+    /// Takes a whole list. Returns whether routing must change.
+    pub(super) fn read_whole(
+        &mut self,
+        revision: u64,
+        entries: Vec<(u64, DirectoryEntry)>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        self.succeeded(now, out);
+        let changed = self.directory.replace(revision, entries, self.grace(now));
+        self.note(changed, out);
+        changed
+    }
+
+    /// Takes what changed. Returns whether routing must change.
+    pub(super) fn read_changes(
+        &mut self,
+        revision: u64,
+        changes: Vec<(u64, DirectoryChange)>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        self.succeeded(now, out);
+        let changed = self.directory.apply(revision, changes, self.grace(now));
+        self.note(changed, out);
+        changed
+    }
+
+    /// A read failed.
+    pub(super) fn read_failed(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        out.push(Command::Count(CounterName::PlatformReadsFailed));
+        if self.failures == 0 && self.directory.is_known() {
+            out.push(Command::Note(StateChange::PlatformLost));
+        }
+        self.reading = false;
+        self.failures += 1;
+        let since = *self.failing_since.get_or_insert(now);
+        self.away |= now.since(since) >= AWAY_AFTER;
+        let pause = BACK_OFF.0 * 2_u32.pow(self.failures.min(4) - 1);
+        let at = now + pause.min(BACK_OFF.1);
+        out.push(Command::SetTimer { timer: TimerKey::Directory, at });
+    }
+
+    /// Asks `vm`, which knows of a later change, for its list, if this daemon can't read.
+    pub(super) fn heard_of(
+        &mut self,
+        vm: &str,
+        changed: u64,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let newer = changed > self.directory.changed();
+        let fetching = self.fetching.is_some_and(|since| now.since(since) < FETCH_PATIENCE);
+        if newer && !fetching {
+            self.fetching = Some(now);
+            out.push(Command::FetchDirectory { vm: vm.to_owned() });
+        }
+    }
+
+    /// Takes the list of a peer. Returns whether routing must change.
+    pub(super) fn fetched(
+        &mut self,
+        list: Option<(u64, Vec<(u64, DirectoryEntry)>)>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        self.fetching = None;
+        let Some((revision, entries)) = list else { return false };
+        let changed = self.directory.replace(revision, entries, self.grace(now));
+        self.note(changed, out);
+        changed
+    }
+
+    /// Drops upstreams that stayed missing. Returns whether there were any.
+    pub(super) fn drop_missing(&mut self, now: MonotonicTime) -> bool {
+        self.directory.drop_missing(now)
+    }
+
+    fn grace(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.grace_until.filter(|until| now < *until)
+    }
+
+    fn is_stale(&self, now: MonotonicTime) -> bool {
+        self.last_read.is_none_or(|last| now.since(last) >= STALE_AFTER)
+    }
+
+    fn succeeded(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        if self.failures > 0 && self.last_read.is_some() {
+            out.push(Command::Note(StateChange::PlatformRegained));
+        }
+        if std::mem::take(&mut self.away) {
+            self.grace_until = Some(now + RETURN_GRACE);
+        }
+        self.reading = false;
+        self.failures = 0;
+        self.failing_since = None;
+        self.last_read = Some(now);
+        out.push(Command::SetTimer { timer: TimerKey::Directory, at: now + READ_PAUSE });
+    }
+
+    fn note(&self, changed: bool, out: &mut Vec<Command>) {
+        if changed {
+            let revision = self.directory.changed();
+            let upstreams = self.directory.entries().filter(|entry| !entry.leaving).count();
+            out.push(Command::Note(StateChange::DirectoryTaken { revision, upstreams }));
+        }
+    }
+}
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -1,10 +1,11 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{Command, CounterName, StateChange, TimerKey};
-use crate::configuration::{ConfigurationLedger, LedgerVerdict};
+use crate::configuration::{ConfigurationLedger, DeclarationReader, LedgerVerdict};
 use crate::identity::{MonotonicTime, stable_hash};
 use crate::membership::{ExchangeMessage, MemberStatus, MemberView, RosterHistory, VmRoster};
 use crate::orders::{EngineOrder, OrderKeeper, OrderStep};
@@ -30,6 +31,12 @@
 const ORDER_PERIOD: Duration = Duration::from_secs(1);
 /// Time after which a fetch from a peer counts as lost.
 const FETCH_PATIENCE: Duration = Duration::from_secs(2);
+/// Pause between two greetings of a seed, while no peer is known and afterwards. Greetings of
+/// seeds that are known already find the other side again after a partition.
+const SEED_PACE: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(3));
+/// Address answers name a draining daemon for up to this many times as long as they may be kept:
+/// some callers keep them three times as long as they are told.
+const HOLD_FACTOR: u32 = 3;
 /// Time after the start for which an unheard peer keeps a daemon from being ready.
 const START_GRACE: Duration = Duration::from_secs(2);
 
@@ -52,6 +59,13 @@
     /// Newest position that any peer had in force.
     highest_heard: (u64, u64),
     ready: bool,
+    /// Revision of the last change of the published upstreams that is known here.
+    pub directory: u64,
+    /// Whether the published upstreams must be known before callers are served.
+    needs_directory: bool,
+    seeds: Vec<SocketAddr>,
+    next_seed: usize,
+    seeds_asked: usize,
     random: SmallRng,
 }
 
@@ -72,10 +86,63 @@
             fetching: None,
             highest_heard: (0, 0),
             ready: false,
+            directory: 0,
+            needs_directory: false,
+            seeds: Vec::new(),
+            next_seed: 0,
+            seeds_asked: 0,
             random: SmallRng::seed_from_u64(seed),
         }
     }
 
+    /// Sets what reads configurations.
+    pub fn set_reader(&mut self, reader: DeclarationReader) {
+        self.ledger = ConfigurationLedger::new(reader);
+    }
+
+    /// Finds peers through `seeds` and what members tell of each other, not through a VM list, and
+    /// needs the published upstreams.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>, now: MonotonicTime) {
+        self.seeds = seeds;
+        self.needs_directory = true;
+        self.take_places(now, &mut Vec::new());
+    }
+
+    /// Greets the next seed.
+    pub fn greet_seed(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let own = self.view.own().place.as_ref().map(|place| place.peer);
+        let others: Vec<SocketAddr> =
+            self.seeds.iter().copied().filter(|seed| Some(*seed) != own).collect();
+        if others.is_empty() {
+            self.seeds_asked = usize::MAX;
+            return;
+        }
+        let address = others[self.next_seed % others.len()];
+        self.next_seed += 1;
+        self.seeds_asked = self.seeds_asked.saturating_add(1);
+        let message = Box::new(self.view.message("", self.ledger.position(), self.directory));
+        out.push(Command::Greet { address, message });
+        let alone = self.view.peer_count() == 0;
+        let pause = if alone { SEED_PACE.0 } else { SEED_PACE.1 };
+        let at = now + self.jittered(pause);
+        out.push(Command::SetTimer { timer: TimerKey::Seeds, at });
+    }
+
+    /// Takes where members say that they are as the VM list. Returns whether that is news.
+    pub fn take_places(&mut self, now: MonotonicTime, out: &mut Vec<Command>) -> bool {
+        if self.view.own().place.is_none() {
+            return false;
+        }
+        self.view.forget_lost(now);
+        let vms = self.view.places();
+        let current = self.history.current();
+        if current.vms == vms {
+            return false;
+        }
+        let roster = VmRoster { revision: current.revision + 1, vms };
+        self.take_roster(roster, now, out)
+    }
+
     /// Sets the pause between two reads of the VM list.
     pub fn set_roster_period(&mut self, period: Duration) {
         self.roster_period = period;
@@ -103,7 +170,9 @@
     pub fn become_ready(&mut self, now: MonotonicTime) -> bool {
         let asked = self.view.has_asked_all() || now.since(self.started) >= START_GRACE;
         let (revision, digest) = self.highest_heard;
+        let asked = asked && (self.seeds.is_empty() || self.seeds_asked > 0);
         let ready = self.ledger.in_force().is_some()
+            && (!self.needs_directory || self.directory > 0)
             && self.history.current().revision > 0
             && asked
             && !self.ledger.wants(revision, digest);
@@ -185,12 +254,17 @@
         }
         let changed = before != self.ledger.position();
         if changed {
-            let partners = self.view.random_partners(EAGER_PARTNERS);
-            self.exchange_with(partners, out);
+            self.tell_at_once(out);
         }
         changed
     }
 
+    /// Exchanges heartbeats with a few peers at once, because there is news.
+    pub fn tell_at_once(&mut self, out: &mut Vec<Command>) {
+        let partners = self.view.random_partners(EAGER_PARTNERS);
+        self.exchange_with(partners, out);
+    }
+
     /// Takes a VM list; returns whether it is in use now.
     pub fn take_roster(
         &mut self,
@@ -305,14 +379,15 @@
     pub fn drain_window(&self) -> Duration {
         let hold = self.ledger.in_force();
         let hold = hold.map_or(Duration::ZERO, |each| each.declarations.deployment().address_hold);
-        hold + self.view.period() * 4
+        let kept = if self.needs_directory { hold * HOLD_FACTOR } else { hold };
+        kept + self.view.period() * 4
     }
 
     /// Exchanges heartbeats with `partners`.
     pub fn exchange_with(&mut self, partners: Vec<String>, out: &mut Vec<Command>) {
         let position = self.ledger.position();
         for vm in partners {
-            let message = Box::new(self.view.message(&vm, position));
+            let message = Box::new(self.view.message(&vm, position, self.directory));
             out.push(Command::Exchange { vm, message });
         }
     }
@@ -322,7 +397,9 @@
         pause.mul_f64(self.random.random_range(0.75..=1.0))
     }
 
-    fn is_reader(&self) -> bool {
+    /// Whether this daemon reads the platform for its availability zone.
+    #[must_use]
+    pub fn is_reader(&self) -> bool {
         let own = &self.view.own().instance.vm;
         let weight = |vm: &str| stable_hash(&["configuration reader", vm]);
         let usable = |vm: &str| {
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -4,12 +4,14 @@
 mod core_state;
 mod daemon_core;
 mod daemon_event;
+mod directory_state;
 mod fleet_state;
+mod piece_flow;
 mod request_flow;
 mod state_dump;
 
 pub use command::{Command, CounterName, StateChange, TimerKey};
-pub use core_state::DaemonCoreBuilder;
+pub use core_state::{DaemonCoreBuilder, PublishedFleet};
 pub use daemon_core::DaemonCore;
 pub use daemon_event::DaemonEvent;
 pub use fleet_state::FleetState;
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -0,0 +1,114 @@
+use super::core_state::CoreState;
+use super::{Command, CounterName};
+use crate::batching::{BatchId, BatchOutcome, DeskStep, DispatcherChoice};
+use crate::identity::{AttemptId, MonotonicTime};
+use crate::pipeline::{AttemptEvent, PieceFault, PieceOrder, PlacedResult, ShardStep};
+use crate::sync::lock;
+
+impl CoreState {
+    /// Has the pieces of a step made by the dispatcher of their pool.
+    pub(super) fn offer_pieces(
+        &self,
+        order: PieceOrder,
+        tried: &[String],
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let vm = {
+            let fleet = lock(&self.fleet);
+            let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
+            choice.dispatcher(&order.pool, tried).to_owned()
+        };
+        if vm == self.own.vm {
+            self.dispatch_pieces(order, now, steps, out);
+        } else {
+            out.push(Command::SendPieces { vm, order: Box::new(order) });
+        }
+    }
+
+    /// Takes pieces as the dispatcher of their pool.
+    pub(super) fn dispatch_pieces(
+        &self,
+        order: PieceOrder,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let mut desk_steps = Vec::new();
+        lock(&self.desk).offer(order, now, &mut desk_steps);
+        self.run_desk(desk_steps, now, steps, out);
+    }
+
+    /// Takes the end of a call of a batched upstream.
+    pub(super) fn batch_ended(
+        &self,
+        batch: BatchId,
+        outcome: BatchOutcome,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let mut desk_steps = Vec::new();
+        lock(&self.desk).answered(batch, outcome, now, &mut desk_steps);
+        self.run_desk(desk_steps, now, steps, out);
+    }
+
+    /// Lets time pass for the pieces that wait here.
+    pub(super) fn turn_desk(
+        &self,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let mut desk_steps = Vec::new();
+        lock(&self.desk).turn(now, &mut desk_steps);
+        self.run_desk(desk_steps, now, steps, out);
+    }
+
+    /// Carries out what the desk wants.
+    pub(super) fn run_desk(
+        &self,
+        desk_steps: Vec<DeskStep>,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        for step in desk_steps {
+            match step {
+                DeskStep::Call(order) => {
+                    out.push(Command::Count(CounterName::BatchCalls));
+                    out.extend(
+                        order.items.iter().map(|_| Command::Count(CounterName::BatchPieces)),
+                    );
+                    out.push(Command::CallBatch(order));
+                }
+                DeskStep::Cancel(batch) => out.push(Command::CancelBatch(batch)),
+                DeskStep::Settle { attempt, outcome } => {
+                    self.settle(attempt, outcome, now, steps, out);
+                }
+                DeskStep::Free(results) => out.push(Command::FreeResults(results)),
+            }
+        }
+    }
+
+    /// Tells whoever offered pieces what became of them.
+    fn settle(
+        &self,
+        attempt: AttemptId,
+        outcome: Result<Vec<PlacedResult>, PieceFault>,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        if attempt.incarnation != self.own.incarnation {
+            out.push(Command::AnswerPieces { attempt, outcome });
+            return;
+        }
+        let event = match outcome {
+            Ok(results) => AttemptEvent::PiecesMade(results),
+            Err(fault) => AttemptEvent::PiecesFailed(fault),
+        };
+        self.shard(attempt.call.0).attempt_event(attempt, event, now, steps);
+    }
+}
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -33,23 +33,25 @@
     ) {
         let mut steps = Vec::new();
         let key = request.key.clone();
-        if !request.repeatable && self.shard(call.0).join(call, &key, now, &mut steps) {
+        let claimed = !request.repeatable && request.forward().is_none();
+        if claimed && self.shard(call.0).join(call, &key, now, &mut steps) {
             self.run_steps(steps, now, out);
             return;
         }
         let basis = self.basis();
         let Some(declarations) = &basis.declarations else {
             let refusal = refusal(&key, RefusalReason::NotReady, READY_RETRY);
-            let age = (!request.repeatable).then_some(request.age);
+            let age = claimed.then_some(request.age);
             self.refuse(call, key, age, refusal, now, out);
             return;
         };
-        let (repeatable, age) = (request.repeatable, request.age);
+        let (forwarded, age) = (request.forward().is_some(), request.age);
+        let repeatable = request.repeatable || forwarded;
         match self.admit(request, declarations, now) {
-            Ok(plan) if plan.repeatable => self.shard(call.0).start(call, plan, now, &mut steps),
+            Ok(plan) if !plan.claimed => self.shard(call.0).start(call, plan, now, &mut steps),
             Ok(plan) => self.start_claimed(call, plan, now, &mut steps),
             Err((refusal, repeatable_there)) => {
-                let age = (!repeatable || !repeatable_there).then_some(age);
+                let age = (!repeatable || !(repeatable_there || forwarded)).then_some(age);
                 self.refuse(call, key, age, refusal, now, out);
             }
         }
@@ -159,12 +161,13 @@
             RequestPlan::make(request, declarations, now).map_err(|refusal| (refusal, true))?;
         let repeatable = plan.repeatable;
         // A request that can't end in time is refused before it takes anything from those that can.
-        let needed = self.router().estimate(plan.pipeline.plan.steps(), plan.level);
+        let needed = self.router().estimate(&plan.pipeline.plan, plan.level);
         if now + needed > plan.deadline {
             let retry = needed.saturating_sub(plan.request.deadline).max(LIMIT_RETRY);
             return Err((refusal(&key, RefusalReason::Overload, retry), repeatable));
         }
-        let admitted = lock(&self.gate).admit(declarations, &key.workspace, &plan.labels);
+        let workspace = &plan.request.key.workspace;
+        let admitted = lock(&self.gate).admit(declarations, workspace, &plan.labels);
         plan.permit =
             admitted.map_err(|reason| (refusal(&key, reason, LIMIT_RETRY), repeatable))?;
         Ok(plan)
@@ -281,7 +284,7 @@
                 self.acquire(request, RefusalReason::NoUpstream, now, &mut steps);
             }
             ShardStep::Retry { request, reason } => {
-                if self.router().allow_retry(&request) {
+                if self.router().allow_retry(&request, now) {
                     out.push(Command::Count(CounterName::Retries));
                     self.acquire(request, reason, now, &mut steps);
                 } else {
@@ -290,8 +293,19 @@
                 }
             }
             ShardStep::Withdraw(request) => self.router().withdraw(&request),
-            ShardStep::Release { upstream, report } => {
-                steps = self.run_grants(self.router().release(&upstream, report, now), now);
+            ShardStep::Release { upstream, call, report } => {
+                steps = self.run_grants(self.router().release(&upstream, call, report, now), now);
+            }
+            ShardStep::Flowing { upstream, call } => self.router().flowing(&upstream, call),
+            ShardStep::FreeResults(results) => out.push(Command::FreeResults(results)),
+            ShardStep::OfferPieces { order, tried } => {
+                self.offer_pieces(*order, &tried, now, &mut steps, out);
+            }
+            ShardStep::WithdrawPieces { attempt, pool } => {
+                let mut desk_steps = Vec::new();
+                lock(&self.desk).withdraw(attempt, &pool, &mut desk_steps);
+                self.run_desk(desk_steps, now, &mut steps, out);
+                out.push(Command::CancelPieces(attempt));
             }
             ShardStep::GiveBack(permit) => lock(&self.gate).release(&permit),
             ShardStep::Register(register) => self.ask_witness(register, now, &mut steps, out),
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -47,6 +47,8 @@
     pub keys: usize,
     /// Attempts that wait, by stage.
     pub waiting: Vec<(String, usize)>,
+    /// Pieces that wait for calls of batched upstreams, by pool.
+    pub waiting_pieces: Vec<(String, usize)>,
     /// Upstreams.
     pub upstreams: Vec<UpstreamSummary>,
 }
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -9,11 +9,13 @@
 //! * [`claims`]: at most one run per key, and honest answers about it.
 //! * [`tickets`]: proof of a request's age by the clock of one process.
 //! * [`admission`]: limits on what runs at one time.
+//! * [`batching`]: calls that pieces of many requests share.
 //! * [`routing`]: which upstream gets an attempt.
 //! * [`orders`]: what model engines must hold, and who tells them.
 //! * [`retry`]: when an attempt may be repeated.
 //! * [`pipeline`]: the life of one request through its stages.
 //! * [`sync`]: the one way of taking a lock.
+//! * [`wire`]: conversions from and to messages between daemons.
 //! * [`daemon`]: all of it behind one pair of events and commands.
 //!
 //! # Examples
@@ -30,6 +32,7 @@
 #![warn(missing_docs)]
 
 pub mod admission;
+pub mod batching;
 pub mod claims;
 pub mod configuration;
 pub mod daemon;
@@ -41,6 +44,6 @@
 pub mod routing;
 pub mod sync;
 pub mod tickets;
-mod wire;
+pub mod wire;
 
-pub use daemon::{DaemonCore, DaemonCoreBuilder};
+pub use daemon::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
--- a/crates/crocusdale_core/src/membership/exchange_message.rs
+++ b/crates/crocusdale_core/src/membership/exchange_message.rs
@@ -27,4 +27,6 @@
     pub leaving: Vec<InstanceId>,
     /// Upstreams that are leaving.
     pub leaving_upstreams: Vec<LeavingUpstream>,
+    /// Revision of the last change of the published upstreams that the sender knows, 0 for none.
+    pub directory: u64,
 }
--- a/crates/crocusdale_core/src/membership/member_record.rs
+++ b/crates/crocusdale_core/src/membership/member_record.rs
@@ -1,4 +1,6 @@
-use serde::Serialize;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
 
 use crate::identity::InstanceId;
 
@@ -38,6 +40,19 @@
     pub refutation: u32,
     /// What is believed.
     pub status: MemberStatus,
+    /// Where it is, if no VM list tells.
+    pub place: Option<MemberPlace>,
+}
+
+/// Where a member is and listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberPlace {
+    /// Availability zone.
+    pub zone: String,
+    /// Where it listens for callers.
+    pub caller: SocketAddr,
+    /// Where it listens for other daemons.
+    pub peer: SocketAddr,
 }
 
 impl MemberRecord {
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -5,7 +5,10 @@
 use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use rand::{Rng as _, SeedableRng as _};
 
-use super::{ExchangeMessage, LeavingUpstream, MemberRecord, MemberStatus, VmRoster};
+use super::{
+    ExchangeMessage, LeavingUpstream, MemberPlace, MemberRecord, MemberStatus, VmEntry, VmRole,
+    VmRoster, VmState,
+};
 use crate::identity::{InstanceId, MonotonicTime};
 
 /// Partners of one period.
@@ -18,6 +21,9 @@
 const LEAVING_LIMIT: usize = 16;
 /// Messages that carry each piece of news, times the logarithm of the fleet's size.
 const SPREAD_FACTOR: u32 = 3;
+/// Time after which an unreachable member that no VM list names is forgotten. A VM that was off for
+/// longer is found again through the seeds.
+const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Periods between two attempts to reach an unreachable member.
 const UNREACHABLE_PACE: u64 = 4;
 
@@ -57,6 +63,7 @@
 #[derive(Debug)]
 pub struct MemberViewBuilder {
     own: InstanceId,
+    place: Option<MemberPlace>,
     period: Duration,
     suspicion: Duration,
     seed: u64,
@@ -67,7 +74,14 @@
     #[must_use]
     pub fn new(own: InstanceId) -> Self {
         let (period, suspicion) = (Duration::from_millis(500), Duration::from_secs(2));
-        Self { own, period, suspicion, seed: 0 }
+        Self { own, place: None, period, suspicion, seed: 0 }
+    }
+
+    /// Sets where this daemon is. Without a VM list, members tell each other where they are.
+    #[must_use]
+    pub fn place(mut self, place: MemberPlace) -> Self {
+        self.place = Some(place);
+        self
     }
 
     /// Sets the pause between two heartbeats.
@@ -95,7 +109,12 @@
     #[must_use]
     pub fn build(self) -> MemberView {
         MemberView {
-            own: MemberRecord { instance: self.own, refutation: 0, status: MemberStatus::Starting },
+            own: MemberRecord {
+                instance: self.own,
+                refutation: 0,
+                status: MemberStatus::Starting,
+                place: self.place,
+            },
             own_leaving: false,
             period: self.period,
             suspicion: self.suspicion,
@@ -175,7 +194,12 @@
     }
 
     /// Builds this daemon's half of an exchange with `partner`.
-    pub fn message(&mut self, partner: &str, position: (u64, u64)) -> ExchangeMessage {
+    pub fn message(
+        &mut self,
+        partner: &str,
+        position: (u64, u64),
+        directory: u64,
+    ) -> ExchangeMessage {
         let mut records = Vec::new();
         // A partner must learn that it is suspected, or it can't refute.
         let about_partner = self.peers.get(partner).and_then(|peer| peer.record.as_ref());
@@ -196,6 +220,7 @@
             records,
             leaving: self.spend_leaving(),
             leaving_upstreams: self.spend_leaving_upstreams(),
+            directory,
         }
     }
 
@@ -279,6 +304,45 @@
         self.peers.len()
     }
 
+    /// Members that told where they are, this daemon among them, as a VM list would show them.
+    #[must_use]
+    pub fn places(&self) -> Vec<VmEntry> {
+        let told = |record: &MemberRecord| {
+            let place = record.place.as_ref()?;
+            Some(VmEntry {
+                name: record.instance.vm.clone(),
+                zone: place.zone.clone(),
+                role: VmRole::Entry,
+                state: VmState::Live,
+                peer: Some(place.peer),
+                caller: Some(place.caller),
+                operator: None,
+            })
+        };
+        let mut places: Vec<VmEntry> = self.records().chain([&self.own]).filter_map(told).collect();
+        places.sort_by(|left, right| left.name.cmp(&right.name));
+        places
+    }
+
+    /// Forgets members that have been unreachable for long, if no VM list names them.
+    pub fn forget_lost(&mut self, now: MonotonicTime) {
+        if self.own.place.is_none() {
+            return;
+        }
+        let lost = |peer: &PeerState| {
+            let unreachable = peer.record.as_ref().map(|record| record.status);
+            unreachable == Some(MemberStatus::Unreachable) && now.since(peer.since) > FORGET_AFTER
+        };
+        self.peers.retain(|_, peer| !lost(peer));
+    }
+
+    /// Number of peers that are believed to live.
+    #[must_use]
+    pub fn alive_count(&self) -> usize {
+        let alive = |record: &&MemberRecord| record.status == MemberStatus::Alive;
+        self.records().filter(alive).count()
+    }
+
     /// Whether any peer was heard since `since`.
     #[must_use]
     pub fn heard_since(&self, since: MonotonicTime) -> bool {
@@ -297,6 +361,12 @@
             return;
         }
         let spread = self.spread();
+        let newcomer = self.own.place.is_some() && record.place.is_some();
+        let forgotten = record.status == MemberStatus::Unreachable;
+        if newcomer && !forgotten && !self.peers.contains_key(&record.instance.vm) {
+            self.peers.insert(record.instance.vm.clone(), PeerState::unknown(now));
+            self.order.clear();
+        }
         let Some(peer) = self.peers.get_mut(&record.instance.vm) else { return };
         if peer.record.as_ref().is_none_or(|known| record.is_newer_than(known)) {
             peer.record = Some(record.clone());
--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -2,7 +2,7 @@
 
 use serde_json::value::RawValue;
 
-use super::StreamLine;
+use super::{PlacedResult, ResultHandle, StreamLine};
 use crate::identity::{AttemptId, MonotonicTime};
 
 /// One call of an upstream, to be carried out.
@@ -29,9 +29,76 @@
     pub expires: MonotonicTime,
 }
 
+/// One pass of a caller's own request to an upstream.
+#[derive(Clone, Debug)]
+pub struct RelayOrder {
+    /// Identity of the attempt.
+    pub attempt: AttemptId,
+    /// Name of the upstream; whoever else listens at its address must not run the request.
+    pub upstream: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Workspace of the caller, if it showed an access key.
+    pub workspace: Option<String>,
+    /// Results of the batched steps that no other batched step needs.
+    pub inputs: Vec<ResultHandle>,
+    /// Priority level, 0 is the most urgent.
+    pub level: u8,
+    /// Whether a connection of its own must be used, see [`AttemptOrder::fresh`].
+    pub fresh: bool,
+    /// Time after which the request must not be written any more.
+    pub expires: MonotonicTime,
+}
+
+/// What the head of an upstream's answer says of a forwarded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Whether the upstream ran the request.
+    pub proof: RunProof,
+}
+
+impl AnswerHead {
+    /// Whether the answer is a success.
+    #[must_use]
+    pub fn is_success(self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// Whether an upstream ran a forwarded request, by its own word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum RunProof {
+    /// It ran, or may have.
+    Ran,
+    /// It did not run: the upstream has no room, or no time.
+    Declined,
+    /// It did not run: another process listens at the address.
+    WrongProcess,
+    /// It did not run: a result that it needs no longer exists.
+    InputGone,
+    /// It did not run: the upstream found fault with the request itself.
+    Malformed,
+}
+
 /// What an upstream did about an attempt.
 #[derive(Clone, Debug)]
 pub enum AttemptEvent {
+    /// The head of the answer to a forwarded request came, and for an answer that is no stream its
+    /// whole body; it waits for [`crate::daemon::Command::PassOn`].
+    Headed(AnswerHead),
+    /// The forwarded answer was passed on to its end.
+    Passed,
+    /// The first event of a forwarded stream was passed on.
+    Flowing,
+    /// All pieces of a batched step have results.
+    PiecesMade(Vec<PlacedResult>),
+    /// Pieces of a batched step have no results, and the dispatcher has given them up.
+    PiecesFailed(PieceFault),
+    /// The dispatcher of pieces can't be reached, or has ended.
+    DispatcherLost(String),
     /// No byte of the call was written.
     NotSent,
     /// The head of an answer came, from the process `life`.
@@ -74,3 +141,17 @@
     /// The answer was larger than what is read.
     TooLarge,
 }
+
+/// Why pieces of a batched step have no results.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum PieceFault {
+    /// Their time was over before their turn came.
+    Late,
+    /// A result that they need no longer exists.
+    InputGone,
+    /// Upstreams failed them more often than the retry budget allows.
+    Failed,
+    /// The pool has no upstreams.
+    NoUpstream,
+}
--- a/crates/crocusdale_core/src/pipeline/caller_request.rs
+++ b/crates/crocusdale_core/src/pipeline/caller_request.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use super::{FinalOutcome, OutcomeKind, RefusalReason};
+use super::{FinalOutcome, ForwardHead, OutcomeKind, RefusalReason};
 use crate::configuration::LabelSet;
 use crate::identity::RequestKey;
 
@@ -57,7 +57,27 @@
     /// Ticket of this daemon.
     pub ticket: Option<String>,
     /// What the stages work on.
-    pub payload: Box<RawValue>,
+    pub content: RequestContent,
+}
+
+/// What the stages of a request work on.
+#[derive(Clone, Debug)]
+pub enum RequestContent {
+    /// JSON, which each stage gets.
+    Json(Box<RawValue>),
+    /// A request that is passed through as it came; only its head is known here.
+    Forward(Box<ForwardHead>),
+}
+
+impl CallerRequest {
+    /// The head of a request that is passed through.
+    #[must_use]
+    pub fn forward(&self) -> Option<&ForwardHead> {
+        match &self.content {
+            RequestContent::Json(_) => None,
+            RequestContent::Forward(head) => Some(head),
+        }
+    }
 }
 
 impl TryFrom<SubmittedRequest> for CallerRequest {
@@ -89,7 +109,7 @@
             stream: wire.stream,
             age: Duration::from_millis(wire.age_ms),
             ticket: wire.ticket,
-            payload: wire.payload,
+            content: RequestContent::Json(wire.payload),
         })
     }
 }
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -64,6 +64,10 @@
     BadDeadline,
     /// No pipeline serves these labels.
     NoPipeline,
+    /// No pipeline serves this path.
+    NoRoute,
+    /// The access key is missing or unknown.
+    NoAccess,
     /// The daemon has no configuration yet.
     NotReady,
     /// Too many requests run in this daemon.
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -1,10 +1,14 @@
 //! The life of one request through its stages.
 
 mod attempt;
+mod branch_run;
 mod caller_request;
+mod event_sequence;
 mod final_answer;
+mod forward_head;
 mod key_inquiry;
 mod key_memory;
+mod piece_order;
 mod request_plan;
 mod request_run;
 mod request_shard;
@@ -12,10 +16,15 @@
 mod shard_step;
 mod stream_assembler;
 
-pub use attempt::{AttemptEvent, AttemptOrder, BreakReason};
-pub use caller_request::{CallerRequest, KEY_LIMIT, SubmittedRequest};
+pub use attempt::{
+    AnswerHead, AttemptEvent, AttemptOrder, BreakReason, PieceFault, RelayOrder, RunProof,
+};
+pub use caller_request::{CallerRequest, KEY_LIMIT, RequestContent, SubmittedRequest};
+pub use event_sequence::{EventSequence, EventVerdict};
 pub use final_answer::{FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason, StageCost};
+pub use forward_head::{EngineDemand, ForwardHead, PromptPart, ResultHandle};
 pub use key_inquiry::{HolderReply, InquiryStep, KeyInquiry};
+pub use piece_order::{PieceOrder, PieceSource, PlacedResult};
 pub use request_plan::RequestPlan;
 pub use request_run::RequestRun;
 pub use request_shard::{InquiryBasis, RequestShard};
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -1,10 +1,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{CallerRequest, FinalOutcome, OutcomeKind, RefusalReason};
+use super::{CallerRequest, FinalOutcome, ForwardHead, OutcomeKind, RefusalReason, RequestContent};
 use crate::admission::AdmissionPermit;
-use crate::configuration::{Declarations, LabelSet, PipelineRules, StageRules};
-use crate::identity::MonotonicTime;
+use crate::configuration::{
+    Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind, StageRules, StepWork,
+    WeightedPool, WorkspaceRules,
+};
+use crate::identity::{MonotonicTime, RequestKey};
+
+/// Time that a forwarded request takes to its answer before anything was learned of its pool.
+const FIRST_ANSWER: Duration = Duration::from_millis(250);
+/// Largest deadline that is counted, so that sums of times can't overflow.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3_600);
 
 /// A request with all that the declarations say about it.
 #[derive(Clone, Debug)]
@@ -19,12 +27,17 @@
     pub labels: LabelSet,
     /// Priority level, 0 is the most urgent.
     pub level: u8,
+    /// Time by which the answer, or the first event of a stream, should come.
+    pub objective: MonotonicTime,
     /// Time after which nothing is dispatched for it.
     pub deadline: MonotonicTime,
     /// Time until which its witnesses remember its key.
     pub provable_until: MonotonicTime,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Whether witnesses keep its key. A forwarded request is bound to the one daemon that read
+    /// it: its caller names each try anew.
+    pub claimed: bool,
     /// Its place under the limits.
     pub permit: AdmissionPermit,
 }
@@ -40,29 +53,89 @@
         declarations: &Arc<Declarations>,
         now: MonotonicTime,
     ) -> Result<Self, Box<FinalOutcome>> {
-        let refuse = |reason, detail: String| {
-            let refusal = FinalOutcome::new(OutcomeKind::Refused, &request.key);
-            Err(Box::new(refusal.reason(reason).detail(detail)))
-        };
+        match &request.content {
+            RequestContent::Json(_) => Self::make_labelled(request, declarations, now),
+            RequestContent::Forward(head) => {
+                let head = head.clone();
+                Self::make_forwarded(request, &head, declarations, now)
+            }
+        }
+    }
+
+    fn make_labelled(
+        request: CallerRequest,
+        declarations: &Arc<Declarations>,
+        now: MonotonicTime,
+    ) -> Result<Self, Box<FinalOutcome>> {
         let Some(workspace) = declarations.workspace(&request.key.workspace) else {
             let detail = format!("workspace {} is not declared", request.key.workspace);
-            return refuse(RefusalReason::UnknownWorkspace, detail);
+            return refuse(&request.key, RefusalReason::UnknownWorkspace, detail);
         };
         let labels = request.labels.or(&workspace.labels);
         let longest = longest_deadline(declarations, &labels);
         if request.deadline.is_zero() || request.deadline > longest {
             let detail = format!("deadline_ms: accepted: 1 to {}", longest.as_millis());
-            return refuse(RefusalReason::BadDeadline, detail);
+            return refuse(&request.key, RefusalReason::BadDeadline, detail);
         }
         let Some(pipeline) = declarations.pipeline_for(&labels) else {
-            return refuse(RefusalReason::NoPipeline, "no pipeline serves these labels".into());
+            let detail = "no pipeline serves these labels";
+            return refuse(&request.key, RefusalReason::NoPipeline, detail);
         };
+        let repeatable = request.repeatable && pipeline.repeatable;
         Ok(Self {
             pipeline: pipeline.clone(),
             level: declarations.level_for(&labels),
+            objective: now + request.deadline,
             deadline: now + request.deadline,
             provable_until: now + declarations.deployment().key_life.saturating_sub(request.age),
-            repeatable: request.repeatable && pipeline.repeatable,
+            repeatable,
+            claimed: !repeatable,
+            permit: AdmissionPermit::default(),
+            declarations: Arc::clone(declarations),
+            labels,
+            request,
+        })
+    }
+
+    fn make_forwarded(
+        mut request: CallerRequest,
+        head: &ForwardHead,
+        declarations: &Arc<Declarations>,
+        now: MonotonicTime,
+    ) -> Result<Self, Box<FinalOutcome>> {
+        let found = declarations.route(&head.host, &head.path);
+        let Some((pipeline, forward)) = found.and_then(|each| Some((each, each.forward.as_ref()?)))
+        else {
+            return refuse(&request.key, RefusalReason::NoRoute, "no pipeline serves this path");
+        };
+        let workspace = if forward.public || !declarations.needs_access() {
+            None
+        } else {
+            let known =
+                head.access.as_deref().and_then(|key| declarations.workspace_of_access(key));
+            let Some(workspace) = known else {
+                let detail = "the access key is missing or unknown";
+                return refuse(&request.key, RefusalReason::NoAccess, detail);
+            };
+            Some(workspace)
+        };
+        let rules = workspace.and_then(|name| declarations.workspace(name));
+        let wait = request.deadline.min(forward.timeout).min(LONGEST_DEADLINE);
+        let level = rules.and_then(|rules| rules.level).unwrap_or(forward.level);
+        let labels = rules.map(|rules: &WorkspaceRules| rules.labels.clone()).unwrap_or_default();
+        let objective = now + forward.objective;
+        let repeatable = pipeline.repeatable;
+        let mut pipeline = pipeline.clone();
+        pipeline.plan = pipeline.plan.with_pool(draw_pool(forward, &request.key));
+        request.key.workspace = workspace.unwrap_or_default().to_owned();
+        Ok(Self {
+            pipeline,
+            level,
+            objective,
+            deadline: now + wait,
+            provable_until: now,
+            repeatable,
+            claimed: false,
             permit: AdmissionPermit::default(),
             declarations: Arc::clone(declarations),
             labels,
@@ -79,6 +152,64 @@
     pub fn stage(&self, stage: &str) -> &StageRules {
         self.declarations.stage(stage).expect("a checked pipeline names declared stages")
     }
+
+    /// What holds if the request is passed through.
+    #[must_use]
+    pub fn forward(&self) -> Option<&ForwardRules> {
+        self.pipeline.forward.as_ref()
+    }
+
+    /// Number of pieces of the batched step at `position`.
+    #[must_use]
+    pub fn pieces(&self, position: usize) -> u32 {
+        let pieces = self.request.forward().and_then(|head| head.pieces.get(position));
+        pieces.copied().unwrap_or(1)
+    }
+
+    /// Time that `step` should take if nothing waits.
+    #[must_use]
+    pub fn step_time(&self, position: usize, step: &PlanStep) -> Duration {
+        match (step.work, self.stage(&step.stage).kind) {
+            (StepWork::Batched { .. }, PoolKind::Batch(rules)) => match self.pieces(position) {
+                0 => Duration::ZERO,
+                // A call is shared: on the whole it is half full.
+                pieces => rules.expected(pieces.max(rules.pieces / 2)),
+            },
+            (StepWork::Forward, PoolKind::Engine(_)) => FIRST_ANSWER,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Time by which the step at `position` should end for the request to meet its objective.
+    #[must_use]
+    pub fn due(&self, position: usize) -> MonotonicTime {
+        let plan = &self.pipeline.plan;
+        let after = plan.way_after(position, |step, position| self.step_time(position, step));
+        let since_start = self.objective.since_start().saturating_sub(after);
+        MonotonicTime::from_start(since_start)
+    }
+}
+
+fn refuse<T>(
+    key: &RequestKey,
+    reason: RefusalReason,
+    detail: impl Into<String>,
+) -> Result<T, Box<FinalOutcome>> {
+    let refusal = FinalOutcome::new(OutcomeKind::Refused, key);
+    Err(Box::new(refusal.reason(reason).detail(detail)))
+}
+
+/// Draws the pool of a request by the shares of the pools; the same request draws the same one.
+fn draw_pool<'a>(forward: &'a ForwardRules, key: &RequestKey) -> &'a str {
+    let total: u64 = forward.pools.iter().map(|pool| u64::from(pool.weight)).sum();
+    let mut left = key.stable_hash() % total.max(1);
+    let drawn = forward.pools.iter().find(|pool| {
+        let weight = u64::from(pool.weight);
+        let hit = left < weight;
+        left = left.saturating_sub(weight);
+        hit
+    });
+    drawn.or(forward.pools.last()).map_or("", |pool: &WeightedPool| pool.pool.as_str())
 }
 
 fn longest_deadline(declarations: &Declarations, labels: &LabelSet) -> Duration {
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -104,7 +104,7 @@
         matches!(self.keys.get(key), Some(KeyUse::GivenUp))
     }
 
-    /// Begins a repeatable request.
+    /// Begins a request whose key no witness keeps.
     pub fn start(
         &mut self,
         call: CallId,
@@ -112,7 +112,7 @@
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) {
-        debug_assert!(plan.repeatable);
+        debug_assert!(!plan.claimed);
         steps.push(set_timer(TimerKey::Deadline(call), plan.deadline));
         let mut run = RequestRun::new(call, self.own.incarnation, plan);
         run.begin(now, steps);
@@ -211,7 +211,7 @@
             }
             None => {
                 let report = AttemptReport::Cancelled;
-                steps.push(ShardStep::Release { upstream: grant.upstream, report });
+                steps.push(ShardStep::Release { upstream: grant.upstream, call, report });
             }
         }
     }
@@ -225,8 +225,8 @@
         steps: &mut Vec<ShardStep>,
     ) {
         if let Some(active) = self.runs.get_mut(&call) {
-            let end = active.run.denied(reason, steps);
-            self.finish_run(call, end, now, steps);
+            let end = active.run.denied(reason, now, steps);
+            self.finish_if(call, end, now, steps);
         }
     }
 
@@ -289,8 +289,8 @@
     /// The caller is gone: repeatable work is given up, what it held is freed; a not repeatable
     /// request goes on, and its outcome can be asked for.
     pub fn abandon(&mut self, call: CallId, now: MonotonicTime, steps: &mut Vec<ShardStep>) {
-        let repeatable = self.runs.get(&call).is_some_and(|active| active.run.plan().repeatable);
-        if repeatable {
+        let ends = self.runs.get(&call).is_some_and(|active| !active.run.outlives_caller());
+        if ends {
             steps.push(ShardStep::Command(Command::Count(CounterName::CallersGone)));
             self.end_run(call, RefusalReason::Deadline, now, steps);
         }
@@ -396,7 +396,7 @@
             self.give_up_claim(call, now, steps);
             return;
         }
-        let end = active.run.end(reason, steps);
+        let end = active.run.end(reason, now, steps);
         self.finish_run(call, end, now, steps);
     }
 
@@ -422,7 +422,7 @@
         let Some(active) = self.runs.remove(&call) else { return };
         let plan = active.run.plan();
         steps.push(ShardStep::GiveBack(plan.permit.clone()));
-        if !plan.repeatable {
+        if plan.claimed {
             let key = plan.request.key.clone();
             for witness in active.witnesses.iter().flat_map(WitnessSet::vms) {
                 let (key, body) = (key.clone(), answer.body.clone());
--- a/crates/crocusdale_core/src/pipeline/shard_step.rs
+++ b/crates/crocusdale_core/src/pipeline/shard_step.rs
@@ -1,8 +1,8 @@
 use crate::admission::AdmissionPermit;
 use crate::daemon::Command;
-use crate::identity::{CallId, RequestKey};
+use crate::identity::{AttemptId, CallId, RequestKey};
 use crate::membership::WitnessSet;
-use crate::pipeline::RefusalReason;
+use crate::pipeline::{PieceOrder, RefusalReason, ResultHandle};
 use crate::routing::{AttemptReport, SlotRequest};
 
 /// What a shard of requests asks of the other parts of the core.
@@ -25,9 +25,34 @@
     Release {
         /// Upstream of the attempt.
         upstream: String,
+        /// Call that the attempt served.
+        call: CallId,
         /// How it ended.
         report: AttemptReport,
     },
+    /// Have the pieces of a batched step made; a dispatcher that failed them before is left out.
+    OfferPieces {
+        /// The pieces.
+        order: Box<PieceOrder>,
+        /// Dispatchers that were tried.
+        tried: Vec<String>,
+    },
+    /// Pieces are no longer wanted.
+    WithdrawPieces {
+        /// Attempt that they were for.
+        attempt: AttemptId,
+        /// Their pool.
+        pool: String,
+    },
+    /// Results are no longer wanted.
+    FreeResults(Vec<ResultHandle>),
+    /// A forwarded request has got the first event of its answer.
+    Flowing {
+        /// Upstream that answers.
+        upstream: String,
+        /// Its call.
+        call: CallId,
+    },
     /// A request ended.
     GiveBack(AdmissionPermit),
     /// Ask one witness.
--- a/crates/crocusdale_core/src/retry/mod.rs
+++ b/crates/crocusdale_core/src/retry/mod.rs
@@ -2,4 +2,4 @@
 
 mod retry_budget;
 
-pub use retry_budget::RetryBudget;
+pub use retry_budget::{RetryBudget, RetryLimits};
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -1,9 +1,13 @@
 //! Which upstream gets an attempt.
 
+mod engine_load;
 mod stage_pool;
+mod upstream_directory;
 mod upstream_router;
 mod upstream_state;
 
+pub use engine_load::EngineLoad;
 pub use stage_pool::{SlotRequest, StagePool};
+pub use upstream_directory::{DirectoryChange, DirectoryEntry, UpstreamDirectory};
 pub use upstream_router::{SlotGrant, UpstreamRouter};
 pub use upstream_state::{AttemptReport, UpstreamState, UpstreamSummary};
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::identity::{CallId, MonotonicTime};
+use crate::pipeline::EngineDemand;
 use crate::retry::RetryBudget;
 
 /// Attempts that one pool lets wait at most.
@@ -25,6 +27,10 @@
     pub deadline: MonotonicTime,
     /// Upstreams that already failed it.
     pub tried: Vec<String>,
+    /// What it asks of a model engine.
+    pub demand: Option<Arc<EngineDemand>>,
+    /// Zone in which its inputs lie.
+    pub zone: Option<String>,
 }
 
 /// What waits for one pool, most urgent first.
--- /dev/null
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -0,0 +1,183 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::identity::MonotonicTime;
+
+/// One process of an upstream, as the platform publishes it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryEntry {
+    /// Identity of the process; unlike that of any other.
+    pub id: String,
+    /// Pool that it belongs to.
+    pub pool: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests that it takes at one time.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+}
+
+/// A change of the published list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// An upstream was published.
+    Put(DirectoryEntry),
+    /// The upstream with this identity is gone.
+    Removed(String),
+}
+
+/// Upstreams that the platform publishes, as far as this daemon has read or heard.
+///
+/// Each entry keeps the revision of its last change, so that what a peer tells late never goes
+/// before what was read since.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamDirectory {
+    /// Revision up to which everything has been read.
+    revision: u64,
+    /// Revision of the last change that matters to routing.
+    changed: u64,
+    entries: BTreeMap<String, (u64, DirectoryEntry)>,
+    /// Removed upstreams with the revision of their removal.
+    removed: BTreeMap<String, u64>,
+    /// Upstreams that are missing from the list since it is back, until when they are waited for.
+    missing: BTreeMap<String, MonotonicTime>,
+}
+
+impl UpstreamDirectory {
+    /// Revision up to which everything has been read.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Revision of the last change that matters to routing.
+    #[must_use]
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// Whether the list was ever read or heard.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.revision > 0
+    }
+
+    /// Published upstreams.
+    pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
+        self.entries.values().map(|(_, entry)| entry)
+    }
+
+    /// Takes a whole list, read at `revision`. With `grace`, the list has just come back after a
+    /// time in which it could not be read, and entries may have lapsed meanwhile: what is missing
+    /// from it is waited for until then. Returns whether anything changed that matters to routing.
+    pub fn replace(
+        &mut self,
+        revision: u64,
+        entries: Vec<(u64, DirectoryEntry)>,
+        grace: Option<MonotonicTime>,
+    ) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        let known: Vec<String> = self.entries.keys().cloned().collect();
+        let mut changed = false;
+        for id in known.iter().filter(|id| entries.iter().all(|(_, entry)| entry.id != **id)) {
+            changed |= self.lose(id, revision, grace);
+        }
+        for (written, entry) in entries {
+            changed |= self.put(written, entry);
+        }
+        self.revision = revision;
+        changed
+    }
+
+    /// Takes changes, each with its revision, that were read up to `revision`; see
+    /// [`UpstreamDirectory::replace`] for `grace`. Returns whether anything changed that matters
+    /// to routing.
+    pub fn apply(
+        &mut self,
+        revision: u64,
+        changes: Vec<(u64, DirectoryChange)>,
+        grace: Option<MonotonicTime>,
+    ) -> bool {
+        let mut changed = false;
+        for (written, change) in changes {
+            changed |= match change {
+                DirectoryChange::Put(entry) => self.put(written, entry),
+                DirectoryChange::Removed(id) => self.lose(&id, written, grace),
+            };
+        }
+        self.revision = self.revision.max(revision);
+        changed
+    }
+
+    /// Drops upstreams that were waited for long enough. Returns whether there were any.
+    pub fn drop_missing(&mut self, now: MonotonicTime) -> bool {
+        let over = self.missing.iter().filter(|(_, until)| now >= **until);
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.missing.remove(id);
+            let revision = self.revision;
+            self.remove(id, revision);
+        }
+        !over.is_empty()
+    }
+
+    /// All entries with their revisions, for a peer that lacks them.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<(u64, DirectoryEntry)> {
+        self.entries.values().cloned().collect()
+    }
+
+    fn put(&mut self, written: u64, entry: DirectoryEntry) -> bool {
+        self.missing.remove(&entry.id);
+        if self.removed.get(&entry.id).is_some_and(|removed| *removed > written) {
+            return false;
+        }
+        let known = self.entries.get(&entry.id);
+        if known.is_some_and(|(revision, _)| *revision > written) {
+            return false;
+        }
+        // A process that leaves never stays after all: news from before its notice came late.
+        let leaves = known.is_some_and(|(_, known)| known.leaving);
+        let late = leaves && !entry.leaving;
+        let changed = !late && known.is_none_or(|(_, known)| *known != entry);
+        if changed {
+            self.changed = self.changed.max(written);
+        }
+        let entry = DirectoryEntry { leaving: entry.leaving || leaves, ..entry };
+        self.entries.insert(entry.id.clone(), (written, entry));
+        changed
+    }
+
+    /// An upstream is no longer published. One that had given notice is gone for good.
+    fn lose(&mut self, id: &str, revision: u64, grace: Option<MonotonicTime>) -> bool {
+        let leaving = self.entries.get(id).is_some_and(|(_, entry)| entry.leaving);
+        match grace.filter(|_| !leaving) {
+            Some(until) => {
+                if self.entries.contains_key(id) {
+                    self.missing.entry(id.to_owned()).or_insert(until);
+                }
+                false
+            }
+            None if self.missing.contains_key(id) => false,
+            None => self.remove(id, revision),
+        }
+    }
+
+    fn remove(&mut self, id: &str, revision: u64) -> bool {
+        self.removed.insert(id.to_owned(), revision);
+        let known = self.entries.get(id).is_some_and(|(written, _)| *written <= revision);
+        if known {
+            self.entries.remove(id);
+            self.missing.remove(id);
+            self.changed = self.changed.max(revision);
+        }
+        known
+    }
+}
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -7,15 +7,32 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
-use super::{AttemptReport, SlotRequest, StagePool, UpstreamState, UpstreamSummary};
-use crate::configuration::{Declarations, RoutingPolicy, UpstreamRules};
-use crate::identity::MonotonicTime;
+use super::{
+    AttemptReport, EngineLoad, SlotRequest, StagePool, UpstreamDirectory, UpstreamState,
+    UpstreamSummary,
+};
+use crate::configuration::{
+    Declarations, EngineRules, LabelSet, PoolKind, RoutingPolicy, StagePlan, StageRules,
+    UpstreamKind, UpstreamRules,
+};
+use crate::identity::{CallId, MonotonicTime, stable_hash};
 use crate::membership::{LeavingUpstream, VmRoster};
+use crate::pipeline::EngineDemand;
+use crate::retry::RetryLimits;
 use crate::sync::lock;
 
 /// Upstreams that are looked at in each zone before the whole pool is.
 const SAMPLES: usize = 2;
 
+/// Difference of backlog, in prompt tokens, below which engines count as equally busy, so that the
+/// rank of a subject decides. Reading that much takes an engine some tens of milliseconds.
+const COST_STEP: u64 = 2_048;
+/// What it costs to fetch results from another zone, in prompt tokens.
+const AWAY_COST: u64 = 2_048;
+/// What it costs to crowd an engine whose places or memory are taken, in prompt tokens: more than
+/// any prompt, so that such an engine is taken only where all are as full.
+const FULL_COST: u64 = 1 << 24;
+
 /// Retries that the baseline makes, whatever fails.
 const BLIND_RETRIES: usize = 3;
 
@@ -25,6 +42,9 @@
     zone: String,
     random: Mutex<SmallRng>,
     policy: RoutingPolicy,
+    /// Daemons that give the same upstreams work, this one among them.
+    daemons: AtomicUsize,
+    retries: RetryLimits,
     turn: AtomicUsize,
     upstreams: Vec<RoutedUpstream>,
     positions: HashMap<String, usize>,
@@ -42,6 +62,7 @@
 struct RoutedPool {
     near: Vec<usize>,
     far: Vec<usize>,
+    engine: Option<EngineRules>,
     pool: Arc<Mutex<StagePool>>,
 }
 
@@ -66,6 +87,8 @@
             zone: zone.to_owned(),
             random: Mutex::new(SmallRng::seed_from_u64(seed)),
             policy: RoutingPolicy::default(),
+            daemons: AtomicUsize::new(1),
+            retries: RetryLimits::default(),
             turn: AtomicUsize::new(0),
             upstreams: Vec::new(),
             positions: HashMap::new(),
@@ -73,28 +96,71 @@
         }
     }
 
-    /// A router for `declarations` that keeps what `self` knows of upstreams and pools that stay.
+    /// Sets how many retries the daemons may make together.
     #[must_use]
-    pub fn reconfigured(&self, declarations: &Declarations) -> Self {
+    pub fn retries(mut self, limits: RetryLimits) -> Self {
+        self.retries = limits;
+        self
+    }
+
+    /// Sets how many daemons give the same upstreams work, this one among them.
+    pub fn set_daemons(&self, daemons: usize) {
+        let daemons = daemons.max(1);
+        if self.daemons.swap(daemons, Ordering::Relaxed) != daemons {
+            for routed in self.pools.values() {
+                lock(&routed.pool).budget.share(daemons);
+            }
+        }
+    }
+
+    /// A router for `declarations` and the upstreams of `directory`, which keeps what `self` knows
+    /// of upstreams and pools that stay.
+    #[must_use]
+    pub fn reconfigured(&self, declarations: &Declarations, directory: &UpstreamDirectory) -> Self {
         let seed = lock(&self.random).random();
-        let mut router = Self::new(&self.zone, seed);
+        let mut router = Self::new(&self.zone, seed).retries(self.retries);
         router.policy = declarations.deployment().policy;
+        router.daemons = AtomicUsize::new(self.daemons.load(Ordering::Relaxed));
         for rules in declarations.upstreams() {
             router.add_upstream(rules, self.known_state(rules));
         }
         for (stage, rules) in declarations.stages() {
-            let pool =
-                self.pools.get(stage).map(|known| Arc::clone(&known.pool)).unwrap_or_default();
-            for position in &rules.pool {
-                router.upstreams[*position].pools.push(stage.to_owned());
+            let mut pool = rules.pool.clone();
+            for rules in published(stage, rules, directory) {
+                pool.push(router.upstreams.len());
+                router.add_upstream(&rules, self.known_state(&rules));
             }
-            let is_near = |position: &usize| router.upstreams[*position].rules.zone == self.zone;
-            let (near, far) = rules.pool.iter().copied().partition(is_near);
-            router.pools.insert(stage.to_owned(), RoutedPool { near, far, pool });
+            self.add_pool(&mut router, stage, rules, &pool);
         }
         router
     }
 
+    fn add_pool(&self, router: &mut Self, stage: &str, rules: &StageRules, pool: &[usize]) {
+        let engine = match rules.kind {
+            PoolKind::Engine(rules) => Some(rules),
+            // Calls of batched pools are formed by their dispatcher.
+            PoolKind::Batch(_) => return,
+            PoolKind::Plain => None,
+        };
+        for position in pool {
+            let upstream = &mut router.upstreams[*position];
+            upstream.pools.push(stage.to_owned());
+            if engine.is_some() {
+                lock(&upstream.state).engine.get_or_insert_with(EngineLoad::default);
+            }
+        }
+        let is_near = |position: &usize| router.upstreams[*position].rules.zone == self.zone;
+        let (near, far) = pool.iter().copied().partition(is_near);
+        let fresh = || {
+            let mut pool = StagePool::default();
+            pool.budget = self.retries.budget(self.daemons.load(Ordering::Relaxed));
+            Arc::new(Mutex::new(pool))
+        };
+        let known = self.pools.get(stage).map(|known| Arc::clone(&known.pool));
+        let pool = known.unwrap_or_else(fresh);
+        router.pools.insert(stage.to_owned(), RoutedPool { near, far, engine, pool });
+    }
+
     /// Takes what the VM list says of leaving VMs.
     pub fn take_roster(&self, roster: &VmRoster) {
         for upstream in &self.upstreams {
@@ -117,26 +183,24 @@
 
     /// Whether a first attempt may become another one at the same stage.
     #[must_use]
-    pub fn allow_retry(&self, request: &SlotRequest) -> bool {
+    pub fn allow_retry(&self, request: &SlotRequest, now: MonotonicTime) -> bool {
         if self.policy == RoutingPolicy::Baseline {
             return request.tried.len() <= BLIND_RETRIES;
         }
-        self.pools.get(&request.stage).is_some_and(|routed| lock(&routed.pool).budget.spend())
+        self.pools.get(&request.stage).is_some_and(|routed| lock(&routed.pool).budget.spend(now))
     }
 
     /// Time that a new request would need for the stages of `steps`, the waits for their upstreams
     /// included, as far as it was learned.
     #[must_use]
-    pub fn estimate(&self, steps: &[Vec<String>], level: u8) -> Duration {
+    pub fn estimate(&self, plan: &StagePlan, level: u8) -> Duration {
         if self.policy == RoutingPolicy::Baseline {
             return Duration::ZERO;
         }
-        let pool_time = |stage: &String| {
-            let routed = self.pools.get(stage);
+        plan.longest_way(|step, _| {
+            let routed = self.pools.get(&step.stage).filter(|routed| routed.engine.is_none());
             routed.map_or(Duration::ZERO, |routed| lock(&routed.pool).expected_time(level))
-        };
-        let step_time = |step: &Vec<String>| step.iter().map(pool_time).max().unwrap_or_default();
-        steps.iter().map(step_time).sum()
+        })
     }
 
     /// Finds an upstream for `request`, or lets it wait for one.
@@ -151,10 +215,10 @@
     ) -> Result<Option<SlotGrant>, SlotRequest> {
         let Some(routed) = self.pools.get(&request.stage) else { return Err(request) };
         if request.tried.is_empty() {
-            lock(&routed.pool).budget.earn();
+            lock(&routed.pool).budget.earn(now);
         }
         if let Some(position) = self.choose(routed, &request, now) {
-            return Ok(Some(self.grant(position, request)));
+            return Ok(Some(self.grant(position, request, now)));
         }
         if !self.has_hope(routed, &request) {
             return Err(request);
@@ -166,11 +230,18 @@
     pub fn release(
         &self,
         upstream: &str,
+        call: CallId,
         report: AttemptReport,
         now: MonotonicTime,
     ) -> Vec<SlotGrant> {
         let Some(upstream) = self.upstream(upstream) else { return Vec::new() };
-        lock(&upstream.state).end(report, now);
+        {
+            let mut state = lock(&upstream.state);
+            state.end(report, now);
+            if let Some(engine) = &mut state.engine {
+                engine.end(call);
+            }
+        }
         if let AttemptReport::Answered(time) = report {
             for routed in upstream.pools.iter().filter_map(|stage| self.pools.get(stage)) {
                 lock(&routed.pool).learn(time, now);
@@ -179,6 +250,15 @@
         self.serve_waiting(&upstream.pools, now)
     }
 
+    /// The first event of the answer to `call` came.
+    pub fn flowing(&self, upstream: &str, call: CallId) {
+        if let Some(upstream) = self.upstream(upstream)
+            && let Some(engine) = &mut lock(&upstream.state).engine
+        {
+            engine.read(call);
+        }
+    }
+
     /// Hands free slots of the pools `stages` to attempts that wait.
     #[must_use]
     pub fn serve_waiting(&self, stages: &[String], now: MonotonicTime) -> Vec<SlotGrant> {
@@ -253,6 +333,9 @@
         if self.policy == RoutingPolicy::Baseline {
             return self.next_in_turn(routed);
         }
+        if let (Some(rules), Some(demand)) = (&routed.engine, &request.demand) {
+            return self.choose_engine(routed, rules, demand, request, now);
+        }
         let healthy = |position: usize| self.cost_if_usable(position, request, Some(now));
         let any = |position: usize| self.cost_if_usable(position, request, None);
         self.best_of(&self.sample(&routed.near), healthy)
@@ -269,6 +352,54 @@
             })
     }
 
+    /// The engine with the least work before a new request: prompt tokens that it does not keep,
+    /// and its backlog. What daemons don't tell each other of their requests is made up for in two
+    /// ways: each takes the others to give an engine as much work as it does itself, and requests
+    /// with the same prompt parts go to the same engine wherever they come in, as long as it has
+    /// no more than a bounded backlog above that of the others.
+    fn choose_engine(
+        &self,
+        routed: &RoutedPool,
+        rules: &EngineRules,
+        demand: &EngineDemand,
+        request: &SlotRequest,
+        now: MonotonicTime,
+    ) -> Option<usize> {
+        let share = self.daemons.load(Ordering::Relaxed) as u64;
+        let subject = demand.subject().map(|part| part.id.to_string());
+        let mut best: Option<(u64, u64, usize)> = None;
+        let all = routed.near.iter().chain(&routed.far).copied();
+        let usable =
+            |position: &usize| self.cost_if_usable(*position, request, Some(now)).is_some();
+        let mut candidates: Vec<usize> = all.clone().filter(usable).collect();
+        if candidates.is_empty() {
+            let usable = |position: &usize| self.cost_if_usable(*position, request, None).is_some();
+            candidates = all.filter(usable).collect();
+        }
+        for position in candidates {
+            let upstream = &self.upstreams[position];
+            let state = lock(&upstream.state);
+            let Some(engine) = &state.engine else { continue };
+            let held = engine.held_tokens() * share + demand.prompt_tokens + demand.output_tokens;
+            let crowded = u64::from(state.in_flight() + 1) * share > u64::from(rules.slots);
+            let full = held > rules.token_memory || crowded;
+            let rank = subject
+                .as_deref()
+                .map_or(0, |subject| stable_hash(&[subject, &upstream.rules.name]));
+            // The engine of the highest rank is where the parts of this subject are read first;
+            // a part that no engine keeps costs the same everywhere, so rank decides.
+            let away = request.zone.as_ref().is_some_and(|zone| *zone != upstream.rules.zone);
+            let mut cost = engine.cost(demand, share, now) / COST_STEP;
+            cost += u64::from(away) * AWAY_COST / COST_STEP;
+            cost += u64::from(full) * FULL_COST / COST_STEP;
+            let candidate = (cost, u64::MAX - rank, position);
+            if best.is_none_or(|best| candidate < best) {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(.., position)| position)
+    }
+
     /// The next upstream of the pool that isn't leaving, whatever is known of it.
     fn next_in_turn(&self, routed: &RoutedPool) -> Option<usize> {
         let all: Vec<usize> = routed.near.iter().chain(&routed.far).copied().collect();
@@ -302,7 +433,8 @@
         }
         let state = lock(&upstream.state);
         let ejected = ejected_at.is_some_and(|now| state.is_ejected(now));
-        (!state.is_leaving() && !ejected && state.has_room()).then(|| state.cost())
+        let full = ejected_at.is_some_and(|now| state.is_full(now));
+        (!state.is_leaving() && !ejected && !full && state.has_room()).then(|| state.cost())
     }
 
     /// Whether any upstream of the pool could ever serve `request`.
@@ -313,14 +445,19 @@
         })
     }
 
-    fn grant(&self, position: usize, request: SlotRequest) -> SlotGrant {
+    fn grant(&self, position: usize, request: SlotRequest, now: MonotonicTime) -> SlotGrant {
         let upstream = &self.upstreams[position];
         let fastest = {
             let mut state = lock(&upstream.state);
             state.begin();
-            match self.policy {
-                RoutingPolicy::Adaptive => state.fastest(),
-                RoutingPolicy::Baseline => Duration::ZERO,
+            match (&mut state.engine, &request.demand) {
+                (Some(engine), Some(demand)) => {
+                    engine.begin(request.call, demand, now);
+                    // Its answers are streams of any length, so the shortest says nothing.
+                    Duration::ZERO
+                }
+                _ if self.policy == RoutingPolicy::Adaptive => state.fastest(),
+                _ => Duration::ZERO,
             }
         };
         SlotGrant {
@@ -342,12 +479,39 @@
         loop {
             let usable = {
                 let state = lock(&upstream.state);
-                state.has_room() && !state.is_leaving() && !state.is_ejected(now)
+                state.has_room()
+                    && !state.is_leaving()
+                    && !state.is_ejected(now)
+                    && !state.is_full(now)
             };
             let next =
                 if usable { lock(&routed.pool).next_for(&upstream.rules.name) } else { None };
             let Some(request) = next else { break };
-            grants.push(self.grant(position, request));
+            grants.push(self.grant(position, request, now));
         }
     }
 }
+
+/// Rules of the published upstreams of the pool `stage`, without those that are leaving: they get
+/// no new work, and what they work on is not touched.
+fn published<'a>(
+    stage: &'a str,
+    rules: &'a StageRules,
+    directory: &'a UpstreamDirectory,
+) -> impl Iterator<Item = UpstreamRules> + 'a {
+    let kind = match rules.kind {
+        PoolKind::Plain => UpstreamKind::PlainService,
+        PoolKind::Batch(_) => UpstreamKind::StagePool,
+        PoolKind::Engine(_) => UpstreamKind::ModelEngine,
+    };
+    let staying = directory.entries().filter(move |entry| entry.pool == stage && !entry.leaving);
+    staying.map(move |entry| UpstreamRules {
+        name: entry.id.clone(),
+        vm: String::new(),
+        zone: entry.zone.clone(),
+        kind,
+        address: entry.address,
+        labels: LabelSet::default(),
+        concurrency: entry.slots.max(1),
+    })
+}
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use super::EngineLoad;
 use crate::identity::MonotonicTime;
 
 /// Failures in a row after which an upstream is ejected.
@@ -10,6 +11,9 @@
 const EJECTION_BASE: Duration = Duration::from_millis(500);
 /// Doublings of an ejection at most.
 const EJECTION_DOUBLINGS: u32 = 6;
+/// Time for which an upstream that had no room gets no work. Long enough for a place to come free
+/// at a few tens of milliseconds a request, short against every deadline.
+const FULL_PAUSE: Duration = Duration::from_millis(50);
 /// Weight of the newest answer in the learned time.
 const LEARNING_WEIGHT: f64 = 0.2;
 
@@ -31,6 +35,8 @@
     Answered(Duration),
     /// It failed, was silent, or answered wrongly.
     Failed,
+    /// The upstream had no room for it, and said so.
+    Declined,
     /// It was given up for no fault of the upstream's.
     Cancelled,
 }
@@ -51,6 +57,10 @@
     window: f64,
     listed_leaving: bool,
     leaving_life: Option<String>,
+    /// Time until which it gets no work because it had no room.
+    full_until: Option<MonotonicTime>,
+    /// What is known of its prompt memory, if it is a model engine.
+    pub(super) engine: Option<EngineLoad>,
 }
 
 /// What the state dump shows of one upstream.
@@ -84,6 +94,8 @@
             window: FIRST_WINDOW.min(f64::from(limit)),
             listed_leaving: false,
             leaving_life: None,
+            full_until: None,
+            engine: None,
         }
     }
 
@@ -132,7 +144,24 @@
     /// Whether it has room for one more attempt.
     #[must_use]
     pub fn has_room(&self) -> bool {
-        f64::from(self.in_flight) < self.window.floor()
+        match &self.engine {
+            // An engine works on all of its requests at one time, and its answers are streams of
+            // any length: their times say nothing of a queue.
+            Some(_) => self.in_flight < self.limit,
+            None => f64::from(self.in_flight) < self.window.floor(),
+        }
+    }
+
+    /// Whether it said of late that it had no room.
+    #[must_use]
+    pub fn is_full(&self, now: MonotonicTime) -> bool {
+        self.full_until.is_some_and(|until| now < until)
+    }
+
+    /// Attempts that this daemon has open there.
+    #[must_use]
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
     }
 
     /// Shortest time in which it has answered of late.
@@ -167,6 +196,10 @@
                 self.learn(time);
             }
             AttemptReport::Failed => self.fail(now),
+            AttemptReport::Declined => {
+                self.adapt(true);
+                self.full_until = Some(now + FULL_PAUSE);
+            }
             AttemptReport::Cancelled => {}
         }
     }
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -1,7 +1,9 @@
 use crocusdale_schema::peer;
 
 use crate::identity::InstanceId;
-use crate::membership::{ExchangeMessage, LeavingUpstream, MemberRecord, MemberStatus};
+use crate::membership::{
+    ExchangeMessage, LeavingUpstream, MemberPlace, MemberRecord, MemberStatus,
+};
 
 /// A message lacked a part that it must have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,10 +41,29 @@
             instance: Some(record.instance.into()),
             refutation: record.refutation,
             status: status.into(),
+            place: record.place.map(Into::into),
         }
     }
 }
 
+impl From<MemberPlace> for peer::MemberPlace {
+    fn from(place: MemberPlace) -> Self {
+        Self { zone: place.zone, caller: place.caller.to_string(), peer: place.peer.to_string() }
+    }
+}
+
+impl TryFrom<peer::MemberPlace> for MemberPlace {
+    type Error = MissingPart;
+
+    fn try_from(wire: peer::MemberPlace) -> Result<Self, Self::Error> {
+        Ok(Self {
+            zone: wire.zone,
+            caller: wire.caller.parse().map_err(|_| MissingPart("the address for callers"))?,
+            peer: wire.peer.parse().map_err(|_| MissingPart("the address for peers"))?,
+        })
+    }
+}
+
 impl TryFrom<peer::MemberRecord> for MemberRecord {
     type Error = MissingPart;
 
@@ -54,7 +75,8 @@
             peer::MemberStatus::Unreachable => MemberStatus::Unreachable,
         };
         let instance = wire.instance.ok_or(MissingPart("the instance of a record"))?;
-        Ok(Self { instance: instance.into(), refutation: wire.refutation, status })
+        let place = wire.place.map(MemberPlace::try_from).transpose()?;
+        Ok(Self { instance: instance.into(), refutation: wire.refutation, status, place })
     }
 }
 
@@ -80,6 +102,7 @@
             records: message.records.into_iter().map(Into::into).collect(),
             leaving: message.leaving.into_iter().map(Into::into).collect(),
             leaving_upstreams: message.leaving_upstreams.into_iter().map(Into::into).collect(),
+            directory: message.directory,
         }
     }
 }
@@ -96,6 +119,7 @@
             records: wire.records.into_iter().map(TryInto::try_into).collect::<Result<_, _>>()?,
             leaving: wire.leaving.into_iter().map(Into::into).collect(),
             leaving_upstreams: wire.leaving_upstreams.into_iter().map(Into::into).collect(),
+            directory: wire.directory,
         })
     }
 }
--- /dev/null
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -0,0 +1,144 @@
+use std::time::Duration;
+
+use crocusdale_schema::peer;
+
+use crate::identity::{AttemptId, CallId, MonotonicTime};
+use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
+use crate::routing::DirectoryEntry;
+
+impl From<AttemptId> for peer::Attempt {
+    fn from(attempt: AttemptId) -> Self {
+        Self { incarnation: attempt.incarnation, call: attempt.call.0, sequence: attempt.sequence }
+    }
+}
+
+impl From<peer::Attempt> for AttemptId {
+    fn from(wire: peer::Attempt) -> Self {
+        Self { incarnation: wire.incarnation, call: CallId(wire.call), sequence: wire.sequence }
+    }
+}
+
+impl PieceOrder {
+    /// The order for another daemon; times become times from `now`.
+    #[must_use]
+    pub fn to_wire(&self, now: MonotonicTime) -> peer::MakePiecesRequest {
+        let (caller_source, results) = match &self.source {
+            PieceSource::Caller(source) => (source.clone(), Vec::new()),
+            PieceSource::Results(results) => {
+                (String::new(), results.iter().map(ToString::to_string).collect())
+            }
+        };
+        peer::MakePiecesRequest {
+            attempt: Some(self.attempt.into()),
+            request: self.request.clone(),
+            pool: self.pool.clone(),
+            step: self.step,
+            pieces: self.pieces,
+            caller_source,
+            results,
+            zone: self.zone.clone().unwrap_or_default(),
+            level: u32::from(self.level),
+            due_ms: millis(self.due.since(now)) - millis(now.since(self.due)),
+            left_ms: millis(self.expires.since(now)).unsigned_abs(),
+            repeated: self.repeated,
+        }
+    }
+
+    /// Reads an order of another daemon that was received at `now`; `None` without an attempt.
+    #[must_use]
+    pub fn from_wire(wire: peer::MakePiecesRequest, now: MonotonicTime) -> Option<Self> {
+        let source = if wire.results.is_empty() {
+            PieceSource::Caller(wire.caller_source)
+        } else {
+            let results = wire.results.iter().map(|text| ResultHandle::new(text));
+            PieceSource::Results(results.collect())
+        };
+        let ahead = Duration::from_millis(wire.due_ms.max(0).unsigned_abs());
+        let behind = Duration::from_millis(wire.due_ms.min(0).unsigned_abs());
+        let due = (now + ahead).since_start().saturating_sub(behind);
+        Some(Self {
+            attempt: wire.attempt?.into(),
+            request: wire.request,
+            pool: wire.pool,
+            step: wire.step,
+            pieces: wire.pieces,
+            source,
+            zone: (!wire.zone.is_empty()).then_some(wire.zone),
+            level: u8::try_from(wire.level).unwrap_or(u8::MAX),
+            due: MonotonicTime::from_start(due),
+            expires: now + Duration::from_millis(wire.left_ms),
+            repeated: wire.repeated,
+        })
+    }
+}
+
+/// What became of pieces, as a message to the daemon that offered them.
+#[must_use]
+pub fn pieces_reply(outcome: Result<Vec<PlacedResult>, PieceFault>) -> peer::MakePiecesReply {
+    match outcome {
+        Ok(results) => peer::MakePiecesReply {
+            results: results.into_iter().map(Into::into).collect(),
+            fault: String::new(),
+        },
+        Err(fault) => peer::MakePiecesReply { results: Vec::new(), fault: fault.to_string() },
+    }
+}
+
+/// Reads what became of pieces. A fault that this daemon doesn't know counts as a failure.
+///
+/// # Errors
+///
+/// Returns why there are no results.
+pub fn read_pieces_reply(wire: peer::MakePiecesReply) -> Result<Vec<PlacedResult>, PieceFault> {
+    if wire.fault.is_empty() {
+        return Ok(wire.results.into_iter().map(Into::into).collect());
+    }
+    Err(wire.fault.parse().unwrap_or(PieceFault::Failed))
+}
+
+impl From<PlacedResult> for peer::PlacedResult {
+    fn from(result: PlacedResult) -> Self {
+        Self { handle: result.handle.to_string(), zone: result.zone }
+    }
+}
+
+impl From<peer::PlacedResult> for PlacedResult {
+    fn from(wire: peer::PlacedResult) -> Self {
+        Self { handle: ResultHandle::new(&wire.handle), zone: wire.zone }
+    }
+}
+
+impl DirectoryEntry {
+    /// The entry, last changed at `revision`, for another daemon.
+    #[must_use]
+    pub fn to_wire(&self, revision: u64) -> peer::DirectoryEntry {
+        peer::DirectoryEntry {
+            id: self.id.clone(),
+            pool: self.pool.clone(),
+            address: self.address.to_string(),
+            zone: self.zone.clone(),
+            slots: self.slots,
+            leaving: self.leaving,
+            revision,
+        }
+    }
+}
+
+impl TryFrom<peer::DirectoryEntry> for DirectoryEntry {
+    type Error = std::net::AddrParseError;
+
+    fn try_from(wire: peer::DirectoryEntry) -> Result<Self, Self::Error> {
+        Ok(Self {
+            id: wire.id,
+            pool: wire.pool,
+            address: wire.address.parse()?,
+            zone: wire.zone,
+            slots: wire.slots,
+            leaving: wire.leaving,
+        })
+    }
+}
+
+fn millis(duration: Duration) -> i64 {
+    i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
+}
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -26,13 +26,14 @@
     for index in 1..DAEMONS {
         let instance = InstanceId::new(vm_name(index), 1);
         let message = ExchangeMessage {
-            sender: MemberRecord { instance, refutation: 1, status },
+            sender: MemberRecord { instance, refutation: 1, status, place: None },
             sender_leaving: false,
             revision: 1,
             digest: 1,
             records: Vec::new(),
             leaving: Vec::new(),
             leaving_upstreams: Vec::new(),
+            directory: 0,
         };
         view.take_message(&message, now);
     }
--- a/crates/crocusdale_core/tests/support/mod.rs
+++ b/crates/crocusdale_core/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use crocusdale_core::membership::{VmEntry, VmRole, VmRoster, VmState, WitnessSet};
 use crocusdale_core::pipeline::{
     AttemptEvent, AttemptOrder, CallerRequest, FinalAnswer, HolderReply, OutcomeKind,
+    RequestContent,
 };
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder};
 use serde_json::value::RawValue;
@@ -337,7 +338,7 @@
         stream: false,
         age: Duration::ZERO,
         ticket: None,
-        payload: RawValue::from_string("{}".into()).expect("JSON"),
+        content: RequestContent::Json(RawValue::from_string("{}".into()).expect("JSON")),
     }
 }
 
--- a/crates/crocusdale_schema/examples/generate.rs
+++ b/crates/crocusdale_schema/examples/generate.rs
@@ -102,6 +102,7 @@
     Ok(match notes.value("form").context("@form is missing")?.as_str() {
         "name" => "KeyForm::Name".into(),
         "address" => "KeyForm::Address".into(),
+        "addresses" => "KeyForm::Addresses".into(),
         "count" => format!("KeyForm::Count {}", bounds()?),
         "duration" => format!("KeyForm::Duration {}", bounds()?),
         "ratio" => "KeyForm::Ratio".into(),
--- a/crates/crocusdale_schema/src/spec.rs
+++ b/crates/crocusdale_schema/src/spec.rs
@@ -43,6 +43,8 @@
     Name,
     /// IP address and port.
     Address,
+    /// IP addresses with ports, separated by commas; may be empty.
+    Addresses,
     /// Whole number within bounds.
     Count {
         /// Smallest accepted value.
--- a/crates/crocusdaled/src/engine/call_table.rs
+++ b/crates/crocusdaled/src/engine/call_table.rs
@@ -6,6 +6,8 @@
 use crocusdale_core::sync::lock;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use crate::forwarding::RelayedAnswer;
+
 /// Shards of the table.
 const SHARDS: usize = 16;
 
@@ -14,6 +16,8 @@
 pub enum CallReply {
     /// A piece of the last stage's stream.
     Piece(String),
+    /// An upstream's answer that is passed through.
+    Relayed(RelayedAnswer),
     /// The final answer; nothing comes after it.
     Final(FinalAnswer),
 }
@@ -33,14 +37,19 @@
         receiver
     }
 
-    /// Passes a piece on.
-    pub fn forward(&self, call: CallId, text: String) {
+    /// Gives `call` a reply that is not its last one.
+    pub fn reply(&self, call: CallId, reply: CallReply) {
         if let Some(sender) = self.shard(call).get(&call) {
             // A receiver that is gone belongs to a caller that is gone; the core hears of it.
-            let _ = sender.send(CallReply::Piece(text));
+            let _ = sender.send(reply);
         }
     }
 
+    /// Passes a piece on.
+    pub fn forward(&self, call: CallId, text: String) {
+        self.reply(call, CallReply::Piece(text));
+    }
+
     /// Gives `call` its final answer and closes it.
     pub fn finish(&self, call: CallId, answer: FinalAnswer) {
         if let Some(sender) = self.shard(call).remove(&call) {
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -7,10 +7,11 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use super::{CallReply, CallTable, MonotonicClock, TimerService};
-use crate::peer::PeerClient;
+use crate::forwarding::RelayClient;
+use crate::peer::{PeerClient, PieceTable};
 use crate::platform::PlatformReader;
 use crate::telemetry::Telemetry;
-use crate::upstream::UpstreamClient;
+use crate::upstream::{BatchClient, ConnectionPool, UpstreamClient};
 
 /// The core with everything that carries its commands out.
 #[derive(Debug)]
@@ -26,6 +27,10 @@
     calls: CallTable,
     timers: TimerService,
     upstreams: UpstreamClient,
+    connections: ConnectionPool,
+    relays: RelayClient,
+    batches: BatchClient,
+    pieces: PieceTable,
     peers: PeerClient,
     platform: PlatformReader,
 }
@@ -48,6 +53,10 @@
             calls: CallTable::default(),
             timers,
             upstreams: UpstreamClient::default(),
+            connections: ConnectionPool::default(),
+            relays: RelayClient::default(),
+            batches: BatchClient::default(),
+            pieces: PieceTable::default(),
             peers: PeerClient::default(),
             platform,
         });
@@ -69,6 +78,26 @@
         &self.upstreams
     }
 
+    /// Connections to upstreams that requests and pieces are passed to.
+    pub(crate) fn connections(&self) -> &ConnectionPool {
+        &self.connections
+    }
+
+    /// Callers' requests that are passed through.
+    pub(crate) fn relays(&self) -> &RelayClient {
+        &self.relays
+    }
+
+    /// Calls of batched upstreams.
+    pub(crate) fn batches(&self) -> &BatchClient {
+        &self.batches
+    }
+
+    /// Pieces that are made for other daemons, and by them.
+    pub(crate) fn pieces(&self) -> &PieceTable {
+        &self.pieces
+    }
+
     /// Calls of other daemons.
     pub(crate) fn peers(&self) -> &PeerClient {
         &self.peers
@@ -80,9 +109,15 @@
         self.calls.open(call)
     }
 
+    /// Gives `call` a reply that is not its last one.
+    pub(crate) fn reply(&self, call: CallId, reply: CallReply) {
+        self.calls.reply(call, reply);
+    }
+
     /// Tells the core that the caller of `call` is gone.
     pub fn abandon_call(self: &Arc<Self>, call: CallId) {
         self.calls.close(call);
+        self.relays.close(call);
         self.feed(DaemonEvent::Abandoned(call));
     }
 
@@ -105,10 +140,22 @@
             Command::Reply { call, answer } => {
                 self.telemetry.count_outcome(&answer);
                 self.calls.finish(call, answer);
+                self.relays.close(call);
             }
             Command::Forward { call, text } => self.calls.forward(call, text),
             Command::Send(order) => self.upstreams.send(self, order),
-            Command::Cancel(attempt) => self.upstreams.cancel(attempt),
+            Command::Cancel(attempt) => {
+                self.upstreams.cancel(attempt);
+                self.relays.cancel(attempt);
+            }
+            Command::Relay(order) => self.relays.send(self, order),
+            Command::PassOn { call: _, attempt } => self.relays.pass_on(attempt),
+            Command::CallBatch(order) => self.batches.call(self, order),
+            Command::CancelBatch(batch) => self.batches.cancel(batch),
+            Command::FreeResults(results) => self.batches.free(self, results),
+            Command::CancelPieces(attempt) => self.pieces.cancel(attempt),
+            Command::AnswerPieces { attempt, outcome } => self.pieces.answer(attempt, outcome),
+            Command::ReadDirectory { known } => self.platform.read_directory(self, known),
             Command::Distrust(upstream) => self.upstreams.distrust(&upstream),
             Command::SetTimer { timer, at } => self.timers.set(timer, at),
             Command::Count(counter) => self.telemetry.count(counter),
@@ -126,6 +173,9 @@
             | Command::RecordOutcome { .. }
             | Command::AskHolder { .. }
             | Command::Exchange { .. }
+            | Command::Greet { .. }
+            | Command::SendPieces { .. }
+            | Command::FetchDirectory { .. }
             | Command::FetchConfiguration { .. }) => self.peers.carry_out(self, command),
         }
     }
--- a/crates/crocusdaled/src/lib.rs
+++ b/crates/crocusdaled/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! * [`engine`]: the core with its clock, timers and open calls.
 //! * [`service`]: what callers and operators reach over HTTP.
+//! * [`forwarding`]: callers' requests that are passed through.
 //! * [`peer`]: calls between daemons.
 //! * [`upstream`]: calls of upstreams.
 //! * [`platform`]: reads of the configuration service and the VM list.
@@ -14,6 +15,7 @@
 #![warn(missing_docs)]
 
 pub mod engine;
+pub mod forwarding;
 pub mod http;
 pub mod peer;
 pub mod platform;
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -8,14 +8,17 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context as _, Result};
-use crocusdale_core::DaemonCoreBuilder;
-use crocusdale_core::configuration::ProcessSettings;
+use crocusdale_core::configuration::{PlatformSettings, ProcessSettings, PublishedSettings};
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::InstanceId;
+use crocusdale_core::membership::MemberPlace;
+use crocusdale_core::{DaemonCoreBuilder, PublishedFleet};
+use crocusdale_platform::configuration::read_declarations;
 use crocusdaled::engine::{DaemonEngine, MonotonicClock};
+use crocusdaled::forwarding::{ForwardService, ReadyService};
 use crocusdaled::http::HttpListenerBuilder;
 use crocusdaled::peer::PeerServer;
-use crocusdaled::platform::PlatformReader;
+use crocusdaled::platform::{PlatformReader, ServiceReader, StoreReader};
 use crocusdaled::service::{CallerService, OperatorService};
 use crocusdaled::telemetry::{Telemetry, start_log};
 use tokio::signal::unix::{SignalKind, signal};
@@ -51,8 +54,13 @@
             return ExitCode::from(BAD_INPUT);
         }
     };
-    let mut runtime = tokio::runtime::Builder::new_multi_thread();
-    let runtime = runtime.worker_threads(settings.threads).enable_all().build();
+    let runtime = match settings.threads {
+        1 => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        threads => {
+            let mut runtime = tokio::runtime::Builder::new_multi_thread();
+            runtime.worker_threads(threads).enable_all().build()
+        }
+    };
     match runtime.context("starting threads").and_then(|runtime| runtime.block_on(run(settings))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -103,7 +111,15 @@
     tokio::spawn(PeerServer::new(Arc::clone(&engine)).serve(peers));
     let router = OperatorService::new(Arc::clone(&engine)).router();
     tokio::spawn(operators.serve(router, stopped.clone()));
-    let router = CallerService::new(Arc::clone(&engine), limits).router();
+    let router = match &settings.platform {
+        PlatformSettings::Services { .. } => {
+            CallerService::new(Arc::clone(&engine), limits).router()
+        }
+        PlatformSettings::Published(published) => {
+            serve_questions(&engine, published, &stopped).await?;
+            ForwardService::new(Arc::clone(&engine), limits).router()
+        }
+    };
     let callers = tokio::spawn(callers.serve(router, stopped));
 
     tokio::spawn(drain_on_signal(Arc::clone(&engine)));
@@ -119,13 +135,49 @@
     let core = DaemonCoreBuilder::new(instance, settings.zone.clone())
         .requests(settings.limits.requests)
         .membership(settings.membership)
-        .roster_period(settings.vm_list_period)
-        .seed(rand::random())
-        .build(clock.now());
-    let platform = PlatformReader::new(settings.configuration, settings.vm_list)?;
+        .seed(rand::random());
+    let (core, platform) = match &settings.platform {
+        PlatformSettings::Services { configuration, vm_list, vm_list_period } => {
+            let reader = ServiceReader::new(*configuration, *vm_list)?;
+            (core.roster_period(*vm_list_period), PlatformReader::Services(reader))
+        }
+        PlatformSettings::Published(published) => {
+            let reader = StoreReader::new(published.store);
+            (core.published(published_fleet(settings, published)), PlatformReader::Store(reader))
+        }
+    };
+    let core = core.build(clock.now());
     Ok(DaemonEngine::start(core, clock, Telemetry::new(log), platform))
 }
 
+fn published_fleet(settings: &ProcessSettings, published: &PublishedSettings) -> PublishedFleet {
+    let place =
+        MemberPlace { zone: settings.zone.clone(), caller: settings.caller, peer: settings.peer };
+    PublishedFleet {
+        place,
+        seeds: published.seeds.clone(),
+        reader: read_declarations,
+        retries: published.retries,
+        grace: published.grace,
+    }
+}
+
+/// Serves the questions of callers for addresses, and of the platform for readiness.
+async fn serve_questions(
+    engine: &Arc<DaemonEngine>,
+    published: &PublishedSettings,
+    stopped: &watch::Receiver<bool>,
+) -> Result<()> {
+    let places = [(published.readiness, "readiness"), (published.addresses, "addresses")];
+    for (address, key) in places {
+        let listener = HttpListenerBuilder::default().bind(address).await;
+        let listener = listener.with_context(|| format!("binding [listen] {key}"))?;
+        let router = ReadyService::new(Arc::clone(engine)).router();
+        tokio::spawn(listener.serve(router, stopped.clone()));
+    }
+    Ok(())
+}
+
 /// Numbers this life of the process: later starts on a VM get higher numbers, and two starts in
 /// one millisecond different ones.
 fn incarnation() -> Result<u64> {
@@ -137,10 +189,17 @@
 async fn drain_on_signal(engine: Arc<DaemonEngine>) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            // Everything that may change while the process runs comes from the platform; the
+            // settings name addresses, which stay for the life of the process.
+            _ = reload.recv() => {
+                slog::info!(engine.telemetry.log, "settings_kept"; "cause" => "SIGHUP");
+                continue;
+            }
         }
         engine.feed(DaemonEvent::DrainAsked);
     }
--- a/crates/crocusdaled/src/peer/mod.rs
+++ b/crates/crocusdaled/src/peer/mod.rs
@@ -2,6 +2,9 @@
 
 mod peer_client;
 mod peer_server;
+mod piece_client;
+mod piece_table;
 
 pub use peer_client::PeerClient;
 pub use peer_server::PeerServer;
+pub use piece_table::PieceTable;
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -5,15 +5,17 @@
 
 use crocusdale_core::daemon::{Command, DaemonEvent};
 use crocusdale_core::membership::ExchangeMessage;
+use crocusdale_core::routing::DirectoryEntry;
 use crocusdale_core::sync::lock;
 use crocusdale_schema::peer::peer_service_client::PeerServiceClient;
 use crocusdale_schema::peer::{
-    AskOutcomeRequest, BuryRequest, ClaimRequest, FetchConfigurationRequest, RecordOutcomeRequest,
-    RecordedOutcome,
+    AskOutcomeRequest, BuryRequest, ClaimRequest, FetchConfigurationRequest, FetchDirectoryRequest,
+    RecordOutcomeRequest, RecordedOutcome,
 };
 use tonic::codec::CompressionEncoding;
 use tonic::transport::{Channel, Endpoint};
 
+use super::piece_client::send_pieces;
 use crate::engine::DaemonEngine;
 
 /// Time that a peer has to answer a call.
@@ -22,6 +24,11 @@
 const SHORT_PATIENCE: Duration = Duration::from_millis(300);
 /// Time that a peer has to send its configuration.
 const FETCH_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Pause after which a peer that owes an answer is asked for a sign of life, and the time that it
+/// has for it. Together the time after which a dispatcher that is frozen or cut off is given up.
+const LIFE_SIGN_PACE: Duration = Duration::from_millis(300);
+/// See [`LIFE_SIGN_PACE`].
+const LIFE_SIGN_PATIENCE: Duration = Duration::from_millis(400);
 /// Largest message between peers, in bytes.
 pub(super) const MESSAGE_LIMIT: usize = 4 << 20;
 
@@ -33,15 +40,24 @@
 
 /// A call of a peer did not succeed.
 #[derive(Clone, Copy, Debug)]
-struct PeerSilence;
+pub(super) struct PeerSilence;
 
 impl PeerClient {
     /// Carries out a command that concerns a peer; the reply goes to the core.
     pub fn carry_out(&self, engine: &Arc<DaemonEngine>, command: Command) {
+        let command = match command {
+            Command::SendPieces { vm, order } => {
+                send_pieces(engine, vm, *order);
+                return;
+            }
+            command => command,
+        };
         let engine = Arc::clone(engine);
         tokio::spawn(async move {
             match command {
                 Command::Exchange { vm, message } => exchange(&engine, vm, *message).await,
+                Command::Greet { address, message } => greet(&engine, address, *message).await,
+                Command::FetchDirectory { vm } => fetch_directory(&engine, &vm).await,
                 Command::FetchConfiguration { vm, known } => fetch(&engine, &vm, known).await,
                 Command::RecordOutcome { .. } => record(&engine, command).await,
                 Command::AskHolder { .. } => ask_holder(&engine, command).await,
@@ -56,7 +72,12 @@
         let connect = || {
             let endpoint = Endpoint::from_shared(format!("http://{address}"));
             let endpoint = endpoint.expect("an address makes a valid URI");
-            endpoint.connect_timeout(SHORT_PATIENCE).tcp_nodelay(true).connect_lazy()
+            endpoint
+                .connect_timeout(SHORT_PATIENCE)
+                .http2_keep_alive_interval(LIFE_SIGN_PACE)
+                .keep_alive_timeout(LIFE_SIGN_PATIENCE)
+                .tcp_nodelay(true)
+                .connect_lazy()
         };
         channels.entry(address).or_insert_with(connect).clone()
     }
@@ -69,7 +90,7 @@
 }
 
 /// Calls the daemon on `vm`, within `patience`.
-async fn call<R, F>(
+pub(super) async fn call<R, F>(
     engine: &Arc<DaemonEngine>,
     vm: &str,
     patience: Duration,
@@ -79,6 +100,19 @@
     F: Future<Output = Result<tonic::Response<R>, tonic::Status>>,
 {
     let address = engine.core.peer_address(vm).ok_or(PeerSilence)?;
+    call_at(engine, address, patience, run).await
+}
+
+/// Calls the daemon that listens at `address`, within `patience`.
+async fn call_at<R, F>(
+    engine: &Arc<DaemonEngine>,
+    address: SocketAddr,
+    patience: Duration,
+    run: impl FnOnce(PeerServiceClient<Channel>) -> F,
+) -> Result<R, PeerSilence>
+where
+    F: Future<Output = Result<tonic::Response<R>, tonic::Status>>,
+{
     let channel = engine.peers().channel(address);
     let client = PeerServiceClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
     match tokio::time::timeout(patience, run(client)).await {
@@ -105,6 +139,32 @@
     });
 }
 
+/// Exchanges heartbeats with whoever listens at the address of a seed.
+async fn greet(engine: &Arc<DaemonEngine>, address: SocketAddr, message: ExchangeMessage) {
+    let wire = crocusdale_schema::peer::ExchangeMessage::from(message);
+    let reply =
+        call_at(engine, address, PATIENCE, |mut client| async move { client.exchange(wire).await });
+    let message = reply.await.ok().and_then(|wire| ExchangeMessage::try_from(wire).ok());
+    engine.feed(match message {
+        Some(message) => DaemonEvent::Exchanged(Box::new(message)),
+        None => DaemonEvent::GreetingFailed,
+    });
+}
+
+async fn fetch_directory(engine: &Arc<DaemonEngine>, vm: &str) {
+    let reply = call(engine, vm, FETCH_PATIENCE, |mut client| async move {
+        client.fetch_directory(FetchDirectoryRequest {}).await
+    });
+    let list = reply.await.ok().filter(|reply| reply.revision > 0).and_then(|reply| {
+        let entries = reply.entries.into_iter().map(|wire| {
+            let revision = wire.revision;
+            DirectoryEntry::try_from(wire).map(|entry| (revision, entry))
+        });
+        Some((reply.revision, entries.collect::<Result<_, _>>().ok()?))
+    });
+    engine.feed(DaemonEvent::DirectoryFetched(list));
+}
+
 async fn fetch(engine: &Arc<DaemonEngine>, vm: &str, known: u64) {
     let request = FetchConfigurationRequest { known_revision: known };
     // Declarations are repetitive: compressed, a change costs a tenth of its text.
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -4,11 +4,13 @@
 use crocusdale_core::claims::RegisterReply as CoreReply;
 use crocusdale_core::identity::{InstanceId, RequestKey};
 use crocusdale_core::membership::{ExchangeMessage as CoreMessage, WitnessSet};
+use crocusdale_core::pipeline::PieceOrder;
+use crocusdale_core::wire::pieces_reply;
 use crocusdale_schema::peer::peer_service_server::{PeerService, PeerServiceServer};
 use crocusdale_schema::peer::{
     AskOutcomeReply, AskOutcomeRequest, BuryRequest, ClaimRequest, ExchangeMessage,
-    FetchConfigurationReply, FetchConfigurationRequest, RecordOutcomeReply, RecordOutcomeRequest,
-    RegisterReply,
+    FetchConfigurationReply, FetchConfigurationRequest, FetchDirectoryReply, FetchDirectoryRequest,
+    MakePiecesReply, MakePiecesRequest, RecordOutcomeReply, RecordOutcomeRequest, RegisterReply,
 };
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -16,8 +18,12 @@
 use tonic::{Request, Response, Status};
 
 use super::peer_client::MESSAGE_LIMIT;
+use super::piece_table::TakenPieces;
 use crate::engine::DaemonEngine;
 
+/// Calls that one peer may have open at one time: one for each step of its requests.
+const CONCURRENT_CALLS: u32 = 16_384;
+
 /// Answers other daemons.
 #[derive(Debug)]
 pub struct PeerServer {
@@ -50,7 +56,10 @@
             .max_decoding_message_size(MESSAGE_LIMIT)
             .max_encoding_message_size(MESSAGE_LIMIT)
             .send_compressed(CompressionEncoding::Gzip);
-        let server = tonic::transport::Server::builder().tcp_nodelay(true).add_service(service);
+        let server = tonic::transport::Server::builder()
+            .tcp_nodelay(true)
+            .max_concurrent_streams(CONCURRENT_CALLS)
+            .add_service(service);
         server.serve_with_incoming(TcpListenerStream::new(listener)).await
     }
 
@@ -96,6 +105,25 @@
         Ok(Response::new(reply.unwrap_or_default()))
     }
 
+    async fn fetch_directory(
+        &self,
+        _: Request<FetchDirectoryRequest>,
+    ) -> Result<Response<FetchDirectoryReply>, Status> {
+        let (revision, entries) = self.engine.core.published_upstreams();
+        let entries = entries.iter().map(|(changed, entry)| entry.to_wire(*changed)).collect();
+        Ok(Response::new(FetchDirectoryReply { revision, entries }))
+    }
+
+    async fn make_pieces(
+        &self,
+        request: Request<MakePiecesRequest>,
+    ) -> Result<Response<MakePiecesReply>, Status> {
+        let order = PieceOrder::from_wire(request.into_inner(), self.engine.now());
+        let order = order.ok_or_else(|| missing("attempt"))?;
+        let outcome = TakenPieces::offer(&self.engine, order).outcome().await;
+        Ok(Response::new(pieces_reply(outcome)))
+    }
+
     async fn claim(
         &self,
         request: Request<ClaimRequest>,
--- a/crates/crocusdaled/src/platform/mod.rs
+++ b/crates/crocusdaled/src/platform/mod.rs
@@ -1,5 +1,9 @@
 //! Reads of the configuration service and the VM list.
 
 mod platform_reader;
+mod service_reader;
+mod store_reader;
 
 pub use platform_reader::PlatformReader;
+pub use service_reader::ServiceReader;
+pub use store_reader::StoreReader;
--- /dev/null
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -0,0 +1,243 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::routing::{DirectoryChange, DirectoryEntry};
+use crocusdale_platform::store::{
+    StoreChange, StoreFault, StoreItem, StorePart, is_configuration, read_changes,
+    read_configuration, read_page, read_upstream, read_upstream_change,
+};
+use http::{HeaderValue, Request, StatusCode, header};
+use http_body_util::Full;
+use slog::warn;
+
+use crate::engine::DaemonEngine;
+use crate::upstream::{ConnectionPool, SendFault};
+
+/// How long the store may hold a watch of the configuration. Open connections may go silent for
+/// good, and then the news comes only with the next watch; it must be in force within two seconds.
+const CONFIGURATION_HOLD: Duration = Duration::from_millis(1_500);
+/// How long the store may hold a watch of the upstreams.
+const UPSTREAM_HOLD: Duration = Duration::from_millis(800);
+/// Time beyond the hold for which an answer may take. An answer takes a few milliseconds in calm,
+/// and up to some tenths of a second while the store is slow.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(900);
+/// Largest answer of the store, in bytes: a page has about a megabyte, in base64.
+const ANSWER_LIMIT: usize = 8 << 20;
+/// Pages of one reading at most.
+const PAGES: usize = 64;
+
+/// Reads what a store publishes.
+pub struct StoreReader {
+    store: SocketAddr,
+    connections: Arc<ConnectionPool>,
+    /// Revision of the store after which the configuration is watched, 0 before the first reading.
+    position: Arc<AtomicU64>,
+}
+
+/// Why the store could not be read.
+#[derive(Debug)]
+enum ReadFault {
+    Silent(SendFault),
+    Refused(StatusCode),
+    /// The history that a watch asked for is gone.
+    HistoryGone,
+    Unreadable(StoreFault),
+}
+
+impl fmt::Display for ReadFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Silent(SendFault::NotSent) => formatter.write_str("no connection"),
+            Self::Silent(SendFault::Broken) => formatter.write_str("no answer"),
+            Self::Refused(status) => write!(formatter, "status {status}"),
+            Self::HistoryGone => formatter.write_str("the history is gone"),
+            Self::Unreadable(fault) => write!(formatter, "unreadable answer: {fault}"),
+        }
+    }
+}
+
+/// What a reading of the upstreams gave.
+enum DirectoryNews {
+    Whole { revision: u64, entries: Vec<(u64, DirectoryEntry)> },
+    Changes { revision: u64, changes: Vec<(u64, DirectoryChange)> },
+}
+
+impl StoreReader {
+    /// Reads from `store`.
+    #[must_use]
+    pub fn new(store: SocketAddr) -> Self {
+        Self { store, connections: Arc::default(), position: Arc::default() }
+    }
+
+    /// Reads the configuration, or once it is known waits for another one.
+    pub fn watch_configuration(&self, engine: &Arc<DaemonEngine>) {
+        let (reader, engine) = (self.handle(), Arc::clone(engine));
+        tokio::spawn(async move {
+            let event = match reader.next_configuration().await {
+                Ok(news) => DaemonEvent::ConfigurationWatched(news),
+                Err(fault) => {
+                    reader.position.store(0, Ordering::Relaxed);
+                    reader.report(&engine, StorePart::Configuration, &fault);
+                    DaemonEvent::ConfigurationUnread
+                }
+            };
+            engine.feed(event);
+        });
+    }
+
+    /// Reads the published upstreams: what changed since `known`, or all for 0.
+    pub fn read_directory(&self, engine: &Arc<DaemonEngine>, known: u64) {
+        let (reader, engine) = (self.handle(), Arc::clone(engine));
+        tokio::spawn(async move {
+            let event = match reader.next_upstreams(&engine, known).await {
+                Ok(DirectoryNews::Whole { revision, entries }) => {
+                    DaemonEvent::DirectoryRead { revision, entries }
+                }
+                Ok(DirectoryNews::Changes { revision, changes }) => {
+                    DaemonEvent::DirectoryChanged { revision, changes }
+                }
+                Err(fault) => {
+                    reader.report(&engine, StorePart::Upstreams, &fault);
+                    DaemonEvent::DirectoryUnread
+                }
+            };
+            engine.feed(event);
+        });
+    }
+
+    fn handle(&self) -> Self {
+        Self {
+            store: self.store,
+            connections: Arc::clone(&self.connections),
+            position: Arc::clone(&self.position),
+        }
+    }
+
+    async fn next_configuration(&self) -> Result<Option<(u64, String)>, ReadFault> {
+        let position = self.position.load(Ordering::Relaxed);
+        let items = if position == 0 {
+            self.read_whole(StorePart::Configuration).await?
+        } else {
+            match self.watch(StorePart::Configuration, position, CONFIGURATION_HOLD).await {
+                Ok((revision, changes)) => (revision, written(changes)),
+                Err(ReadFault::HistoryGone) => self.read_whole(StorePart::Configuration).await?,
+                Err(fault) => return Err(fault),
+            }
+        };
+        let (revision, items) = items;
+        let newest = items.iter().rfind(|item| is_configuration(&item.key));
+        let news = newest.map(read_configuration).transpose().map_err(ReadFault::Unreadable)?;
+        self.position.store(revision, Ordering::Relaxed);
+        Ok(news)
+    }
+
+    async fn next_upstreams(
+        &self,
+        engine: &DaemonEngine,
+        known: u64,
+    ) -> Result<DirectoryNews, ReadFault> {
+        if known > 0 {
+            match self.watch(StorePart::Upstreams, known, UPSTREAM_HOLD).await {
+                Ok((revision, changes)) => {
+                    let read = changes.iter().map(read_upstream_change);
+                    let changes = readable(engine, read);
+                    return Ok(DirectoryNews::Changes { revision, changes });
+                }
+                Err(ReadFault::HistoryGone) => {}
+                Err(fault) => return Err(fault),
+            }
+        }
+        let (revision, items) = self.read_whole(StorePart::Upstreams).await?;
+        let read = items.iter().map(|item| Ok((item.revision, read_upstream(item)?)));
+        let entries = readable(engine, read);
+        Ok(DirectoryNews::Whole { revision, entries })
+    }
+
+    /// Reads a part whole. Pages are no snapshot: what changes meanwhile is seen by a watch from
+    /// the revision of the first page.
+    async fn read_whole(&self, part: StorePart) -> Result<(u64, Vec<StoreItem>), ReadFault> {
+        let mut items = Vec::new();
+        let mut first_revision = None;
+        let mut after: Option<String> = None;
+        for _ in 0..PAGES {
+            let path = part.range_path(after.as_deref());
+            let page = read_page(&self.get(&path, ANSWER_PATIENCE).await?);
+            let page = page.map_err(ReadFault::Unreadable)?;
+            first_revision.get_or_insert(page.revision);
+            items.extend(page.items);
+            after = page.next;
+            if after.is_none() {
+                break;
+            }
+        }
+        Ok((first_revision.unwrap_or_default(), items))
+    }
+
+    async fn watch(
+        &self,
+        part: StorePart,
+        revision: u64,
+        hold: Duration,
+    ) -> Result<(u64, Vec<StoreChange>), ReadFault> {
+        let path = part.watch_path(revision, hold);
+        let body = self.get(&path, hold + ANSWER_PATIENCE).await?;
+        let changes = read_changes(&body).map_err(ReadFault::Unreadable)?;
+        Ok((changes.revision, changes.changes))
+    }
+
+    async fn get(&self, path: &str, patience: Duration) -> Result<Bytes, ReadFault> {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        if let Ok(host) = HeaderValue::from_str(&self.store.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let answer = self.connections.call(self.store, request, ANSWER_LIMIT, patience).await;
+        let answer = answer.map_err(ReadFault::Silent)?;
+        match answer.status() {
+            StatusCode::OK => Ok(answer.into_body()),
+            StatusCode::GONE => Err(ReadFault::HistoryGone),
+            status => Err(ReadFault::Refused(status)),
+        }
+    }
+
+    fn report(&self, engine: &DaemonEngine, part: StorePart, fault: &ReadFault) {
+        warn!(engine.telemetry.log, "store_unread";
+            "part" => part.to_string(), "store" => self.store.to_string(),
+            "cause" => fault.to_string());
+    }
+}
+
+impl fmt::Debug for StoreReader {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("StoreReader").field("store", &self.store).finish()
+    }
+}
+
+fn written(changes: Vec<StoreChange>) -> Vec<StoreItem> {
+    let item = |change| match change {
+        StoreChange::Written(item) => Some(item),
+        // The configuration in force outlives its item.
+        StoreChange::Deleted { .. } => None,
+    };
+    changes.into_iter().filter_map(item).collect()
+}
+
+/// Keeps what could be read; an item that could not be is reported, and what was known of it stays.
+fn readable<T>(
+    engine: &DaemonEngine,
+    items: impl Iterator<Item = Result<T, StoreFault>>,
+) -> Vec<T> {
+    let kept = items.filter_map(|item| match item {
+        Ok(item) => Some(item),
+        Err(fault) => {
+            warn!(engine.telemetry.log, "store_item_unreadable"; "cause" => fault.to_string());
+            None
+        }
+    });
+    kept.collect()
+}
--- a/crates/crocusdaled/src/service/answer_response.rs
+++ b/crates/crocusdaled/src/service/answer_response.rs
@@ -1,18 +1,17 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use crocusdale_core::identity::CallId;
 use crocusdale_core::pipeline::{FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason};
 use futures::stream;
 use http::{HeaderValue, StatusCode, header};
 use http_body::Frame;
 use serde::Serialize;
-use tokio::sync::mpsc::UnboundedReceiver;
 use volo_http::body::Body;
 use volo_http::error::BoxError;
 use volo_http::response::Response;
 
-use crate::engine::{CallReply, DaemonEngine};
+use super::OpenCall;
+use crate::engine::CallReply;
 
 /// A piece of a streamed answer.
 #[derive(Serialize)]
@@ -20,31 +19,6 @@
     piece: &'a str,
 }
 
-/// An open call; dropped before its answer, it tells the core that the caller is gone.
-pub(super) struct OpenCall {
-    pub(super) engine: Arc<DaemonEngine>,
-    pub(super) call: CallId,
-    pub(super) replies: UnboundedReceiver<CallReply>,
-    pub(super) answered: bool,
-}
-
-impl OpenCall {
-    /// Waits for the next reply.
-    pub(super) async fn next(&mut self) -> Option<CallReply> {
-        let reply = self.replies.recv().await;
-        self.answered |= matches!(reply, Some(CallReply::Final(_)) | None);
-        reply
-    }
-}
-
-impl Drop for OpenCall {
-    fn drop(&mut self) {
-        if !self.answered {
-            self.engine.abandon_call(self.call);
-        }
-    }
-}
-
 /// HTTP status of an outcome.
 pub(super) fn status(kind: OutcomeKind, reason: Option<RefusalReason>) -> StatusCode {
     match (kind, reason) {
@@ -94,6 +68,7 @@
         let line = match &reply {
             CallReply::Piece(text) => serde_json::to_vec(&StreamPiece { piece: text }).ok()?,
             CallReply::Final(answer) => answer.body.to_vec(),
+            CallReply::Relayed(_) => return None,
         };
         let mut line = line;
         line.push(b'\n');
@@ -116,7 +91,8 @@
         | RefusalReason::NoPipeline => StatusCode::BAD_REQUEST,
         RefusalReason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         RefusalReason::TooSlow => StatusCode::REQUEST_TIMEOUT,
-        RefusalReason::UnknownWorkspace => StatusCode::NOT_FOUND,
+        RefusalReason::UnknownWorkspace | RefusalReason::NoRoute => StatusCode::NOT_FOUND,
+        RefusalReason::NoAccess => StatusCode::UNAUTHORIZED,
         RefusalReason::RequestLimit | RefusalReason::WorkspaceLimit | RefusalReason::RuleLimit => {
             StatusCode::TOO_MANY_REQUESTS
         }
--- a/crates/crocusdaled/src/service/caller_service.rs
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -17,7 +17,8 @@
 use volo_http::server::route::{Router, get, post};
 use volo_http::server::{IntoResponse as _, extract::Json};
 
-use super::answer_response::{OpenCall, answer_response, refusal_response, stream_response};
+use super::OpenCall;
+use super::answer_response::{answer_response, refusal_response, stream_response};
 use crate::engine::{CallReply, DaemonEngine};
 use crate::http::{BodyFault, read_body};
 
@@ -146,9 +147,7 @@
     }
 
     fn open_call(&self, key: &RequestKey) -> OpenCall {
-        let call = self.engine.core.open_call(key);
-        let replies = self.engine.open_call(call);
-        OpenCall { engine: Arc::clone(&self.engine), call, replies, answered: false }
+        OpenCall::open(&self.engine, key)
     }
 
     fn finish(&self, answer: &FinalAnswer) -> Response {
--- a/crates/crocusdaled/src/service/mod.rs
+++ b/crates/crocusdaled/src/service/mod.rs
@@ -2,7 +2,9 @@
 
 mod answer_response;
 mod caller_service;
+mod open_call;
 mod operator_service;
 
 pub use caller_service::CallerService;
+pub(crate) use open_call::OpenCall;
 pub use operator_service::OperatorService;
--- a/crates/crocusdaled/src/upstream/mod.rs
+++ b/crates/crocusdaled/src/upstream/mod.rs
@@ -1,7 +1,11 @@
 //! Calls of upstreams.
 
 mod answer_reader;
+mod batch_client;
+mod connection_pool;
 mod engine_orders;
 mod upstream_client;
 
+pub use batch_client::BatchClient;
+pub use connection_pool::{ConnectionPool, OpenConnection, SendFault};
 pub use upstream_client::UpstreamClient;
--- a/crates/stand_ins/examples/demo.rs
+++ b/crates/stand_ins/examples/demo.rs
@@ -12,8 +12,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use anyhow::{Context as _, Result};
-use crocusdale_core::configuration::{Declarations, ProcessSettings};
+use anyhow::{Context as _, Result, bail};
+use crocusdale_core::configuration::{Declarations, PlatformSettings, ProcessSettings};
 use crocusdale_core::membership::{VmEntry, VmRole, VmRoster, VmState};
 use crocusdale_core::pipeline::OutcomeKind;
 use serde_json::{Value, json};
@@ -146,8 +146,11 @@
     let roster = VmRoster { revision: 1, vms: vms.collect() };
     let path = work.join("vms.json");
     std::fs::write(&path, serde_json::to_vec(&roster)?)?;
+    let PlatformSettings::Services { configuration, .. } = &settings[0].1.platform else {
+        bail!("the demonstration needs a section [platform]");
+    };
     let child = Command::new(bin.join("platform"))
-        .arg(settings[0].1.configuration.to_string())
+        .arg(configuration.to_string())
         .arg(declarations)
         .arg(&path)
         .spawn()
