--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -171,9 +171,9 @@
 
 /// One of `[platform]` and `[published]` must stand, with the keys that it can't do without.
 fn check_platform(sections: &[CheckedSection], errors: &mut ErrorCollector<'_>) {
-    // Sections that were not written stand here as empty ones, without a header.
+    // Sections that were not written stand here as empty ones.
     let found = |name: &str| {
-        let written = |section: &&CheckedSection| !section.header.is_empty();
+        let written = |section: &&CheckedSection| !section.values.is_empty();
         sections.iter().filter(written).find(|section| section.spec.name == name)
     };
     let (services, published) = (found("platform"), found("published"));
--- a/crates/crocusdale_core/src/configuration/section_reader.rs
+++ b/crates/crocusdale_core/src/configuration/section_reader.rs
@@ -59,7 +59,7 @@
     pub(super) header: String,
     /// Name behind the first word, empty if the section has none.
     pub(super) name: String,
-    values: Vec<(&'static KeySpec, String)>,
+    pub(super) values: Vec<(&'static KeySpec, String)>,
 }
 
 impl CheckedSection {
