Count room for results, send pieces where they are needed, rank engines by subject

Change: results are given up once all steps that need them are done, through the pool's dispatcher, which counts the room of each upstream. Requests with the same subject find the same engine by rendezvous rank, within a bound of backlog. Pieces go to the zone of that engine or of their heavy inputs.

--- a/crates/crocusdale_core/src/admission/admission_gate.rs
+++ b/crates/crocusdale_core/src/admission/admission_gate.rs
@@ -46,7 +46,10 @@
         if self.running >= self.limit {
             return Err(RefusalReason::RequestLimit);
         }
-        let bound = declarations.workspace(workspace).map_or(0, |rules| rules.concurrency);
+        // A forwarded request of a public route belongs to no workspace.
+        let no_workspace = if workspace.is_empty() { u32::MAX } else { 0 };
+        let rules = declarations.workspace(workspace);
+        let bound = rules.map_or(no_workspace, |rules| rules.concurrency);
         if count(&self.workspaces, workspace) >= bound {
             return Err(RefusalReason::WorkspaceLimit);
         }
--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -88,9 +88,27 @@
     }
 
     /// Nobody wants the results for `attempt` any more.
-    pub fn withdraw(&mut self, attempt: AttemptId, pool: &str, steps: &mut Vec<DeskStep>) {
+    pub fn withdraw(&mut self, attempt: AttemptId, pool: &str) {
         if let Some(pool) = self.pools.get_mut(pool) {
-            pool.withdraw(attempt, steps);
+            pool.withdraw(attempt);
+        }
+    }
+
+    /// Nobody needs `results` of `pool` any more.
+    pub fn release(&mut self, pool: &str, results: Vec<ResultHandle>) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.release(results);
+        }
+    }
+
+    /// Has unwanted results given up, and forms calls that take their room.
+    pub fn turn_unwanted(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+        let names: Vec<String> = self.pools.keys().cloned().collect();
+        for name in names {
+            let freed = self.pools.get_mut(&name).is_some_and(|pool| pool.turn_unwanted(steps));
+            if freed {
+                self.turn_pool(&name, now, steps);
+            }
         }
     }
 
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -22,6 +22,10 @@
     queue: BTreeMap<(MonotonicTime, AttemptId), ()>,
     open: HashMap<BatchId, OpenBatch>,
     budget: RetryBudget,
+    /// Results that are to be given up with the next turn of the unwanted ones.
+    unwanted: Vec<ResultHandle>,
+    /// Results whose upstreams have been told, and should have given them up by the next turn.
+    told: Vec<ResultHandle>,
 }
 
 #[derive(Debug)]
@@ -29,6 +33,8 @@
     upstream: String,
     since: MonotonicTime,
     lost_at: MonotonicTime,
+    /// Memory that is kept for the results, in bytes.
+    bytes: u64,
     /// Job and piece of each item.
     items: Vec<(AttemptId, u32)>,
 }
@@ -44,6 +50,8 @@
             queue: BTreeMap::new(),
             open: HashMap::new(),
             budget,
+            unwanted: Vec::new(),
+            told: Vec::new(),
         }
     }
 
@@ -103,13 +111,13 @@
     }
 
     /// Nobody wants the results for `attempt` any more.
-    pub fn withdraw(&mut self, attempt: AttemptId, steps: &mut Vec<DeskStep>) {
+    pub fn withdraw(&mut self, attempt: AttemptId) {
         let Some(job) = self.jobs.remove(&attempt) else { return };
         self.queue.remove(&(job.rank(), attempt));
         let made: Vec<ResultHandle> =
             job.results.into_iter().flatten().map(|result| result.handle).collect();
         if !made.is_empty() {
-            steps.push(DeskStep::Free(made));
+            self.release(made);
         }
         // Calls with pieces of the job go on: an upstream does not stop a call that it works on,
         // and the results must be given up once they are known.
@@ -124,13 +132,16 @@
         steps: &mut Vec<DeskStep>,
     ) {
         let Some(open) = self.open.remove(&batch) else {
-            free_made(outcome, steps);
+            self.release(made_by(outcome));
             return;
         };
         let pieces = u32::try_from(open.items.len()).unwrap_or(u32::MAX);
         let time = now.since(open.since);
         let rules = self.rules;
-        let worker = self.workers.get_mut(&open.upstream);
+        let mut worker = self.workers.get_mut(&open.upstream);
+        if let Some(worker) = &mut worker {
+            worker.unreserve(open.bytes);
+        }
         let zone = worker.as_ref().map(|worker| worker.zone.clone()).unwrap_or_default();
         match outcome {
             BatchOutcome::Answered(items) if items.len() == open.items.len() => {
@@ -149,7 +160,7 @@
                         _ => worker.failed(&rules, pieces, time, now),
                     }
                 }
-                free_made(outcome, steps);
+                self.release(made_by(outcome));
                 for (job, piece) in open.items {
                     self.put_back(job, piece, now, steps);
                 }
@@ -166,6 +177,9 @@
     ) {
         self.give_up_lost(now, steps);
         self.give_up_late(now, steps);
+        for worker in self.workers.values_mut() {
+            worker.forget_lapsed(now);
+        }
         while let Some(order) = self.form_call(next, now) {
             steps.push(DeskStep::Call(order));
         }
@@ -197,19 +211,35 @@
         now: MonotonicTime,
     ) -> Option<BatchOrder> {
         let order = self.order_of_jobs(now);
-        let zone = self.jobs.get(order.first()?)?.order.zone.clone();
-        let upstream = self.free_upstream(zone.as_deref(), now)?;
-        let (items, refs) = self.fill(&order, &upstream, now);
+        if order.is_empty() {
+            return None;
+        }
+        let free = self.free_upstreams(now);
+        free.into_iter().find_map(|upstream| self.call_of(&upstream, &order, next, now))
+    }
+
+    /// A call of `upstream` with the first of the jobs in `order` that go there.
+    fn call_of(
+        &mut self,
+        upstream: &str,
+        order: &[AttemptId],
+        next: &mut impl FnMut() -> BatchId,
+        now: MonotonicTime,
+    ) -> Option<BatchOrder> {
+        let (items, refs, bytes) = self.fill(order, upstream, now);
         if items.is_empty() {
             return None;
         }
         let pieces = u32::try_from(items.len()).unwrap_or(u32::MAX);
-        let worker = self.workers.get_mut(&upstream)?;
+        let worker = self.workers.get_mut(upstream)?;
         let lost_at = now + worker.patience(&self.rules, pieces, now);
         worker.begin(&self.rules, pieces, now);
+        worker.reserve(bytes);
         let address = worker.address;
         let batch = next();
-        let open = OpenBatch { upstream: upstream.clone(), since: now, lost_at, items: refs };
+        let upstream = upstream.to_owned();
+        let open =
+            OpenBatch { upstream: upstream.clone(), since: now, lost_at, bytes, items: refs };
         self.open.insert(batch, open);
         Some(BatchOrder { batch, upstream, address, items })
     }
@@ -230,59 +260,92 @@
         order
     }
 
-    /// A free upstream, one in `zone` before others; none if a busy one would be done sooner.
-    fn free_upstream(&self, zone: Option<&str>, now: MonotonicTime) -> Option<String> {
+    /// Free upstreams, the one that would be done first in front; without those for which it
+    /// pays to wait for a busy one that would be done sooner.
+    fn free_upstreams(&self, now: MonotonicTime) -> Vec<String> {
         let pieces = self.rules.pieces / 2;
         let end = |worker: &BatchWorker| worker.end_of_next(&self.rules, pieces, now);
         let staying = self.workers.values().filter(|worker| worker.staying);
-        let soonest = staying.map(end).min()?;
+        let Some(soonest) = staying.map(end).min() else { return Vec::new() };
         // Half a call's time of difference is within what the pace of a call varies by.
         let bound = soonest + self.rules.expected(pieces) / 2;
         let free = self
             .workers
             .iter()
             .filter(|(_, worker)| worker.is_free(&self.rules, now) && end(worker) <= bound);
-        let away = |worker: &BatchWorker| zone.is_some_and(|zone| worker.zone != zone);
-        let best = free.min_by_key(|(_, worker)| (away(worker), end(worker)));
-        best.map(|(upstream, _)| upstream.clone())
+        let mut free: Vec<(MonotonicTime, &String)> =
+            free.map(|(upstream, worker)| (end(worker), upstream)).collect();
+        free.sort_unstable();
+        free.into_iter().map(|(_, upstream)| upstream.clone()).collect()
+    }
+
+    /// When a call should end that is given to an upstream of `zone` as soon as one can take it.
+    fn end_in_zone(&self, zone: &str, now: MonotonicTime) -> Option<MonotonicTime> {
+        let pieces = self.rules.pieces / 2;
+        let there = self.workers.values().filter(|each| each.staying && each.zone == zone);
+        there.map(|worker| worker.end_of_next(&self.rules, pieces, now)).min()
     }
 
-    /// Takes pieces out for a call of `upstream`. The pieces of a job stay together unless they
-    /// are more than one call holds; jobs whose results are used in a zone with another free
-    /// upstream are left to that one.
+    /// Takes pieces out for a call of `upstream`, as many as a call and the upstream's memory for
+    /// results hold. The pieces of a job stay together unless they are more than that. A job whose
+    /// inputs or results are of another zone goes there, if it still is in time there.
     fn fill(
         &mut self,
         order: &[AttemptId],
         upstream: &str,
         now: MonotonicTime,
-    ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>) {
+    ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>, u64) {
         let limit = self.rules.pieces.max(1) as usize;
-        let own_zone = self.workers.get(upstream).map(|each| each.zone.clone()).unwrap_or_default();
-        let free_zones: Vec<String> = self
+        let (mut items, mut refs, mut bytes) = (Vec::new(), Vec::new(), 0);
+        let Some(worker) = self.workers.get(upstream) else { return (items, refs, bytes) };
+        let (own_zone, room) = (worker.zone.clone(), worker.room(&self.rules));
+        let zones: BTreeMap<String, Option<MonotonicTime>> = self
             .workers
-            .iter()
-            .filter(|(name, worker)| *name != upstream && worker.is_free(&self.rules, now))
-            .map(|(_, worker)| worker.zone.clone())
+            .values()
+            .map(|worker| (worker.zone.clone(), self.end_in_zone(&worker.zone, now)))
             .collect();
-        let (mut items, mut refs) = (Vec::new(), Vec::new());
         for attempt in order {
             let Some(job) = self.jobs.get_mut(attempt) else { continue };
-            let room = limit - items.len();
-            let fits = job.waiting.len() <= room || items.is_empty();
+            let useful = if now < job.order.due { job.order.due } else { job.order.expires };
             let elsewhere = job.order.zone.as_ref().is_some_and(|zone| {
-                *zone != own_zone && free_zones.contains(zone) && !items.is_empty()
+                let end = zones.get(zone).copied().flatten();
+                *zone != own_zone && end.is_some_and(|end| end <= useful)
             });
-            if room == 0 || !fits || elsewhere {
+            let fitting = room.saturating_sub(bytes) / job.order.result_bytes.max(1);
+            let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(limit - items.len());
+            let whole = job.waiting.len() <= fitting || items.is_empty();
+            if fitting == 0 || !whole || elsewhere {
                 continue;
             }
-            let taken = job.take(room);
+            let taken = job.take(fitting);
+            bytes += job.order.result_bytes * taken.len() as u64;
             refs.extend(taken.iter().map(|item| (*attempt, item.piece)));
             items.extend(taken);
             if job.waiting.is_empty() {
                 self.queue.remove(&(job.rank(), *attempt));
             }
         }
-        (items, refs)
+        (items, refs, bytes)
+    }
+
+    /// Nobody needs `results` any more.
+    pub fn release(&mut self, results: Vec<ResultHandle>) {
+        self.unwanted.extend(results);
+    }
+
+    /// Has unwanted results given up, and counts on those of the turn before being gone: the news
+    /// must not overtake a call that needs their room. Returns whether there were any.
+    pub fn turn_unwanted(&mut self, steps: &mut Vec<DeskStep>) -> bool {
+        let told = std::mem::replace(&mut self.told, std::mem::take(&mut self.unwanted));
+        for worker in self.workers.values_mut() {
+            for result in &told {
+                worker.free(result);
+            }
+        }
+        if !self.told.is_empty() {
+            steps.push(DeskStep::Free(self.told.clone()));
+        }
+        !self.told.is_empty() || !told.is_empty()
     }
 
     fn item_ended(
@@ -296,6 +359,10 @@
     ) {
         match outcome {
             ItemOutcome::Made(handle) => {
+                let bytes = self.jobs.get(&attempt).map_or(0, |job| job.order.result_bytes);
+                if let Some(worker) = self.workers.get_mut(upstream) {
+                    worker.hold(handle.clone(), bytes, now + self.rules.result_life);
+                }
                 let result = PlacedResult { handle, zone: zone.to_owned() };
                 self.made(attempt, piece, result, steps);
             }
@@ -322,7 +389,7 @@
         match place {
             Some(place) if place.is_none() => *place = Some(result),
             _ => {
-                steps.push(DeskStep::Free(vec![result.handle]));
+                self.unwanted.push(result.handle);
                 return;
             }
         }
@@ -359,23 +426,18 @@
 
     fn fail(&mut self, attempt: AttemptId, fault: PieceFault, steps: &mut Vec<DeskStep>) {
         if self.jobs.contains_key(&attempt) {
-            self.withdraw(attempt, steps);
+            self.withdraw(attempt);
             steps.push(DeskStep::fail(attempt, fault));
         }
     }
 }
 
-/// Gives up results that nobody waits for.
-fn free_made(outcome: BatchOutcome, steps: &mut Vec<DeskStep>) {
-    let BatchOutcome::Answered(items) = outcome else { return };
-    let made: Vec<ResultHandle> = items
-        .into_iter()
-        .filter_map(|item| match item {
-            ItemOutcome::Made(handle) => Some(handle),
-            _ => None,
-        })
-        .collect();
-    if !made.is_empty() {
-        steps.push(DeskStep::Free(made));
-    }
+/// Results that a call made.
+fn made_by(outcome: BatchOutcome) -> Vec<ResultHandle> {
+    let BatchOutcome::Answered(items) = outcome else { return Vec::new() };
+    let made = items.into_iter().filter_map(|item| match item {
+        ItemOutcome::Made(handle) => Some(handle),
+        _ => None,
+    });
+    made.collect()
 }
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -1,8 +1,10 @@
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::configuration::BatchRules;
 use crate::identity::MonotonicTime;
+use crate::pipeline::ResultHandle;
 use crate::routing::DirectoryEntry;
 
 /// Weight of the newest call in the learned pace.
@@ -41,6 +43,10 @@
     learned_at: MonotonicTime,
     failures: u32,
     paused_until: MonotonicTime,
+    /// Memory that the results of open calls will take, in bytes.
+    reserved: u64,
+    /// Results that lie there, with their size and the time at which they lapse.
+    held: HashMap<ResultHandle, (u64, MonotonicTime)>,
 }
 
 impl BatchWorker {
@@ -55,6 +61,8 @@
             learned_at: now,
             failures: 0,
             paused_until: now,
+            reserved: 0,
+            held: HashMap::new(),
         }
     }
 
@@ -85,6 +93,40 @@
         expected.mul_f64(PATIENCE).max(expected + SHORTEST_PATIENCE)
     }
 
+    /// Memory for results that is free, in bytes.
+    ///
+    /// Guards against calls whose results find no room: the pieces come back unmade, after the
+    /// whole time of their call. Only this dispatcher gives the upstream work, so it can count.
+    pub(super) fn room(&self, rules: &BatchRules) -> u64 {
+        let held: u64 = self.held.values().map(|(bytes, _)| bytes).sum();
+        rules.result_bytes.saturating_sub(held + self.reserved)
+    }
+
+    /// Keeps memory for the results of a call.
+    pub(super) fn reserve(&mut self, bytes: u64) {
+        self.reserved += bytes;
+    }
+
+    /// A call has ended for whose results `bytes` were kept.
+    pub(super) fn unreserve(&mut self, bytes: u64) {
+        self.reserved = self.reserved.saturating_sub(bytes);
+    }
+
+    /// A result lies there until it is given up or lapses.
+    pub(super) fn hold(&mut self, result: ResultHandle, bytes: u64, until: MonotonicTime) {
+        self.held.insert(result, (bytes, until));
+    }
+
+    /// A result was given up.
+    pub(super) fn free(&mut self, result: &ResultHandle) {
+        self.held.remove(result);
+    }
+
+    /// Forgets results that have lapsed.
+    pub(super) fn forget_lapsed(&mut self, now: MonotonicTime) {
+        self.held.retain(|_, (_, until)| now < *until);
+    }
+
     pub(super) fn begin(&mut self, rules: &BatchRules, pieces: u32, now: MonotonicTime) {
         self.free_at = now + self.expected(rules, pieces, now);
         self.open += 1;
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -61,6 +61,15 @@
     CancelBatch(BatchId),
     /// Tell upstreams that results are not needed any more.
     FreeResults(Vec<ResultHandle>),
+    /// Tell another daemon, which dispatches `pool`, that results are not needed any more.
+    SendUnwanted {
+        /// The daemon.
+        vm: String,
+        /// Pool whose upstreams made them.
+        pool: String,
+        /// The results.
+        results: Vec<ResultHandle>,
+    },
     /// Close all idle connections to an upstream.
     Distrust(String),
     /// Ask a witness to claim `key` for this process, or to bury it.
@@ -191,6 +200,8 @@
     Configuration,
     /// Next read of the published upstreams.
     Directory,
+    /// Next turn of unwanted results.
+    Results,
     /// Next greeting of the seeds.
     Seeds,
     /// Last moment at which a draining process can still end by itself.
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -17,6 +17,9 @@
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
 /// Time before a draining process is killed at which it ends by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Pause between two turns of unwanted results. Long enough for one call to give up those of many
+/// requests, short against the seconds that an upstream's memory for results lasts.
+const RESULT_PACE: Duration = Duration::from_millis(40);
 /// Lateness of a timer that counts as a pause of the process.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -44,7 +47,7 @@
     pub fn start(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let published = lock(&self.state.fleet).view.own().place.is_some();
         if published {
-            for timer in [TimerKey::Directory, TimerKey::Seeds] {
+            for timer in [TimerKey::Directory, TimerKey::Seeds, TimerKey::Results] {
                 out.push(Command::SetTimer { timer, at: now });
             }
         } else {
@@ -87,9 +90,10 @@
                 self.state.dispatch_pieces(*order, now, &mut steps, out);
             }
             DaemonEvent::PiecesWithdrawn { attempt, pool } => {
-                let mut desk_steps = Vec::new();
-                lock(&self.state.desk).withdraw(attempt, &pool, &mut desk_steps);
-                self.state.run_desk(desk_steps, now, &mut steps, out);
+                lock(&self.state.desk).withdraw(attempt, &pool);
+            }
+            DaemonEvent::ResultsUnwanted { pool, results } => {
+                lock(&self.state.desk).release(&pool, results);
             }
             DaemonEvent::BatchEnded { batch, outcome } => {
                 self.state.batch_ended(batch, outcome, now, &mut steps, out);
@@ -246,6 +250,12 @@
                 let is_reader = lock(&self.state.fleet).is_reader();
                 lock(&self.state.directory).decide_read(is_reader, now, out);
             }
+            TimerKey::Results => {
+                let mut steps = Vec::new();
+                self.state.turn_unwanted(now, &mut steps, out);
+                self.state.run_steps(steps, now, out);
+                out.push(Command::SetTimer { timer: TimerKey::Results, at: now + RESULT_PACE });
+            }
             TimerKey::Seeds => lock(&self.state.fleet).greet_seed(now, out),
             TimerKey::Exit => {
                 out.push(Command::Note(StateChange::Drained));
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -5,7 +5,7 @@
 use crate::identity::{AttemptId, CallId, RequestKey};
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::orders::EngineOrder;
-use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder};
+use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
 use crate::routing::{DirectoryChange, DirectoryEntry};
 
 use super::TimerKey;
@@ -93,6 +93,13 @@
         /// Their pool.
         pool: String,
     },
+    /// Another daemon no longer needs results of a pool that this one dispatches.
+    ResultsUnwanted {
+        /// The pool.
+        pool: String,
+        /// The results.
+        results: Vec<ResultHandle>,
+    },
     /// A call of a batched upstream ended.
     BatchEnded {
         /// The call.
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -2,7 +2,9 @@
 use super::{Command, CounterName};
 use crate::batching::{BatchId, BatchOutcome, DeskStep, DispatcherChoice};
 use crate::identity::{AttemptId, MonotonicTime};
-use crate::pipeline::{AttemptEvent, PieceFault, PieceOrder, PlacedResult, ShardStep};
+use crate::pipeline::{
+    AttemptEvent, PieceFault, PieceOrder, PlacedResult, ResultHandle, ShardStep,
+};
 use crate::sync::lock;
 
 impl CoreState {
@@ -40,6 +42,37 @@
         self.run_desk(desk_steps, now, steps, out);
     }
 
+    /// Has results given up by the dispatcher of their pool, which counts what its upstreams hold.
+    pub(super) fn free_results(
+        &self,
+        pool: &str,
+        results: Vec<ResultHandle>,
+        out: &mut Vec<Command>,
+    ) {
+        let vm = {
+            let fleet = lock(&self.fleet);
+            let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
+            choice.dispatcher(pool, &[]).to_owned()
+        };
+        if vm == self.own.vm {
+            lock(&self.desk).release(pool, results);
+        } else {
+            out.push(Command::SendUnwanted { vm, pool: pool.to_owned(), results });
+        }
+    }
+
+    /// Has unwanted results of the pools given up that this daemon dispatches.
+    pub(super) fn turn_unwanted(
+        &self,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let mut desk_steps = Vec::new();
+        lock(&self.desk).turn_unwanted(now, &mut desk_steps);
+        self.run_desk(desk_steps, now, steps, out);
+    }
+
     /// Takes the end of a call of a batched upstream.
     pub(super) fn batch_ended(
         &self,
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -297,14 +297,16 @@
                 steps = self.run_grants(self.router().release(&upstream, call, report, now), now);
             }
             ShardStep::Flowing { upstream, call } => self.router().flowing(&upstream, call),
-            ShardStep::FreeResults(results) => out.push(Command::FreeResults(results)),
-            ShardStep::OfferPieces { order, tried } => {
+            ShardStep::FreeResults { pool, results } => self.free_results(&pool, results, out),
+            ShardStep::OfferPieces { mut order, tried, target } => {
+                if let Some(target) = target.filter(|_| order.zone.is_none()) {
+                    // Results are made where they will be needed, if nothing speaks against it.
+                    order.zone = self.router().engine_zone(&target, now).map(str::to_owned);
+                }
                 self.offer_pieces(*order, &tried, now, &mut steps, out);
             }
             ShardStep::WithdrawPieces { attempt, pool } => {
-                let mut desk_steps = Vec::new();
-                lock(&self.desk).withdraw(attempt, &pool, &mut desk_steps);
-                self.run_desk(desk_steps, now, &mut steps, out);
+                lock(&self.desk).withdraw(attempt, &pool);
                 out.push(Command::CancelPieces(attempt));
             }
             ShardStep::GiveBack(permit) => lock(&self.gate).release(&permit),
--- a/crates/crocusdale_core/src/pipeline/piece_order.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_order.rs
@@ -15,6 +15,8 @@
     pub step: u32,
     /// Number of pieces.
     pub pieces: u32,
+    /// Approximate size of one result, in bytes.
+    pub result_bytes: u64,
     /// What the pieces are made from.
     pub source: PieceSource,
     /// Zone that will use the results, if that is known.
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -20,6 +21,9 @@
 /// When a caller that was refused for want of room may come back. A batched call takes a few tenths
 /// of a second, so that queues have moved on by then.
 const COME_BACK: Duration = Duration::from_millis(400);
+/// Bytes that a step fetches from which on it goes where they lie rather than where its own results
+/// will be needed. Below it, a fetch from another zone costs next to nothing.
+const HEAVY_BYTES: u64 = 200_000;
 /// Times that batched steps are made anew because a result was gone when it was needed.
 const REMAKES: u32 = 1;
 
@@ -184,9 +188,6 @@
         steps: &mut Vec<ShardStep>,
     ) -> Option<FinalAnswer> {
         let Some(index) = self.branches.iter().position(|branch| branch.is_attempt(id)) else {
-            if let AttemptEvent::PiecesMade(results) = event {
-                steps.push(free_results(results));
-            }
             steps.push(count(CounterName::LateAnswers));
             return None;
         };
@@ -347,7 +348,6 @@
             deadline: self.plan.deadline,
             tried: branch.tried.clone(),
             demand: demand.filter(|_| branch.work == StepWork::Forward),
-            zone: self.inputs_zone(),
         }
     }
 
@@ -423,14 +423,6 @@
         results
     }
 
-    /// Zone in which most of the results lie.
-    fn inputs_zone(&self) -> Option<String> {
-        let results = self.results();
-        let count = |zone: &str| results.iter().filter(|each| each.zone == zone).count();
-        let zones = results.iter().map(|result| result.zone.as_str());
-        zones.max_by_key(|zone| count(zone)).map(str::to_owned)
-    }
-
     fn offer_pieces(&mut self, index: usize, now: MonotonicTime, steps: &mut Vec<ShardStep>) {
         let id = self.next_attempt();
         let position = self.branches[index].step;
@@ -447,8 +439,9 @@
             pool: self.branches[index].stage.clone(),
             step: u32::try_from(position).unwrap_or(u32::MAX),
             pieces: self.plan.pieces(position),
+            result_bytes: self.result_bytes(position),
             source,
-            zone: None,
+            zone: self.heavy_zone(position),
             level: self.plan.level,
             due: self.plan.due(position),
             expires: self.plan.deadline,
@@ -459,7 +452,47 @@
         let (upstream, role) = (String::new(), AttemptRole::Pieces);
         branch.open = Some(OpenAttempt { id, upstream, sent: now, progress: now, role });
         let tried = branch.tried.clone();
-        steps.push(ShardStep::OfferPieces { order: Box::new(order), tried });
+        let target = self.target_request().map(Box::new);
+        steps.push(ShardStep::OfferPieces { order: Box::new(order), tried, target });
+    }
+
+    /// Zone in which the inputs of the step at `position` lie, if they are large: each of its
+    /// pieces fetches all of them.
+    fn heavy_zone(&self, position: usize) -> Option<String> {
+        let after = &self.plan.pipeline.plan.steps()[position].after;
+        let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+        for branch in self.branches.iter().filter(|branch| after.contains(&branch.step)) {
+            let Some(BranchAnswer::Results(made)) = &branch.answer else { continue };
+            for result in made {
+                *zones.entry(&result.zone).or_default() += self.result_bytes(branch.step);
+            }
+        }
+        let (zone, bytes) = zones.into_iter().max_by_key(|(_, bytes)| *bytes)?;
+        let fetched = bytes * u64::from(self.plan.pieces(position));
+        (fetched >= HEAVY_BYTES).then(|| zone.to_owned())
+    }
+
+    /// The forwarded step as it would ask for an upstream now.
+    fn target_request(&self) -> Option<SlotRequest> {
+        let mut steps = self.plan.pipeline.plan.steps().iter().enumerate();
+        let (position, step) = steps.find(|(_, step)| step.work == StepWork::Forward)?;
+        let demand = self.plan.request.forward().and_then(|head| head.demand.clone());
+        Some(SlotRequest {
+            call: self.call,
+            branch: position,
+            stage: step.stage.clone(),
+            level: self.plan.level,
+            deadline: self.plan.deadline,
+            tried: Vec::new(),
+            demand,
+        })
+    }
+
+    fn result_bytes(&self, position: usize) -> u64 {
+        match self.plan.pipeline.plan.steps()[position].work {
+            StepWork::Batched { result_bytes } => result_bytes,
+            StepWork::Json | StepWork::Forward => 0,
+        }
     }
 
     fn results_of(&self, steps: &[usize]) -> Vec<ResultHandle> {
@@ -682,6 +715,7 @@
             let (call, report) = (self.call, AttemptReport::Answered(spent));
             steps.push(ShardStep::Release { upstream: open.upstream, call, report });
         }
+        self.free_used(self.branches[index].step, steps);
         self.begin_steps(now, steps);
         let finished = (0..self.plan.pipeline.plan.steps().len()).all(|each| self.is_done(each));
         finished.then(|| self.answered())
@@ -759,16 +793,34 @@
 
     /// Gives up every result: those that were needed have been fetched, or never will be.
     fn free_inputs(&mut self, steps: &mut Vec<ShardStep>) {
-        let mut handles = Vec::new();
-        for branch in &mut self.branches {
-            if let Some(BranchAnswer::Results(made)) = &mut branch.answer {
-                handles.extend(std::mem::take(made).into_iter().map(|result| result.handle));
+        for index in 0..self.branches.len() {
+            self.freed |= self.free_results(index, steps);
+        }
+    }
+
+    /// Gives up results that no step needs any more: an upstream's memory for results holds those
+    /// of a few seconds only, and each that stays keeps the pieces of another request out.
+    fn free_used(&mut self, position: usize, steps: &mut Vec<ShardStep>) {
+        for earlier in self.plan.pipeline.plan.steps()[position].after.clone() {
+            let plan = self.plan.pipeline.plan.steps();
+            let mut later =
+                plan.iter().enumerate().filter(|(_, step)| step.after.contains(&earlier));
+            if later.all(|(step, _)| self.is_done(step))
+                && let Some(index) = self.branches.iter().position(|each| each.step == earlier)
+            {
+                self.free_results(index, steps);
             }
         }
-        if !handles.is_empty() {
-            self.freed = true;
-            steps.push(ShardStep::FreeResults(handles));
+    }
+
+    fn free_results(&mut self, index: usize, steps: &mut Vec<ShardStep>) -> bool {
+        let branch = &mut self.branches[index];
+        let Some(BranchAnswer::Results(made)) = &mut branch.answer else { return false };
+        if made.is_empty() {
+            return false;
         }
+        steps.push(free_results(&branch.stage, std::mem::take(made)));
+        true
     }
 
     fn close_branches(&mut self, steps: &mut Vec<ShardStep>) {
@@ -804,6 +856,7 @@
     ShardStep::Command(Command::Count(counter))
 }
 
-fn free_results(results: Vec<PlacedResult>) -> ShardStep {
-    ShardStep::FreeResults(results.into_iter().map(|result| result.handle).collect())
+fn free_results(pool: &str, results: Vec<PlacedResult>) -> ShardStep {
+    let results = results.into_iter().map(|result| result.handle).collect();
+    ShardStep::FreeResults { pool: pool.to_owned(), results }
 }
--- a/crates/crocusdale_core/src/pipeline/shard_step.rs
+++ b/crates/crocusdale_core/src/pipeline/shard_step.rs
@@ -36,6 +36,8 @@
         order: Box<PieceOrder>,
         /// Dispatchers that were tried.
         tried: Vec<String>,
+        /// The forwarded step that will need the results in the end.
+        target: Option<Box<SlotRequest>>,
     },
     /// Pieces are no longer wanted.
     WithdrawPieces {
@@ -45,7 +47,12 @@
         pool: String,
     },
     /// Results are no longer wanted.
-    FreeResults(Vec<ResultHandle>),
+    FreeResults {
+        /// Pool whose upstreams made them.
+        pool: String,
+        /// The results.
+        results: Vec<ResultHandle>,
+    },
     /// A forwarded request has got the first event of its answer.
     Flowing {
         /// Upstream that answers.
--- a/crates/crocusdale_core/src/routing/engine_load.rs
+++ b/crates/crocusdale_core/src/routing/engine_load.rs
@@ -36,13 +36,6 @@
         demand.prompt_tokens.saturating_sub(known)
     }
 
-    /// Cost of a request with `demand`, in prompt tokens, if `share` daemons give the engine as
-    /// much work as this one.
-    #[must_use]
-    pub fn cost(&self, demand: &EngineDemand, share: u64, now: MonotonicTime) -> u64 {
-        self.unread_of(demand, now) + self.backlog() * share
-    }
-
     /// Work of this daemon that the engine has before it, in prompt tokens.
     #[must_use]
     pub fn backlog(&self) -> u64 {
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -29,8 +29,6 @@
     pub tried: Vec<String>,
     /// What it asks of a model engine.
     pub demand: Option<Arc<EngineDemand>>,
-    /// Zone in which its inputs lie.
-    pub zone: Option<String>,
 }
 
 /// What waits for one pool, most urgent first.
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -24,14 +24,9 @@
 /// Upstreams that are looked at in each zone before the whole pool is.
 const SAMPLES: usize = 2;
 
-/// Difference of backlog, in prompt tokens, below which engines count as equally busy, so that the
-/// rank of a subject decides. Reading that much takes an engine some tens of milliseconds.
-const COST_STEP: u64 = 2_048;
-/// What it costs to fetch results from another zone, in prompt tokens.
-const AWAY_COST: u64 = 2_048;
-/// What it costs to crowd an engine whose places or memory are taken, in prompt tokens: more than
-/// any prompt, so that such an engine is taken only where all are as full.
-const FULL_COST: u64 = 1 << 24;
+/// Backlog of this daemon at one engine beyond the least one, in prompt tokens, above which the next
+/// engine in rank is taken: about two large prompts that are still to be read.
+const BACKLOG_BOUND: u64 = 20_000;
 
 /// Retries that the baseline makes, whatever fails.
 const BLIND_RETRIES: usize = 3;
@@ -66,6 +61,22 @@
     pool: Arc<Mutex<StagePool>>,
 }
 
+/// An engine that could take a request.
+#[derive(Clone, Copy, Debug)]
+struct EngineCandidate {
+    position: usize,
+    /// Rank for the subject of the request.
+    rank: u64,
+    /// Work of this daemon before the request, in prompt tokens.
+    backlog: u64,
+    /// Tokens of the request that would have to be read.
+    unread: u64,
+    /// Tokens of this daemon's requests in its memory.
+    held: u64,
+    /// Requests of this daemon there.
+    in_flight: u64,
+}
+
 /// An upstream that an attempt may use.
 #[derive(Clone, Debug)]
 pub struct SlotGrant {
@@ -352,11 +363,12 @@
             })
     }
 
-    /// The engine with the least work before a new request: prompt tokens that it does not keep,
-    /// and its backlog. What daemons don't tell each other of their requests is made up for in two
-    /// ways: each takes the others to give an engine as much work as it does itself, and requests
-    /// with the same prompt parts go to the same engine wherever they come in, as long as it has
-    /// no more than a bounded backlog above that of the others.
+    /// The engine of the highest rank for the prompt's subject whose backlog is bounded; where
+    /// all are beyond the bound, the one with the least work before the request.
+    ///
+    /// Requests with the same subject find the same engine wherever they come in, without a word
+    /// between daemons, so that what they share is read once. The bound keeps a subject that gets
+    /// much of the traffic from holding up all others there.
     fn choose_engine(
         &self,
         routed: &RoutedPool,
@@ -365,39 +377,61 @@
         request: &SlotRequest,
         now: MonotonicTime,
     ) -> Option<usize> {
+        let mut candidates = self.engine_candidates(routed, demand, request, now);
+        candidates.sort_unstable_by_key(|each| std::cmp::Reverse(each.rank));
+        let least = candidates.iter().map(|each| each.backlog).min()?;
         let share = self.daemons.load(Ordering::Relaxed) as u64;
-        let subject = demand.subject().map(|part| part.id.to_string());
-        let mut best: Option<(u64, u64, usize)> = None;
-        let all = routed.near.iter().chain(&routed.far).copied();
-        let usable =
-            |position: &usize| self.cost_if_usable(*position, request, Some(now)).is_some();
-        let mut candidates: Vec<usize> = all.clone().filter(usable).collect();
-        if candidates.is_empty() {
-            let usable = |position: &usize| self.cost_if_usable(*position, request, None).is_some();
-            candidates = all.filter(usable).collect();
-        }
-        for position in candidates {
+        let new_tokens = demand.prompt_tokens + demand.output_tokens;
+        let is_bounded = |each: &&EngineCandidate| {
+            let crowded = (each.in_flight + 1) * share > u64::from(rules.slots);
+            let overfull = each.held * share + new_tokens > rules.token_memory;
+            each.backlog <= least + BACKLOG_BOUND && !crowded && !overfull
+        };
+        let ranked = candidates.iter().find(is_bounded);
+        let cheapest = || candidates.iter().min_by_key(|each| each.unread + each.backlog);
+        ranked.or_else(cheapest).map(|each| each.position)
+    }
+
+    /// Zone of the engine to which a request with `demand` would go now.
+    #[must_use]
+    pub fn engine_zone(&self, request: &SlotRequest, now: MonotonicTime) -> Option<&str> {
+        let routed = self.pools.get(&request.stage)?;
+        let (rules, demand) = (routed.engine.as_ref()?, request.demand.as_ref()?);
+        let position = self.choose_engine(routed, rules, demand, request, now)?;
+        Some(&self.upstreams[position].rules.zone)
+    }
+
+    fn engine_candidates(
+        &self,
+        routed: &RoutedPool,
+        demand: &EngineDemand,
+        request: &SlotRequest,
+        now: MonotonicTime,
+    ) -> Vec<EngineCandidate> {
+        let subject = demand.subject().map(|part| part.id.to_string()).unwrap_or_default();
+        let candidate = |position: usize| {
             let upstream = &self.upstreams[position];
             let state = lock(&upstream.state);
-            let Some(engine) = &state.engine else { continue };
-            let held = engine.held_tokens() * share + demand.prompt_tokens + demand.output_tokens;
-            let crowded = u64::from(state.in_flight() + 1) * share > u64::from(rules.slots);
-            let full = held > rules.token_memory || crowded;
-            let rank = subject
-                .as_deref()
-                .map_or(0, |subject| stable_hash(&[subject, &upstream.rules.name]));
-            // The engine of the highest rank is where the parts of this subject are read first;
-            // a part that no engine keeps costs the same everywhere, so rank decides.
-            let away = request.zone.as_ref().is_some_and(|zone| *zone != upstream.rules.zone);
-            let mut cost = engine.cost(demand, share, now) / COST_STEP;
-            cost += u64::from(away) * AWAY_COST / COST_STEP;
-            cost += u64::from(full) * FULL_COST / COST_STEP;
-            let candidate = (cost, u64::MAX - rank, position);
-            if best.is_none_or(|best| candidate < best) {
-                best = Some(candidate);
-            }
-        }
-        best.map(|(.., position)| position)
+            let engine = state.engine.as_ref()?;
+            Some(EngineCandidate {
+                position,
+                rank: stable_hash(&[&subject, &upstream.rules.name]),
+                backlog: engine.backlog(),
+                unread: engine.unread_of(demand, now),
+                held: engine.held_tokens(),
+                in_flight: u64::from(state.in_flight()),
+            })
+        };
+        let all: Vec<usize> = routed.near.iter().chain(&routed.far).copied().collect();
+        let usable = |ejected_at| {
+            let positions = all.iter().copied();
+            let open = move |position: &usize| {
+                self.cost_if_usable(*position, request, ejected_at).is_some()
+            };
+            positions.filter(open).filter_map(candidate).collect::<Vec<_>>()
+        };
+        let healthy = usable(Some(now));
+        if healthy.is_empty() { usable(None) } else { healthy }
     }
 
     /// The next upstream of the pool that isn't leaving, whatever is known of it.
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -41,6 +41,7 @@
             due_ms: millis(self.due.since(now)) - millis(now.since(self.due)),
             left_ms: millis(self.expires.since(now)).unsigned_abs(),
             repeated: self.repeated,
+            result_bytes: self.result_bytes,
         }
     }
 
@@ -62,6 +63,7 @@
             pool: wire.pool,
             step: wire.step,
             pieces: wire.pieces,
+            result_bytes: wire.result_bytes,
             source,
             zone: (!wire.zone.is_empty()).then_some(wire.zone),
             level: u8::try_from(wire.level).unwrap_or(u8::MAX),
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -138,7 +138,7 @@
     fn carry_out_one(self: &Arc<Self>, command: Command) {
         match command {
             Command::Reply { call, answer } => {
-                self.telemetry.count_outcome(&answer);
+                self.telemetry.request_ended(&answer);
                 self.calls.finish(call, answer);
                 self.relays.close(call);
             }
@@ -152,7 +152,7 @@
             Command::PassOn { call: _, attempt } => self.relays.pass_on(attempt),
             Command::CallBatch(order) => self.batches.call(self, order),
             Command::CancelBatch(batch) => self.batches.cancel(batch),
-            Command::FreeResults(results) => self.batches.free(self, results),
+            Command::FreeResults(results) => self.batches.free(self, &results),
             Command::CancelPieces(attempt) => self.pieces.cancel(attempt),
             Command::AnswerPieces { attempt, outcome } => self.pieces.answer(attempt, outcome),
             Command::ReadDirectory { known } => self.platform.read_directory(self, known),
@@ -175,6 +175,7 @@
             | Command::Exchange { .. }
             | Command::Greet { .. }
             | Command::SendPieces { .. }
+            | Command::SendUnwanted { .. }
             | Command::FetchDirectory { .. }
             | Command::FetchConfiguration { .. }) => self.peers.carry_out(self, command),
         }
--- a/crates/crocusdaled/src/peer/mod.rs
+++ b/crates/crocusdaled/src/peer/mod.rs
@@ -4,6 +4,7 @@
 mod peer_server;
 mod piece_client;
 mod piece_table;
+mod unwanted_results;
 
 pub use peer_client::PeerClient;
 pub use peer_server::PeerServer;
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -16,6 +16,7 @@
 use tonic::transport::{Channel, Endpoint};
 
 use super::piece_client::send_pieces;
+use super::unwanted_results::UnwantedResults;
 use crate::engine::DaemonEngine;
 
 /// Time that a peer has to answer a call.
@@ -36,6 +37,7 @@
 #[derive(Debug, Default)]
 pub struct PeerClient {
     channels: Mutex<HashMap<SocketAddr, Channel>>,
+    unwanted: UnwantedResults,
 }
 
 /// A call of a peer did not succeed.
@@ -50,6 +52,10 @@
                 send_pieces(engine, vm, *order);
                 return;
             }
+            Command::SendUnwanted { vm, pool, results } => {
+                self.unwanted.send(engine, vm, pool, results);
+                return;
+            }
             command => command,
         };
         let engine = Arc::clone(engine);
@@ -67,6 +73,11 @@
         });
     }
 
+    /// Unwanted results whose dispatchers are still to be told.
+    pub(super) fn unwanted(&self) -> &UnwantedResults {
+        &self.unwanted
+    }
+
     fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = lock(&self.channels);
         let connect = || {
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -2,15 +2,17 @@
 use std::sync::Arc;
 
 use crocusdale_core::claims::RegisterReply as CoreReply;
+use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::{InstanceId, RequestKey};
 use crocusdale_core::membership::{ExchangeMessage as CoreMessage, WitnessSet};
-use crocusdale_core::pipeline::PieceOrder;
+use crocusdale_core::pipeline::{PieceOrder, ResultHandle};
 use crocusdale_core::wire::pieces_reply;
 use crocusdale_schema::peer::peer_service_server::{PeerService, PeerServiceServer};
 use crocusdale_schema::peer::{
     AskOutcomeReply, AskOutcomeRequest, BuryRequest, ClaimRequest, ExchangeMessage,
     FetchConfigurationReply, FetchConfigurationRequest, FetchDirectoryReply, FetchDirectoryRequest,
-    MakePiecesReply, MakePiecesRequest, RecordOutcomeReply, RecordOutcomeRequest, RegisterReply,
+    FreeResultsReply, FreeResultsRequest, MakePiecesReply, MakePiecesRequest, PoolResults,
+    RecordOutcomeReply, RecordOutcomeRequest, RegisterReply,
 };
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -124,6 +126,17 @@
         Ok(Response::new(pieces_reply(outcome)))
     }
 
+    async fn free_results(
+        &self,
+        request: Request<FreeResultsRequest>,
+    ) -> Result<Response<FreeResultsReply>, Status> {
+        for PoolResults { pool, results } in request.into_inner().pools {
+            let results = results.iter().map(|text| ResultHandle::new(text)).collect();
+            self.engine.feed(DaemonEvent::ResultsUnwanted { pool, results });
+        }
+        Ok(Response::new(FreeResultsReply {}))
+    }
+
     async fn claim(
         &self,
         request: Request<ClaimRequest>,
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -31,9 +31,14 @@
         self.metrics.count(counter);
     }
 
-    /// Counts a final answer.
-    pub fn count_outcome(&self, answer: &FinalAnswer) {
+    /// Counts a final answer, and logs how its request came to it: by the stages that it went
+    /// through, with upstream, time and attempts each, and the stage at which it ended.
+    pub fn request_ended(&self, answer: &FinalAnswer) {
         self.metrics.count_outcome(answer);
+        let reason = answer.reason.map(|reason| reason.to_string()).unwrap_or_default();
+        let text = String::from_utf8_lossy(&answer.body);
+        info!(self.log, "request_ended";
+            "outcome" => answer.kind.to_string(), "reason" => reason, "request" => text.as_ref());
     }
 
     /// Logs a change of state.
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -24,16 +24,11 @@
 const WORK_PATIENCE: Duration = Duration::from_secs(30);
 /// Time that an upstream has to give up results.
 const FREE_PATIENCE: Duration = Duration::from_millis(1_000);
-/// Time for which results that can be given up are gathered, so that one call gives up many. Short
-/// against the seconds after which they lapse by themselves.
-const FREE_PAUSE: Duration = Duration::from_millis(150);
 
 /// Calls batched upstreams.
 #[derive(Debug, Default)]
 pub struct BatchClient {
     open: Mutex<HashMap<BatchId, AbortHandle>>,
-    /// Results that are about to be given up.
-    unwanted: Mutex<Vec<ResultHandle>>,
 }
 
 impl BatchClient {
@@ -59,22 +54,10 @@
     }
 
     /// Tells upstreams that `results` are not needed any more.
-    pub fn free(&self, engine: &Arc<DaemonEngine>, results: Vec<ResultHandle>) {
-        let first = {
-            let mut unwanted = lock(&self.unwanted);
-            let first = unwanted.is_empty();
-            unwanted.extend(results);
-            first
-        };
-        if first {
+    pub fn free(&self, engine: &Arc<DaemonEngine>, results: &[ResultHandle]) {
+        for (maker, body) in free_bodies(results) {
             let engine = Arc::clone(engine);
-            tokio::spawn(async move {
-                tokio::time::sleep(FREE_PAUSE).await;
-                let results = std::mem::take(&mut *lock(&engine.batches().unwanted));
-                for (maker, body) in free_bodies(&results) {
-                    free_at(&engine, maker, body).await;
-                }
-            });
+            tokio::spawn(async move { free_at(&engine, maker, body).await });
         }
     }
 }
