--- a/crates/crocusdale_core/src/batching/batch_call.rs
+++ b/crates/crocusdale_core/src/batching/batch_call.rs
@@ -36,7 +36,8 @@
 }
 
 /// How a call of a batched upstream ended.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum BatchOutcome {
     /// The upstream said what became of each piece, in the order of the call.
     Answered(Vec<ItemOutcome>),
@@ -51,7 +52,8 @@
 }
 
 /// What became of one piece.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum ItemOutcome {
     /// It has a result.
     Made(ResultHandle),
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -148,6 +148,10 @@
                 if let Some(worker) = worker {
                     worker.answered(&rules, pieces, time, now);
                 }
+                let failed = items.iter().filter(|item| **item == ItemOutcome::Failed).count();
+                if let Some(worker) = self.workers.get_mut(&open.upstream) {
+                    worker.note_failed(u32::try_from(failed).unwrap_or(u32::MAX), pieces, now);
+                }
                 for ((job, piece), item) in open.items.iter().zip(items) {
                     self.item_ended((*job, *piece), item, &open.upstream, &zone, now, steps);
                 }
@@ -296,6 +300,8 @@
         now: MonotonicTime,
     ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>, u64) {
         let limit = self.rules.pieces.max(1) as usize;
+        // While more waits than all upstreams can take at once, a call that is not full is lost.
+        let crowded = self.waiting() > limit * self.workers.len();
         let (mut items, mut refs, mut bytes) = (Vec::new(), Vec::new(), 0);
         let Some(worker) = self.workers.get(upstream) else { return (items, refs, bytes) };
         let (own_zone, room) = (worker.zone.clone(), worker.room(&self.rules));
@@ -313,7 +319,7 @@
             });
             let fitting = room.saturating_sub(bytes) / job.order.result_bytes.max(1);
             let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(limit - items.len());
-            let whole = job.waiting.len() <= fitting || items.is_empty();
+            let whole = job.waiting.len() <= fitting || items.is_empty() || crowded;
             if fitting == 0 || !whole || elsewhere {
                 continue;
             }
@@ -368,7 +374,8 @@
             }
             ItemOutcome::Late => self.fail(attempt, PieceFault::Late, steps),
             ItemOutcome::InputGone => self.fail(attempt, PieceFault::InputGone, steps),
-            ItemOutcome::NoRoom | ItemOutcome::Failed => {
+            ItemOutcome::Failed => self.put_back(attempt, piece, now, steps),
+            ItemOutcome::NoRoom => {
                 if let Some(worker) = self.workers.get_mut(upstream) {
                     worker.crowded(now);
                 }
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -24,6 +24,11 @@
 /// Pause of an upstream that had no room for a call. Somebody else's call is in its place, and
 /// those take some tenths of a second.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
+/// Part of an upstream's memory for results that is used. Sizes of results are declared roughly.
+const ROOM_SHARE: f64 = 0.9;
+/// Part of a call's pieces that may fail before its upstream counts as failing. One piece in some
+/// hundreds fails on a sound upstream.
+const FAILED_SHARE: f64 = 0.2;
 /// Pause of an address at which another process listens, until the published list says so.
 const WRONG_PROCESS_PAUSE: Duration = Duration::from_secs(3);
 
@@ -99,7 +104,8 @@
     /// whole time of their call. Only this dispatcher gives the upstream work, so it can count.
     pub(super) fn room(&self, rules: &BatchRules) -> u64 {
         let held: u64 = self.held.values().map(|(bytes, _)| bytes).sum();
-        rules.result_bytes.saturating_sub(held + self.reserved)
+        let usable = (rules.result_bytes as f64 * ROOM_SHARE) as u64;
+        usable.saturating_sub(held + self.reserved)
     }
 
     /// Keeps memory for the results of a call.
@@ -168,6 +174,16 @@
         self.pause(FAILURE_PAUSE * 2_u32.pow(doublings), now);
     }
 
+    /// Takes note of how many pieces of a call that was answered failed.
+    ///
+    /// Guards against an upstream that answers in time and fails much of its work: by its pace
+    /// alone it would look sound.
+    pub(super) fn note_failed(&mut self, failed: u32, pieces: u32, now: MonotonicTime) {
+        if f64::from(failed) > (f64::from(pieces) * FAILED_SHARE).max(1.0) {
+            self.pause(FAILURE_PAUSE, now);
+        }
+    }
+
     /// It had no room for a call.
     pub(super) fn declined(&mut self, now: MonotonicTime) {
         self.open = self.open.saturating_sub(1);
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -19,7 +19,7 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two turns of unwanted results. Long enough for one call to give up those of many
 /// requests, short against the seconds that an upstream's memory for results lasts.
-const RESULT_PACE: Duration = Duration::from_millis(40);
+const RESULT_PACE: Duration = Duration::from_millis(15);
 /// Lateness of a timer that counts as a pause of the process.
 const PAUSE: Duration = Duration::from_millis(1_000);
 
--- a/crates/crocusdaled/src/peer/unwanted_results.rs
+++ b/crates/crocusdaled/src/peer/unwanted_results.rs
@@ -11,7 +11,7 @@
 
 /// Time for which unwanted results are gathered before their dispatcher is told, so that one call
 /// names those of many requests.
-const GATHER_TIME: Duration = Duration::from_millis(25);
+const GATHER_TIME: Duration = Duration::from_millis(8);
 /// Time that a dispatcher has to take the news; without it the results lapse by themselves.
 const PATIENCE: Duration = Duration::from_millis(500);
 
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -3,6 +3,9 @@
 mod log_setup;
 mod metric_set;
 
+use std::time::Duration;
+
+use crocusdale_core::batching::{BatchOrder, BatchOutcome, ItemOutcome};
 use crocusdale_core::daemon::{CounterName, StateChange};
 use crocusdale_core::pipeline::FinalAnswer;
 use slog::{Logger, info};
@@ -41,6 +44,26 @@
             "outcome" => answer.kind.to_string(), "reason" => reason, "request" => text.as_ref());
     }
 
+    /// Logs what became of a call of a batched upstream.
+    pub fn batch_ended(&self, order: &BatchOrder, outcome: &BatchOutcome, time: Duration) {
+        let made = match outcome {
+            BatchOutcome::Answered(items) => {
+                items.iter().filter(|item| matches!(item, ItemOutcome::Made(_))).count()
+            }
+            _ => 0,
+        };
+        let unmade = match outcome {
+            BatchOutcome::Answered(items) => {
+                let first = items.iter().find(|item| !matches!(item, ItemOutcome::Made(_)));
+                first.map(ToString::to_string).unwrap_or_default()
+            }
+            other => other.to_string(),
+        };
+        info!(self.log, "batch_ended";
+            "upstream" => &order.upstream, "pieces" => order.items.len(), "made" => made,
+            "unmade" => unmade, "time_ms" => u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
+    }
+
     /// Logs a change of state.
     pub fn note(&self, change: &StateChange) {
         let name: &'static str = change.into();
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -39,8 +39,11 @@
         // The table is locked until the task stands in it, so that the task can't end first.
         let mut open = lock(&self.open);
         let task = tokio::spawn(async move {
+            let started = task_engine.now();
             let outcome = work(&task_engine, &order).await;
             lock(&task_engine.batches().open).remove(&batch);
+            let time = task_engine.now().since(started);
+            task_engine.telemetry.batch_ended(&order, &outcome, time);
             task_engine.feed(DaemonEvent::BatchEnded { batch, outcome });
         });
         open.insert(batch, task.abort_handle());
