Read the published upstreams whole, and answer what is open before a process ends

Change: the list of upstreams is read whole each time, which costs as many calls as a watch that each heartbeat ends; the configuration is read whole at least every two seconds. A draining daemon takes no new request after 0.3 of its time, and ends what is open 0.9 s before the kill, so that each caller has its answer.

--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -122,11 +122,8 @@
         /// The peer.
         vm: String,
     },
-    /// Read the published upstreams: what changed since `known`, or all for 0.
-    ReadDirectory {
-        /// Revision up to which everything has been read.
-        known: u64,
-    },
+    /// Read the published upstreams.
+    ReadDirectory,
     /// Fetch the configuration that a peer has in force.
     FetchConfiguration {
         /// The peer.
@@ -204,6 +201,8 @@
     Results,
     /// Next greeting of the seeds.
     Seeds,
+    /// Last moment at which a draining process can still answer its open requests.
+    EndRequests,
     /// Last moment at which a draining process can still end by itself.
     Exit,
     /// End of the time for which addresses given out may still point here.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -39,6 +39,8 @@
     pub(super) desk: Mutex<BatchDesk>,
     /// Time for which a draining process may still end by itself, if it is killed after it.
     pub(super) grace: Option<Duration>,
+    /// Time after which a draining process takes no new request that it might not finish.
+    pub(super) refuse_from: Mutex<Option<MonotonicTime>>,
     router: RwLock<Arc<UpstreamRouter>>,
     basis: RwLock<Arc<RequestBasis>>,
     next_call: AtomicU64,
@@ -186,6 +188,7 @@
             directory: Mutex::default(),
             desk: Mutex::new(desk),
             grace,
+            refuse_from: Mutex::new(None),
             router: RwLock::new(Arc::new(router)),
             basis: RwLock::new(Arc::new(basis)),
             next_call: AtomicU64::new(1),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -9,14 +9,19 @@
 use crate::configuration::Declarations;
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, VmRoster, WitnessSet};
-use crate::pipeline::HolderReply;
+use crate::pipeline::{HolderReply, RefusalReason};
 use crate::routing::DirectoryEntry;
 use crate::sync::lock;
 
 /// Pause between two looks at waiting work, pauses and the drain.
 const HOUSEKEEPING: Duration = Duration::from_millis(100);
-/// Time before a draining process is killed at which it ends by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time before a draining process is killed at which it ends the requests that are still open.
+const END_MARGIN: Duration = Duration::from_millis(900);
+/// Time that the answers of those requests have to reach their callers.
+const END_TIME: Duration = Duration::from_millis(250);
+/// Part of the time until the kill in which a draining process takes new requests. Those that come
+/// later could not be finished, and another daemon serves them at once.
+const ACCEPT_SHARE: f64 = 0.3;
 /// Pause between two turns of unwanted results. Long enough for one call to give up those of many
 /// requests, short against the seconds that an upstream's memory for results lasts.
 const RESULT_PACE: Duration = Duration::from_millis(15);
@@ -257,6 +262,7 @@
                 out.push(Command::SetTimer { timer: TimerKey::Results, at: now + RESULT_PACE });
             }
             TimerKey::Seeds => lock(&self.state.fleet).greet_seed(now, out),
+            TimerKey::EndRequests => self.end_requests(now, out),
             TimerKey::Exit => {
                 out.push(Command::Note(StateChange::Drained));
                 out.push(Command::Exit);
@@ -270,6 +276,15 @@
         }
     }
 
+    /// Ends every request that is still open: the process is about to end.
+    fn end_requests(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let mut steps = Vec::new();
+        for shard in &self.state.shards {
+            lock(shard).end_all(RefusalReason::Draining, now, &mut steps);
+        }
+        self.state.run_steps(steps, now, out);
+    }
+
     fn request_timer(
         &self,
         call: CallId,
@@ -296,12 +311,6 @@
                 drop(directory);
                 self.directory_read(changed, now, out);
             }
-            DaemonEvent::DirectoryChanged { revision, changes } => {
-                let mut directory = lock(&self.state.directory);
-                let changed = directory.read_changes(revision, changes, now, out);
-                drop(directory);
-                self.directory_read(changed, now, out);
-            }
             DaemonEvent::DirectoryUnread => lock(&self.state.directory).read_failed(now, out),
             DaemonEvent::DirectoryFetched(list) => {
                 let changed = lock(&self.state.directory).fetched(list, now, out);
@@ -494,10 +503,13 @@
         let window = fleet.drain_window();
         out.push(Command::Note(StateChange::Draining));
         if let Some(grace) = self.state.grace {
-            // Whatever is open by then can't be finished: a process that is killed resets its
-            // connections, one that exits closes them.
-            let last = grace.saturating_sub(EXIT_MARGIN);
-            out.push(Command::SetTimer { timer: TimerKey::Exit, at: now + last });
+            // Whatever is open by then can't be finished; its callers are told so while there is
+            // time. A process that is killed would reset their connections without a word.
+            let last = grace.saturating_sub(END_MARGIN);
+            out.push(Command::SetTimer { timer: TimerKey::EndRequests, at: now + last });
+            out.push(Command::SetTimer { timer: TimerKey::Exit, at: now + last + END_TIME });
+            let accepting = fleet.drain_window().min(grace.mul_f64(ACCEPT_SHARE));
+            *lock(&self.state.refuse_from) = Some(now + accepting);
         }
         out.push(Command::SetTimer { timer: TimerKey::Drain, at: now + window });
     }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -6,7 +6,7 @@
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
-use crate::routing::{DirectoryChange, DirectoryEntry};
+use crate::routing::DirectoryEntry;
 
 use super::TimerKey;
 
@@ -71,13 +71,6 @@
         /// The upstreams.
         entries: Vec<(u64, DirectoryEntry)>,
     },
-    /// What changed of the published upstreams was read.
-    DirectoryChanged {
-        /// Revision up to which everything has been read.
-        revision: u64,
-        /// The changes with their revisions.
-        changes: Vec<(u64, DirectoryChange)>,
-    },
     /// The published upstreams could not be read.
     DirectoryUnread,
     /// A peer told the published upstreams that it knows, or did not.
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -2,11 +2,11 @@
 
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::identity::MonotonicTime;
-use crate::routing::{DirectoryChange, DirectoryEntry, UpstreamDirectory};
+use crate::routing::{DirectoryEntry, UpstreamDirectory};
 
-/// Pause between two reads of what changed. Each upstream renews its entry about every second, so
-/// that a waiting read ends at once; reading seldom gathers changes. The users bound the time from
-/// a notice to the last request at two seconds.
+/// Pause between two reads. The list is always read whole: each upstream renews its entry about
+/// every second, so that a watch would end as soon, and it would miss what changes while the store
+/// forgets its history. The users bound the time from a notice to the last request at two seconds.
 const READ_PAUSE: Duration = Duration::from_millis(500);
 /// First pause after a failed read, and the longest one.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(1_000));
@@ -50,7 +50,7 @@
         }
         if is_reader || self.is_stale(now) {
             self.reading = true;
-            out.push(Command::ReadDirectory { known: self.directory.revision() });
+            out.push(Command::ReadDirectory);
         } else {
             out.push(Command::SetTimer { timer: TimerKey::Directory, at: now + READ_PAUSE });
         }
@@ -70,20 +70,6 @@
         changed
     }
 
-    /// Takes what changed. Returns whether routing must change.
-    pub(super) fn read_changes(
-        &mut self,
-        revision: u64,
-        changes: Vec<(u64, DirectoryChange)>,
-        now: MonotonicTime,
-        out: &mut Vec<Command>,
-    ) -> bool {
-        self.succeeded(now, out);
-        let changed = self.directory.apply(revision, changes, self.grace(now));
-        self.note(changed, out);
-        changed
-    }
-
     /// A read failed.
     pub(super) fn read_failed(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
         out.push(Command::Count(CounterName::PlatformReadsFailed));
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -19,6 +19,9 @@
 const LIMIT_RETRY: Duration = Duration::from_millis(250);
 /// When a caller is told to come back to a daemon that is not ready.
 const READY_RETRY: Duration = Duration::from_millis(1_000);
+/// When a caller is told to come back that still uses a daemon which is about to end: at once, as
+/// another daemon serves it.
+const DRAIN_RETRY: Duration = Duration::from_millis(50);
 /// When a witness that sees other witnesses of a key may be asked again.
 const DISAGREEMENT_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -38,6 +41,12 @@
             self.run_steps(steps, now, out);
             return;
         }
+        let ending = lock(&self.refuse_from).is_some_and(|from| now >= from);
+        if ending && request.forward().is_some() {
+            let refusal = refusal(&key, RefusalReason::Draining, DRAIN_RETRY);
+            self.refuse(call, key, None, refusal, now, out);
+            return;
+        }
         let basis = self.basis();
         let Some(declarations) = &basis.declarations else {
             let refusal = refusal(&key, RefusalReason::NotReady, READY_RETRY);
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -70,6 +70,8 @@
     NoAccess,
     /// The daemon has no configuration yet.
     NotReady,
+    /// The daemon is about to end, and could not finish the request.
+    Draining,
     /// Too many requests run in this daemon.
     RequestLimit,
     /// Too many requests of the workspace run in this daemon.
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -296,6 +296,19 @@
         }
     }
 
+    /// Ends every run.
+    pub fn end_all(
+        &mut self,
+        reason: RefusalReason,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let calls: Vec<CallId> = self.runs.keys().copied().collect();
+        for call in calls {
+            self.end_run(call, reason, now, steps);
+        }
+    }
+
     /// Answers another daemon that asks what became of `key` here.
     #[must_use]
     pub fn holder_reply(&self, key: &RequestKey) -> HolderReply {
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -8,6 +8,6 @@
 
 pub use engine_load::EngineLoad;
 pub use stage_pool::{SlotRequest, StagePool};
-pub use upstream_directory::{DirectoryChange, DirectoryEntry, UpstreamDirectory};
+pub use upstream_directory::{DirectoryEntry, UpstreamDirectory};
 pub use upstream_router::{SlotGrant, UpstreamRouter};
 pub use upstream_state::{AttemptReport, UpstreamState, UpstreamSummary};
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -22,15 +22,6 @@
     pub leaving: bool,
 }
 
-/// A change of the published list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum DirectoryChange {
-    /// An upstream was published.
-    Put(DirectoryEntry),
-    /// The upstream with this identity is gone.
-    Removed(String),
-}
-
 /// Upstreams that the platform publishes, as far as this daemon has read or heard.
 ///
 /// Each entry keeps the revision of its last change, so that what a peer tells late never goes
@@ -96,26 +87,6 @@
         changed
     }
 
-    /// Takes changes, each with its revision, that were read up to `revision`; see
-    /// [`UpstreamDirectory::replace`] for `grace`. Returns whether anything changed that matters
-    /// to routing.
-    pub fn apply(
-        &mut self,
-        revision: u64,
-        changes: Vec<(u64, DirectoryChange)>,
-        grace: Option<MonotonicTime>,
-    ) -> bool {
-        let mut changed = false;
-        for (written, change) in changes {
-            changed |= match change {
-                DirectoryChange::Put(entry) => self.put(written, entry),
-                DirectoryChange::Removed(id) => self.lose(&id, written, grace),
-            };
-        }
-        self.revision = self.revision.max(revision);
-        changed
-    }
-
     /// Drops upstreams that were waited for long enough. Returns whether there were any.
     pub fn drop_missing(&mut self, now: MonotonicTime) -> bool {
         let over = self.missing.iter().filter(|(_, until)| now >= **until);
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -155,7 +155,7 @@
             Command::FreeResults(results) => self.batches.free(self, &results),
             Command::CancelPieces(attempt) => self.pieces.cancel(attempt),
             Command::AnswerPieces { attempt, outcome } => self.pieces.answer(attempt, outcome),
-            Command::ReadDirectory { known } => self.platform.read_directory(self, known),
+            Command::ReadDirectory => self.platform.read_directory(self),
             Command::Distrust(upstream) => self.upstreams.distrust(&upstream),
             Command::SetTimer { timer, at } => self.timers.set(timer, at),
             Command::Count(counter) => self.telemetry.count(counter),
--- a/crates/crocusdaled/src/http/http_listener.rs
+++ b/crates/crocusdaled/src/http/http_listener.rs
@@ -21,7 +21,7 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which written data may stay unacknowledged before a connection counts as silent.
 const SILENCE: Duration = Duration::from_secs(15);
-/// Time that connections have to finish once the listener stops.
+/// Time that connections have to finish once the listener stops, unless set.
 const FINISH_TIME: Duration = Duration::from_secs(5);
 
 /// Serves a router, within limits that the server of volo-http doesn't have: open connections,
@@ -38,11 +38,17 @@
     connections: usize,
     head_bytes: usize,
     head_time: Duration,
+    finish_time: Duration,
 }
 
 impl Default for HttpListenerBuilder {
     fn default() -> Self {
-        Self { connections: 1_024, head_bytes: 16_384, head_time: Duration::from_secs(10) }
+        Self {
+            connections: 1_024,
+            head_bytes: 16_384,
+            head_time: Duration::from_secs(10),
+            finish_time: FINISH_TIME,
+        }
     }
 }
 
@@ -68,6 +74,13 @@
         self
     }
 
+    /// Sets the time that connections have to finish once the listener stops.
+    #[must_use]
+    pub fn finish_time(mut self, finish_time: Duration) -> Self {
+        self.finish_time = finish_time;
+        self
+    }
+
     /// Binds `address`.
     ///
     /// # Errors
@@ -109,7 +122,7 @@
             while connections.try_join_next().is_some() {}
         }
         drop(self.listener);
-        let _ = tokio::time::timeout(FINISH_TIME, async {
+        let _ = tokio::time::timeout(self.limits.finish_time, async {
             while connections.join_next().await.is_some() {}
         })
         .await;
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context as _, Result};
 use crocusdale_core::configuration::{PlatformSettings, ProcessSettings, PublishedSettings};
@@ -40,6 +40,9 @@
 Exit codes: 0 done, 1 failure while running, 2 bad arguments or settings
 ";
 
+/// Time that connections have to finish at the end of a process that is killed soon after: its
+/// answers have been given by then.
+const PUBLISHED_FINISH_TIME: Duration = Duration::from_millis(300);
 /// Exit code for bad arguments or settings.
 const BAD_INPUT: u8 = 2;
 /// Bits of an incarnation that are random, below the time of the start.
@@ -102,6 +105,10 @@
         .connections(limits.connections)
         .head_bytes(limits.head_bytes)
         .head_time(limits.head_time);
+    let callers = match &settings.platform {
+        PlatformSettings::Services { .. } => callers,
+        PlatformSettings::Published(_) => callers.finish_time(PUBLISHED_FINISH_TIME),
+    };
     let callers = callers.bind(settings.caller).await.context("binding [listen] caller")?;
     let operators = HttpListenerBuilder::default().bind(settings.operator).await;
     let operators = operators.context("binding [listen] operator")?;
--- a/crates/crocusdaled/src/platform/platform_reader.rs
+++ b/crates/crocusdaled/src/platform/platform_reader.rs
@@ -29,11 +29,11 @@
         }
     }
 
-    /// Reads the published upstreams: what changed since `known`, or all for 0.
-    pub fn read_directory(&self, engine: &Arc<DaemonEngine>, known: u64) {
+    /// Reads the published upstreams.
+    pub fn read_directory(&self, engine: &Arc<DaemonEngine>) {
         match self {
             Self::Services(_) => debug_assert!(false, "upstreams are declared"),
-            Self::Store(reader) => reader.read_directory(engine, known),
+            Self::Store(reader) => reader.read_directory(engine),
         }
     }
 }
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -1,15 +1,15 @@
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use crocusdale_core::daemon::DaemonEvent;
-use crocusdale_core::routing::{DirectoryChange, DirectoryEntry};
+use crocusdale_core::sync::lock;
 use crocusdale_platform::store::{
     StoreChange, StoreFault, StoreItem, StorePart, is_configuration, read_changes,
-    read_configuration, read_page, read_upstream, read_upstream_change,
+    read_configuration, read_page, read_upstream,
 };
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
@@ -21,8 +21,10 @@
 /// How long the store may hold a watch of the configuration. Open connections may go silent for
 /// good, and then the news comes only with the next watch; it must be in force within two seconds.
 const CONFIGURATION_HOLD: Duration = Duration::from_millis(1_500);
-/// How long the store may hold a watch of the upstreams.
-const UPSTREAM_HOLD: Duration = Duration::from_millis(800);
+/// Time after which the configuration is read whole, whatever a watch says: a store that forgets its
+/// history lets a watch wait on, or go on behind a change that it never told. Below the three
+/// seconds after which the users count on a store that has come back.
+const WHOLE_READ_PERIOD: Duration = Duration::from_millis(2_000);
 /// Time beyond the hold for which an answer may take. An answer takes a few milliseconds in calm,
 /// and up to some tenths of a second while the store is slow.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(900);
@@ -37,6 +39,8 @@
     connections: Arc<ConnectionPool>,
     /// Revision of the store after which the configuration is watched, 0 before the first reading.
     position: Arc<AtomicU64>,
+    /// When the configuration was last read whole.
+    whole_read: Arc<Mutex<Option<Instant>>>,
 }
 
 /// Why the store could not be read.
@@ -61,17 +65,16 @@
     }
 }
 
-/// What a reading of the upstreams gave.
-enum DirectoryNews {
-    Whole { revision: u64, entries: Vec<(u64, DirectoryEntry)> },
-    Changes { revision: u64, changes: Vec<(u64, DirectoryChange)> },
-}
-
 impl StoreReader {
     /// Reads from `store`.
     #[must_use]
     pub fn new(store: SocketAddr) -> Self {
-        Self { store, connections: Arc::default(), position: Arc::default() }
+        Self {
+            store,
+            connections: Arc::default(),
+            position: Arc::default(),
+            whole_read: Arc::default(),
+        }
     }
 
     /// Reads the configuration, or once it is known waits for another one.
@@ -90,16 +93,14 @@
         });
     }
 
-    /// Reads the published upstreams: what changed since `known`, or all for 0.
-    pub fn read_directory(&self, engine: &Arc<DaemonEngine>, known: u64) {
+    /// Reads the published upstreams.
+    pub fn read_directory(&self, engine: &Arc<DaemonEngine>) {
         let (reader, engine) = (self.handle(), Arc::clone(engine));
         tokio::spawn(async move {
-            let event = match reader.next_upstreams(&engine, known).await {
-                Ok(DirectoryNews::Whole { revision, entries }) => {
-                    DaemonEvent::DirectoryRead { revision, entries }
-                }
-                Ok(DirectoryNews::Changes { revision, changes }) => {
-                    DaemonEvent::DirectoryChanged { revision, changes }
+            let event = match reader.read_whole(StorePart::Upstreams).await {
+                Ok((revision, items)) => {
+                    let read = items.iter().map(|item| Ok((item.revision, read_upstream(item)?)));
+                    DaemonEvent::DirectoryRead { revision, entries: readable(&engine, read) }
                 }
                 Err(fault) => {
                     reader.report(&engine, StorePart::Upstreams, &fault);
@@ -115,13 +116,18 @@
             store: self.store,
             connections: Arc::clone(&self.connections),
             position: Arc::clone(&self.position),
+            whole_read: Arc::clone(&self.whole_read),
         }
     }
 
     async fn next_configuration(&self) -> Result<Option<(u64, String)>, ReadFault> {
         let position = self.position.load(Ordering::Relaxed);
-        let items = if position == 0 {
-            self.read_whole(StorePart::Configuration).await?
+        let read = *lock(&self.whole_read);
+        let due = read.is_none_or(|read| read.elapsed() >= WHOLE_READ_PERIOD);
+        let items = if position == 0 || due {
+            let items = self.read_whole(StorePart::Configuration).await?;
+            *lock(&self.whole_read) = Some(Instant::now());
+            items
         } else {
             match self.watch(StorePart::Configuration, position, CONFIGURATION_HOLD).await {
                 Ok((revision, changes)) => (revision, written(changes)),
@@ -136,28 +142,6 @@
         Ok(news)
     }
 
-    async fn next_upstreams(
-        &self,
-        engine: &DaemonEngine,
-        known: u64,
-    ) -> Result<DirectoryNews, ReadFault> {
-        if known > 0 {
-            match self.watch(StorePart::Upstreams, known, UPSTREAM_HOLD).await {
-                Ok((revision, changes)) => {
-                    let read = changes.iter().map(read_upstream_change);
-                    let changes = readable(engine, read);
-                    return Ok(DirectoryNews::Changes { revision, changes });
-                }
-                Err(ReadFault::HistoryGone) => {}
-                Err(fault) => return Err(fault),
-            }
-        }
-        let (revision, items) = self.read_whole(StorePart::Upstreams).await?;
-        let read = items.iter().map(|item| Ok((item.revision, read_upstream(item)?)));
-        let entries = readable(engine, read);
-        Ok(DirectoryNews::Whole { revision, entries })
-    }
-
     /// Reads a part whole. Pages are no snapshot: what changes meanwhile is seen by a watch from
     /// the revision of the first page.
     async fn read_whole(&self, part: StorePart) -> Result<(u64, Vec<StoreItem>), ReadFault> {
--- a/crates/crocusdaled/src/service/answer_response.rs
+++ b/crates/crocusdaled/src/service/answer_response.rs
@@ -101,6 +101,7 @@
         | RefusalReason::KeyExpired
         | RefusalReason::BadTicket => StatusCode::CONFLICT,
         RefusalReason::NotReady
+        | RefusalReason::Draining
         | RefusalReason::Overload
         | RefusalReason::NoUpstream
         | RefusalReason::Deadline
