--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -92,6 +92,10 @@
     /// Takes the pieces of a step.
     pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let attempt = order.attempt;
+        if order.pieces == 0 {
+            steps.push(DeskStep::Settle { attempt, outcome: Ok(Vec::new()) });
+            return;
+        }
         // Pieces that another dispatcher may have had made count as retries at the pool.
         if order.repeated {
             if !(0..order.pieces).all(|_| self.budget.spend(now)) {
--- /dev/null
+++ b/crates/crocusdale_core/tests/batch_pool_test.rs
@@ -0,0 +1,402 @@
+//! Calls that pieces of many requests share.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crocusdale_core::batching::{
+    BatchDesk, BatchId, BatchOrder, BatchOutcome, DeskStep, ItemOutcome,
+};
+use crocusdale_core::configuration::{
+    BatchRules, Declarations, DeclarationsBuilder, PoolKind, StageRules,
+};
+use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime};
+use crocusdale_core::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
+use crocusdale_core::retry::RetryLimits;
+use crocusdale_core::routing::{DirectoryEntry, UpstreamDirectory};
+
+const POOL: &str = "rerank";
+const CALL_MS: u64 = 200;
+const PIECE_MS: u64 = 5;
+const PIECES: u32 = 20;
+const ROOM: u64 = 1_000_000;
+
+fn rules() -> BatchRules {
+    BatchRules {
+        slots: 1,
+        pieces: PIECES,
+        call_time: Duration::from_millis(CALL_MS),
+        piece_time: Duration::from_millis(PIECE_MS),
+        result_bytes: ROOM,
+        result_life: Duration::from_secs(4),
+    }
+}
+
+fn declarations() -> Declarations {
+    let stage = StageRules {
+        pool: Vec::new(),
+        path: String::new(),
+        stream: false,
+        silence: Duration::MAX,
+        cost: 0.0,
+        kind: PoolKind::Batch(rules()),
+        connections: None,
+    };
+    DeclarationsBuilder::new("test", Duration::from_secs(1)).stage(POOL, stage).build()
+}
+
+fn entry(id: &str, zone: &str) -> DirectoryEntry {
+    DirectoryEntry {
+        id: id.to_owned(),
+        pool: POOL.to_owned(),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 1,
+        leaving: false,
+    }
+}
+
+/// A desk with the upstreams `ids`, each in the zone behind its colon.
+struct Bench {
+    desk: BatchDesk,
+    now: MonotonicTime,
+    calls: Vec<BatchOrder>,
+    settled: Vec<(AttemptId, Result<Vec<PlacedResult>, PieceFault>)>,
+    cancelled: Vec<BatchId>,
+    next: u64,
+}
+
+impl Bench {
+    fn new(upstreams: &[(&str, &str)]) -> Self {
+        Self::with_reserve(upstreams, 400.0)
+    }
+
+    fn with_reserve(upstreams: &[(&str, &str)], reserve: f64) -> Self {
+        let mut bench = Self {
+            desk: BatchDesk::default(),
+            now: MonotonicTime::from_millis(10_000),
+            calls: Vec::new(),
+            settled: Vec::new(),
+            cancelled: Vec::new(),
+            next: 0,
+        };
+        bench.desk.set_retries(RetryLimits {
+            ratio: 0.2,
+            reserve,
+            window: Duration::from_secs(10),
+        });
+        bench.publish(upstreams);
+        // A process begins without retries, as the one before it may have spent them.
+        for _ in 0..100 {
+            let order = bench.order(1, 900);
+            bench.offer(order);
+            bench.advance(CALL_MS + PIECE_MS);
+            while !bench.calls.is_empty() {
+                bench.end_call(made);
+            }
+        }
+        bench.advance(5_000);
+        bench.settled.clear();
+        bench
+    }
+
+    fn publish(&mut self, upstreams: &[(&str, &str)]) {
+        let mut directory = UpstreamDirectory::default();
+        let entries = upstreams.iter().map(|(id, zone)| (1, entry(id, zone))).collect();
+        directory.replace(1, entries, None);
+        let mut steps = Vec::new();
+        self.desk.reconfigure(&declarations(), &directory, self.now, &mut steps);
+        self.take(steps);
+    }
+
+    fn order(&mut self, pieces: u32, due_ms: u64) -> PieceOrder {
+        self.next += 1;
+        PieceOrder {
+            attempt: AttemptId { incarnation: 1, call: CallId(self.next), sequence: 1 },
+            request: format!("request-{}", self.next),
+            pool: POOL.to_owned(),
+            step: 0,
+            pieces,
+            result_bytes: 1_000,
+            source: PieceSource::Caller("letter".to_owned()),
+            zone: None,
+            level: 1,
+            due: self.now + Duration::from_millis(due_ms),
+            expires: self.now + Duration::from_secs(6),
+            repeated: false,
+        }
+    }
+
+    fn offer(&mut self, order: PieceOrder) -> AttemptId {
+        let (attempt, mut steps) = (order.attempt, Vec::new());
+        self.desk.offer(order, self.now, &mut steps);
+        self.take(steps);
+        attempt
+    }
+
+    fn take(&mut self, steps: Vec<DeskStep>) {
+        for step in steps {
+            match step {
+                DeskStep::Call(order) => self.calls.push(order),
+                DeskStep::Cancel(batch) => self.cancelled.push(batch),
+                DeskStep::Settle { attempt, outcome } => self.settled.push((attempt, outcome)),
+                DeskStep::Free(_) => {}
+            }
+        }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.now = (self.now + Duration::from_millis(50)).min(end);
+            let mut steps = Vec::new();
+            self.desk.turn(self.now, &mut steps);
+            self.take(steps);
+        }
+    }
+
+    /// Ends the oldest call, with every piece made unless `outcome` says otherwise.
+    fn end_call(&mut self, outcome: impl Fn(usize) -> ItemOutcome) -> BatchOrder {
+        let order = self.calls.remove(0);
+        let items = (0..order.items.len()).map(outcome).collect();
+        let mut steps = Vec::new();
+        let outcome = BatchOutcome::Answered(items);
+        self.desk.answered(order.batch, outcome, self.now, &mut steps);
+        self.take(steps);
+        order
+    }
+
+    fn end_call_as(&mut self, outcome: BatchOutcome) -> BatchOrder {
+        let order = self.calls.remove(0);
+        let mut steps = Vec::new();
+        self.desk.answered(order.batch, outcome, self.now, &mut steps);
+        self.take(steps);
+        order
+    }
+}
+
+fn made(index: usize) -> ItemOutcome {
+    ItemOutcome::Made(ResultHandle::new(&format!("127.0.0.1:9000/{index}")))
+}
+
+/// A burst: many requests of a few pieces each arrive while the one upstream works. Each in a call
+/// of its own would take a fifth of a second; users would see all but the first few come late.
+/// What waited shares the next call, up to what a call holds.
+#[test]
+fn what_waits_during_a_call_shares_the_next_one() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let first = bench.order(2, 900);
+    bench.offer(first);
+    assert_eq!(bench.calls[0].items.len(), 2, "a free upstream is not kept waiting");
+    for _ in 0..5 {
+        let order = bench.order(3, 900);
+        bench.offer(order);
+    }
+    assert_eq!(bench.calls.len(), 1, "the upstream takes one call at a time");
+    bench.advance(210);
+    bench.end_call(made);
+    assert_eq!(bench.calls[0].items.len(), 15, "all that waited fits into one call");
+    assert_eq!(bench.settled.len(), 1);
+}
+
+/// A burst is larger than what all upstreams take at once. If each call held whole requests only,
+/// every call would leave places empty, and the backlog of the burst would last that much longer.
+#[test]
+fn calls_are_full_while_more_waits_than_they_hold() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    for _ in 0..9 {
+        let order = bench.order(3, 900);
+        bench.offer(order);
+    }
+    bench.advance(220);
+    bench.end_call(made);
+    assert_eq!(bench.calls[0].items.len(), PIECES as usize);
+}
+
+/// Two users' requests wait for the same pool; the one that is needed later came first. In order of
+/// arrival the urgent one would miss its objective for nothing.
+#[test]
+fn pieces_that_are_needed_first_go_first() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let busy = bench.order(1, 900);
+    bench.offer(busy);
+    let later = bench.order(PIECES, 3_000);
+    let later = bench.offer(later);
+    let sooner = bench.order(PIECES, 700);
+    let sooner = bench.offer(sooner);
+    bench.advance(200);
+    bench.end_call(made);
+    assert_eq!(bench.calls[0].items[0].request, format!("request-{}", sooner.call.0));
+    bench.advance(300);
+    bench.end_call(made);
+    assert_eq!(bench.calls[0].items[0].request, format!("request-{}", later.call.0));
+}
+
+/// A burst is over, and requests wait that missed their objectives in it, beside fresh ones that
+/// can still be in time. Served in order of age, each late one would make a fresh one late too, and
+/// users would see nothing but late answers long after the burst.
+#[test]
+fn late_pieces_wait_for_those_that_can_be_in_time() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let busy = bench.order(1, 900);
+    bench.offer(busy);
+    let late = bench.order(PIECES, 100);
+    bench.offer(late);
+    bench.advance(200);
+    let fresh = bench.order(PIECES, 700);
+    let fresh = bench.offer(fresh);
+    bench.end_call(made);
+    assert_eq!(bench.calls[0].items[0].request, format!("request-{}", fresh.call.0));
+}
+
+/// An upstream dies in the middle of a call, without a word. Its pieces would be waited for until
+/// the users' deadlines. The call counts as lost after a few times its length, and the pieces go
+/// to another upstream.
+#[test]
+fn pieces_of_a_lost_call_go_to_another_upstream() {
+    let mut bench = Bench::new(&[("u1", "a"), ("u2", "a")]);
+    let order = bench.order(4, 2_000);
+    let attempt = bench.offer(order);
+    let dead = bench.calls.remove(0);
+    bench.advance(1_500);
+    assert_eq!(bench.cancelled, [dead.batch]);
+    assert_ne!(bench.calls[0].upstream, dead.upstream);
+    bench.end_call(made);
+    assert!(matches!(&bench.settled[..], [(settled, Ok(results))]
+        if *settled == attempt && results.len() == 4));
+}
+
+/// An upstream is full of results that nobody gave up yet. A call that goes there all the same
+/// would take its whole time and come back with nothing, for every request in it.
+#[test]
+fn calls_hold_no_more_than_the_room_for_results() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let mut order = bench.order(10, 900);
+    order.result_bytes = 200_000;
+    bench.offer(order);
+    assert_eq!(bench.calls[0].items.len(), 4, "four results of 200 kB fit into 0.9 of a megabyte");
+    bench.advance(250);
+    bench.end_call(made);
+    assert!(bench.calls.is_empty(), "the results lie there still");
+    bench.advance(4_100);
+    assert_eq!(bench.calls[0].items.len(), 4, "they have lapsed");
+}
+
+/// One piece of a call fails by chance, as some in a thousand do. The request must not fail with
+/// it, and the other pieces must not be made twice.
+#[test]
+fn single_failed_piece_is_made_again_alone() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let order = bench.order(5, 2_000);
+    bench.offer(order);
+    bench.advance(250);
+    bench.end_call(|index| if index == 3 { ItemOutcome::Failed } else { made(index) });
+    assert_eq!(bench.calls[0].items.len(), 1);
+    assert_eq!(bench.calls[0].items[0].piece, 3);
+    bench.advance(250);
+    bench.end_call(|_| made(30));
+    assert!(matches!(&bench.settled[..], [(_, Ok(results))] if results.len() == 5));
+}
+
+/// Another process has taken over an upstream's address. It refuses the call; the pieces have not
+/// run, and whoever is called next must not be that address again.
+#[test]
+fn address_of_another_process_is_left_alone() {
+    let mut bench = Bench::new(&[("u1", "a"), ("u2", "a")]);
+    let order = bench.order(5, 2_000);
+    bench.offer(order);
+    let displaced = bench.end_call_as(BatchOutcome::WrongProcess);
+    assert_ne!(bench.calls[0].upstream, displaced.upstream);
+    bench.advance(250);
+    bench.end_call(made);
+    let order = bench.order(5, 2_000);
+    bench.offer(order);
+    assert_ne!(bench.calls[0].upstream, displaced.upstream);
+}
+
+/// The results of a step are large, and the step that fetches them is done in another zone because
+/// an upstream there happened to be free. Users see no difference, but every byte crosses zones.
+#[test]
+fn pieces_go_to_the_zone_that_is_asked_for_while_that_is_in_time() {
+    let mut bench = Bench::new(&[("u1", "a"), ("u2", "b")]);
+    let mut order = bench.order(1, 2_000);
+    order.zone = Some("b".to_owned());
+    bench.offer(order.clone());
+    assert_eq!(bench.calls[0].upstream, "u2");
+    let mut order = bench.order(1, 2_000);
+    order.zone = Some("b".to_owned());
+    bench.offer(order);
+    assert_eq!(bench.calls.len(), 1, "it can wait for its zone and still be in time");
+    let mut order = bench.order(1, 300);
+    order.zone = Some("b".to_owned());
+    bench.offer(order);
+    assert_eq!(bench.calls[1].upstream, "u1", "it would be late in its own zone");
+}
+
+/// An upstream turns five times slower, and is as free as the others. Calls that go there at once
+/// end later than if they had waited for a sound one.
+#[test]
+fn slow_upstream_gets_calls_only_while_the_others_are_busy_for_long() {
+    let mut bench = Bench::new(&[("u1", "a"), ("u2", "a")]);
+    let slow = "u1";
+    for _ in 0..2 {
+        let (order, other) = (bench.order(1, 2_000), bench.order(1, 2_000));
+        bench.offer(order);
+        bench.offer(other);
+        bench.calls.sort_by(|left, right| right.upstream.cmp(&left.upstream));
+        bench.advance(205);
+        bench.end_call(made);
+        bench.advance(550);
+        bench.end_call(made);
+    }
+    let order = bench.order(PIECES, 2_000);
+    bench.offer(order);
+    assert_ne!(bench.calls[0].upstream, slow);
+    bench.advance(100);
+    let order = bench.order(PIECES, 2_000);
+    bench.offer(order);
+    assert_eq!(
+        bench.calls.len(),
+        1,
+        "the sound one is free sooner than the slow one would be done"
+    );
+}
+
+/// Every upstream fails every call. Without a bound each piece would be sent again and again, and
+/// the pool would get a multiple of its load just when it can't take any.
+#[test]
+fn pieces_fail_once_the_retry_budget_is_used_up() {
+    let mut bench = Bench::with_reserve(&[("u1", "a"), ("u2", "a"), ("u3", "a")], 10.0);
+    let mut first = 0;
+    let mut sent: HashMap<String, usize> = HashMap::new();
+    for _ in 0..40 {
+        let order = bench.order(1, 900);
+        bench.offer(order);
+        first += 1;
+        bench.advance(250);
+        while !bench.calls.is_empty() {
+            let order = bench.end_call_as(BatchOutcome::Broken);
+            for item in order.items {
+                *sent.entry(item.request).or_default() += 1;
+            }
+        }
+    }
+    bench.advance(6_000);
+    assert_eq!(bench.settled.len(), first, "each caller hears of its end");
+    let again: usize = sent.values().map(|times| times - 1).sum();
+    assert!((1..=8 + 8).contains(&again), "{again} pieces of {first} requests were sent again");
+}
+
+/// The users' time for a request is over while its pieces wait. To make them all the same would
+/// take a place from those who still wait for an answer.
+#[test]
+fn pieces_without_time_left_are_given_up_at_once() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let busy = bench.order(1, 900);
+    bench.offer(busy);
+    let mut order = bench.order(1, 100);
+    order.expires = bench.now + Duration::from_millis(250);
+    let attempt = bench.offer(order);
+    bench.advance(100);
+    let late = (attempt, Err(PieceFault::Late));
+    assert!(bench.settled.contains(&late));
+}
