--- a/crates/crocusdale_core/src/retry/retry_budget.rs
+++ b/crates/crocusdale_core/src/retry/retry_budget.rs
@@ -98,7 +98,8 @@
     }
 
     fn refill(&mut self, now: MonotonicTime) {
-        let since = self.last.map_or(Duration::ZERO, |last| now.since(last));
+        // Nothing was spent before the first use, since the start of the process.
+        let since = self.last.map_or(now.since_start(), |last| now.since(last));
         self.last = Some(now);
         self.saved = (self.saved + self.refill * since.as_secs_f64()).min(self.most);
     }
--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -1,12 +1,12 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use anyhow::{Context as _, Result, bail, ensure};
+use anyhow::{Context as _, Result, ensure};
 use crocusdale_core::membership::{VmEntry, VmRole, VmRoster, VmState};
 
-use crate::{CallerClient, PlatformStandIn, RelayStandIn};
+use crate::{CallerClient, ChildProcess, PlatformStandIn, RelayStandIn};
 
 /// Zones of a test fleet.
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -63,7 +63,7 @@
     zone: String,
     /// VM list of its own, which shows it the other daemons behind relays.
     vm_list: Option<PlatformStandIn>,
-    child: Option<Child>,
+    process: ChildProcess,
 }
 
 impl DaemonFleetBuilder {
@@ -161,23 +161,17 @@
         let platform = self.platform.address();
         let daemon = &mut self.daemons[index];
         let vm_list = daemon.vm_list.as_ref().map_or(platform, PlatformStandIn::address);
-        ensure!(daemon.child.is_none(), "{} runs already", daemon.name);
+        ensure!(!daemon.process.is_running(), "{} runs already", daemon.name);
         let path = self.directory.join(format!("{}.ini", daemon.name));
         std::fs::write(&path, daemon.settings(platform, vm_list) + &self.limits)?;
         let log = std::fs::File::options()
             .create(true)
             .append(true)
             .open(self.directory.join(format!("{}.log", daemon.name)))?;
-        let child = Command::new(&self.binary)
-            .arg("--settings")
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .with_context(|| format!("starting {}", self.binary.display()))?;
-        daemon.child = Some(child);
-        Ok(())
+        let mut command = Command::new(&self.binary);
+        command.arg("--settings").arg(&path);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        daemon.process.spawn(&mut command)
     }
 
     /// Waits until every daemon that runs is ready and has seen every other that runs.
@@ -187,7 +181,7 @@
     /// Returns an error if that takes too long.
     pub async fn wait_ready(&self) -> Result<()> {
         let client = CallerClient::new();
-        for daemon in self.daemons.iter().filter(|daemon| daemon.child.is_some()) {
+        for daemon in self.daemons.iter().filter(|daemon| daemon.process.is_running()) {
             wait_for(READY_PATIENCE, &format!("{} is ready", daemon.name), async || {
                 client.get(daemon.operator, "/ready").await.is_ok_and(|(status, _)| status == 200)
             })
@@ -254,7 +248,7 @@
     /// Addresses for callers of all daemons that run.
     #[must_use]
     pub fn callers(&self) -> Vec<SocketAddr> {
-        let running = self.daemons.iter().filter(|daemon| daemon.child.is_some());
+        let running = self.daemons.iter().filter(|daemon| daemon.process.is_running());
         running.map(|daemon| daemon.caller).collect()
     }
 }
@@ -279,7 +273,7 @@
             peer: free_address()?,
             vm_list: None,
             zone: zone.to_owned(),
-            child: None,
+            process: ChildProcess::new(format!("entry-{index}")),
         })
     }
 
@@ -310,15 +304,12 @@
     ///
     /// Returns an error if it does not run.
     pub fn id(&self) -> Result<u32> {
-        self.child.as_ref().map(Child::id).with_context(|| format!("{} does not run", self.name))
+        self.process.id()
     }
 
     /// Kills it, as a VM that loses its power.
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.process.kill();
     }
 
     /// Sends it the signal `name`, as `STOP`, `CONT` or `TERM`.
@@ -327,22 +318,7 @@
     ///
     /// Returns an error if it does not run.
     pub fn signal(&self, name: &str) -> Result<()> {
-        let status =
-            Command::new("kill").arg(format!("-{name}")).arg(self.id()?.to_string()).status()?;
-        ensure!(status.success(), "no {name} for {}", self.name);
-        if name == "STOP" { self.wait_stopped() } else { Ok(()) }
-    }
-
-    /// Waits until every thread of the process stands still: one takes the signal and stops the
-    /// others, and on a busy machine they go on working until it gets its turn.
-    fn wait_stopped(&self) -> Result<()> {
-        let tasks = PathBuf::from(format!("/proc/{}/task", self.id()?));
-        let until = Instant::now() + READY_PATIENCE;
-        while !all_stopped(&tasks)? {
-            ensure!(Instant::now() < until, "{} did not stop", self.name);
-            std::thread::sleep(Duration::from_millis(1));
-        }
-        Ok(())
+        self.process.signal(name)
     }
 
     /// Waits until its process has ended by itself; gives its exit code.
@@ -351,32 +327,8 @@
     ///
     /// Returns an error if that takes longer than `patience`.
     pub async fn wait_exit(&mut self, patience: Duration) -> Result<Option<i32>> {
-        let mut child = self.child.take().with_context(|| format!("{} does not run", self.name))?;
-        let until = Instant::now() + patience;
-        loop {
-            if let Some(status) = child.try_wait()? {
-                return Ok(status.code());
-            }
-            if Instant::now() > until {
-                self.child = Some(child);
-                bail!("{} did not end within {patience:?}", self.name);
-            }
-            tokio::time::sleep(LOOK).await;
-        }
-    }
-}
-
-/// Whether all threads below `tasks` are stopped.
-fn all_stopped(tasks: &Path) -> Result<bool> {
-    for task in std::fs::read_dir(tasks)? {
-        let stat = std::fs::read_to_string(task?.path().join("stat")).unwrap_or_default();
-        // The state stands behind the name, which is in parentheses.
-        let state = stat.rsplit(") ").next().and_then(|rest| rest.chars().next());
-        if state != Some('T') {
-            return Ok(false);
-        }
+        self.process.wait_exit(patience).await
     }
-    Ok(true)
 }
 
 /// Waits until `condition` holds.
--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod caller_client;
+mod child_process;
 mod daemon_fleet;
 mod declaration_text;
 mod platform_stand_in;
@@ -15,6 +16,7 @@
 mod upstream_stand_in;
 
 pub use caller_client::{CallerAnswer, CallerClient, RequestBuilder};
+pub use child_process::ChildProcess;
 pub use daemon_fleet::{DaemonFleet, DaemonFleetBuilder, DaemonProcess, free_address, wait_for};
 pub use declaration_text::DeclarationText;
 pub use platform_stand_in::{PlatformMode, PlatformStandIn};
