Let requests that can't be in time wait at the entry until there is room

Change: each answer of a dispatcher says how long new pieces would wait in its pool. A request whose whole pipeline can't be in time by that waits, most urgent first, until the pools have room for late work; it is refused once it can't meet its deadline any more.

Failed try, reverted: begun requests before all that are in time.

--- a/crates/crocusdale_core/src/admission/mod.rs
+++ b/crates/crocusdale_core/src/admission/mod.rs
@@ -1,5 +1,7 @@
-//! Limits on what runs at one time.
+//! What runs at one time, and what has to wait for its turn to begin.
 
 mod admission_gate;
+mod entry_backlog;
 
 pub use admission_gate::{AdmissionGate, AdmissionPermit};
+pub use entry_backlog::{EntryBacklog, EntryVerdict};
--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool};
 use crate::configuration::{Declarations, PoolKind};
@@ -32,6 +33,8 @@
     Settle {
         /// Attempt that the pieces were for.
         attempt: AttemptId,
+        /// Their pool.
+        pool: String,
         /// Their results in order, or why there are none.
         outcome: Result<Vec<PlacedResult>, PieceFault>,
     },
@@ -42,8 +45,8 @@
 impl DeskStep {
     /// Tells that pieces have no results.
     #[must_use]
-    pub fn fail(attempt: AttemptId, fault: PieceFault) -> Self {
-        Self::Settle { attempt, outcome: Err(fault) }
+    pub fn fail(attempt: AttemptId, pool: &str, fault: PieceFault) -> Self {
+        Self::Settle { attempt, pool: pool.to_owned(), outcome: Err(fault) }
     }
 }
 
@@ -80,7 +83,7 @@
     pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let name = order.pool.clone();
         let Some(pool) = self.pools.get_mut(&name) else {
-            steps.push(DeskStep::fail(order.attempt, PieceFault::NoUpstream));
+            steps.push(DeskStep::fail(order.attempt, &name, PieceFault::NoUpstream));
             return;
         };
         pool.offer(order, now, steps);
@@ -135,6 +138,12 @@
         }
     }
 
+    /// How long new pieces would wait in `pool`.
+    #[must_use]
+    pub fn expected_wait(&self, pool: &str, now: MonotonicTime) -> Duration {
+        self.pools.get(pool).map_or(Duration::ZERO, |pool| pool.expected_wait(now))
+    }
+
     /// Pieces that wait, by pool.
     #[must_use]
     pub fn waiting(&self) -> Vec<(String, usize)> {
--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -30,6 +30,13 @@
         self.order.due + LEVEL_STEP * u32::from(self.order.level)
     }
 
+    /// Whether the job goes before those that are late: it can be in time if its call ends at `end`.
+    /// That work was done for its request doesn't count: where begun requests went first, in a
+    /// burst each one made the next one late.
+    pub(super) fn is_ahead(&self, end: MonotonicTime) -> bool {
+        end <= self.order.due
+    }
+
     /// Whether all pieces have results.
     pub(super) fn is_made(&self) -> bool {
         self.results.iter().all(Option::is_some)
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
@@ -83,6 +84,24 @@
         self.jobs.values().map(|job| job.waiting.len()).sum()
     }
 
+    /// How long new pieces of a request that can still be in time would wait for their call: the
+    /// work before them, shared by the upstreams, behind the call that ends first.
+    #[must_use]
+    pub fn expected_wait(&self, now: MonotonicTime) -> Duration {
+        let staying: Vec<&BatchWorker> =
+            self.workers.values().filter(|worker| worker.staying).collect();
+        let Some(first) = staying.iter().map(|each| each.free_in(&self.rules, now)).min() else {
+            return Duration::ZERO;
+        };
+        let shortest = self.rules.expected(1);
+        let ahead = self.jobs.values().filter(|job| job.is_ahead(now + shortest));
+        let pieces: usize = ahead.map(|job| job.waiting.len()).sum();
+        let pieces = u32::try_from(pieces).unwrap_or(u32::MAX);
+        let calls = pieces / self.rules.pieces.max(1);
+        let work = self.rules.call_time * calls + self.rules.piece_time * pieces;
+        first + work / u32::try_from(staying.len()).unwrap_or(1).max(1)
+    }
+
     /// Whether nothing waits and no call is open.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -93,20 +112,21 @@
     pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let attempt = order.attempt;
         if order.pieces == 0 {
-            steps.push(DeskStep::Settle { attempt, outcome: Ok(Vec::new()) });
+            let pool = order.pool;
+            steps.push(DeskStep::Settle { attempt, pool, outcome: Ok(Vec::new()) });
             return;
         }
         // Pieces that another dispatcher may have had made count as retries at the pool.
         if order.repeated {
             if !(0..order.pieces).all(|_| self.budget.spend(now)) {
-                steps.push(DeskStep::fail(attempt, PieceFault::Failed));
+                steps.push(DeskStep::fail(attempt, &order.pool, PieceFault::Failed));
                 return;
             }
         } else {
             self.budget.earn(now);
         }
         if !self.workers.values().any(|worker| worker.staying) {
-            steps.push(DeskStep::fail(attempt, PieceFault::NoUpstream));
+            steps.push(DeskStep::fail(attempt, &order.pool, PieceFault::NoUpstream));
             return;
         }
         let job = BatchJob::new(order);
@@ -252,12 +272,13 @@
         Some(BatchOrder { batch, upstream, address, items })
     }
 
-    /// Jobs in the order in which they are served: those that can still be in time first, by the
-    /// time at which they are needed; then the others, by the end of their time.
+    /// Jobs in the order in which they are served: first those that can still be in time, and those
+    /// of requests that have been worked on, by the time at which they are needed; then the others,
+    /// by priority and the end of their time.
     fn order_of_jobs(&self, now: MonotonicTime) -> Vec<AttemptId> {
         let shortest = self.rules.expected(1);
         let in_time = |attempt: &AttemptId| {
-            self.jobs.get(attempt).is_some_and(|job| now + shortest <= job.order.due)
+            self.jobs.get(attempt).is_some_and(|job| job.is_ahead(now + shortest))
         };
         let jobs = self.queue.keys().map(|(_, attempt)| *attempt);
         let (mut order, mut late): (Vec<AttemptId>, Vec<AttemptId>) = jobs.partition(in_time);
@@ -410,7 +431,8 @@
         if let Some(job) = self.jobs.remove(&attempt) {
             self.queue.remove(&(job.rank(), attempt));
             let results = job.results.into_iter().flatten().collect();
-            steps.push(DeskStep::Settle { attempt, outcome: Ok(results) });
+            let pool = job.order.pool;
+            steps.push(DeskStep::Settle { attempt, pool, outcome: Ok(results) });
         }
     }
 
@@ -436,9 +458,9 @@
     }
 
     fn fail(&mut self, attempt: AttemptId, fault: PieceFault, steps: &mut Vec<DeskStep>) {
-        if self.jobs.contains_key(&attempt) {
+        if let Some(job) = self.jobs.get(&attempt) {
+            steps.push(DeskStep::fail(attempt, &job.order.pool, fault));
             self.withdraw(attempt);
-            steps.push(DeskStep::fail(attempt, fault));
         }
     }
 }
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -88,8 +88,13 @@
         pieces: u32,
         now: MonotonicTime,
     ) -> MonotonicTime {
+        now + self.free_in(rules, now) + self.expected(rules, pieces, now)
+    }
+
+    /// Time until it can take a call.
+    pub(super) fn free_in(&self, rules: &BatchRules, now: MonotonicTime) -> Duration {
         let busy = if self.open < rules.slots.max(1) { now } else { self.free_at };
-        busy.max(self.paused_until).max(now) + self.expected(rules, pieces, now)
+        busy.max(self.paused_until).since(now)
     }
 
     /// Time after which a call with `pieces` pieces counts as lost.
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -13,8 +13,10 @@
 mod batch_pool;
 mod batch_worker;
 mod dispatcher_choice;
+mod pool_waits;
 
 pub use batch_call::{BatchId, BatchItem, BatchOrder, BatchOutcome, ItemOutcome};
 pub use batch_desk::{BatchDesk, DeskStep};
 pub use batch_pool::BatchPool;
 pub use dispatcher_choice::DispatcherChoice;
+pub use pool_waits::PoolWaits;
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::batching::{BatchId, BatchOrder};
 use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
@@ -54,6 +55,8 @@
         attempt: AttemptId,
         /// Their results, or why there are none.
         outcome: Result<Vec<PlacedResult>, PieceFault>,
+        /// How long new pieces would wait in the pool.
+        wait: Duration,
     },
     /// Call a batched upstream.
     CallBatch(BatchOrder),
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -5,8 +5,8 @@
 
 use super::directory_state::DirectoryState;
 use super::{DaemonCore, FleetState};
-use crate::admission::AdmissionGate;
-use crate::batching::BatchDesk;
+use crate::admission::{AdmissionGate, EntryBacklog};
+use crate::batching::{BatchDesk, PoolWaits};
 use crate::claims::RegisterShard;
 use crate::configuration::{DeclarationReader, Declarations, MembershipSettings};
 use crate::identity::{InstanceId, MonotonicTime, RequestKey};
@@ -37,6 +37,10 @@
     pub(super) fleet: Mutex<FleetState>,
     pub(super) directory: Mutex<DirectoryState>,
     pub(super) desk: Mutex<BatchDesk>,
+    /// How long pieces would wait in each pool.
+    pub(super) waits: Mutex<PoolWaits>,
+    /// Requests that can't be in time, until there is room for them.
+    pub(super) backlog: Mutex<EntryBacklog>,
     /// Time for which a draining process may still end by itself, if it is killed after it.
     pub(super) grace: Option<Duration>,
     /// Time after which a draining process takes no new request that it might not finish.
@@ -187,6 +191,8 @@
             fleet: Mutex::new(fleet),
             directory: Mutex::default(),
             desk: Mutex::new(desk),
+            waits: Mutex::default(),
+            backlog: Mutex::default(),
             grace,
             refuse_from: Mutex::new(None),
             router: RwLock::new(Arc::new(router)),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -79,7 +79,10 @@
             DaemonEvent::Inquired { call, key, age } => {
                 self.state.inquire(call, key, age, now, out);
             }
-            DaemonEvent::Abandoned(call) => self.state.shard(call.0).abandon(call, now, &mut steps),
+            DaemonEvent::Abandoned(call) => {
+                self.state.abandon_waiting(call, &mut steps);
+                self.state.shard(call.0).abandon(call, now, &mut steps);
+            }
             DaemonEvent::Attempt { attempt, event } => {
                 self.state.shard(attempt.call.0).attempt_event(attempt, event, now, &mut steps);
             }
@@ -97,6 +100,9 @@
             DaemonEvent::PiecesWithdrawn { attempt, pool } => {
                 lock(&self.state.desk).withdraw(attempt, &pool);
             }
+            DaemonEvent::WaitTold { pool, wait } => {
+                lock(&self.state.waits).note(&pool, wait, now);
+            }
             DaemonEvent::ResultsUnwanted { pool, results } => {
                 lock(&self.state.desk).release(&pool, results);
             }
@@ -241,7 +247,8 @@
     }
 
     fn open_calls(&self) -> usize {
-        self.state.shards.iter().map(|shard| lock(shard).open_count()).sum()
+        let begun: usize = self.state.shards.iter().map(|shard| lock(shard).open_count()).sum();
+        begun + lock(&self.state.backlog).len()
     }
 
     fn timer(&self, timer: TimerKey, now: MonotonicTime, out: &mut Vec<Command>) {
@@ -279,6 +286,7 @@
     /// Ends every request that is still open: the process is about to end.
     fn end_requests(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let mut steps = Vec::new();
+        self.state.end_waiting(now, &mut steps);
         for shard in &self.state.shards {
             lock(shard).end_all(RefusalReason::Draining, now, &mut steps);
         }
@@ -474,6 +482,7 @@
         let grants = self.state.router().serve_all_waiting(now);
         let mut steps = self.state.run_grants(grants, now);
         self.state.turn_desk(now, &mut steps, out);
+        self.state.turn_backlog(now, &mut steps);
         self.state.run_steps(steps, now, out);
         let idle = self.open_calls() == 0 && lock(&self.state.desk).is_idle();
         if self.state.window_over.load(Ordering::Relaxed) && idle {
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -77,6 +77,13 @@
     DirectoryFetched(Option<(u64, Vec<(u64, DirectoryEntry)>)>),
     /// Nobody answered a greeting at a seed.
     GreetingFailed,
+    /// A dispatcher said how long new pieces would wait in a pool.
+    WaitTold {
+        /// The pool.
+        pool: String,
+        /// How long.
+        wait: Duration,
+    },
     /// Another daemon offers pieces of a step.
     PiecesOffered(Box<PieceOrder>),
     /// Another daemon no longer wants pieces.
--- /dev/null
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -0,0 +1,105 @@
+use std::time::Duration;
+
+use super::Command;
+use super::core_state::CoreState;
+use crate::admission::EntryVerdict;
+use crate::configuration::StepWork;
+use crate::identity::{CallId, MonotonicTime};
+use crate::pipeline::{
+    FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason, RequestPlan, ShardStep,
+};
+use crate::sync::lock;
+
+/// Wait in every pool of a pipeline below which late requests may begin: less than half a call, so
+/// that those in time hardly feel them.
+const ROOM_WAIT: Duration = Duration::from_millis(120);
+/// Late requests that begin in one turn. The news of what they do to the pools comes back with
+/// their first calls, some turns later.
+const LATE_PER_TURN: usize = 2;
+/// Part of the time to its objective that a request may be expected to take. Estimates lie on
+/// either side of the truth.
+const OBJECTIVE_SHARE: f64 = 1.0;
+
+impl CoreState {
+    /// Begins a request whose key no witness keeps, or lets it wait for room.
+    pub(super) fn enter(
+        &self,
+        call: CallId,
+        plan: RequestPlan,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        match self.entry_verdict(&plan, now) {
+            EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, steps),
+            EntryVerdict::Hopeless => refuse_late(call, &plan, now, steps),
+            EntryVerdict::LateWithRoom | EntryVerdict::Late => {
+                lock(&self.backlog).wait(call, plan);
+            }
+        }
+    }
+
+    /// Lets requests that wait begin, or ends them.
+    pub(super) fn turn_backlog(&self, now: MonotonicTime, steps: &mut Vec<ShardStep>) {
+        let judge = |plan: &RequestPlan| self.entry_verdict(plan, now);
+        let taken = lock(&self.backlog).take(LATE_PER_TURN, judge);
+        for (call, plan, verdict) in taken {
+            if verdict == EntryVerdict::Hopeless {
+                refuse_late(call, &plan, now, steps);
+            } else {
+                self.shard(call.0).start(call, plan, now, steps);
+            }
+        }
+    }
+
+    /// The caller of a request that waits is gone.
+    pub(super) fn abandon_waiting(&self, call: CallId, steps: &mut Vec<ShardStep>) {
+        if let Some(plan) = lock(&self.backlog).withdraw(call) {
+            steps.push(ShardStep::GiveBack(plan.permit));
+        }
+    }
+
+    /// Ends every request that waits.
+    pub(super) fn end_waiting(&self, now: MonotonicTime, steps: &mut Vec<ShardStep>) {
+        for (call, plan) in lock(&self.backlog).take_all() {
+            refuse_late(call, &plan, now, steps);
+        }
+    }
+
+    /// Whether a request with batched steps can be in time, by what their dispatchers said last.
+    fn entry_verdict(&self, plan: &RequestPlan, now: MonotonicTime) -> EntryVerdict {
+        let steps = plan.pipeline.plan.steps();
+        let is_batched = |work| matches!(work, StepWork::Batched { .. });
+        if !steps.iter().any(|step| is_batched(step.work)) {
+            return EntryVerdict::InTime;
+        }
+        let waits = lock(&self.waits);
+        let wait = |position: usize, stage: &str, work| {
+            let needed = is_batched(work) && plan.pieces(position) > 0;
+            if needed { waits.wait(stage, now) } else { Duration::ZERO }
+        };
+        let bare = plan.pipeline.plan.longest_way(|step, position| plan.step_time(position, step));
+        let way = plan.pipeline.plan.longest_way(|step, position| {
+            plan.step_time(position, step) + wait(position, &step.stage, step.work)
+        });
+        let longest = steps.iter().enumerate();
+        let longest = longest.map(|(position, step)| wait(position, &step.stage, step.work)).max();
+        if now + bare >= plan.deadline {
+            EntryVerdict::Hopeless
+        } else if now + way.mul_f64(1.0 / OBJECTIVE_SHARE) <= plan.objective {
+            EntryVerdict::InTime
+        } else if longest.unwrap_or_default() <= ROOM_WAIT {
+            EntryVerdict::LateWithRoom
+        } else {
+            EntryVerdict::Late
+        }
+    }
+}
+
+/// Refuses a request that never began and can't be answered before its deadline.
+fn refuse_late(call: CallId, plan: &RequestPlan, now: MonotonicTime, steps: &mut Vec<ShardStep>) {
+    steps.push(ShardStep::GiveBack(plan.permit.clone()));
+    let outcome = FinalOutcome::new(OutcomeKind::Refused, &plan.request.key);
+    let outcome = outcome.reason(RefusalReason::Overload);
+    let answer = FinalAnswer::from(outcome.retry(plan.deadline.since(now), true));
+    steps.push(ShardStep::Command(Command::Reply { call, answer }));
+}
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -5,6 +5,7 @@
 mod daemon_core;
 mod daemon_event;
 mod directory_state;
+mod entry_flow;
 mod fleet_state;
 mod piece_flow;
 mod request_flow;
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -117,8 +117,8 @@
                     out.push(Command::CallBatch(order));
                 }
                 DeskStep::Cancel(batch) => out.push(Command::CancelBatch(batch)),
-                DeskStep::Settle { attempt, outcome } => {
-                    self.settle(attempt, outcome, now, steps, out);
+                DeskStep::Settle { attempt, pool, outcome } => {
+                    self.settle(attempt, &pool, outcome, now, steps, out);
                 }
                 DeskStep::Free(results) => out.push(Command::FreeResults(results)),
             }
@@ -129,15 +129,18 @@
     fn settle(
         &self,
         attempt: AttemptId,
+        pool: &str,
         outcome: Result<Vec<PlacedResult>, PieceFault>,
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
+        let wait = lock(&self.desk).expected_wait(pool, now);
         if attempt.incarnation != self.own.incarnation {
-            out.push(Command::AnswerPieces { attempt, outcome });
+            out.push(Command::AnswerPieces { attempt, outcome, wait });
             return;
         }
+        lock(&self.waits).note(pool, wait, now);
         let event = match outcome {
             Ok(results) => AttemptEvent::PiecesMade(results),
             Err(fault) => AttemptEvent::PiecesFailed(fault),
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -57,7 +57,7 @@
         let (forwarded, age) = (request.forward().is_some(), request.age);
         let repeatable = request.repeatable || forwarded;
         match self.admit(request, declarations, now) {
-            Ok(plan) if !plan.claimed => self.shard(call.0).start(call, plan, now, &mut steps),
+            Ok(plan) if !plan.claimed => self.enter(call, plan, now, &mut steps),
             Ok(plan) => self.start_claimed(call, plan, now, &mut steps),
             Err((refusal, repeatable_there)) => {
                 let age = (!repeatable || !(repeatable_there || forwarded)).then_some(age);
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -76,13 +76,20 @@
 
 /// What became of pieces, as a message to the daemon that offered them.
 #[must_use]
-pub fn pieces_reply(outcome: Result<Vec<PlacedResult>, PieceFault>) -> peer::MakePiecesReply {
+pub fn pieces_reply(
+    outcome: Result<Vec<PlacedResult>, PieceFault>,
+    wait: Duration,
+) -> peer::MakePiecesReply {
+    let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
     match outcome {
         Ok(results) => peer::MakePiecesReply {
             results: results.into_iter().map(Into::into).collect(),
             fault: String::new(),
+            wait_ms,
         },
-        Err(fault) => peer::MakePiecesReply { results: Vec::new(), fault: fault.to_string() },
+        Err(fault) => {
+            peer::MakePiecesReply { results: Vec::new(), fault: fault.to_string(), wait_ms }
+        }
     }
 }
 
--- a/crates/crocusdale_core/tests/forwarded_request_test.rs
+++ b/crates/crocusdale_core/tests/forwarded_request_test.rs
@@ -453,3 +453,47 @@
     }
     assert_eq!(first.last_relay().upstream, second.last_relay().upstream);
 }
+
+/// A burst has filled the pool of the first step for longer than the objective. Requests that come
+/// now can only be late: begun at once, they would hold up those that can be in time, and end
+/// late all the same. They wait until there is room, and are answered well before their deadline.
+#[test]
+fn late_requests_begin_once_there_is_room() {
+    let mut daemon = Daemon::new();
+    let wait = Duration::from_millis(1_500);
+    daemon.feed(DaemonEvent::WaitTold { pool: "scan".to_owned(), wait });
+    let call = daemon.submit("/digest/7");
+    daemon.advance(700);
+    assert!(daemon.batches.is_empty(), "the pool is still full");
+    daemon.advance(800);
+    assert_eq!(daemon.batches.len(), 1, "there is room again");
+    daemon.make_pieces();
+    daemon.headed(daemon.last_relay().attempt, 200, RunProof::Ran);
+    daemon.attempt(daemon.last_relay().attempt, AttemptEvent::Passed);
+    assert_eq!(daemon.answer(call), Some((OutcomeKind::Answered, None)));
+}
+
+/// The burst doesn't end. What waits is refused while its caller still has time, as not run, which
+/// is true: not a piece of it was made.
+#[test]
+fn waiting_request_is_refused_before_its_deadline() {
+    let mut daemon = Daemon::new();
+    let wait = Duration::from_millis(9_000);
+    daemon.feed(DaemonEvent::WaitTold { pool: "scan".to_owned(), wait });
+    let call = daemon.submit("/digest/7");
+    daemon.advance(1_700);
+    assert_eq!(daemon.answer(call), Some((OutcomeKind::Refused, Some(RefusalReason::Overload))));
+    assert!(daemon.batches.is_empty());
+}
+
+/// A caller leaves while its request waits for room. Nothing of it may reach an upstream later.
+#[test]
+fn waiting_request_of_a_caller_that_left_never_begins() {
+    let mut daemon = Daemon::new();
+    let wait = Duration::from_millis(1_000);
+    daemon.feed(DaemonEvent::WaitTold { pool: "scan".to_owned(), wait });
+    let call = daemon.submit("/digest/7");
+    daemon.feed(DaemonEvent::Abandoned(call));
+    daemon.advance(1_900);
+    assert!(daemon.batches.is_empty());
+}
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -154,7 +154,9 @@
             Command::CancelBatch(batch) => self.batches.cancel(batch),
             Command::FreeResults(results) => self.batches.free(self, &results),
             Command::CancelPieces(attempt) => self.pieces.cancel(attempt),
-            Command::AnswerPieces { attempt, outcome } => self.pieces.answer(attempt, outcome),
+            Command::AnswerPieces { attempt, outcome, wait } => {
+                self.pieces.answer(attempt, outcome, wait);
+            }
             Command::ReadDirectory => self.platform.read_directory(self),
             Command::Distrust(upstream) => self.upstreams.distrust(&upstream),
             Command::SetTimer { timer, at } => self.timers.set(timer, at),
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -122,8 +122,8 @@
     ) -> Result<Response<MakePiecesReply>, Status> {
         let order = PieceOrder::from_wire(request.into_inner(), self.engine.now());
         let order = order.ok_or_else(|| missing("attempt"))?;
-        let outcome = TakenPieces::offer(&self.engine, order).outcome().await;
-        Ok(Response::new(pieces_reply(outcome)))
+        let answer = TakenPieces::offer(&self.engine, order).outcome().await;
+        Ok(Response::new(pieces_reply(answer.outcome, answer.wait)))
     }
 
     async fn free_results(
--- a/crates/crocusdaled/src/peer/piece_client.rs
+++ b/crates/crocusdaled/src/peer/piece_client.rs
@@ -29,7 +29,12 @@
     let patience = engine.clock.until(order.expires) + ANSWER_MARGIN;
     let reply =
         call(engine, vm, patience, |mut client| async move { client.make_pieces(request).await });
-    match reply.await.map(read_pieces_reply) {
+    let reply = reply.await;
+    if let Ok(reply) = &reply {
+        let wait = Duration::from_millis(u64::from(reply.wait_ms));
+        engine.feed(DaemonEvent::WaitTold { pool: order.pool.clone(), wait });
+    }
+    match reply.map(read_pieces_reply) {
         Ok(Ok(results)) => AttemptEvent::PiecesMade(results),
         Ok(Err(fault)) => AttemptEvent::PiecesFailed(fault),
         Err(_) => AttemptEvent::DispatcherLost(vm.to_owned()),
--- a/crates/crocusdaled/src/peer/piece_table.rs
+++ b/crates/crocusdaled/src/peer/piece_table.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::AttemptId;
@@ -13,11 +14,18 @@
 /// What became of pieces.
 pub(super) type PieceOutcome = Result<Vec<PlacedResult>, PieceFault>;
 
+/// What became of pieces, and how long new ones would wait.
+#[derive(Debug)]
+pub(super) struct PieceAnswer {
+    pub(super) outcome: PieceOutcome,
+    pub(super) wait: Duration,
+}
+
 /// Pieces that other daemons make for this one, and those that it makes for them.
 #[derive(Debug, Default)]
 pub struct PieceTable {
     sent: Mutex<HashMap<AttemptId, AbortHandle>>,
-    taken: Mutex<HashMap<AttemptId, oneshot::Sender<PieceOutcome>>>,
+    taken: Mutex<HashMap<AttemptId, oneshot::Sender<PieceAnswer>>>,
 }
 
 /// Pieces that are made for another daemon; dropped before they are answered, it tells the core
@@ -26,7 +34,7 @@
     engine: Arc<DaemonEngine>,
     attempt: AttemptId,
     pool: String,
-    answer: oneshot::Receiver<PieceOutcome>,
+    answer: oneshot::Receiver<PieceAnswer>,
     answered: bool,
 }
 
@@ -49,10 +57,10 @@
     }
 
     /// Tells another daemon what became of its pieces.
-    pub fn answer(&self, attempt: AttemptId, outcome: PieceOutcome) {
+    pub fn answer(&self, attempt: AttemptId, outcome: PieceOutcome, wait: Duration) {
         if let Some(waiting) = lock(&self.taken).remove(&attempt) {
             // A daemon that is gone wants nothing any more; its results lapse by themselves.
-            let _ = waiting.send(outcome);
+            let _ = waiting.send(PieceAnswer { outcome, wait });
         }
     }
 }
@@ -69,10 +77,10 @@
     }
 
     /// Waits for what becomes of the pieces.
-    pub(super) async fn outcome(mut self) -> PieceOutcome {
+    pub(super) async fn outcome(mut self) -> PieceAnswer {
         let outcome = (&mut self.answer).await;
         self.answered = true;
-        outcome.unwrap_or(Err(PieceFault::Failed))
+        outcome.unwrap_or(PieceAnswer { outcome: Err(PieceFault::Failed), wait: Duration::ZERO })
     }
 }
 
