--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -6,8 +6,8 @@
 use crate::pipeline::{PieceOrder, PlacedResult};
 
 /// What a level of priority is worth in the order of jobs: one of a lower priority goes first only
-/// if its results are needed that much sooner. Half a call of a few tenths of a second.
-const LEVEL_STEP: Duration = Duration::from_millis(100);
+/// if its results are needed that much sooner. About one call of a few tenths of a second.
+const LEVEL_STEP: Duration = Duration::from_millis(400);
 
 /// The pieces of one step of one request, on their way to results.
 #[derive(Debug)]
--- a/crates/crocusdale_core/tests/batch_pool_test.rs
+++ b/crates/crocusdale_core/tests/batch_pool_test.rs
@@ -138,7 +138,9 @@
             match step {
                 DeskStep::Call(order) => self.calls.push(order),
                 DeskStep::Cancel(batch) => self.cancelled.push(batch),
-                DeskStep::Settle { attempt, outcome } => self.settled.push((attempt, outcome)),
+                DeskStep::Settle { attempt, outcome, .. } => {
+                    self.settled.push((attempt, outcome));
+                }
                 DeskStep::Free(_) => {}
             }
         }
