Begin at once what needs nine tenths of its objective by the last word of its pools

Cause: estimates lie on either side of the truth, and a request that is begun and comes late has cost what two in time would.

--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -18,7 +18,7 @@
 const LATE_PER_TURN: usize = 2;
 /// Part of the time to its objective that a request may be expected to take. Estimates lie on
 /// either side of the truth.
-const OBJECTIVE_SHARE: f64 = 1.0;
+const OBJECTIVE_SHARE: f64 = 0.9;
 
 impl CoreState {
     /// Begins a request whose key no witness keeps, or lets it wait for room.
