--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -335,12 +335,14 @@
             .values()
             .map(|worker| (worker.zone.clone(), self.end_in_zone(&worker.zone, now)))
             .collect();
+        // Later steps wait for their calls too: a job that uses up all of its time here is late.
+        let margin = self.rules.expected(self.rules.pieces / 2);
         for attempt in order {
             let Some(job) = self.jobs.get_mut(attempt) else { continue };
             let useful = if now < job.order.due { job.order.due } else { job.order.expires };
             let elsewhere = job.order.zone.as_ref().is_some_and(|zone| {
                 let end = zones.get(zone).copied().flatten();
-                *zone != own_zone && end.is_some_and(|end| end <= useful)
+                *zone != own_zone && end.is_some_and(|end| end + margin <= useful)
             });
             let fitting = room.saturating_sub(bytes) / job.order.result_bytes.max(1);
             let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(limit - items.len());
