Give a zone to pieces only where heavy results are concerned

Cause: pieces with results of a few kilobytes waited for the zone of an engine that fetches them in no time.

--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -452,7 +452,7 @@
         let (upstream, role) = (String::new(), AttemptRole::Pieces);
         branch.open = Some(OpenAttempt { id, upstream, sent: now, progress: now, role });
         let tried = branch.tried.clone();
-        let target = self.target_request().map(Box::new);
+        let target = self.target_request().filter(|_| self.makes_heavy(position)).map(Box::new);
         steps.push(ShardStep::OfferPieces { order: Box::new(order), tried, target });
     }
 
@@ -472,6 +472,15 @@
         (fetched >= HEAVY_BYTES).then(|| zone.to_owned())
     }
 
+    /// Whether the results of the step at `position` are large, and fetched by the upstream of the
+    /// forwarded step.
+    fn makes_heavy(&self, position: usize) -> bool {
+        let plan = self.plan.pipeline.plan.steps();
+        let mut later = plan.iter().filter(|step| step.after.contains(&position));
+        let bytes = self.result_bytes(position) * u64::from(self.plan.pieces(position));
+        later.all(|step| step.work == StepWork::Forward) && bytes >= HEAVY_BYTES
+    }
+
     /// The forwarded step as it would ask for an upstream now.
     fn target_request(&self) -> Option<SlotRequest> {
         let mut steps = self.plan.pipeline.plan.steps().iter().enumerate();
