--- a/crates/crocusdale_core/src/admission/entry_backlog.rs
+++ b/crates/crocusdale_core/src/admission/entry_backlog.rs
@@ -15,7 +15,8 @@
 }
 
 /// Whether a request may begin.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
 pub enum EntryVerdict {
     /// It can be in time.
     InTime,
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -329,6 +329,17 @@
     PlatformLost,
     /// The platform can be read again.
     PlatformRegained,
+    /// A request can't be in time, and waits for room.
+    RequestWaits {
+        /// The request.
+        request: String,
+        /// Why it waits.
+        verdict: String,
+        /// Milliseconds that it should need from now, by the last word of its pools.
+        needed_ms: u64,
+        /// Milliseconds that are left of its objective.
+        objective_ms: u64,
+    },
     /// An upstream is leaving.
     UpstreamLeaving {
         /// The upstream.
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -175,6 +175,12 @@
         (in_force.revision >= known).then(|| (in_force.revision, Arc::clone(&in_force.text)))
     }
 
+    /// Revision in force, 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        lock(&self.state.fleet).ledger.position().0
+    }
+
     /// Whether the daemon may serve callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use super::Command;
 use super::core_state::CoreState;
+use super::{Command, StateChange};
 use crate::admission::EntryVerdict;
 use crate::configuration::StepWork;
 use crate::identity::{CallId, MonotonicTime};
@@ -32,7 +32,13 @@
         match self.entry_verdict(&plan, now) {
             EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, steps),
             EntryVerdict::Hopeless => refuse_late(call, &plan, now, steps),
-            EntryVerdict::LateWithRoom | EntryVerdict::Late => {
+            verdict @ (EntryVerdict::LateWithRoom | EntryVerdict::Late) => {
+                steps.push(ShardStep::Command(Command::Note(StateChange::RequestWaits {
+                    request: plan.request.key.to_string(),
+                    verdict: verdict.to_string(),
+                    needed_ms: millis(self.expected_way(&plan, now)),
+                    objective_ms: millis(plan.objective.since(now)),
+                })));
                 lock(&self.backlog).wait(call, plan);
             }
         }
@@ -65,6 +71,16 @@
         }
     }
 
+    /// Time that a request should need from now to its answer, by what dispatchers said last.
+    fn expected_way(&self, plan: &RequestPlan, now: MonotonicTime) -> Duration {
+        let waits = lock(&self.waits);
+        plan.pipeline.plan.longest_way(|step, position| {
+            let needed = matches!(step.work, StepWork::Batched { .. }) && plan.pieces(position) > 0;
+            let wait = if needed { waits.wait(&step.stage, now) } else { Duration::ZERO };
+            plan.step_time(position, step) + wait
+        })
+    }
+
     /// Whether a request with batched steps can be in time, by what their dispatchers said last.
     fn entry_verdict(&self, plan: &RequestPlan, now: MonotonicTime) -> EntryVerdict {
         let steps = plan.pipeline.plan.steps();
@@ -72,15 +88,13 @@
         if !steps.iter().any(|step| is_batched(step.work)) {
             return EntryVerdict::InTime;
         }
+        let way = self.expected_way(plan, now);
         let waits = lock(&self.waits);
         let wait = |position: usize, stage: &str, work| {
             let needed = is_batched(work) && plan.pieces(position) > 0;
             if needed { waits.wait(stage, now) } else { Duration::ZERO }
         };
         let bare = plan.pipeline.plan.longest_way(|step, position| plan.step_time(position, step));
-        let way = plan.pipeline.plan.longest_way(|step, position| {
-            plan.step_time(position, step) + wait(position, &step.stage, step.work)
-        });
         let longest = steps.iter().enumerate();
         let longest = longest.map(|(position, step)| wait(position, &step.stage, step.work)).max();
         if now + bare >= plan.deadline {
@@ -103,3 +117,7 @@
     let answer = FinalAnswer::from(outcome.retry(plan.deadline.since(now), true));
     steps.push(ShardStep::Command(Command::Reply { call, answer }));
 }
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -147,6 +147,9 @@
     /// Time and cost by stage.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub stages: Vec<StageCost>,
+    /// Time from the request to its end, for those who measure; callers see it themselves.
+    #[serde(skip)]
+    pub took: Option<Duration>,
 }
 
 /// Final answer with its JSON, built once.
@@ -160,6 +163,10 @@
     pub retry_after: Option<Duration>,
     /// JSON of a [`FinalOutcome`].
     pub body: Arc<[u8]>,
+    /// Time and cost by stage.
+    pub stages: Vec<StageCost>,
+    /// Time from the request to its end, where it was measured.
+    pub took: Option<Duration>,
 }
 
 impl FinalOutcome {
@@ -177,6 +184,7 @@
             same_key: None,
             answer: None,
             stages: Vec::new(),
+            took: None,
         }
     }
 
@@ -211,6 +219,8 @@
             reason: outcome.reason,
             retry_after: outcome.retry_after_ms.map(Duration::from_millis),
             body: body.into(),
+            stages: outcome.stages,
+            took: outcome.took,
         }
     }
 }
@@ -226,6 +236,8 @@
             reason: outcome.reason,
             retry_after: outcome.retry_after_ms.map(Duration::from_millis),
             body: body.into(),
+            stages: outcome.stages,
+            took: None,
         })
     }
 }
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -27,6 +27,8 @@
     pub labels: LabelSet,
     /// Priority level, 0 is the most urgent.
     pub level: u8,
+    /// When the request was read.
+    pub arrived: MonotonicTime,
     /// Time by which the answer, or the first event of a stream, should come.
     pub objective: MonotonicTime,
     /// Time after which nothing is dispatched for it.
@@ -85,6 +87,7 @@
         Ok(Self {
             pipeline: pipeline.clone(),
             level: declarations.level_for(&labels),
+            arrived: now,
             objective: now + request.deadline,
             deadline: now + request.deadline,
             provable_until: now + declarations.deployment().key_life.saturating_sub(request.age),
@@ -131,6 +134,7 @@
         Ok(Self {
             pipeline,
             level,
+            arrived: now,
             objective,
             deadline: now + wait,
             provable_until: now,
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -279,6 +279,7 @@
         }
         outcome.stage = stage;
         outcome.stages = std::mem::take(&mut self.costs);
+        outcome.took = Some(now.since(self.plan.arrived));
         FinalAnswer::from(outcome)
     }
 
@@ -727,16 +728,17 @@
         self.free_used(self.branches[index].step, steps);
         self.begin_steps(now, steps);
         let finished = (0..self.plan.pipeline.plan.steps().len()).all(|each| self.is_done(each));
-        finished.then(|| self.answered())
+        finished.then(|| self.answered(now))
     }
 
     /// Puts the answers of the last steps together in declared order.
-    fn answered(&mut self) -> FinalAnswer {
+    fn answered(&mut self, now: MonotonicTime) -> FinalAnswer {
         let mut outcome = FinalOutcome::new(OutcomeKind::Answered, &self.plan.request.key);
         if self.plan.forward().is_none() {
             outcome.answer = Some(self.json_answer());
         }
         outcome.stages = std::mem::take(&mut self.costs);
+        outcome.took = Some(now.since(self.plan.arrived));
         FinalAnswer::from(outcome)
     }
 
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -138,7 +138,7 @@
     fn carry_out_one(self: &Arc<Self>, command: Command) {
         match command {
             Command::Reply { call, answer } => {
-                self.telemetry.request_ended(&answer);
+                self.telemetry.request_ended(&answer, self.core.revision());
                 self.calls.finish(call, answer);
                 self.relays.close(call);
             }
--- a/crates/crocusdaled/src/telemetry/metric_set.rs
+++ b/crates/crocusdaled/src/telemetry/metric_set.rs
@@ -1,8 +1,13 @@
 use crocusdale_core::daemon::{CounterName, StateDump};
 use crocusdale_core::pipeline::{FinalAnswer, OutcomeKind, RefusalReason};
-use prometheus::{Encoder as _, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
 use strum::{EnumCount as _, IntoEnumIterator as _, VariantArray as _};
 
+/// Upper bounds of the buckets of times, in seconds: from a plain answer to the longest deadlines.
+const BUCKETS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 3.0, 6.0, 20.0];
 /// Prefix of every metric.
 const NAMESPACE: &str = "crocusdale";
 
@@ -12,6 +17,8 @@
     registry: Registry,
     counters: Vec<IntCounter>,
     outcomes: IntCounterVec,
+    requests: HistogramVec,
+    stages: HistogramVec,
     gauges: StateGauges,
 }
 
@@ -46,8 +53,20 @@
         for kind in OutcomeKind::iter() {
             let _ = outcomes.with_label_values(&[kind.to_string().as_str(), ""]);
         }
+        let requests = histogram(
+            &registry,
+            "request_seconds",
+            "Time from a request to its end, by outcome",
+            "outcome",
+        );
+        let stages = histogram(
+            &registry,
+            "stage_seconds",
+            "Time of a stage, its wait for an upstream included",
+            "stage",
+        );
         let gauges = StateGauges::new(&registry);
-        Self { registry, counters, outcomes, gauges }
+        Self { registry, counters, outcomes, requests, stages, gauges }
     }
 
     /// Raises `name` by one.
@@ -56,10 +75,18 @@
         self.counters[name as usize].inc();
     }
 
-    /// Counts a final answer.
+    /// Counts a final answer, and the times of its request and stages.
     pub fn count_outcome(&self, answer: &FinalAnswer) {
         let reason = answer.reason.as_ref().map(RefusalReason::to_string).unwrap_or_default();
-        self.outcomes.with_label_values(&[answer.kind.to_string().as_str(), reason.as_str()]).inc();
+        let kind = answer.kind.to_string();
+        self.outcomes.with_label_values(&[kind.as_str(), reason.as_str()]).inc();
+        if let Some(took) = answer.took {
+            self.requests.with_label_values(&[kind.as_str()]).observe(took.as_secs_f64());
+        }
+        for stage in &answer.stages {
+            let histogram = self.stages.with_label_values(&[stage.stage.as_str()]);
+            histogram.observe(stage.time_ms / 1e3);
+        }
     }
 
     /// Text for a scraper, with gauges as in `dump`.
@@ -119,6 +146,13 @@
     counter
 }
 
+fn histogram(registry: &Registry, name: &str, help: &str, label: &str) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).namespace(NAMESPACE).buckets(BUCKETS.to_vec());
+    let histogram = HistogramVec::new(options, &[label]).expect("the name is valid");
+    registry.register(Box::new(histogram.clone())).expect("the name is not taken");
+    histogram
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let options = Opts::new(name, help).namespace(NAMESPACE);
     let gauge = IntGauge::with_opts(options).expect("the name is valid");
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -35,13 +35,16 @@
     }
 
     /// Counts a final answer, and logs how its request came to it: by the stages that it went
-    /// through, with upstream, time and attempts each, and the stage at which it ended.
-    pub fn request_ended(&self, answer: &FinalAnswer) {
+    /// through, with upstream, time and attempts each, the stage at which it ended, and the revision
+    /// in force at its end.
+    pub fn request_ended(&self, answer: &FinalAnswer, revision: u64) {
         self.metrics.count_outcome(answer);
         let reason = answer.reason.map(|reason| reason.to_string()).unwrap_or_default();
         let text = String::from_utf8_lossy(&answer.body);
         info!(self.log, "request_ended";
-            "outcome" => answer.kind.to_string(), "reason" => reason, "request" => text.as_ref());
+            "outcome" => answer.kind.to_string(), "reason" => reason, "revision" => revision,
+            "took_ms" => answer.took.map(|took| took.as_millis() as u64),
+            "request" => text.as_ref());
     }
 
     /// Logs what became of a call of a batched upstream.
