--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -3,7 +3,7 @@
 
 use super::BatchItem;
 use crate::identity::MonotonicTime;
-use crate::pipeline::{PieceOrder, PieceSource, PlacedResult};
+use crate::pipeline::{PieceOrder, PlacedResult};
 
 /// What a level of priority is worth in the order of jobs: one of a lower priority goes first only
 /// if its results are needed that much sooner. About one call of a few tenths of a second.
@@ -15,17 +15,14 @@
     pub(super) order: PieceOrder,
     /// Results of the pieces.
     pub(super) results: Vec<Option<PlacedResult>>,
-    /// When the job came.
-    pub(super) since: MonotonicTime,
     /// Pieces that are in no call.
     pub(super) waiting: VecDeque<u32>,
 }
 
 impl BatchJob {
-    pub(super) fn new(order: PieceOrder, now: MonotonicTime) -> Self {
+    pub(super) fn new(order: PieceOrder) -> Self {
         let pieces = order.pieces;
-        let waiting = (0..pieces).collect();
-        Self { since: now, results: vec![None; pieces as usize], waiting, order }
+        Self { results: vec![None; pieces as usize], waiting: (0..pieces).collect(), order }
     }
 
     /// Place in the order of jobs: the earliest time by which results are needed goes first.
@@ -40,21 +37,6 @@
         end <= self.order.due
     }
 
-    /// Whether work was done for the request, which would be lost with it.
-    pub(super) fn is_begun(&self) -> bool {
-        matches!(self.order.source, PieceSource::Results(_))
-    }
-
-    /// Time after which a call for the job is of no use: its own time is over, or the results that
-    /// it needs have lapsed, which are as old as the job at least.
-    pub(super) fn useful_until(&self, result_life: Duration) -> MonotonicTime {
-        if self.is_begun() {
-            self.order.expires.min(self.since + result_life)
-        } else {
-            self.order.expires
-        }
-    }
-
     /// Whether all pieces have results.
     pub(super) fn is_made(&self) -> bool {
         self.results.iter().all(Option::is_some)
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -129,7 +129,7 @@
             steps.push(DeskStep::fail(attempt, &order.pool, PieceFault::NoUpstream));
             return;
         }
-        let job = BatchJob::new(order, now);
+        let job = BatchJob::new(order);
         self.queue.insert((job.rank(), attempt), ());
         self.jobs.insert(attempt, job);
     }
@@ -223,9 +223,9 @@
     }
 
     fn give_up_late(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
-        let (shortest, life) = (self.rules.expected(1), self.rules.result_life);
+        let shortest = self.rules.expected(1);
         let late = self.queue.keys().filter(|(_, attempt)| {
-            self.jobs.get(attempt).is_none_or(|job| now + shortest > job.useful_until(life))
+            self.jobs.get(attempt).is_none_or(|job| now + shortest > job.order.expires)
         });
         let late: Vec<AttemptId> = late.map(|(_, attempt)| *attempt).collect();
         for attempt in late {
@@ -272,8 +272,9 @@
         Some(BatchOrder { batch, upstream, address, items })
     }
 
-    /// Jobs in the order in which they are served: first those that can still be in time, by the
-    /// time at which they are needed; then the others, by priority and the end of their time.
+    /// Jobs in the order in which they are served: first those that can still be in time, and those
+    /// of requests that have been worked on, by the time at which they are needed; then the others,
+    /// by priority and the end of their time.
     fn order_of_jobs(&self, now: MonotonicTime) -> Vec<AttemptId> {
         let shortest = self.rules.expected(1);
         let in_time = |attempt: &AttemptId| {
@@ -282,8 +283,7 @@
         let jobs = self.queue.keys().map(|(_, attempt)| *attempt);
         let (mut order, mut late): (Vec<AttemptId>, Vec<AttemptId>) = jobs.partition(in_time);
         late.sort_by_key(|attempt| {
-            let job = self.jobs.get(attempt);
-            job.map(|job| (job.order.level, job.order.expires))
+            self.jobs.get(attempt).map(|job| (job.order.level, job.order.expires))
         });
         order.extend(late);
         order
