Send the next call for pieces before telling of the one that ended

Cause: the answer of a call settles some ten requests, and each had its answer written before the next call left, while the upstream stood idle.

--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -244,8 +244,6 @@
     StepsRemade,
     /// Calls of batched upstreams.
     BatchCalls,
-    /// Pieces in calls of batched upstreams.
-    BatchPieces,
     /// Attempts after a failed one.
     Retries,
     /// Retries that the budget did not allow.
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -107,13 +107,14 @@
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        for step in desk_steps {
+        // Calls go out before anything is told of the one that ended: until then their upstream
+        // stands idle.
+        let (calls, others): (Vec<DeskStep>, Vec<DeskStep>) =
+            desk_steps.into_iter().partition(|step| matches!(step, DeskStep::Call(_)));
+        for step in calls.into_iter().chain(others) {
             match step {
                 DeskStep::Call(order) => {
                     out.push(Command::Count(CounterName::BatchCalls));
-                    out.extend(
-                        order.items.iter().map(|_| Command::Count(CounterName::BatchPieces)),
-                    );
                     out.push(Command::CallBatch(order));
                 }
                 DeskStep::Cancel(batch) => out.push(Command::CancelBatch(batch)),
