--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -9,6 +9,7 @@
 mod daemon_fleet;
 mod declaration_text;
 mod platform_stand_in;
+mod pool_model;
 mod relay_stand_in;
 mod server_thread;
 mod trace_replay;
@@ -20,6 +21,7 @@
 pub use daemon_fleet::{DaemonFleet, DaemonFleetBuilder, DaemonProcess, free_address, wait_for};
 pub use declaration_text::DeclarationText;
 pub use platform_stand_in::{PlatformMode, PlatformStandIn};
+pub use pool_model::{CallForming, ModelBurst, ModelKind, ModelPool, ModelReport, PoolModel};
 pub use relay_stand_in::RelayStandIn;
 pub use server_thread::ServerThread;
 pub use trace_replay::{
