--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -18,17 +18,17 @@
 /// What operators declare, checked wholly.
 #[derive(Clone, Debug)]
 pub struct Declarations {
-    deployment: DeploymentRules,
-    upstreams: Vec<UpstreamRules>,
-    workspaces: HashMap<String, WorkspaceRules>,
-    pipelines: Vec<PipelineRules>,
-    stages: HashMap<String, StageRules>,
-    priorities: Vec<PriorityRules>,
-    rules: Vec<RequestRule>,
-    placements: Vec<PlacementRules>,
-    routes: RouteTable,
+    pub(super) deployment: DeploymentRules,
+    pub(super) upstreams: Vec<UpstreamRules>,
+    pub(super) workspaces: HashMap<String, WorkspaceRules>,
+    pub(super) pipelines: Vec<PipelineRules>,
+    pub(super) stages: HashMap<String, StageRules>,
+    pub(super) priorities: Vec<PriorityRules>,
+    pub(super) rules: Vec<RequestRule>,
+    pub(super) placements: Vec<PlacementRules>,
+    pub(super) routes: RouteTable,
     /// Workspaces by the access keys of their callers.
-    access: HashMap<String, String>,
+    pub(super) access: HashMap<String, String>,
 }
 
 /// What holds for the whole deployment.
@@ -135,6 +135,23 @@
     pub connections: Option<u32>,
 }
 
+impl StageRules {
+    /// A stage whose upstreams are published, not declared, and that is no JSON call.
+    #[must_use]
+    pub fn published(kind: PoolKind, connections: Option<u32>) -> Self {
+        Self {
+            pool: Vec::new(),
+            path: String::new(),
+            stream: false,
+            // The silence of an upstream is no reason to end a forwarded request sooner.
+            silence: Duration::MAX,
+            cost: 0.0,
+            kind,
+            connections,
+        }
+    }
+}
+
 /// One priority.
 #[derive(Clone, Debug)]
 pub struct PriorityRules {
@@ -278,89 +295,6 @@
     }
 }
 
-/// Builds declarations that were not written as sections.
-///
-/// # Examples
-///
-/// ```
-/// use std::time::Duration;
-/// use crocusdale_core::configuration::DeclarationsBuilder;
-///
-/// let declarations = DeclarationsBuilder::new("small", Duration::from_secs(1)).build();
-/// assert!(!declarations.needs_access());
-/// ```
-#[derive(Debug)]
-pub struct DeclarationsBuilder {
-    declarations: Declarations,
-}
-
-impl DeclarationsBuilder {
-    /// Begins declarations of the deployment `name`, whose callers keep an address answer for
-    /// `address_hold`.
-    #[must_use]
-    pub fn new(name: &str, address_hold: Duration) -> Self {
-        let deployment = DeploymentRules {
-            name: name.to_owned(),
-            key_life: Duration::ZERO,
-            address_hold,
-            longest_deadline: Duration::MAX,
-            attainment_weight: 0.0,
-            policy: RoutingPolicy::Adaptive,
-        };
-        Self {
-            declarations: Declarations {
-                deployment,
-                upstreams: Vec::new(),
-                workspaces: HashMap::new(),
-                pipelines: Vec::new(),
-                stages: HashMap::new(),
-                priorities: Vec::new(),
-                rules: Vec::new(),
-                placements: Vec::new(),
-                routes: RouteTable::default(),
-                access: HashMap::new(),
-            },
-        }
-    }
-
-    /// Adds a workspace, and the access keys of its callers.
-    #[must_use]
-    pub fn workspace(
-        mut self,
-        name: &str,
-        rules: WorkspaceRules,
-        keys: impl IntoIterator<Item = String>,
-    ) -> Self {
-        for key in keys {
-            self.declarations.access.insert(key, name.to_owned());
-        }
-        self.declarations.workspaces.insert(name.to_owned(), rules);
-        self
-    }
-
-    /// Adds a stage, whose name is that of its pool.
-    #[must_use]
-    pub fn stage(mut self, name: &str, rules: StageRules) -> Self {
-        self.declarations.stages.insert(name.to_owned(), rules);
-        self
-    }
-
-    /// Adds a pipeline that serves paths of `host` which begin with `prefix`.
-    #[must_use]
-    pub fn route(mut self, host: &str, prefix: &str, pipeline: PipelineRules) -> Self {
-        let position = self.declarations.pipelines.len();
-        self.declarations.pipelines.push(pipeline);
-        self.declarations.routes.insert(host, prefix, position);
-        self
-    }
-
-    /// Builds the declarations.
-    #[must_use]
-    pub fn build(self) -> Declarations {
-        self.declarations
-    }
-}
-
 fn read_deployment(
     sections: &[CheckedSection],
     errors: &mut ErrorCollector<'_>,
--- /dev/null
+++ b/crates/crocusdale_core/src/configuration/declarations_builder.rs
@@ -0,0 +1,90 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{
+    Declarations, DeploymentRules, PipelineRules, RouteTable, RoutingPolicy, StageRules,
+    WorkspaceRules,
+};
+
+/// Builds declarations that were not written as sections.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use crocusdale_core::configuration::DeclarationsBuilder;
+///
+/// let declarations = DeclarationsBuilder::new("small", Duration::from_secs(1)).build();
+/// assert!(!declarations.needs_access());
+/// ```
+#[derive(Debug)]
+pub struct DeclarationsBuilder {
+    declarations: Declarations,
+}
+
+impl DeclarationsBuilder {
+    /// Begins declarations of the deployment `name`, whose callers keep an address answer for
+    /// `address_hold`.
+    #[must_use]
+    pub fn new(name: &str, address_hold: Duration) -> Self {
+        let deployment = DeploymentRules {
+            name: name.to_owned(),
+            key_life: Duration::ZERO,
+            address_hold,
+            longest_deadline: Duration::MAX,
+            attainment_weight: 0.0,
+            policy: RoutingPolicy::Adaptive,
+        };
+        Self {
+            declarations: Declarations {
+                deployment,
+                upstreams: Vec::new(),
+                workspaces: HashMap::new(),
+                pipelines: Vec::new(),
+                stages: HashMap::new(),
+                priorities: Vec::new(),
+                rules: Vec::new(),
+                placements: Vec::new(),
+                routes: RouteTable::default(),
+                access: HashMap::new(),
+            },
+        }
+    }
+
+    /// Adds a workspace, and the access keys of its callers.
+    #[must_use]
+    pub fn workspace(
+        mut self,
+        name: &str,
+        rules: WorkspaceRules,
+        keys: impl IntoIterator<Item = String>,
+    ) -> Self {
+        for key in keys {
+            self.declarations.access.insert(key, name.to_owned());
+        }
+        self.declarations.workspaces.insert(name.to_owned(), rules);
+        self
+    }
+
+    /// Adds a stage, whose name is that of its pool.
+    #[must_use]
+    pub fn stage(mut self, name: &str, rules: StageRules) -> Self {
+        self.declarations.stages.insert(name.to_owned(), rules);
+        self
+    }
+
+    /// Adds a pipeline that serves paths of `host` which begin with `prefix`.
+    #[must_use]
+    pub fn route(mut self, host: &str, prefix: &str, pipeline: PipelineRules) -> Self {
+        let position = self.declarations.pipelines.len();
+        self.declarations.pipelines.push(pipeline);
+        self.declarations.routes.insert(host, prefix, position);
+        self
+    }
+
+    /// Builds the declarations.
+    #[must_use]
+    pub fn build(self) -> Declarations {
+        self.declarations
+    }
+}
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -3,6 +3,7 @@
 mod configuration_error;
 mod configuration_ledger;
 mod declarations;
+mod declarations_builder;
 mod forward_rules;
 mod label_selector;
 mod label_set;
@@ -14,10 +15,10 @@
 pub use configuration_error::{ConfigurationError, ConfigurationErrorKind};
 pub use configuration_ledger::{ConfigurationLedger, DeclarationReader, InForce, LedgerVerdict};
 pub use declarations::{
-    Declarations, DeclarationsBuilder, DeploymentRules, PipelineRules, PlacementRules,
-    PriorityRules, RequestRule, RoutingPolicy, StageRules, UpstreamKind, UpstreamRules,
-    WorkspaceRules,
+    Declarations, DeploymentRules, PipelineRules, PlacementRules, PriorityRules, RequestRule,
+    RoutingPolicy, StageRules, UpstreamKind, UpstreamRules, WorkspaceRules,
 };
+pub use declarations_builder::DeclarationsBuilder;
 pub use forward_rules::{
     BatchRules, EngineRules, ForwardRules, PoolKind, RepeatRule, WeightedPool,
 };
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -3,12 +3,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use super::core_state::{CoreState, RequestBasis};
+use super::core_state::CoreState;
 use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
 use crate::claims::RegisterReply;
-use crate::configuration::Declarations;
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
-use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, VmRoster, WitnessSet};
+use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, WitnessSet};
 use crate::pipeline::{HolderReply, RefusalReason};
 use crate::routing::DirectoryEntry;
 use crate::sync::lock;
@@ -34,7 +33,7 @@
 /// calls of another. With one thread and one seed, the same events give the same commands.
 #[derive(Debug)]
 pub struct DaemonCore {
-    state: CoreState,
+    pub(super) state: CoreState,
 }
 
 impl DaemonCore {
@@ -311,139 +310,6 @@
         self.state.run_steps(steps, now, out);
     }
 
-    fn fleet_event(&self, event: DaemonEvent, now: MonotonicTime, out: &mut Vec<Command>) {
-        match event {
-            DaemonEvent::Exchanged(message) => {
-                let news = lock(&self.state.fleet).take_message(&message, now, out);
-                self.state.take_leaving(&news, now, out);
-                self.heard(&message, now, out);
-            }
-            DaemonEvent::GreetingFailed => out.push(Command::Count(CounterName::ExchangesFailed)),
-            DaemonEvent::DirectoryRead { revision, entries } => {
-                let mut directory = lock(&self.state.directory);
-                let changed = directory.read_whole(revision, entries, now, out);
-                drop(directory);
-                self.directory_read(changed, now, out);
-            }
-            DaemonEvent::DirectoryUnread => lock(&self.state.directory).read_failed(now, out),
-            DaemonEvent::DirectoryFetched(list) => {
-                let changed = lock(&self.state.directory).fetched(list, now, out);
-                self.directory_read(changed, now, out);
-            }
-            DaemonEvent::ExchangeFailed(vm) => {
-                lock(&self.state.fleet).exchange_failed(&vm, now, out);
-            }
-            DaemonEvent::ConfigurationFetched(fetched) => {
-                lock(&self.state.fleet).fetch_ended();
-                self.take_configuration(fetched, now, out);
-            }
-            DaemonEvent::ConfigurationWatched(read) => {
-                let revision = read.as_ref().map(|(revision, _)| *revision);
-                self.take_configuration(read, now, out);
-                lock(&self.state.fleet).watch_ended(revision, now, out);
-            }
-            DaemonEvent::ConfigurationUnread => lock(&self.state.fleet).watch_failed(now, out),
-            DaemonEvent::RosterRead(read) => {
-                self.take_roster(read, now, out);
-                lock(&self.state.fleet).await_roster(now, out);
-            }
-            DaemonEvent::RosterUnread => {
-                out.push(Command::Count(CounterName::PlatformReadsFailed));
-                lock(&self.state.fleet).await_roster(now, out);
-            }
-            DaemonEvent::PlacementRead { upstream, held } => {
-                lock(&self.state.fleet).placement_read(upstream, held, out);
-            }
-            DaemonEvent::OrderAnswered { taken: true } => {}
-            DaemonEvent::OrderAnswered { taken: false } => {
-                out.push(Command::Count(CounterName::OrdersRefused));
-            }
-            DaemonEvent::DrainAsked => self.drain(now, out),
-            _ => debug_assert!(false, "an event of a request reached the fleet"),
-        }
-        self.check_ready(now);
-    }
-
-    /// Serves callers from the moment on from which the daemon may.
-    fn check_ready(&self, now: MonotonicTime) {
-        let ready = lock(&self.state.fleet).become_ready(now);
-        if ready {
-            self.refresh_basis();
-        }
-    }
-
-    fn take_configuration(
-        &self,
-        offered: Option<(u64, String)>,
-        now: MonotonicTime,
-        out: &mut Vec<Command>,
-    ) {
-        let Some((revision, text)) = offered else { return };
-        let declarations = {
-            let mut fleet = lock(&self.state.fleet);
-            if !fleet.offer(revision, &text, out) {
-                return;
-            }
-            fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
-        };
-        if let Some(declarations) = declarations {
-            self.reroute(&declarations, now, out);
-        }
-        self.refresh_basis();
-        let grants = self.state.router().serve_all_waiting(now);
-        let steps = self.state.run_grants(grants, now);
-        self.state.run_steps(steps, now, out);
-    }
-
-    /// Takes pools and upstreams as they are now.
-    fn reroute(&self, declarations: &Declarations, now: MonotonicTime, out: &mut Vec<Command>) {
-        let directory = lock(&self.state.directory).directory.clone();
-        let router = self.state.router().reconfigured(declarations, &directory);
-        router.take_roster(self.state.basis().history.current());
-        self.state.set_router(router);
-        let (mut steps, mut desk_steps) = (Vec::new(), Vec::new());
-        lock(&self.state.desk).reconfigure(declarations, &directory, now, &mut desk_steps);
-        self.state.run_desk(desk_steps, now, &mut steps, out);
-        self.state.run_steps(steps, now, out);
-    }
-
-    /// The published upstreams were read or heard of.
-    fn directory_read(&self, changed: bool, now: MonotonicTime, out: &mut Vec<Command>) {
-        let revision = {
-            let directory = lock(&self.state.directory);
-            directory.directory.changed().max(u64::from(directory.directory.is_known()))
-        };
-        let declarations = {
-            let mut fleet = lock(&self.state.fleet);
-            fleet.directory = revision;
-            if changed {
-                fleet.tell_at_once(out);
-            }
-            fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
-        };
-        if let Some(declarations) = declarations.filter(|_| changed) {
-            self.reroute(&declarations, now, out);
-            let grants = self.state.router().serve_all_waiting(now);
-            let steps = self.state.run_grants(grants, now);
-            self.state.run_steps(steps, now, out);
-        }
-    }
-
-    /// A peer's half of a heartbeat came: takes what it says of others and of the upstreams.
-    fn heard(&self, message: &ExchangeMessage, now: MonotonicTime, out: &mut Vec<Command>) {
-        let vm = &message.sender.instance.vm;
-        let (news, daemons) = {
-            let mut fleet = lock(&self.state.fleet);
-            let news = fleet.take_places(now, out);
-            (news, fleet.view.alive_count() + 1)
-        };
-        if news {
-            self.refresh_basis();
-        }
-        self.state.router().set_daemons(daemons);
-        lock(&self.state.directory).heard_of(vm, message.directory, now, out);
-    }
-
     /// Published upstreams that this daemon knows, for a peer that can't read them.
     #[must_use]
     pub fn published_upstreams(&self) -> (u64, Vec<(u64, DirectoryEntry)>) {
@@ -451,29 +317,6 @@
         (directory.directory.revision(), directory.directory.snapshot())
     }
 
-    fn take_roster(&self, read: Option<VmRoster>, now: MonotonicTime, out: &mut Vec<Command>) {
-        let Some(roster) = read else { return };
-        if lock(&self.state.fleet).take_roster(roster, now, out) {
-            self.refresh_basis();
-            self.state.router().take_roster(self.state.basis().history.current());
-        }
-    }
-
-    fn refresh_basis(&self) {
-        let fleet = lock(&self.state.fleet);
-        let in_force = fleet.ledger.in_force().filter(|_| fleet.is_ready());
-        let basis = RequestBasis {
-            declarations: in_force.map(|each| Arc::clone(&each.declarations)),
-            history: fleet.history.clone(),
-            key_life: fleet.key_life(),
-        };
-        self.state.set_basis(basis);
-    }
-
-    fn roster_revision(&self) -> u64 {
-        self.state.basis().history.current().revision
-    }
-
     fn housekeeping(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let last = std::mem::replace(&mut *lock(&self.state.last_housekeeping), now);
         if now.since(last) > HOUSEKEEPING + PAUSE {
@@ -509,7 +352,7 @@
         fleet.exchange_with(partners, out);
     }
 
-    fn drain(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+    pub(super) fn drain(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let mut fleet = lock(&self.state.fleet);
         if fleet.view.is_own_leaving() {
             return;
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 mod daemon_event;
 mod directory_state;
 mod entry_flow;
+mod fleet_events;
 mod fleet_state;
 mod piece_flow;
 mod request_flow;
--- /dev/null
+++ b/crates/crocusdale_core/src/pipeline/json_steps.rs
@@ -0,0 +1,136 @@
+//! Steps that call their stage in JSON, with the earlier answers as its inputs.
+
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use super::branch_run::{AttemptRole, BranchAnswer, FailedAttempt};
+use super::{
+    AttemptOrder, BreakReason, FinalAnswer, RequestContent, RequestRun, ShardStep, StreamFault,
+    StreamLine,
+};
+use crate::daemon::Command;
+use crate::identity::{AttemptId, MonotonicTime};
+use crate::routing::SlotGrant;
+
+/// Answer of one stage.
+#[derive(Clone, Debug, Serialize)]
+struct StageAnswer<'a> {
+    stage: &'a str,
+    answer: &'a RawValue,
+}
+
+/// Body of a call of an upstream.
+#[derive(Serialize)]
+struct StageInput<'a> {
+    attempt: String,
+    workspace: &'a str,
+    key: &'a str,
+    stage: &'a str,
+    request: &'a RawValue,
+    inputs: &'a [StageAnswer<'a>],
+}
+
+impl RequestRun {
+    pub(super) fn order(&self, attempt: AttemptId, grant: &SlotGrant) -> AttemptOrder {
+        let stage = self.plan.stage(&grant.request.stage);
+        let inputs = self.json_inputs(grant.request.branch);
+        let RequestContent::Json(payload) = &self.plan.request.content else {
+            unreachable!("a pipeline of JSON stages serves JSON requests")
+        };
+        let input = StageInput {
+            attempt: attempt.to_string(),
+            workspace: &self.plan.request.key.workspace,
+            key: &self.plan.request.key.key,
+            stage: &grant.request.stage,
+            request: payload,
+            inputs: &inputs,
+        };
+        AttemptOrder {
+            attempt,
+            upstream: grant.upstream.clone(),
+            address: grant.address,
+            path: stage.path.clone(),
+            body: serde_json::to_vec(&input).expect("an input has no maps with odd keys"),
+            stream: stage.stream,
+            fresh: !self.plan.repeatable,
+            level: self.plan.level,
+            expires: self.plan.deadline,
+        }
+    }
+
+    /// Answers that the JSON step at `position` needs, in declared order, whichever order they
+    /// came in.
+    fn json_inputs(&self, position: usize) -> Vec<StageAnswer<'_>> {
+        let after = &self.plan.pipeline.plan.steps()[position].after;
+        let answer = |earlier: &usize| {
+            let branch = self.branches.iter().find(|branch| branch.step == *earlier)?;
+            match &branch.answer {
+                Some(BranchAnswer::Json(answer)) => {
+                    Some(StageAnswer { stage: &branch.stage, answer })
+                }
+                _ => None,
+            }
+        };
+        after.iter().filter_map(answer).collect()
+    }
+
+    pub(super) fn line(
+        &mut self,
+        index: usize,
+        line: &StreamLine,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) -> Option<FinalAnswer> {
+        self.progress(index, now);
+        let open = self.branches[index].open.as_mut()?;
+        let AttemptRole::Json(assembler) = &mut open.role else { return None };
+        match assembler.take(line) {
+            Ok(None) => {
+                if self.passes_on(index) {
+                    self.forwarded = true;
+                    let text = line.text.clone();
+                    steps.push(ShardStep::Command(Command::Forward { call: self.call, text }));
+                }
+                None
+            }
+            Ok(Some(text)) => {
+                let answer = serde_json::value::to_raw_value(text).expect("text is JSON");
+                self.evidence.ran += 1;
+                self.branch_answered(index, BranchAnswer::Json(answer), now, steps)
+            }
+            Err(fault) => {
+                let reason = match fault {
+                    StreamFault::Foreign => BreakReason::Foreign,
+                    StreamFault::OutOfOrder => BreakReason::Malformed,
+                    StreamFault::TooLarge => BreakReason::TooLarge,
+                };
+                steps.push(ShardStep::Command(Command::Cancel(open.id)));
+                self.attempt_failed(index, FailedAttempt::Broken(reason), now, steps)
+            }
+        }
+    }
+
+    /// Whether the caller gets the stream of the branch at `index` as it comes: it must be the
+    /// only one that ends the plan.
+    fn passes_on(&self, index: usize) -> bool {
+        let mut ends = self.plan.pipeline.plan.ends(|_| true);
+        let only = ends.next() == Some(self.branches[index].step) && ends.next().is_none();
+        self.plan.request.stream && only
+    }
+
+    pub(super) fn json_answer(&self) -> Box<RawValue> {
+        let mut last = Vec::new();
+        for position in self.plan.pipeline.plan.ends(|_| true) {
+            let branch = self.branches.iter().find(|branch| branch.step == position);
+            if let Some(branch) = branch
+                && let Some(BranchAnswer::Json(answer)) = &branch.answer
+            {
+                last.push(StageAnswer { stage: &branch.stage, answer });
+            }
+        }
+        match last.as_slice() {
+            [single] => single.answer.to_owned(),
+            several => serde_json::value::to_raw_value(several).expect("answers are JSON"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -0,0 +1,189 @@
+//! Batched steps, whose pieces share calls with those of other requests.
+
+use std::collections::BTreeMap;
+
+use super::branch_run::{AttemptRole, BranchAnswer, FailedAttempt, OpenAttempt};
+use super::request_run::{REMAKES, count};
+use super::{
+    FinalAnswer, PieceFault, PieceOrder, PieceSource, PlacedResult, RefusalReason, RequestRun,
+    ResultHandle, ShardStep,
+};
+use crate::configuration::StepWork;
+use crate::daemon::CounterName;
+use crate::identity::MonotonicTime;
+
+/// Dispatchers that a batched step is given to, one after another, before it is given up.
+const DISPATCHERS: usize = 3;
+/// Bytes that a step fetches from which on it goes where they lie rather than where its own results
+/// will be needed. Below it, a fetch from another zone costs next to nothing.
+const HEAVY_BYTES: u64 = 200_000;
+
+impl RequestRun {
+    pub(super) fn offer_pieces(
+        &mut self,
+        index: usize,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let id = self.next_attempt();
+        let position = self.branches[index].step;
+        let after = &self.plan.pipeline.plan.steps()[position].after;
+        let head = self.plan.request.forward();
+        let source = if after.is_empty() {
+            PieceSource::Caller(head.map(|head| head.piece_source.clone()).unwrap_or_default())
+        } else {
+            PieceSource::Results(self.results_of(after))
+        };
+        let order = PieceOrder {
+            attempt: id,
+            request: self.plan.request.key.key.clone(),
+            pool: self.branches[index].stage.clone(),
+            step: u32::try_from(position).unwrap_or(u32::MAX),
+            pieces: self.plan.pieces(position),
+            result_bytes: self.result_bytes(position),
+            source,
+            zone: self.heavy_zone(position),
+            level: self.plan.level,
+            due: self.plan.due(position),
+            expires: self.plan.deadline,
+            repeated: !self.branches[index].tried.is_empty() || self.remakes > 0,
+        };
+        let branch = &mut self.branches[index];
+        branch.attempts += 1;
+        let (upstream, role) = (String::new(), AttemptRole::Pieces);
+        branch.open = Some(OpenAttempt { id, upstream, sent: now, progress: now, role });
+        let tried = branch.tried.clone();
+        let target = self.target_request().filter(|_| self.makes_heavy(position)).map(Box::new);
+        steps.push(ShardStep::OfferPieces { order: Box::new(order), tried, target });
+    }
+
+    /// Zone in which the inputs of the step at `position` lie, if they are large: each of its
+    /// pieces fetches all of them.
+    fn heavy_zone(&self, position: usize) -> Option<String> {
+        let after = &self.plan.pipeline.plan.steps()[position].after;
+        let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+        for branch in self.branches.iter().filter(|branch| after.contains(&branch.step)) {
+            let Some(BranchAnswer::Results(made)) = &branch.answer else { continue };
+            for result in made {
+                *zones.entry(&result.zone).or_default() += self.result_bytes(branch.step);
+            }
+        }
+        let (zone, bytes) = zones.into_iter().max_by_key(|(_, bytes)| *bytes)?;
+        let fetched = bytes * u64::from(self.plan.pieces(position));
+        (fetched >= HEAVY_BYTES).then(|| zone.to_owned())
+    }
+
+    /// Whether the results of the step at `position` are large, and fetched by the upstream of the
+    /// forwarded step.
+    fn makes_heavy(&self, position: usize) -> bool {
+        let plan = self.plan.pipeline.plan.steps();
+        let mut later = plan.iter().filter(|step| step.after.contains(&position));
+        let bytes = self.result_bytes(position) * u64::from(self.plan.pieces(position));
+        later.all(|step| step.work == StepWork::Forward) && bytes >= HEAVY_BYTES
+    }
+
+    fn result_bytes(&self, position: usize) -> u64 {
+        match self.plan.pipeline.plan.steps()[position].work {
+            StepWork::Batched { result_bytes } => result_bytes,
+            StepWork::Json | StepWork::Forward => 0,
+        }
+    }
+
+    fn results_of(&self, steps: &[usize]) -> Vec<ResultHandle> {
+        let mut handles = Vec::new();
+        for branch in self.branches.iter().filter(|branch| steps.contains(&branch.step)) {
+            if let Some(BranchAnswer::Results(made)) = &branch.answer {
+                handles.extend(made.iter().map(|result| result.handle.clone()));
+            }
+        }
+        handles
+    }
+
+    pub(super) fn pieces_failed(
+        &mut self,
+        index: usize,
+        fault: PieceFault,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) -> Option<FinalAnswer> {
+        steps.push(count(CounterName::PiecesFailed));
+        self.branches[index].open = None;
+        let in_time = now < self.plan.deadline;
+        match fault {
+            PieceFault::InputGone if in_time && self.remakes < REMAKES => {
+                self.remake(now, steps);
+                None
+            }
+            _ => Some(self.end(FailedAttempt::Pieces(fault).reason(), now, steps)),
+        }
+    }
+
+    /// The next dispatcher in rank takes the pieces of one that is lost.
+    pub(super) fn dispatcher_lost(
+        &mut self,
+        index: usize,
+        vm: String,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) -> Option<FinalAnswer> {
+        let branch = &mut self.branches[index];
+        branch.open = None;
+        branch.tried.push(vm);
+        if branch.tried.len() >= DISPATCHERS || now >= self.plan.deadline {
+            return Some(self.end(RefusalReason::NoUpstream, now, steps));
+        }
+        steps.push(count(CounterName::DispatchersLost));
+        self.offer_pieces(index, now, steps);
+        None
+    }
+
+    /// Begins all batched steps anew: a result that a later step needs is gone with the upstream
+    /// that made it.
+    pub(super) fn remake(&mut self, now: MonotonicTime, steps: &mut Vec<ShardStep>) {
+        self.remakes += 1;
+        self.close_branches(steps);
+        self.free_inputs(steps);
+        self.freed = false;
+        let forward = self.branches.drain(..).find(|branch| branch.work == StepWork::Forward);
+        self.carried = forward.map(|branch| (branch.attempts, branch.tried));
+        steps.push(count(CounterName::StepsRemade));
+        self.begin_steps(now, steps);
+    }
+
+    /// Gives up every result: those that were needed have been fetched, or never will be.
+    pub(super) fn free_inputs(&mut self, steps: &mut Vec<ShardStep>) {
+        for index in 0..self.branches.len() {
+            self.freed |= self.free_results(index, steps);
+        }
+    }
+
+    /// Gives up results that no step needs any more: an upstream's memory for results holds those
+    /// of a few seconds only, and each that stays keeps the pieces of another request out.
+    pub(super) fn free_used(&mut self, position: usize, steps: &mut Vec<ShardStep>) {
+        for earlier in self.plan.pipeline.plan.steps()[position].after.clone() {
+            let plan = self.plan.pipeline.plan.steps();
+            let mut later =
+                plan.iter().enumerate().filter(|(_, step)| step.after.contains(&earlier));
+            if later.all(|(step, _)| self.is_done(step))
+                && let Some(index) = self.branches.iter().position(|each| each.step == earlier)
+            {
+                self.free_results(index, steps);
+            }
+        }
+    }
+
+    fn free_results(&mut self, index: usize, steps: &mut Vec<ShardStep>) -> bool {
+        let branch = &mut self.branches[index];
+        let Some(BranchAnswer::Results(made)) = &mut branch.answer else { return false };
+        if made.is_empty() {
+            return false;
+        }
+        steps.push(free_results(&branch.stage, std::mem::take(made)));
+        true
+    }
+}
+
+fn free_results(pool: &str, results: Vec<PlacedResult>) -> ShardStep {
+    let results = results.into_iter().map(|result| result.handle).collect();
+    ShardStep::FreeResults { pool: pool.to_owned(), results }
+}
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Which upstream gets an attempt.
 
+mod engine_choice;
 mod engine_load;
 mod stage_pool;
 mod upstream_directory;
--- a/crates/crocusdale_core/tests/batch_pool_test.rs
+++ b/crates/crocusdale_core/tests/batch_pool_test.rs
@@ -32,15 +32,7 @@
 }
 
 fn declarations() -> Declarations {
-    let stage = StageRules {
-        pool: Vec::new(),
-        path: String::new(),
-        stream: false,
-        silence: Duration::MAX,
-        cost: 0.0,
-        kind: PoolKind::Batch(rules()),
-        connections: None,
-    };
+    let stage = StageRules::published(PoolKind::Batch(rules()), None);
     DeclarationsBuilder::new("test", Duration::from_secs(1)).stage(POOL, stage).build()
 }
 
--- a/crates/crocusdale_core/tests/forwarded_request_test.rs
+++ b/crates/crocusdale_core/tests/forwarded_request_test.rs
@@ -24,15 +24,7 @@
 const HOST: &str = "mail.example";
 
 fn read(_: &str, _: &str) -> Result<Declarations, Vec<ConfigurationError>> {
-    let stage = |kind| StageRules {
-        pool: Vec::new(),
-        path: String::new(),
-        stream: false,
-        silence: Duration::MAX,
-        cost: 0.0,
-        kind,
-        connections: None,
-    };
+    let stage = |kind| StageRules::published(kind, None);
     let batch = BatchRules {
         slots: 1,
         pieces: 20,
--- a/crates/stand_ins/src/pool_model.rs
+++ b/crates/stand_ins/src/pool_model.rs
@@ -174,15 +174,7 @@
         self.pools
             .iter()
             .fold(DeclarationsBuilder::new("model", Duration::from_secs(1)), |builder, pool| {
-                let stage = StageRules {
-                    pool: Vec::new(),
-                    path: String::new(),
-                    stream: false,
-                    silence: Duration::MAX,
-                    cost: 0.0,
-                    kind: PoolKind::Batch(pool.rules),
-                    connections: None,
-                };
+                let stage = StageRules::published(PoolKind::Batch(pool.rules), None);
                 builder.stage(pool.name, stage)
             })
             .build()
