--- a/crates/crocusdale_core/tests/forwarded_request_test.rs
+++ b/crates/crocusdale_core/tests/forwarded_request_test.rs
@@ -68,7 +68,7 @@
         repeatable: repeat.is_repeatable(),
         forward: Some(ForwardRules {
             repeat,
-            timeout: Duration::from_secs(3),
+            timeout: Duration::from_secs(30),
             objective: Duration::from_millis(900),
             level: 1,
             attempts: 2,
@@ -89,6 +89,8 @@
     passed_on: Vec<AttemptId>,
     cancelled: Vec<AttemptId>,
     answers: Vec<(CallId, FinalAnswer)>,
+    /// Deadline of the requests to come.
+    deadline: Duration,
 }
 
 impl Daemon {
@@ -114,6 +116,7 @@
             passed_on: Vec::new(),
             cancelled: Vec::new(),
             answers: Vec::new(),
+            deadline: Duration::from_secs(2),
         };
         let mut commands = Vec::new();
         daemon.core.start(now, &mut commands);
@@ -203,7 +206,7 @@
         let request = CallerRequest {
             key: key.clone(),
             labels: LabelSet::default(),
-            deadline: Duration::from_secs(2),
+            deadline: self.deadline,
             repeatable: false,
             stream: false,
             age: Duration::ZERO,
@@ -295,6 +298,7 @@
 #[test]
 fn failure_of_the_last_upstream_is_passed_on() {
     let mut daemon = Daemon::new();
+    daemon.publish(&["n1", "n2", "n3"], &[]);
     daemon.submit("/ask/7");
     daemon.headed(daemon.last_relay().attempt, 500, RunProof::Ran);
     let second = daemon.last_relay();
@@ -421,7 +425,8 @@
 #[test]
 fn draining_daemon_answers_everything_before_its_end() {
     let mut daemon = Daemon::new();
-    let open = daemon.submit("/digest/7");
+    daemon.deadline = Duration::from_secs(20);
+    let open = daemon.submit("/shred/7");
     daemon.feed(DaemonEvent::DrainAsked);
     assert!(daemon.core.is_leaving());
     let kept = daemon.submit("/ask/7");
@@ -429,8 +434,11 @@
     daemon.advance(2_600);
     let late = daemon.submit("/ask/8");
     assert_eq!(daemon.answer(late), Some((OutcomeKind::Refused, Some(RefusalReason::Draining))));
-    daemon.advance(4_700);
-    assert!(daemon.answer(open).is_some());
+    daemon.advance(4_400);
+    assert_eq!(daemon.answer(open), None, "there is time left");
+    daemon.advance(200);
+    let unknown = (OutcomeKind::Unknown, Some(RefusalReason::Draining));
+    assert_eq!(daemon.answer(open), Some(unknown));
 }
 
 /// A prompt's shared part is known to one engine. Requests of the same subject that come in at
--- a/crates/crocusdale_core/tests/published_upstreams_test.rs
+++ b/crates/crocusdale_core/tests/published_upstreams_test.rs
@@ -71,6 +71,16 @@
     assert!(ids(&directory).is_empty());
 }
 
+/// The same, and an upstream has been published since that list. It must not disappear with it, and
+/// its running work with nobody to count it.
+#[test]
+fn older_list_of_a_peer_removes_nothing() {
+    let mut directory = UpstreamDirectory::default();
+    directory.replace(9, vec![(3, entry("u1")), (8, entry("u2"))], None);
+    assert!(!directory.replace(7, vec![(3, entry("u1"))], None));
+    assert_eq!(ids(&directory), ["u1", "u2"]);
+}
+
 /// A renewed entry is written with a later revision and says the same. Routing must not be rebuilt
 /// for it several times a second.
 #[test]
--- a/crates/crocusdaled/src/forwarding/forward_service.rs
+++ b/crates/crocusdaled/src/forwarding/forward_service.rs
@@ -9,6 +9,7 @@
 use futures::stream;
 use http::{HeaderValue, StatusCode, header};
 use http_body::Frame;
+use slog::warn;
 use tokio::sync::mpsc;
 use volo_http::body::Body;
 use volo_http::error::BoxError;
@@ -57,7 +58,11 @@
 
     async fn serve(&self, request: Request) -> Response {
         let (parts, body) = request.into_parts();
-        let IngressCall { request, headers, last_event } = read_call(&parts);
+        let IngressCall { request, headers, last_event, unreadable } = read_call(&parts);
+        if !unreadable.is_empty() {
+            warn!(self.engine.telemetry.log, "fields_unreadable";
+                "request" => &request.key.key, "taken_as_missing" => unreadable.join(","));
+        }
         let body = match self.read(body).await {
             Ok(body) => body,
             Err(reason) => {
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -10,6 +10,7 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
+use slog::info;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
@@ -98,7 +99,7 @@
     let pool = engine.connections();
     let mut connection = match pool.connect(order.address, order.fresh).await {
         Ok(connection) => connection,
-        Err(_) => return Some(AttemptEvent::NotSent),
+        Err(fault) => return Some(send_failed(engine, call, order, &fault)),
     };
     let left = engine.clock.until(order.expires);
     // The process may have been paused since the core decided; after the deadline nothing is
@@ -109,8 +110,7 @@
     let headers = request_headers(&call.headers, order, left, call.resume_after());
     let response = match connection.send(request(call, headers)).await {
         Ok(response) => response,
-        Err(SendFault::NotSent) => return Some(AttemptEvent::NotSent),
-        Err(SendFault::Broken) => return Some(AttemptEvent::Broken(BreakReason::Cut)),
+        Err(fault) => return Some(send_failed(engine, call, order, &fault)),
     };
     let (parts, body) = response.into_parts();
     let head = read_head(parts.status, &parts.headers, &call.attempt);
@@ -145,6 +145,19 @@
     Some(AttemptEvent::Passed)
 }
 
+/// What it means for an attempt that its request has no answer; the cause goes to the log.
+fn send_failed(
+    engine: &DaemonEngine,
+    call: &RelayCall,
+    order: &RelayOrder,
+    fault: &SendFault,
+) -> AttemptEvent {
+    info!(engine.telemetry.log, "attempt_failed";
+        "request" => &call.attempt, "upstream" => &order.upstream,
+        "written" => fault.written, "cause" => &fault.cause);
+    if fault.written { AttemptEvent::Broken(BreakReason::Cut) } else { AttemptEvent::NotSent }
+}
+
 fn request(call: &RelayCall, headers: http::HeaderMap) -> Request<Full<Bytes>> {
     let path = call.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
     let mut request = Request::new(Full::new(call.body.clone()));
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -12,6 +12,7 @@
     AskOutcomeRequest, BuryRequest, ClaimRequest, FetchConfigurationRequest, FetchDirectoryRequest,
     RecordOutcomeRequest, RecordedOutcome,
 };
+use slog::warn;
 use tonic::codec::CompressionEncoding;
 use tonic::transport::{Channel, Endpoint};
 
@@ -171,7 +172,14 @@
             let revision = wire.revision;
             DirectoryEntry::try_from(wire).map(|entry| (revision, entry))
         });
-        Some((reply.revision, entries.collect::<Result<_, _>>().ok()?))
+        match entries.collect::<Result<_, _>>() {
+            Ok(entries) => Some((reply.revision, entries)),
+            Err(fault) => {
+                warn!(engine.telemetry.log, "directory_unreadable";
+                    "peer" => vm, "cause" => fault.to_string());
+                None
+            }
+        }
     });
     engine.feed(DaemonEvent::DirectoryFetched(list));
 }
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -56,8 +56,7 @@
 impl fmt::Display for ReadFault {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Silent(SendFault::NotSent) => formatter.write_str("no connection"),
-            Self::Silent(SendFault::Broken) => formatter.write_str("no answer"),
+            Self::Silent(fault) => formatter.write_str(&fault.cause),
             Self::Refused(status) => write!(formatter, "status {status}"),
             Self::HistoryGone => formatter.write_str("the history is gone"),
             Self::Unreadable(fault) => write!(formatter, "unreadable answer: {fault}"),
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -13,9 +13,9 @@
 };
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use http_body_util::Full;
+use slog::info;
 use tokio::task::AbortHandle;
 
-use super::SendFault;
 use crate::engine::DaemonEngine;
 
 /// Largest answer to a call, in bytes: some hundred handles.
@@ -75,8 +75,12 @@
             let (parts, body) = answer.into_parts();
             read_work(parts.status, &parts.headers, &body)
         }
-        Err(SendFault::NotSent) => BatchOutcome::NotSent,
-        Err(SendFault::Broken) => BatchOutcome::Broken,
+        Err(fault) => {
+            info!(engine.telemetry.log, "batch_failed";
+                "upstream" => &order.upstream, "written" => fault.written,
+                "cause" => &fault.cause);
+            if fault.written { BatchOutcome::Broken } else { BatchOutcome::NotSent }
+        }
     }
 }
 
--- a/crates/crocusdaled/src/upstream/connection_pool.rs
+++ b/crates/crocusdaled/src/upstream/connection_pool.rs
@@ -49,12 +49,22 @@
 }
 
 /// Why a request has no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendFault {
-    /// No byte of it was written.
-    NotSent,
-    /// It may have been written, in whole or in part.
-    Broken,
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SendFault {
+    /// Whether a byte of it may have been written.
+    pub written: bool,
+    /// What went wrong, for the log.
+    pub cause: String,
+}
+
+impl SendFault {
+    fn unwritten(cause: &impl ToString) -> Self {
+        Self { written: false, cause: cause.to_string() }
+    }
+
+    fn broken(cause: &impl ToString) -> Self {
+        Self { written: true, cause: cause.to_string() }
+    }
 }
 
 impl ConnectionPool {
@@ -62,7 +72,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendFault::NotSent`] if none can be made.
+    /// Returns why none can be made; nothing was written then.
     pub async fn connect(
         &self,
         address: SocketAddr,
@@ -74,7 +84,8 @@
         let sender = tokio::time::timeout(CONNECT_PATIENCE, open(address)).await;
         match sender {
             Ok(Ok(sender)) => Ok(OpenConnection { address, sender }),
-            Ok(Err(_)) | Err(_) => Err(SendFault::NotSent),
+            Ok(Err(fault)) => Err(SendFault::unwritten(&fault)),
+            Err(_) => Err(SendFault::unwritten(&"no connection in time")),
         }
     }
 
@@ -113,7 +124,7 @@
             let mut connection = self.connect(address, false).await?;
             let (parts, body) = connection.send(request).await?.into_parts();
             let body = Limited::new(body, limit).collect().await;
-            let body = body.map_err(|_| SendFault::Broken)?.to_bytes();
+            let body = body.map_err(|fault| SendFault::broken(&fault))?.to_bytes();
             self.give_back(connection, &parts.headers);
             Ok(Response::from_parts(parts, body))
         };
@@ -121,7 +132,7 @@
             Ok(answer) => answer,
             Err(_) => {
                 self.forget(address);
-                Err(SendFault::Broken)
+                Err(SendFault::broken(&"no answer in time"))
             }
         }
     }
@@ -157,8 +168,8 @@
             Ok(response) => Ok(response),
             // The library gives the request back only if it has written nothing of it.
             Err(mut fault) => match fault.take_message() {
-                Some(_) => Err(SendFault::NotSent),
-                None => Err(SendFault::Broken),
+                Some(_) => Err(SendFault::unwritten(&fault.error())),
+                None => Err(SendFault::broken(&fault.error())),
             },
         }
     }
