--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -140,8 +140,8 @@
 
     /// How long new pieces would wait in `pool`.
     #[must_use]
-    pub fn expected_wait(&self, pool: &str, now: MonotonicTime) -> Duration {
-        self.pools.get(pool).map_or(Duration::ZERO, |pool| pool.expected_wait(now))
+    pub fn expected_wait(&mut self, pool: &str, now: MonotonicTime) -> Duration {
+        self.pools.get_mut(pool).map_or(Duration::ZERO, |pool| pool.expected_wait(now))
     }
 
     /// Pieces that wait, by pool.
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -10,6 +10,10 @@
 use crate::retry::RetryBudget;
 use crate::routing::DirectoryEntry;
 
+/// Time for which a reckoning of the wait is good: it looks at all jobs, and each call that ends
+/// asks for it several times.
+const WAIT_LIFE: Duration = Duration::from_millis(10);
+
 /// Waiting pieces and upstreams of one batched pool, at its dispatcher.
 ///
 /// A call is formed the moment an upstream is free, from the pieces that are needed first. Waiting
@@ -27,6 +31,16 @@
     unwanted: Vec<ResultHandle>,
     /// Results whose upstreams have been told, and should have given them up by the next turn.
     told: Vec<ResultHandle>,
+    /// Last reckoning of how long new pieces would wait, and when it was made.
+    last_wait: Option<(Duration, MonotonicTime)>,
+}
+
+/// Jobs in the order in which they are served, for one turn.
+#[derive(Debug)]
+struct JobLine {
+    order: Vec<AttemptId>,
+    /// Whether more waits than all upstreams can take at once.
+    crowded: bool,
 }
 
 #[derive(Debug)]
@@ -53,6 +67,7 @@
             budget,
             unwanted: Vec::new(),
             told: Vec::new(),
+            last_wait: None,
         }
     }
 
@@ -87,7 +102,16 @@
     /// How long new pieces of a request that can still be in time would wait for their call: the
     /// work before them, shared by the upstreams, behind the call that ends first.
     #[must_use]
-    pub fn expected_wait(&self, now: MonotonicTime) -> Duration {
+    pub fn expected_wait(&mut self, now: MonotonicTime) -> Duration {
+        if let Some((wait, at)) = self.last_wait.filter(|(_, at)| now.since(*at) < WAIT_LIFE) {
+            return wait.saturating_sub(now.since(at));
+        }
+        let wait = self.reckon_wait(now);
+        self.last_wait = Some((wait, now));
+        wait
+    }
+
+    fn reckon_wait(&self, now: MonotonicTime) -> Duration {
         let staying: Vec<&BatchWorker> =
             self.workers.values().filter(|worker| worker.staying).collect();
         let Some(first) = staying.iter().map(|each| each.free_in(&self.rules, now)).min() else {
@@ -208,8 +232,28 @@
         for worker in self.workers.values_mut() {
             worker.forget_lapsed(now);
         }
-        while let Some(order) = self.form_call(next, now) {
-            steps.push(DeskStep::Call(order));
+        self.form_calls(next, now, steps);
+    }
+
+    /// Forms calls while upstreams are free. A large pool has hundreds of upstreams and thousands
+    /// of waiting jobs: what looks at all of them is done once a turn, and only if one is free.
+    fn form_calls(
+        &mut self,
+        next: &mut impl FnMut() -> BatchId,
+        now: MonotonicTime,
+        steps: &mut Vec<DeskStep>,
+    ) {
+        if self.queue.is_empty() || self.free_upstreams(now).is_empty() {
+            return;
+        }
+        // While more waits than all upstreams can take at once, a call that is not full is lost.
+        let at_once = self.rules.pieces.max(1) as usize * self.workers.len();
+        let line = JobLine { order: self.order_of_jobs(now), crowded: self.waiting() > at_once };
+        loop {
+            let free = self.free_upstreams(now);
+            let call = free.iter().find_map(|upstream| self.call_of(upstream, &line, next, now));
+            let Some(call) = call else { return };
+            steps.push(DeskStep::Call(call));
         }
     }
 
@@ -233,28 +277,15 @@
         }
     }
 
-    fn form_call(
-        &mut self,
-        next: &mut impl FnMut() -> BatchId,
-        now: MonotonicTime,
-    ) -> Option<BatchOrder> {
-        let order = self.order_of_jobs(now);
-        if order.is_empty() {
-            return None;
-        }
-        let free = self.free_upstreams(now);
-        free.into_iter().find_map(|upstream| self.call_of(&upstream, &order, next, now))
-    }
-
-    /// A call of `upstream` with the first of the jobs in `order` that go there.
+    /// A call of `upstream` with the first of the jobs in `line` that go there.
     fn call_of(
         &mut self,
         upstream: &str,
-        order: &[AttemptId],
+        line: &JobLine,
         next: &mut impl FnMut() -> BatchId,
         now: MonotonicTime,
     ) -> Option<BatchOrder> {
-        let (items, refs, bytes) = self.fill(order, upstream, now);
+        let (items, refs, bytes) = self.fill(line, upstream, now);
         if items.is_empty() {
             return None;
         }
@@ -308,45 +339,36 @@
         free.into_iter().map(|(_, upstream)| upstream.clone()).collect()
     }
 
-    /// When a call should end that is given to an upstream of `zone` as soon as one can take it.
-    fn end_in_zone(&self, zone: &str, now: MonotonicTime) -> Option<MonotonicTime> {
-        let pieces = self.rules.pieces / 2;
-        let there = self.workers.values().filter(|each| each.staying && each.zone == zone);
-        there.map(|worker| worker.end_of_next(&self.rules, pieces, now)).min()
-    }
-
     /// Takes pieces out for a call of `upstream`, as many as a call and the upstream's memory for
     /// results hold. The pieces of a job stay together unless they are more than that. A job whose
     /// inputs or results are of another zone goes there, if it still is in time there.
     fn fill(
         &mut self,
-        order: &[AttemptId],
+        line: &JobLine,
         upstream: &str,
         now: MonotonicTime,
     ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>, u64) {
         let limit = self.rules.pieces.max(1) as usize;
-        // While more waits than all upstreams can take at once, a call that is not full is lost.
-        let crowded = self.waiting() > limit * self.workers.len();
         let (mut items, mut refs, mut bytes) = (Vec::new(), Vec::new(), 0);
         let Some(worker) = self.workers.get(upstream) else { return (items, refs, bytes) };
         let (own_zone, room) = (worker.zone.clone(), worker.room(&self.rules));
-        let zones: BTreeMap<String, Option<MonotonicTime>> = self
-            .workers
-            .values()
-            .map(|worker| (worker.zone.clone(), self.end_in_zone(&worker.zone, now)))
-            .collect();
         // Later steps wait for their calls too: a job that uses up all of its time here is late.
         let margin = self.rules.expected(self.rules.pieces / 2);
-        for attempt in order {
-            let Some(job) = self.jobs.get_mut(attempt) else { continue };
+        let zones = zone_ends(&self.workers, &self.rules, now);
+        for attempt in &line.order {
+            if items.len() == limit {
+                break;
+            }
+            let waits = |job: &&mut BatchJob| !job.waiting.is_empty();
+            let Some(job) = self.jobs.get_mut(attempt).filter(waits) else { continue };
             let useful = if now < job.order.due { job.order.due } else { job.order.expires };
             let elsewhere = job.order.zone.as_ref().is_some_and(|zone| {
-                let end = zones.get(zone).copied().flatten();
-                *zone != own_zone && end.is_some_and(|end| end + margin <= useful)
+                let end = zones.get(zone.as_str());
+                *zone != own_zone && end.is_some_and(|end| *end + margin <= useful)
             });
             let fitting = room.saturating_sub(bytes) / job.order.result_bytes.max(1);
             let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(limit - items.len());
-            let whole = job.waiting.len() <= fitting || items.is_empty() || crowded;
+            let whole = job.waiting.len() <= fitting || items.is_empty() || line.crowded;
             if fitting == 0 || !whole || elsewhere {
                 continue;
             }
@@ -467,6 +489,21 @@
     }
 }
 
+/// When a call should end that is given to each zone as soon as one of its upstreams can take it.
+fn zone_ends<'a>(
+    workers: &'a BTreeMap<String, BatchWorker>,
+    rules: &BatchRules,
+    now: MonotonicTime,
+) -> BTreeMap<&'a str, MonotonicTime> {
+    let mut ends = BTreeMap::new();
+    for worker in workers.values().filter(|worker| worker.staying) {
+        let end = worker.end_of_next(rules, rules.pieces / 2, now);
+        let known = ends.entry(worker.zone.as_str()).or_insert(end);
+        *known = end.min(*known);
+    }
+    ends
+}
+
 /// Results that a call made.
 fn made_by(outcome: BatchOutcome) -> Vec<ResultHandle> {
     let BatchOutcome::Answered(items) = outcome else { return Vec::new() };
