Tell a member that starts of all others, and let members that start dispatch while most do

Cause: without a VM list a fresh process learned of a fleet twelve members at a time, and after the death of all processes each daemon chose its dispatchers among the few that it had heard to serve again.

--- a/crates/crocusdale_core/src/batching/dispatcher_choice.rs
+++ b/crates/crocusdale_core/src/batching/dispatcher_choice.rs
@@ -17,15 +17,25 @@
 
     /// The dispatcher of `pool`, without those in `tried`: the live daemon of the highest rank.
     /// Daemons with the same view choose the same one. Without any other, it is this daemon.
+    ///
+    /// Guards against the time after a start of the whole fleet, when each daemon has heard of
+    /// another few that they serve: each would choose among those few, and a hundred dispatchers
+    /// would call one pool. While more daemons start than live, those that start count too.
     #[must_use]
     pub fn dispatcher(&self, pool: &str, tried: &[String]) -> &str {
         let own = self.view.own().instance.vm.as_str();
+        let entries = || self.roster.entries().map(|entry| entry.name.as_str());
+        let count = |status| entries().filter(|vm| self.view.status(vm) == Some(status)).count();
+        let all_start = count(MemberStatus::Starting) > count(MemberStatus::Alive);
         let usable = |vm: &&str| {
-            let alive = self.view.status(vm) == Some(MemberStatus::Alive);
-            alive && !self.view.is_leaving(vm) && !tried.iter().any(|tried| tried == vm)
+            let serves = match self.view.status(vm) {
+                Some(MemberStatus::Alive) => true,
+                Some(MemberStatus::Starting) => all_start,
+                Some(MemberStatus::Suspect | MemberStatus::Unreachable) | None => false,
+            };
+            serves && !self.view.is_leaving(vm) && !tried.iter().any(|tried| tried == vm)
         };
-        let entries = self.roster.entries().map(|entry| entry.name.as_str());
-        let ranked = entries.filter(usable).max_by_key(|vm| stable_hash(&[pool, vm]));
+        let ranked = entries().filter(usable).max_by_key(|vm| stable_hash(&[pool, vm]));
         ranked.unwrap_or(own)
     }
 }
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -15,6 +15,10 @@
 const PARTNERS: usize = 1;
 /// Records that one message carries at most.
 const RECORDS_LIMIT: usize = 12;
+/// Records that the answer to a member that starts carries at most, about 100 bytes each. Without a
+/// VM list it would learn of a large fleet twelve members at a time, and until it knows them send
+/// its pieces to other dispatchers than they do.
+const WELCOME_LIMIT: usize = 256;
 /// Records of no news that a message carries, so that lost news spreads in the end.
 const REPAIR_RECORDS: usize = 2;
 /// Leaving members, and leaving upstreams, that one message carries at most.
@@ -224,6 +228,21 @@
         }
     }
 
+    /// Builds the answer to a member that starts: all that is known of the fleet.
+    pub fn welcome(
+        &mut self,
+        partner: &str,
+        position: (u64, u64),
+        directory: u64,
+    ) -> ExchangeMessage {
+        let mut message = self.message(partner, position, directory);
+        if self.own.place.is_some() {
+            let others = self.records().filter(|record| record.instance.vm != partner);
+            message.records = others.take(WELCOME_LIMIT).cloned().collect();
+        }
+        message
+    }
+
     /// Takes a partner's half. Returns upstreams that are newly known to leave.
     pub fn take_message(
         &mut self,
