Start no process while a test probes for a free address

Traced, not run again till green: a process that another test starts holds a copy of the probe's socket until it has loaded its program.

Change: a probe and the start of a process exclude each other in the fixtures.

--- a/crates/stand_ins/src/child_process.rs
+++ b/crates/stand_ins/src/child_process.rs
@@ -1,5 +1,6 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::sync::{PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, Result, bail, ensure};
@@ -9,6 +10,26 @@
 /// Time that a process has to stand still after it was stopped.
 const STOP_PATIENCE: Duration = Duration::from_secs(20);
 
+/// Held for writing while a probe of a free address is open, and for reading while a process is
+/// started.
+///
+/// Guards against a process that one test starts while another test probes: until the new process
+/// has loaded its program it holds a copy of the probe's socket, and the daemon that is to have the
+/// address can't bind it. It shows as "address already in use" once in some thousand starts.
+static STARTS: RwLock<()> = RwLock::new(());
+
+/// Runs `probe` while no process is being started.
+pub(crate) fn without_starts<T>(probe: impl FnOnce() -> T) -> T {
+    let _held = STARTS.write().unwrap_or_else(PoisonError::into_inner);
+    probe()
+}
+
+/// Starts a process while no probe is open.
+fn start(command: &mut Command) -> std::io::Result<Child> {
+    let _held = STARTS.read().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// A process that a test starts, and ends by its id.
 #[derive(Debug)]
 pub struct ChildProcess {
@@ -29,7 +50,7 @@
     ///
     /// Returns an error if it can't be started.
     pub fn spawn(&mut self, command: &mut Command) -> Result<()> {
-        let child = command.spawn().with_context(|| format!("starting {}", self.name))?;
+        let child = start(command).with_context(|| format!("starting {}", self.name))?;
         self.child = Some(child);
         Ok(())
     }
@@ -63,8 +84,9 @@
     ///
     /// Returns an error if it does not run.
     pub fn signal(&self, name: &str) -> Result<()> {
-        let status =
-            Command::new("kill").arg(format!("-{name}")).arg(self.id()?.to_string()).status()?;
+        let mut command = Command::new("kill");
+        command.arg(format!("-{name}")).arg(self.id()?.to_string());
+        let status = start(&mut command)?.wait()?;
         ensure!(status.success(), "no {name} for {}", self.name);
         if name == "STOP" { self.wait_stopped() } else { Ok(()) }
     }
--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -6,6 +6,7 @@
 use anyhow::{Context as _, Result, ensure};
 use crocusdale_core::membership::{VmEntry, VmRole, VmRoster, VmState};
 
+use crate::child_process::without_starts;
 use crate::{CallerClient, ChildProcess, PlatformStandIn, RelayStandIn};
 
 /// Zones of a test fleet.
@@ -358,7 +359,7 @@
 pub fn free_address() -> Result<SocketAddr> {
     let host =
         Ipv4Addr::new(127, rand::random_range(1..255), rand::random(), rand::random_range(1..255));
-    Ok(TcpListener::bind((host, 0))?.local_addr()?)
+    Ok(without_starts(|| TcpListener::bind((host, 0))?.local_addr())?)
 }
 
 fn loopback(port: u16) -> SocketAddr {
