--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -113,6 +113,9 @@
     let operators = HttpListenerBuilder::default().bind(settings.operator).await;
     let operators = operators.context("binding [listen] operator")?;
 
+    slog::info!(log, "started";
+        "version" => env!("CARGO_PKG_VERSION"), "zone" => &settings.zone,
+        "caller" => settings.caller.to_string(), "peer" => settings.peer.to_string());
     let engine = start_engine(&settings, log)?;
     let (stop, stopped) = watch::channel(false);
     tokio::spawn(PeerServer::new(Arc::clone(&engine)).serve(peers));
@@ -133,7 +136,9 @@
     engine.drained.notified().await;
     // The last answers are still on their way out of their connections.
     stop.send(true).context("stopping the listeners")?;
-    callers.await.context("finishing the connections of callers")
+    let finished = callers.await.context("finishing the connections of callers");
+    slog::info!(engine.telemetry.log, "stopped"; "whole" => finished.is_ok());
+    finished
 }
 
 fn start_engine(settings: &ProcessSettings, log: slog::Logger) -> Result<Arc<DaemonEngine>> {
--- a/crates/crocusdaled/tests/published_platform_test.rs
+++ b/crates/crocusdaled/tests/published_platform_test.rs
@@ -234,6 +234,10 @@
     assert_eq!(answer.status, 200);
     assert_eq!(answer.headers["connection"], "close");
     assert_eq!(fleet.daemons[0].process.wait_exit(SOON).await?, Some(0));
+    let log = fleet.log(0)?;
+    for event in ["started", "draining", "drained", "stopped"] {
+        assert!(log.contains(&format!("\"msg\":\"{event}\"")), "{event}: {log}");
+    }
     Ok(())
 }
 
