Tell a witness of an outcome again, and let it keep one whose claim it missed

An outcome was sent to each witness once, with 0.8 s to be taken, and a witness dropped it if the claim before it (0.3 s to be taken) had not got there. One slow answer of one witness on a busy machine left the key with two copies instead of three for good; both losses were swallowed without a log line.

Ruled out: an abstaining witness (the abstention counts from the VM list, before readiness, and the test waits 0.6 s beyond it); a wrong count (the dump counts registers with an outcome only).

Change: a witness without a register writes the outcome as the claim that it proves, and what is written stays; a holder tells a witness up to five times over about nine seconds, then logs and counts. The promise is not weakened: the reporter held a quorum and never runs the key again.

--- a/crates/crocusdale_core/src/claims/register_shard.rs
+++ b/crates/crocusdale_core/src/claims/register_shard.rs
@@ -89,11 +89,27 @@
         self.write(key, RegisterState::Buried, now, key_life)
     }
 
-    /// Keeps the outcome of a key that `reporter` claimed here.
-    pub fn record(&mut self, key: &RequestKey, reporter: &InstanceId, body: &[u8]) {
+    /// Keeps the outcome of a key that `reporter` claimed.
+    ///
+    /// Guards against a claim that never got here: the reporter had two others and ran the key, and
+    /// with no register to write to, its outcome would be lost on this witness for good. A caller
+    /// that lost the reporter and another witness would then be told "unknown" of an order that was
+    /// answered. An outcome is a claim as well, by one that held a quorum, so it may be written
+    /// where nothing is; what is written already stays.
+    pub fn record(
+        &mut self,
+        key: &RequestKey,
+        reporter: &InstanceId,
+        body: &[u8],
+        now: MonotonicTime,
+        key_life: Duration,
+    ) {
+        if body.len() > OUTCOME_LIMIT {
+            return;
+        }
+        self.claim(key, reporter, now, key_life);
         if let Some(RegisterState::Claimed { holder, outcome }) = self.registers.get_mut(key)
             && holder == reporter
-            && body.len() <= OUTCOME_LIMIT
         {
             *outcome = Some(body.to_vec());
         }
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -266,6 +266,8 @@
     WitnessClaims,
     /// Tombstones that this daemon wrote as a witness.
     WitnessTombstones,
+    /// Outcomes that a witness of their key could not be told.
+    OutcomesUnrecorded,
     /// Heartbeats that failed.
     ExchangesFailed,
     /// Revisions taken into force.
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -157,8 +157,15 @@
     }
 
     /// Keeps the outcome of `key` that its holder left here.
-    pub fn record_outcome(&self, key: &RequestKey, holder: &InstanceId, body: &[u8]) {
-        self.state.register(key).record(key, holder, body);
+    pub fn record_outcome(
+        &self,
+        key: &RequestKey,
+        holder: &InstanceId,
+        body: &[u8],
+        now: MonotonicTime,
+    ) {
+        let key_life = self.state.basis().key_life;
+        self.state.register(key).record(key, holder, body, now, key_life);
     }
 
     /// Answers a peer that asks what became of `key` at `holder`.
--- a/crates/crocusdale_core/tests/at_most_once_test.rs
+++ b/crates/crocusdale_core/tests/at_most_once_test.rs
@@ -2,9 +2,13 @@
 
 mod support;
 
+use crocusdale_core::identity::RequestKey;
 use crocusdale_core::membership::WitnessSet;
 use crocusdale_core::pipeline::OutcomeKind;
-use support::{CoreFleet, DEADLINE_MS, KEY_LIFE_MS, Message, entry, key, request, whole_answer};
+use support::{
+    CoreFleet, DEADLINE_MS, KEY_LIFE_MS, Message, entry, key, request, vm_index, vm_name,
+    whole_answer,
+};
 
 // A caller sends a shred order to one daemon, gets no answer in time and sends it to another. The
 // first daemon has run it; the second must find that out instead of running it again.
@@ -21,6 +25,30 @@
     assert_eq!(fleet.kinds(&key), [OutcomeKind::Answered, OutcomeKind::Answered]);
 }
 
+// One witness never hears of the claim; the other two suffice and the order runs. Then the holder
+// and those two are lost. The witness that is left was told the outcome all the same, and a caller
+// that asks another daemon gets the answer instead of "unknown".
+#[test]
+fn witness_that_missed_the_claim_keeps_the_outcome() {
+    let (mut fleet, key) = (CoreFleet::new(6), key("order"));
+    let holder = daemon_beside_the_witnesses(&key, &fleet);
+    fleet.submit(holder, request(&key, "once", false));
+    let lost = fleet.network.remove(0);
+    let Message::Register { witness: missed, .. } = lost.message else { panic!("a claim") };
+    fleet.settle();
+    fleet.answer_attempt(0, whole_answer);
+    fleet.settle();
+    for witness in WitnessSet::choose(&key, &fleet.roster).vms() {
+        if *witness != missed {
+            fleet.restart(vm_index(witness));
+        }
+    }
+    fleet.restart(holder);
+    fleet.inquire(vm_index(&missed), &key, Some(500));
+    fleet.settle();
+    assert_eq!(fleet.kinds(&key), [OutcomeKind::Answered, OutcomeKind::Answered]);
+}
+
 // A daemon dies after it sent an order on and before it heard the answer. The caller asks another
 // daemon, which can't know: it must neither say "not run" nor run it.
 #[test]
@@ -268,3 +296,10 @@
     fleet.advance(2_000);
     assert_eq!(fleet.kinds(&key), [OutcomeKind::Unknown]);
 }
+
+/// A daemon that is no witness of `key`.
+fn daemon_beside_the_witnesses(key: &RequestKey, fleet: &CoreFleet) -> usize {
+    let witnesses = WitnessSet::choose(key, &fleet.roster);
+    let beside = (0..fleet.nodes.len()).find(|index| !witnesses.contains(&vm_name(*index)));
+    beside.expect("six daemons and three witnesses")
+}
--- a/crates/crocusdale_core/tests/support/mod.rs
+++ b/crates/crocusdale_core/tests/support/mod.rs
@@ -237,7 +237,8 @@
             }
             Message::RecordOutcome { witness, key, body } => {
                 let holder = InstanceId::new(vm_name(asker), life);
-                self.nodes[vm_index(&witness)].core.record_outcome(&key, &holder, &body);
+                let witness = &self.nodes[vm_index(&witness)].core;
+                witness.record_outcome(&key, &holder, &body, self.now);
             }
             Message::RegisterReply { .. } | Message::HolderReply { .. }
                 if self.nodes[asker].life != life || self.nodes[asker].paused => {}
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crocusdale_core::daemon::{Command, DaemonEvent};
+use crocusdale_core::daemon::{Command, CounterName, DaemonEvent};
 use crocusdale_core::membership::ExchangeMessage;
 use crocusdale_core::routing::DirectoryEntry;
 use crocusdale_core::sync::lock;
@@ -31,6 +31,11 @@
 const LIFE_SIGN_PACE: Duration = Duration::from_millis(300);
 /// See [`LIFE_SIGN_PACE`].
 const LIFE_SIGN_PATIENCE: Duration = Duration::from_millis(400);
+/// Times that a witness is told of an outcome before it is left without. With [`RECORD_PAUSE`] and
+/// [`PATIENCE`] that is some nine seconds, longer than a peer may be silent and still count as one.
+const RECORD_ATTEMPTS: u32 = 5;
+/// Pause after the first attempt; it grows by as much after each further one.
+const RECORD_PAUSE: Duration = Duration::from_millis(300);
 /// Largest message between peers, in bytes.
 pub(super) const MESSAGE_LIMIT: usize = 4 << 20;
 
@@ -217,23 +222,35 @@
     engine.feed(DaemonEvent::RegisterReplied { call: asker, witness, reply });
 }
 
+/// Leaves an outcome with a witness, which may have to be told more than once.
+///
+/// Guards against a witness that does not answer just then: it is busy, or its connection has just
+/// gone silent. One lost call would leave the key with a witness less until the key is forgotten,
+/// and the answer with it once the holder ends. Writing an outcome twice changes nothing.
 async fn record(engine: &Arc<DaemonEngine>, command: Command) {
     let Command::RecordOutcome { witness, key, body } = command else { return };
     let holder = engine.core.instance();
     if witness == holder.vm {
-        engine.core.record_outcome(&key, holder, &body);
+        engine.core.record_outcome(&key, holder, &body, engine.now());
         return;
     }
-    let request = RecordOutcomeRequest {
-        key: Some(key.into()),
-        holder: Some(holder.clone().into()),
-        outcome: Some(RecordedOutcome { body: body.to_vec() }),
-    };
-    // A lost record costs a later "unknown" at most: the holder still answers for itself.
-    let _ = call(engine, &witness, PATIENCE, |mut client| async move {
-        client.record_outcome(request).await
-    })
-    .await;
+    for attempt in 1..=RECORD_ATTEMPTS {
+        let request = RecordOutcomeRequest {
+            key: Some(key.clone().into()),
+            holder: Some(holder.clone().into()),
+            outcome: Some(RecordedOutcome { body: body.to_vec() }),
+        };
+        let reply = call(engine, &witness, PATIENCE, |mut client| async move {
+            client.record_outcome(request).await
+        });
+        if reply.await.is_ok() {
+            return;
+        }
+        tokio::time::sleep(RECORD_PAUSE * attempt).await;
+    }
+    engine.telemetry.count(CounterName::OutcomesUnrecorded);
+    warn!(engine.telemetry.log, "outcome_unrecorded"; "witness" => witness, "key" => key.to_string(),
+        "attempts" => RECORD_ATTEMPTS);
 }
 
 async fn ask_holder(engine: &Arc<DaemonEngine>, command: Command) {
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -159,7 +159,7 @@
         let key: RequestKey = request.key.ok_or_else(|| missing("key"))?.into();
         let holder: InstanceId = request.holder.ok_or_else(|| missing("holder"))?.into();
         let outcome = request.outcome.ok_or_else(|| missing("outcome"))?;
-        self.engine.core.record_outcome(&key, &holder, &outcome.body);
+        self.engine.core.record_outcome(&key, &holder, &outcome.body, self.engine.now());
         Ok(Response::new(RecordOutcomeReply {}))
     }
 
--- a/crates/crocusdaled/tests/at_most_once_test.rs
+++ b/crates/crocusdaled/tests/at_most_once_test.rs
@@ -7,8 +7,12 @@
 
 use anyhow::Result;
 use common::{KEY_LIFE, SOON, Upstreams, deployment, fleet};
+use crocusdale_core::identity::RequestKey;
+use crocusdale_core::membership::WitnessSet;
 use crocusdale_core::pipeline::OutcomeKind;
-use stand_ins::{CallerClient, DeclarationText, RequestBuilder, UpstreamPlan, wait_for};
+use stand_ins::{
+    CallerClient, DaemonFleet, DeclarationText, RequestBuilder, UpstreamPlan, wait_for,
+};
 
 /// Time of a slow order, in milliseconds.
 const SLOW_MS: u64 = 1_200;
@@ -17,6 +21,18 @@
     RequestBuilder::new(key, "shred").once()
 }
 
+/// A key of which the daemon `index` is a witness and the first one is none.
+fn key_witnessed_by(fleet: &DaemonFleet, index: usize) -> String {
+    let roster = fleet.platform.roster();
+    let fits = |key: &String| {
+        let witnesses = WitnessSet::choose(&RequestKey::new("mail", key), &roster);
+        witnesses.contains(&fleet.daemons[index].name)
+            && !witnesses.contains(&fleet.daemons[0].name)
+    };
+    let mut keys = (0..1_000).map(|number| format!("k-{number}"));
+    keys.find(fits).expect("about a third of all keys fit")
+}
+
 fn slow_down(upstreams: &Upstreams, service_ms: u64) {
     for upstream in &upstreams.shred {
         upstream.set_plan(UpstreamPlan { service_ms, ..UpstreamPlan::default() });
@@ -73,6 +89,28 @@
     Ok(())
 }
 
+// One witness of an order is cut off while the order is claimed, runs and is answered. After the
+// cut is healed the answer reaches it too, so that it can be had when the others are lost.
+#[tokio::test]
+async fn witness_that_was_cut_off_gets_the_outcome() -> Result<()> {
+    let upstreams = Upstreams::start()?;
+    let text = upstreams.declare(DeclarationText::default()).build();
+    let fleet = fleet(6).relays().configuration(text).start().await?;
+    fleet.wait_for_witnesses(KEY_LIFE).await;
+    let last = fleet.daemons.len() - 1;
+    let key = key_witnessed_by(&fleet, last);
+    fleet.isolate(&[last], true);
+    let client = CallerClient::new();
+    let answer = client.submit(fleet.daemons[0].caller, &order(&key)).await?;
+    assert_eq!(answer.kind(), OutcomeKind::Answered, "{answer:?}");
+    fleet.isolate(&[last], false);
+    wait_for(SOON, "the witness has the outcome", async || {
+        let state = client.state(fleet.daemons[last].operator).await.unwrap_or_default();
+        state["outcomes"].as_u64() == Some(1)
+    })
+    .await
+}
+
 // A daemon is frozen with an order in its socket. The caller gives up, is told "not run" by
 // another daemon, and the frozen one wakes up: it must not run the order after all.
 #[tokio::test]
--- a/crates/stand_ins/src/platform_stand_in.rs
+++ b/crates/stand_ins/src/platform_stand_in.rs
@@ -88,6 +88,12 @@
         *lock(&self.state.roster) = roster;
     }
 
+    /// The VM list.
+    #[must_use]
+    pub fn roster(&self) -> VmRoster {
+        lock(&self.state.roster).clone()
+    }
+
     /// Changes the VM list, and raises its revision.
     pub fn change_roster(&self, change: impl FnOnce(&mut VmRoster)) {
         let mut roster = lock(&self.state.roster);
