Find the engine of a subject by a guess at what all daemons have there

Cause: a daemon took each of its requests at an engine for as many as there are daemons. With more daemons than an engine has places (83 before 64, 60 before 12) one request of its own made an engine full, every engine was "full", and the fallback chose by what this daemon alone had seen read there: the part that a quarter of all subjects share drew requests to whatever engine it had used before.

Ruled out: the rank (xxh3 spreads 1,100 subjects over 90 engines as chance does), eviction (an engine reads 20,000 tokens a second and keeps 550,000), concurrency windows (engines have none).

Change: the others' load at an engine is guessed from the average over all engines, the more the fewer requests of its own a daemon has there.

--- a/crates/crocusdale_core/src/routing/engine_choice.rs
+++ b/crates/crocusdale_core/src/routing/engine_choice.rs
@@ -12,6 +12,56 @@
 /// Backlog of this daemon at one engine beyond the least one, in prompt tokens, above which the next
 /// engine in rank is taken: about two large prompts that are still to be read.
 const BACKLOG_BOUND: u64 = 20_000;
+/// Requests of this daemon's own at one engine that its guess at the others' weighs as much as. With
+/// none of its own an engine counts as an average one, with four as in between.
+const PRIOR_WEIGHT: f64 = 4.0;
+/// Part of the places that other subjects leave free at an engine up to which one subject may fill
+/// it. Half: arrivals come in clumps, and an engine is full at times that is half full on average.
+const SUBJECT_SHARE: f64 = 0.5;
+
+/// What all daemons together are guessed to have at the engines of a pool.
+#[derive(Clone, Copy, Debug)]
+struct FleetGuess {
+    /// Other daemons that give the engines work.
+    others: f64,
+    /// This daemon's requests at one engine, on average.
+    own_mean: f64,
+    /// Tokens that one of its requests holds, on average.
+    tokens: f64,
+}
+
+impl FleetGuess {
+    fn new(daemons: usize, candidates: &[EngineCandidate]) -> Self {
+        let engines = candidates.len().max(1) as f64;
+        let own: u64 = candidates.iter().map(|each| each.in_flight).sum();
+        let held: u64 = candidates.iter().map(|each| each.held).sum();
+        Self {
+            others: daemons.saturating_sub(1) as f64,
+            own_mean: own as f64 / engines,
+            tokens: held as f64 / own.max(1) as f64,
+        }
+    }
+
+    /// Requests of the other daemons at an engine with `own` of this one.
+    ///
+    /// What this daemon has at an engine is a small sample of what all have there. Taken for the
+    /// others' too, one request of a daemon among eighty would stand for eighty and fill every
+    /// engine; so the average over all engines weighs in, the more the smaller the sample is.
+    fn others_at(&self, own: u64) -> f64 {
+        let mean = self.own_mean;
+        let each = mean * (PRIOR_WEIGHT + own as f64) / (PRIOR_WEIGHT + mean);
+        self.others * each
+    }
+
+    /// Engines over which a subject spreads that gets `part` of the requests.
+    fn copies(&self, part: f64, slots: u32, engines: usize) -> usize {
+        let at_each = (self.others + 1.0) * self.own_mean;
+        let about_it = at_each * engines as f64 * part;
+        let free = f64::from(slots) - at_each * (1.0 - part);
+        let copies = (about_it / (free.max(1.0) * SUBJECT_SHARE)).ceil();
+        (copies as usize).clamp(1, engines)
+    }
+}
 
 /// An engine that could take a request.
 #[derive(Clone, Copy, Debug)]
@@ -30,12 +80,13 @@
 }
 
 impl UpstreamRouter {
-    /// The engine of the highest rank for the prompt's subject whose backlog is bounded; where
-    /// all are beyond the bound, the one with the least work before the request.
+    /// The engine of the highest rank for the prompt's subject whose load is bounded; where all are
+    /// beyond the bound, the one with the least work before the request.
     ///
     /// Requests with the same subject find the same engine wherever they come in, without a word
-    /// between daemons, so that what they share is read once. The bound keeps a subject that gets
-    /// much of the traffic from holding up all others there.
+    /// between daemons, so that what they share is read once. A subject that gets much of the
+    /// traffic has several engines, and each daemon begins with another of them: a daemon of a large
+    /// fleet has too few of its requests to see that an engine is full of them.
     pub(super) fn choose_engine(
         &self,
         routed: &RoutedPool,
@@ -47,12 +98,19 @@
         let mut candidates = self.engine_candidates(routed, demand, request, now);
         candidates.sort_unstable_by_key(|each| std::cmp::Reverse(each.rank));
         let least = candidates.iter().map(|each| each.backlog).min()?;
-        let share = self.daemons.load(Ordering::Relaxed) as u64;
-        let new_tokens = demand.prompt_tokens + demand.output_tokens;
+        let guess = FleetGuess::new(self.daemons.load(Ordering::Relaxed), &candidates);
+        let part =
+            demand.subject().map_or(0.0, |subject| lock(&routed.pool).subjects.part_of(subject.id));
+        let copies = guess.copies(part, rules.slots, candidates.len());
+        candidates[..copies].rotate_left(self.spread % copies);
+        let new_tokens = (demand.prompt_tokens + demand.output_tokens) as f64;
         let is_bounded = |each: &&EngineCandidate| {
-            let crowded = (each.in_flight + 1) * share > u64::from(rules.slots);
-            let overfull = each.held * share + new_tokens > rules.token_memory;
-            each.backlog <= least + BACKLOG_BOUND && !crowded && !overfull
+            let others = guess.others_at(each.in_flight);
+            let running = each.in_flight as f64 + others;
+            let held = each.held as f64 + others * guess.tokens;
+            each.backlog <= least + BACKLOG_BOUND
+                && running + 1.0 <= f64::from(rules.slots)
+                && held + new_tokens <= rules.token_memory as f64
         };
         let ranked = candidates.iter().find(is_bounded);
         let cheapest = || candidates.iter().min_by_key(|each| each.unread + each.backlog);
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -3,12 +3,14 @@
 mod engine_choice;
 mod engine_load;
 mod stage_pool;
+mod subject_tally;
 mod upstream_directory;
 mod upstream_router;
 mod upstream_state;
 
 pub use engine_load::EngineLoad;
 pub use stage_pool::{SlotRequest, StagePool};
+pub use subject_tally::SubjectTally;
 pub use upstream_directory::{DirectoryEntry, UpstreamDirectory};
 pub use upstream_router::{SlotGrant, UpstreamRouter};
 pub use upstream_state::{AttemptReport, UpstreamState, UpstreamSummary};
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::SubjectTally;
 use crate::identity::{CallId, MonotonicTime};
 use crate::pipeline::EngineDemand;
 use crate::retry::RetryBudget;
@@ -43,6 +44,8 @@
     last_answer: Option<MonotonicTime>,
     /// Retries that the pool still allows.
     pub budget: RetryBudget,
+    /// How often each subject was asked for of late, if the pool has model engines.
+    pub subjects: SubjectTally,
 }
 
 impl StagePool {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -23,6 +23,9 @@
 /// Upstreams that are looked at in each zone before the whole pool is.
 const SAMPLES: usize = 2;
 
+/// Different beginnings among engines that daemons may have: more than any subject has engines.
+const SPREADS: usize = 1 << 16;
+
 /// Retries that the baseline makes, whatever fails.
 const BLIND_RETRIES: usize = 3;
 
@@ -34,6 +37,8 @@
     policy: RoutingPolicy,
     /// Daemons that give the same upstreams work, this one among them.
     pub(super) daemons: AtomicUsize,
+    /// Sets this daemon apart from the others where each should begin with another engine.
+    pub(super) spread: usize,
     retries: RetryLimits,
     turn: AtomicUsize,
     pub(super) upstreams: Vec<RoutedUpstream>,
@@ -53,7 +58,7 @@
     pub(super) near: Vec<usize>,
     pub(super) far: Vec<usize>,
     pub(super) engine: Option<EngineRules>,
-    pool: Arc<Mutex<StagePool>>,
+    pub(super) pool: Arc<Mutex<StagePool>>,
 }
 
 /// An upstream that an attempt may use.
@@ -73,9 +78,12 @@
     /// A router without upstreams, for a daemon in `zone`.
     #[must_use]
     pub fn new(zone: &str, seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let spread = random.random_range(0..SPREADS);
         Self {
             zone: zone.to_owned(),
-            random: Mutex::new(SmallRng::seed_from_u64(seed)),
+            random: Mutex::new(random),
+            spread,
             policy: RoutingPolicy::default(),
             daemons: AtomicUsize::new(1),
             retries: RetryLimits::default(),
@@ -109,6 +117,7 @@
     pub fn reconfigured(&self, declarations: &Declarations, directory: &UpstreamDirectory) -> Self {
         let seed = lock(&self.random).random();
         let mut router = Self::new(&self.zone, seed).retries(self.retries);
+        router.spread = self.spread;
         router.policy = declarations.deployment().policy;
         router.daemons = AtomicUsize::new(self.daemons.load(Ordering::Relaxed));
         for rules in declarations.upstreams() {
@@ -205,7 +214,11 @@
     ) -> Result<Option<SlotGrant>, SlotRequest> {
         let Some(routed) = self.pools.get(&request.stage) else { return Err(request) };
         if request.tried.is_empty() {
-            lock(&routed.pool).budget.earn(now);
+            let mut pool = lock(&routed.pool);
+            pool.budget.earn(now);
+            if let Some(subject) = request.demand.as_ref().and_then(|demand| demand.subject()) {
+                pool.subjects.count(subject.id, now);
+            }
         }
         if let Some(position) = self.choose(routed, &request, now) {
             return Ok(Some(self.grant(position, request, now)));
