Ask upstreams how much of their memory is free when a pool is taken over

Cause: a dispatcher counts the results that it has had made, and knows nothing of those of the one before it.

What others had made counts as taken until it lapses or a later answer says less.

--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool};
@@ -40,6 +41,13 @@
     },
     /// Give up results.
     Free(Vec<ResultHandle>),
+    /// Ask an upstream how much of its memory for results is free.
+    AskRoom {
+        /// Name of the upstream.
+        upstream: String,
+        /// Where it listens.
+        address: SocketAddr,
+    },
 }
 
 impl DeskStep {
@@ -130,6 +138,26 @@
         self.turn_pool(&name, now, steps);
     }
 
+    /// An upstream said how many bytes for results are free there, or nothing.
+    pub fn room_told(
+        &mut self,
+        upstream: &str,
+        free: Option<u64>,
+        now: MonotonicTime,
+        steps: &mut Vec<DeskStep>,
+    ) {
+        let with_it = self.pools.iter_mut().filter(|(_, pool)| pool.has_upstream(upstream));
+        let names: Vec<String> = with_it
+            .map(|(name, pool)| {
+                pool.room_told(upstream, free, now);
+                name.clone()
+            })
+            .collect();
+        for name in names {
+            self.turn_pool(&name, now, steps);
+        }
+    }
+
     /// Lets time pass for all pools.
     pub fn turn(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -3,7 +3,7 @@
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
-use super::{BatchId, BatchItem, BatchOrder, BatchOutcome, DeskStep, ItemOutcome};
+use super::{BatchId, BatchOutcome, DeskStep, ItemOutcome};
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
@@ -20,38 +20,34 @@
 /// for a call to fill would not pay: while all upstreams are busy, the calls fill by themselves.
 #[derive(Debug)]
 pub struct BatchPool {
-    rules: BatchRules,
-    workers: BTreeMap<String, BatchWorker>,
-    jobs: HashMap<AttemptId, BatchJob>,
+    pub(super) rules: BatchRules,
+    pub(super) workers: BTreeMap<String, BatchWorker>,
+    pub(super) jobs: HashMap<AttemptId, BatchJob>,
     /// Jobs with waiting pieces, those needed first in front.
-    queue: BTreeMap<(MonotonicTime, AttemptId), ()>,
-    open: HashMap<BatchId, OpenBatch>,
-    budget: RetryBudget,
+    pub(super) queue: BTreeMap<(MonotonicTime, AttemptId), ()>,
+    pub(super) open: HashMap<BatchId, OpenBatch>,
+    pub(super) budget: RetryBudget,
     /// Results that are to be given up with the next turn of the unwanted ones.
-    unwanted: Vec<ResultHandle>,
+    pub(super) unwanted: Vec<ResultHandle>,
     /// Results whose upstreams have been told, and should have given them up by the next turn.
-    told: Vec<ResultHandle>,
+    pub(super) told: Vec<ResultHandle>,
+    /// When this dispatcher last doubted what lies at the upstreams.
+    pub(super) taken_over: Option<MonotonicTime>,
+    /// When the pool last had work here.
+    pub(super) last_work: Option<MonotonicTime>,
     /// Last reckoning of how long new pieces would wait, and when it was made.
-    last_wait: Option<(Duration, MonotonicTime)>,
+    pub(super) last_wait: Option<(Duration, MonotonicTime)>,
 }
 
-/// Jobs in the order in which they are served, for one turn.
 #[derive(Debug)]
-struct JobLine {
-    order: Vec<AttemptId>,
-    /// Whether more waits than all upstreams can take at once.
-    crowded: bool,
-}
-
-#[derive(Debug)]
-struct OpenBatch {
-    upstream: String,
-    since: MonotonicTime,
-    lost_at: MonotonicTime,
+pub(super) struct OpenBatch {
+    pub(super) upstream: String,
+    pub(super) since: MonotonicTime,
+    pub(super) lost_at: MonotonicTime,
     /// Memory that is kept for the results, in bytes.
-    bytes: u64,
+    pub(super) bytes: u64,
     /// Job and piece of each item.
-    items: Vec<(AttemptId, u32)>,
+    pub(super) items: Vec<(AttemptId, u32)>,
 }
 
 impl BatchPool {
@@ -67,6 +63,8 @@
             budget,
             unwanted: Vec::new(),
             told: Vec::new(),
+            taken_over: None,
+            last_work: None,
             last_wait: None,
         }
     }
@@ -93,6 +91,12 @@
         self.workers.retain(|_, worker| worker.staying || worker.open > 0);
     }
 
+    /// Whether `upstream` belongs to the pool.
+    #[must_use]
+    pub fn has_upstream(&self, upstream: &str) -> bool {
+        self.workers.contains_key(upstream)
+    }
+
     /// Number of pieces that wait for a call.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -135,6 +139,7 @@
     /// Takes the pieces of a step.
     pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let attempt = order.attempt;
+        self.begin_work(order.repeated, now);
         if order.pieces == 0 {
             let pool = order.pool;
             steps.push(DeskStep::Settle { attempt, pool, outcome: Ok(Vec::new()) });
@@ -158,6 +163,31 @@
         self.jobs.insert(attempt, job);
     }
 
+    /// Doubts what lies at the upstreams if another dispatcher may have had work done there: after a
+    /// time without work as long as results live, or when it is lost and its pieces come here.
+    fn begin_work(&mut self, taken_over: bool, now: MonotonicTime) {
+        let pause = self.last_work.replace(now).map(|last| now.since(last));
+        let rested = pause.is_none_or(|pause| pause >= self.rules.result_life);
+        if rested || (taken_over && !self.took_over_of_late(now)) {
+            self.taken_over = Some(now);
+            for worker in self.workers.values_mut() {
+                worker.room.doubt();
+            }
+        }
+    }
+
+    fn took_over_of_late(&self, now: MonotonicTime) -> bool {
+        self.taken_over.is_some_and(|since| now.since(since) < self.rules.result_life)
+    }
+
+    /// An upstream said how many bytes for results are free there, or nothing.
+    pub fn room_told(&mut self, upstream: &str, free: Option<u64>, now: MonotonicTime) {
+        let rules = self.rules;
+        if let Some(worker) = self.workers.get_mut(upstream) {
+            worker.room.told(free, &rules, now);
+        }
+    }
+
     /// Nobody wants the results for `attempt` any more.
     pub fn withdraw(&mut self, attempt: AttemptId) {
         let Some(job) = self.jobs.remove(&attempt) else { return };
@@ -188,7 +218,7 @@
         let rules = self.rules;
         let mut worker = self.workers.get_mut(&open.upstream);
         if let Some(worker) = &mut worker {
-            worker.unreserve(open.bytes);
+            worker.room.unreserve(open.bytes);
         }
         let zone = worker.as_ref().map(|worker| worker.zone.clone()).unwrap_or_default();
         match outcome {
@@ -230,30 +260,21 @@
         self.give_up_lost(now, steps);
         self.give_up_late(now, steps);
         for worker in self.workers.values_mut() {
-            worker.forget_lapsed(now);
+            worker.room.forget_lapsed(now);
+        }
+        if !self.queue.is_empty() {
+            self.ask_for_room(now, steps);
         }
         self.form_calls(next, now, steps);
     }
 
-    /// Forms calls while upstreams are free. A large pool has hundreds of upstreams and thousands
-    /// of waiting jobs: what looks at all of them is done once a turn, and only if one is free.
-    fn form_calls(
-        &mut self,
-        next: &mut impl FnMut() -> BatchId,
-        now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
-    ) {
-        if self.queue.is_empty() || self.free_upstreams(now).is_empty() {
-            return;
-        }
-        // While more waits than all upstreams can take at once, a call that is not full is lost.
-        let at_once = self.rules.pieces.max(1) as usize * self.workers.len();
-        let line = JobLine { order: self.order_of_jobs(now), crowded: self.waiting() > at_once };
-        loop {
-            let free = self.free_upstreams(now);
-            let call = free.iter().find_map(|upstream| self.call_of(upstream, &line, next, now));
-            let Some(call) = call else { return };
-            steps.push(DeskStep::Call(call));
+    fn ask_for_room(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+        let staying = self.workers.iter_mut().filter(|(_, worker)| worker.staying);
+        for (upstream, worker) in staying {
+            if worker.room.must_ask(now) {
+                let (upstream, address) = (upstream.clone(), worker.address);
+                steps.push(DeskStep::AskRoom { upstream, address });
+            }
         }
     }
 
@@ -277,112 +298,6 @@
         }
     }
 
-    /// A call of `upstream` with the first of the jobs in `line` that go there.
-    fn call_of(
-        &mut self,
-        upstream: &str,
-        line: &JobLine,
-        next: &mut impl FnMut() -> BatchId,
-        now: MonotonicTime,
-    ) -> Option<BatchOrder> {
-        let (items, refs, bytes) = self.fill(line, upstream, now);
-        if items.is_empty() {
-            return None;
-        }
-        let pieces = u32::try_from(items.len()).unwrap_or(u32::MAX);
-        let worker = self.workers.get_mut(upstream)?;
-        let lost_at = now + worker.patience(&self.rules, pieces, now);
-        worker.begin(&self.rules, pieces, now);
-        worker.reserve(bytes);
-        let address = worker.address;
-        let batch = next();
-        let upstream = upstream.to_owned();
-        let open =
-            OpenBatch { upstream: upstream.clone(), since: now, lost_at, bytes, items: refs };
-        self.open.insert(batch, open);
-        Some(BatchOrder { batch, upstream, address, items })
-    }
-
-    /// Jobs in the order in which they are served: first those that can still be in time, and those
-    /// of requests that have been worked on, by the time at which they are needed; then the others,
-    /// by priority and the end of their time.
-    fn order_of_jobs(&self, now: MonotonicTime) -> Vec<AttemptId> {
-        let shortest = self.rules.expected(1);
-        let in_time = |attempt: &AttemptId| {
-            self.jobs.get(attempt).is_some_and(|job| job.is_ahead(now + shortest))
-        };
-        let jobs = self.queue.keys().map(|(_, attempt)| *attempt);
-        let (mut order, mut late): (Vec<AttemptId>, Vec<AttemptId>) = jobs.partition(in_time);
-        late.sort_by_key(|attempt| {
-            self.jobs.get(attempt).map(|job| (job.order.level, job.order.expires))
-        });
-        order.extend(late);
-        order
-    }
-
-    /// Free upstreams, the one that would be done first in front; without those for which it
-    /// pays to wait for a busy one that would be done sooner.
-    fn free_upstreams(&self, now: MonotonicTime) -> Vec<String> {
-        let pieces = self.rules.pieces / 2;
-        let end = |worker: &BatchWorker| worker.end_of_next(&self.rules, pieces, now);
-        let staying = self.workers.values().filter(|worker| worker.staying);
-        let Some(soonest) = staying.map(end).min() else { return Vec::new() };
-        // Half a call's time of difference is within what the pace of a call varies by.
-        let bound = soonest + self.rules.expected(pieces) / 2;
-        let free = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.is_free(&self.rules, now) && end(worker) <= bound);
-        let mut free: Vec<(MonotonicTime, &String)> =
-            free.map(|(upstream, worker)| (end(worker), upstream)).collect();
-        free.sort_unstable();
-        free.into_iter().map(|(_, upstream)| upstream.clone()).collect()
-    }
-
-    /// Takes pieces out for a call of `upstream`, as many as a call and the upstream's memory for
-    /// results hold. The pieces of a job stay together unless they are more than that. A job whose
-    /// inputs or results are of another zone goes there, if it still is in time there.
-    fn fill(
-        &mut self,
-        line: &JobLine,
-        upstream: &str,
-        now: MonotonicTime,
-    ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>, u64) {
-        let limit = self.rules.pieces.max(1) as usize;
-        let (mut items, mut refs, mut bytes) = (Vec::new(), Vec::new(), 0);
-        let Some(worker) = self.workers.get(upstream) else { return (items, refs, bytes) };
-        let (own_zone, room) = (worker.zone.clone(), worker.room(&self.rules));
-        // Later steps wait for their calls too: a job that uses up all of its time here is late.
-        let margin = self.rules.expected(self.rules.pieces / 2);
-        let zones = zone_ends(&self.workers, &self.rules, now);
-        for attempt in &line.order {
-            if items.len() == limit {
-                break;
-            }
-            let waits = |job: &&mut BatchJob| !job.waiting.is_empty();
-            let Some(job) = self.jobs.get_mut(attempt).filter(waits) else { continue };
-            let useful = if now < job.order.due { job.order.due } else { job.order.expires };
-            let elsewhere = job.order.zone.as_ref().is_some_and(|zone| {
-                let end = zones.get(zone.as_str());
-                *zone != own_zone && end.is_some_and(|end| *end + margin <= useful)
-            });
-            let fitting = room.saturating_sub(bytes) / job.order.result_bytes.max(1);
-            let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(limit - items.len());
-            let whole = job.waiting.len() <= fitting || items.is_empty() || line.crowded;
-            if fitting == 0 || !whole || elsewhere {
-                continue;
-            }
-            let taken = job.take(fitting);
-            bytes += job.order.result_bytes * taken.len() as u64;
-            refs.extend(taken.iter().map(|item| (*attempt, item.piece)));
-            items.extend(taken);
-            if job.waiting.is_empty() {
-                self.queue.remove(&(job.rank(), *attempt));
-            }
-        }
-        (items, refs, bytes)
-    }
-
     /// Nobody needs `results` any more.
     pub fn release(&mut self, results: Vec<ResultHandle>) {
         self.unwanted.extend(results);
@@ -394,7 +309,7 @@
         let told = std::mem::replace(&mut self.told, std::mem::take(&mut self.unwanted));
         for worker in self.workers.values_mut() {
             for result in &told {
-                worker.free(result);
+                worker.room.release(result);
             }
         }
         if !self.told.is_empty() {
@@ -416,7 +331,7 @@
             ItemOutcome::Made(handle) => {
                 let bytes = self.jobs.get(&attempt).map_or(0, |job| job.order.result_bytes);
                 if let Some(worker) = self.workers.get_mut(upstream) {
-                    worker.hold(handle.clone(), bytes, now + self.rules.result_life);
+                    worker.room.hold(handle.clone(), bytes, now + self.rules.result_life);
                 }
                 let result = PlacedResult { handle, zone: zone.to_owned() };
                 self.made(attempt, piece, result, steps);
@@ -489,21 +404,6 @@
     }
 }
 
-/// When a call should end that is given to each zone as soon as one of its upstreams can take it.
-fn zone_ends<'a>(
-    workers: &'a BTreeMap<String, BatchWorker>,
-    rules: &BatchRules,
-    now: MonotonicTime,
-) -> BTreeMap<&'a str, MonotonicTime> {
-    let mut ends = BTreeMap::new();
-    for worker in workers.values().filter(|worker| worker.staying) {
-        let end = worker.end_of_next(rules, rules.pieces / 2, now);
-        let known = ends.entry(worker.zone.as_str()).or_insert(end);
-        *known = end.min(*known);
-    }
-    ends
-}
-
 /// Results that a call made.
 fn made_by(outcome: BatchOutcome) -> Vec<ResultHandle> {
     let BatchOutcome::Answered(items) = outcome else { return Vec::new() };
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -1,10 +1,9 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::room_account::RoomAccount;
 use crate::configuration::BatchRules;
 use crate::identity::MonotonicTime;
-use crate::pipeline::ResultHandle;
 use crate::routing::DirectoryEntry;
 
 /// Weight of the newest call in the learned pace.
@@ -24,8 +23,6 @@
 /// Pause of an upstream that had no room for a call. Somebody else's call is in its place, and
 /// those take some tenths of a second.
 const FULL_PAUSE: Duration = Duration::from_millis(100);
-/// Part of an upstream's memory for results that is used. Sizes of results are declared roughly.
-const ROOM_SHARE: f64 = 0.9;
 /// Part of a call's pieces that may fail before its upstream counts as failing. One piece in some
 /// hundreds fails on a sound upstream.
 const FAILED_SHARE: f64 = 0.2;
@@ -48,10 +45,8 @@
     learned_at: MonotonicTime,
     failures: u32,
     paused_until: MonotonicTime,
-    /// Memory that the results of open calls will take, in bytes.
-    reserved: u64,
-    /// Results that lie there, with their size and the time at which they lapse.
-    held: HashMap<ResultHandle, (u64, MonotonicTime)>,
+    /// Its memory for results.
+    pub(super) room: RoomAccount,
 }
 
 impl BatchWorker {
@@ -66,14 +61,14 @@
             learned_at: now,
             failures: 0,
             paused_until: now,
-            reserved: 0,
-            held: HashMap::new(),
+            room: RoomAccount::default(),
         }
     }
 
     /// Whether it can take a call now.
     pub(super) fn is_free(&self, rules: &BatchRules, now: MonotonicTime) -> bool {
-        self.staying && self.open < rules.slots.max(1) && now >= self.paused_until
+        let idle = self.open < rules.slots.max(1) && now >= self.paused_until;
+        self.staying && idle && !self.room.awaits_answer(now)
     }
 
     /// Time that a call with `pieces` pieces should take here.
@@ -103,41 +98,6 @@
         expected.mul_f64(PATIENCE).max(expected + SHORTEST_PATIENCE)
     }
 
-    /// Memory for results that is free, in bytes.
-    ///
-    /// Guards against calls whose results find no room: the pieces come back unmade, after the
-    /// whole time of their call. Only this dispatcher gives the upstream work, so it can count.
-    pub(super) fn room(&self, rules: &BatchRules) -> u64 {
-        let held: u64 = self.held.values().map(|(bytes, _)| bytes).sum();
-        let usable = (rules.result_bytes as f64 * ROOM_SHARE) as u64;
-        usable.saturating_sub(held + self.reserved)
-    }
-
-    /// Keeps memory for the results of a call.
-    pub(super) fn reserve(&mut self, bytes: u64) {
-        self.reserved += bytes;
-    }
-
-    /// A call has ended for whose results `bytes` were kept.
-    pub(super) fn unreserve(&mut self, bytes: u64) {
-        self.reserved = self.reserved.saturating_sub(bytes);
-    }
-
-    /// A result lies there until it is given up or lapses.
-    pub(super) fn hold(&mut self, result: ResultHandle, bytes: u64, until: MonotonicTime) {
-        self.held.insert(result, (bytes, until));
-    }
-
-    /// A result was given up.
-    pub(super) fn free(&mut self, result: &ResultHandle) {
-        self.held.remove(result);
-    }
-
-    /// Forgets results that have lapsed.
-    pub(super) fn forget_lapsed(&mut self, now: MonotonicTime) {
-        self.held.retain(|_, (_, until)| now < *until);
-    }
-
     pub(super) fn begin(&mut self, rules: &BatchRules, pieces: u32, now: MonotonicTime) {
         self.free_at = now + self.expected(rules, pieces, now);
         self.open += 1;
@@ -201,7 +161,7 @@
         self.pause(WRONG_PROCESS_PAUSE, now);
     }
 
-    /// Its memory for results is full.
+    /// Its memory for results is full, against what was counted.
     pub(super) fn crowded(&mut self, now: MonotonicTime) {
         self.pause(FULL_PAUSE, now);
     }
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -12,8 +12,10 @@
 mod batch_job;
 mod batch_pool;
 mod batch_worker;
+mod call_forming;
 mod dispatcher_choice;
 mod pool_waits;
+mod room_account;
 
 pub use batch_call::{BatchId, BatchItem, BatchOrder, BatchOutcome, ItemOutcome};
 pub use batch_desk::{BatchDesk, DeskStep};
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -64,6 +64,13 @@
     CancelBatch(BatchId),
     /// Tell upstreams that results are not needed any more.
     FreeResults(Vec<ResultHandle>),
+    /// Ask a batched upstream how much of its memory for results is free.
+    AskRoom {
+        /// Name of the upstream.
+        upstream: String,
+        /// Where it listens.
+        address: SocketAddr,
+    },
     /// Tell another daemon, which dispatches `pool`, that results are not needed any more.
     SendUnwanted {
         /// The daemon.
@@ -244,6 +251,8 @@
     StepsRemade,
     /// Calls of batched upstreams.
     BatchCalls,
+    /// Questions how much of an upstream's memory for results is free.
+    RoomQuestions,
     /// Attempts after a failed one.
     Retries,
     /// Retries that the budget did not allow.
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -108,6 +108,9 @@
             DaemonEvent::BatchEnded { batch, outcome } => {
                 self.state.batch_ended(batch, outcome, now, &mut steps, out);
             }
+            DaemonEvent::RoomTold { upstream, free } => {
+                self.state.room_told(&upstream, free, now, &mut steps, out);
+            }
             event => self.fleet_event(event, now, out),
         }
         self.state.run_steps(steps, now, out);
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -100,6 +100,13 @@
         /// The results.
         results: Vec<ResultHandle>,
     },
+    /// A batched upstream said how much of its memory for results is free, or nothing.
+    RoomTold {
+        /// Name of the upstream.
+        upstream: String,
+        /// Free memory in bytes.
+        free: Option<u64>,
+    },
     /// A call of a batched upstream ended.
     BatchEnded {
         /// The call.
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -87,6 +87,20 @@
         self.run_desk(desk_steps, now, steps, out);
     }
 
+    /// Takes an upstream's word on how much of its memory for results is free.
+    pub(super) fn room_told(
+        &self,
+        upstream: &str,
+        free: Option<u64>,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let mut desk_steps = Vec::new();
+        lock(&self.desk).room_told(upstream, free, now, &mut desk_steps);
+        self.run_desk(desk_steps, now, steps, out);
+    }
+
     /// Lets time pass for the pieces that wait here.
     pub(super) fn turn_desk(
         &self,
@@ -122,6 +136,10 @@
                     self.settle(attempt, &pool, outcome, now, steps, out);
                 }
                 DeskStep::Free(results) => out.push(Command::FreeResults(results)),
+                DeskStep::AskRoom { upstream, address } => {
+                    out.push(Command::Count(CounterName::RoomQuestions));
+                    out.push(Command::AskRoom { upstream, address });
+                }
             }
         }
     }
--- a/crates/crocusdale_core/tests/batch_pool_test.rs
+++ b/crates/crocusdale_core/tests/batch_pool_test.rs
@@ -54,6 +54,10 @@
     calls: Vec<BatchOrder>,
     settled: Vec<(AttemptId, Result<Vec<PlacedResult>, PieceFault>)>,
     cancelled: Vec<BatchId>,
+    /// Upstreams that were asked how much of their memory is free.
+    asked: Vec<String>,
+    /// What they answer at once, or nothing.
+    free_room: Option<u64>,
     next: u64,
 }
 
@@ -69,6 +73,8 @@
             calls: Vec::new(),
             settled: Vec::new(),
             cancelled: Vec::new(),
+            asked: Vec::new(),
+            free_room: Some(ROOM),
             next: 0,
         };
         bench.desk.set_retries(RetryLimits {
@@ -134,10 +140,22 @@
                     self.settled.push((attempt, outcome));
                 }
                 DeskStep::Free(_) => {}
+                DeskStep::AskRoom { upstream, .. } => {
+                    self.asked.push(upstream.clone());
+                    if self.free_room.is_some() {
+                        self.tell_room(&upstream, self.free_room);
+                    }
+                }
             }
         }
     }
 
+    fn tell_room(&mut self, upstream: &str, free: Option<u64>) {
+        let mut steps = Vec::new();
+        self.desk.room_told(upstream, free, self.now, &mut steps);
+        self.take(steps);
+    }
+
     fn advance(&mut self, millis: u64) {
         let end = self.now + Duration::from_millis(millis);
         while self.now < end {
@@ -394,3 +412,67 @@
     let late = (attempt, Err(PieceFault::Late));
     assert!(bench.settled.contains(&late));
 }
+
+/// The dispatcher of a pool dies, and what it had had made still fills most of an upstream's memory.
+/// The next one fills calls as if it were empty: most pieces come back unmade after the whole time
+/// of their call, and users wait twice as long. It asks first, and sends what finds room.
+#[test]
+fn dispatcher_that_takes_over_asks_what_lies_at_its_upstreams() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    bench.free_room = Some(ROOM / 2);
+    let mut order = bench.order(10, 900);
+    order.result_bytes = ROOM / 10;
+    order.repeated = true;
+    bench.offer(order);
+    assert_eq!(bench.asked.last().map(String::as_str), Some("u1"));
+    assert_eq!(bench.calls[0].items.len(), 4, "half of the memory is free, nine tenths are used");
+}
+
+/// The same, and the results of the dispatcher before lapse. Their room must be used again.
+#[test]
+fn results_of_the_dispatcher_before_lapse() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    bench.free_room = Some(0);
+    let mut order = bench.order(2, 9_000);
+    order.result_bytes = ROOM / 10;
+    bench.offer(order);
+    assert!(bench.calls.is_empty(), "nothing is free");
+    bench.free_room = None;
+    bench.advance(4_050);
+    assert_eq!(bench.calls.len(), 1, "results live four seconds");
+}
+
+/// An upstream answers no questions, or only late. Its calls must not wait for that.
+#[test]
+fn upstream_that_tells_nothing_gets_its_calls() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    bench.free_room = None;
+    let order = bench.order(2, 900);
+    bench.offer(order);
+    assert!(bench.calls.is_empty(), "the answer is under way");
+    bench.advance(50);
+    assert_eq!(bench.calls.len(), 1);
+    let order = bench.order(2, 900);
+    bench.offer(order);
+    bench.tell_room("u1", None);
+    bench.advance(210);
+    bench.end_call(made);
+    assert_eq!(bench.calls.len(), 1, "the next call goes out at once");
+}
+
+/// Questions cost the upstream and the platform something. A dispatcher that goes on working knows
+/// what lies there and asks nothing.
+#[test]
+fn dispatcher_that_goes_on_asks_nothing() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let order = bench.order(2, 900);
+    bench.offer(order);
+    bench.asked.clear();
+    for _ in 0..30 {
+        let order = bench.order(2, 900);
+        bench.offer(order);
+        bench.advance(210);
+        bench.end_call(made);
+    }
+    assert!(bench.asked.is_empty(), "{:?}", bench.asked);
+}
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -153,6 +153,9 @@
             Command::CallBatch(order) => self.batches.call(self, order),
             Command::CancelBatch(batch) => self.batches.cancel(batch),
             Command::FreeResults(results) => self.batches.free(self, &results),
+            Command::AskRoom { upstream, address } => {
+                self.batches.ask_room(self, upstream, address);
+            }
             Command::CancelPieces(attempt) => self.pieces.cancel(attempt),
             Command::AnswerPieces { attempt, outcome, wait } => {
                 self.pieces.answer(attempt, outcome, wait);
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -9,7 +9,8 @@
 use crocusdale_core::pipeline::ResultHandle;
 use crocusdale_core::sync::lock;
 use crocusdale_platform::pieces::{
-    FREE_PATH, WORK_PATH, free_bodies, read_work, work_body, work_headers,
+    FREE_PATH, REPORT_PATH, WORK_PATH, free_bodies, read_free_room, read_work, work_body,
+    work_headers,
 };
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use http_body_util::Full;
@@ -22,6 +23,8 @@
 const ANSWER_LIMIT: usize = 1 << 20;
 /// Time that an answer may take; the core gives calls up long before.
 const WORK_PATIENCE: Duration = Duration::from_secs(30);
+/// Time that an upstream has to say how much of its memory is free. Calls go out before that.
+const REPORT_PATIENCE: Duration = Duration::from_millis(250);
 /// Time that an upstream has to give up results.
 const FREE_PATIENCE: Duration = Duration::from_millis(1_000);
 
@@ -56,6 +59,15 @@
         }
     }
 
+    /// Asks an upstream how much of its memory for results is free; the answer goes to the core.
+    pub fn ask_room(&self, engine: &Arc<DaemonEngine>, upstream: String, address: SocketAddr) {
+        let engine = Arc::clone(engine);
+        tokio::spawn(async move {
+            let free = room_at(&engine, &upstream, address).await;
+            engine.feed(DaemonEvent::RoomTold { upstream, free });
+        });
+    }
+
     /// Tells upstreams that `results` are not needed any more.
     pub fn free(&self, engine: &Arc<DaemonEngine>, results: &[ResultHandle]) {
         for (maker, body) in free_bodies(results) {
@@ -65,6 +77,19 @@
     }
 }
 
+async fn room_at(engine: &Arc<DaemonEngine>, upstream: &str, address: SocketAddr) -> Option<u64> {
+    let request = bare(REPORT_PATH, address);
+    let connections = engine.connections();
+    let free = match connections.call(address, request, ANSWER_LIMIT, REPORT_PATIENCE).await {
+        Ok(answer) => read_free_room(answer.status(), answer.body()),
+        Err(fault) => Err(fault.cause),
+    };
+    free.inspect_err(|cause| {
+        info!(engine.telemetry.log, "room_unknown"; "upstream" => upstream, "cause" => cause);
+    })
+    .ok()
+}
+
 async fn work(engine: &Arc<DaemonEngine>, order: &BatchOrder) -> BatchOutcome {
     let body = work_body(order, engine.now());
     let request = post(WORK_PATH, order.address, work_headers(&order.upstream), body);
@@ -96,14 +121,21 @@
     headers: HeaderMap,
     body: Vec<u8>,
 ) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
+    let mut request = bare(path, address);
     *request.method_mut() = Method::POST;
+    *request.body_mut() = Full::new(Bytes::from(body));
+    request.headers_mut().extend(headers);
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(header::CONTENT_TYPE, json);
+    request
+}
+
+/// A question without a body to `address`.
+fn bare(path: &'static str, address: SocketAddr) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::default());
     *request.uri_mut() = http::Uri::from_static(path);
-    *request.headers_mut() = headers;
-    let headers = request.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-        headers.insert(header::HOST, host);
+        request.headers_mut().insert(header::HOST, host);
     }
     request
 }
--- a/crates/stand_ins/src/pool_model.rs
+++ b/crates/stand_ins/src/pool_model.rs
@@ -360,6 +360,12 @@
                     self.settle(attempt.call.0, outcome.is_ok());
                 }
                 DeskStep::Free(_) => {}
+                // The model does not count memory.
+                DeskStep::AskRoom { upstream, .. } => {
+                    let mut steps = Vec::new();
+                    self.desks[desk].room_told(&upstream, None, self.now, &mut steps);
+                    self.take(desk, steps);
+                }
             }
         }
     }
