Log each fact as a field of its own, and nothing of what callers send

Cause: on the last read two kinds of line were text within text: `request` of request_ended held the outcome's JSON as a string, with all quotes escaped, and `change` of each change of state held the type's debug form. No log tool reads either by field. Of the product's own front the outcome's JSON has the answer in it: a user's data went to the log, and a line was as long as the answer.

Change: request_ended has the request's id, workspace, outcome, reason, stage at which it ended, revision, times and a list of stages; each change of state names its fields. An outcome knows its request and the stage of its end. What is absent is null, not an empty text.

Test: log_tells_a_request_by_fields, on a real process (the fields were not there before).

--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -341,7 +341,7 @@
     /// A request can't be in time, and waits for room.
     RequestWaits {
         /// The request.
-        request: String,
+        request: RequestKey,
         /// Why it waits.
         verdict: String,
         /// Milliseconds that it should need from now, by the last word of its pools.
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -34,7 +34,7 @@
             EntryVerdict::Hopeless => refuse_late(call, &plan, now, steps),
             verdict @ (EntryVerdict::LateWithRoom | EntryVerdict::Late) => {
                 steps.push(ShardStep::Command(Command::Note(StateChange::RequestWaits {
-                    request: plan.request.key.to_string(),
+                    request: plan.request.key.clone(),
                     verdict: verdict.to_string(),
                     needed_ms: millis(self.expected_way(&plan, now)),
                     objective_ms: millis(plan.objective.since(now)),
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -155,10 +155,14 @@
 /// Final answer with its JSON, built once.
 #[derive(Clone, Debug)]
 pub struct FinalAnswer {
+    /// The request.
+    pub key: RequestKey,
     /// How it ended.
     pub kind: OutcomeKind,
     /// Why it was not answered.
     pub reason: Option<RefusalReason>,
+    /// Stage at which it ended, if it was not answered.
+    pub stage: Option<String>,
     /// When to come back.
     pub retry_after: Option<Duration>,
     /// JSON of a [`FinalOutcome`].
@@ -211,33 +215,34 @@
     }
 }
 
-impl From<FinalOutcome> for FinalAnswer {
-    fn from(outcome: FinalOutcome) -> Self {
-        let body = serde_json::to_vec(&outcome).expect("an outcome has no maps with odd keys");
+impl FinalAnswer {
+    /// The answer of `outcome`, whose JSON is `body`.
+    fn new(outcome: FinalOutcome, body: Arc<[u8]>) -> Self {
         Self {
+            key: RequestKey::new(outcome.workspace, outcome.key),
             kind: outcome.outcome,
             reason: outcome.reason,
+            stage: outcome.stage,
             retry_after: outcome.retry_after_ms.map(Duration::from_millis),
-            body: body.into(),
+            body,
             stages: outcome.stages,
             took: outcome.took,
         }
     }
 }
 
+impl From<FinalOutcome> for FinalAnswer {
+    fn from(outcome: FinalOutcome) -> Self {
+        let body = serde_json::to_vec(&outcome).expect("an outcome has no maps with odd keys");
+        Self::new(outcome, body.into())
+    }
+}
+
 impl TryFrom<&[u8]> for FinalAnswer {
     type Error = serde_json::Error;
 
     /// Reads an outcome that a peer kept.
     fn try_from(body: &[u8]) -> Result<Self, Self::Error> {
-        let outcome: FinalOutcome = serde_json::from_slice(body)?;
-        Ok(Self {
-            kind: outcome.outcome,
-            reason: outcome.reason,
-            retry_after: outcome.retry_after_ms.map(Duration::from_millis),
-            body: body.into(),
-            stages: outcome.stages,
-            took: None,
-        })
+        Ok(Self::new(serde_json::from_slice(body)?, body.into()))
     }
 }
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -36,15 +36,17 @@
 
     /// Counts a final answer, and logs how its request came to it: by the stages that it went
     /// through, with upstream, time and attempts each, the stage at which it ended, and the revision
-    /// in force at its end.
+    /// in force at its end. What the caller sent or was sent stays out of the log.
     pub fn request_ended(&self, answer: &FinalAnswer, revision: u64) {
         self.metrics.count_outcome(answer);
-        let reason = answer.reason.map(|reason| reason.to_string()).unwrap_or_default();
-        let text = String::from_utf8_lossy(&answer.body);
         info!(self.log, "request_ended";
-            "outcome" => answer.kind.to_string(), "reason" => reason, "revision" => revision,
-            "took_ms" => answer.took.map(|took| took.as_millis() as u64),
-            "request" => text.as_ref());
+            "request" => &answer.key.key, "workspace" => &answer.key.workspace,
+            "outcome" => answer.kind.to_string(),
+            "reason" => answer.reason.map(|reason| reason.to_string()),
+            "ended_at" => answer.stage.as_deref(), "revision" => revision,
+            "retry_after_ms" => answer.retry_after.map(millis),
+            "took_ms" => answer.took.map(millis),
+            "stages" => slog::Serde(answer.stages.clone()));
     }
 
     /// Logs what became of a call of a batched upstream.
@@ -58,18 +60,55 @@
         let unmade = match outcome {
             BatchOutcome::Answered(items) => {
                 let first = items.iter().find(|item| !matches!(item, ItemOutcome::Made(_)));
-                first.map(ToString::to_string).unwrap_or_default()
+                first.map(ToString::to_string)
             }
-            other => other.to_string(),
+            other => Some(other.to_string()),
         };
         info!(self.log, "batch_ended";
             "upstream" => &order.upstream, "pieces" => order.items.len(), "made" => made,
-            "unmade" => unmade, "time_ms" => u64::try_from(time.as_millis()).unwrap_or(u64::MAX));
+            "unmade" => unmade, "time_ms" => millis(time));
     }
 
     /// Logs a change of state.
     pub fn note(&self, change: &StateChange) {
-        let name: &'static str = change.into();
-        info!(self.log, "{}", name; "change" => format!("{change:?}"));
+        let (log, name) = (&self.log, <&'static str>::from(change));
+        match change {
+            StateChange::ConfigurationInForce { revision }
+            | StateChange::ConfigurationConflict { revision } => {
+                info!(log, "{}", name; "revision" => revision);
+            }
+            StateChange::ConfigurationRejected { revision, error, errors } => {
+                info!(log, "{}", name;
+                    "revision" => revision, "error" => error, "errors" => errors);
+            }
+            StateChange::RosterTaken { revision, vms } => {
+                info!(log, "{}", name; "revision" => revision, "vms" => vms);
+            }
+            StateChange::DirectoryTaken { revision, upstreams } => {
+                info!(log, "{}", name; "revision" => revision, "upstreams" => upstreams);
+            }
+            StateChange::RequestWaits { request, verdict, needed_ms, objective_ms } => {
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "verdict" => verdict, "needed_ms" => needed_ms,
+                    "objective_ms" => objective_ms);
+            }
+            StateChange::UpstreamLeaving { upstream } => {
+                info!(log, "{}", name; "upstream" => upstream);
+            }
+            StateChange::Paused { millis } => info!(log, "{}", name; "paused_ms" => millis),
+            StateChange::PeerStatus { vm, status } => {
+                info!(log, "{}", name; "peer" => vm, "status" => status);
+            }
+            StateChange::PlatformLost
+            | StateChange::PlatformRegained
+            | StateChange::Draining
+            | StateChange::Drained => info!(log, "{}", name),
+        }
     }
 }
+
+/// Whole milliseconds of `time`.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/crocusdaled/tests/published_platform_test.rs
+++ b/crates/crocusdaled/tests/published_platform_test.rs
@@ -268,3 +268,29 @@
     }
     Ok(())
 }
+
+/// A user complains. The engineer on call has the request's id and the logs, and reads them with the
+/// tools that read every other service's: each fact is a field of its own, and no line holds what
+/// the user sent or was sent.
+#[tokio::test]
+async fn log_tells_a_request_by_fields() -> Result<()> {
+    let fleet = fleet(1).await?;
+    let answer = IngressCaller::once(fleet.daemons[0].caller, &digest("complaint")).await?;
+    assert_eq!(answer.status, 200);
+    let ended = || -> Option<serde_json::Value> {
+        let log = fleet.log(0).ok()?;
+        let mut lines = log.lines().filter_map(|line| serde_json::from_str(line).ok());
+        lines.find(|line: &serde_json::Value| line["request"] == "complaint")
+    };
+    wait_for(SOON, "the log tells of the request", async || ended().is_some()).await?;
+    let line = ended().expect("it was there");
+    assert_eq!((&line["msg"], &line["outcome"]), (&json!("request_ended"), &json!("answered")));
+    assert!(line["reason"].is_null() && line["revision"].is_u64(), "{line}");
+    let stages = line["stages"].as_array().expect("a list");
+    assert_eq!(stages.len(), 2, "{line}");
+    assert!(stages.iter().all(|stage| stage["time_ms"].is_number()), "{line}");
+    let log = fleet.log(0)?;
+    assert!(log.contains("configuration_in_force") && !log.contains("\\\""), "{log}");
+    assert!(!log.contains(" { ") && !log.contains("letter complaint"), "{log}");
+    Ok(())
+}
