Take back a process whose VM's time of day has jumped back

Cause: the life of a process is numbered by the time of day at its start, and members took the higher number for the later life. With the time of day two seconds back (the users' clocks jump) a process that was killed and started again had the lower number: what it said was old news of a dead process, whose loss it could not refute and whose drain it could not leave behind. Its VM was out of addresses and dispatching until it was forgotten, 30 s later.

Ruled out: numbering lives by a clock that can't jump (there is none across restarts, and nothing is kept); letting the latest that speaks win (late news of the dead life would win again).

Change: a record has a generation, at first the incarnation. A member that hears of an earlier life of its own VM under a generation not below its own takes one beyond it; peers tell it of that life for as long as they believe in it. The incarnation goes on naming the life, in claims as well.

--- a/crates/crocusdale_core/src/membership/member_record.rs
+++ b/crates/crocusdale_core/src/membership/member_record.rs
@@ -36,6 +36,8 @@
 pub struct MemberRecord {
     /// The member.
     pub instance: InstanceId,
+    /// Orders the lives of one VM's processes; see [`MemberRecord::new`].
+    pub generation: u64,
     /// Raised by the member itself to refute a suspicion.
     pub refutation: u32,
     /// What is believed.
@@ -56,6 +58,17 @@
 }
 
 impl MemberRecord {
+    /// The first record of a process life about itself.
+    ///
+    /// Its generation is its incarnation, which is numbered by the time of day. Where that has
+    /// jumped back since the life before, the member hears of that life as the later one, and takes
+    /// a generation beyond it.
+    #[must_use]
+    pub fn new(instance: InstanceId, place: Option<MemberPlace>) -> Self {
+        let generation = instance.incarnation;
+        Self { instance, generation, refutation: 0, status: MemberStatus::Starting, place }
+    }
+
     /// Whether the record doubts that its member lives, so that the member should refute it.
     #[must_use]
     pub fn is_doubt(&self) -> bool {
@@ -67,13 +80,13 @@
 
     /// Whether `self` is newer news of the same VM than `other`.
     ///
-    /// A later incarnation goes before an earlier one, a refutation before the suspicion that it
+    /// A later generation goes before an earlier one, a refutation before the suspicion that it
     /// refutes, a worse status before a better one. The order is total, so that daemons which
     /// heard the same news in different orders agree.
     #[must_use]
     pub fn is_newer_than(&self, other: &Self) -> bool {
         debug_assert_eq!(self.instance.vm, other.instance.vm);
-        let rank = |record: &Self| (record.instance.incarnation, record.refutation, record.status);
+        let rank = |record: &Self| (record.generation, record.refutation, record.status);
         rank(self) > rank(other)
     }
 }
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -57,6 +57,8 @@
     heard: Option<MonotonicTime>,
     /// Whether it was heard or failed to answer, at least once.
     asked: bool,
+    /// Whether another life of the VM speaks than the one of the record, with an older record.
+    contested: bool,
     gossip: Gossip,
 }
 
@@ -114,12 +116,7 @@
     #[must_use]
     pub fn build(self) -> MemberView {
         MemberView {
-            own: MemberRecord {
-                instance: self.own,
-                refutation: 0,
-                status: MemberStatus::Starting,
-                place: self.place,
-            },
+            own: MemberRecord::new(self.own, self.place),
             own_leaving: false,
             asks_for_all: false,
             period: self.period,
@@ -207,9 +204,7 @@
         directory: DirectoryNews,
     ) -> ExchangeMessage {
         let mut records = Vec::new();
-        // A partner must learn that it is suspected, or it can't refute.
-        let about_partner = self.peers.get(partner).and_then(|peer| peer.record.as_ref());
-        records.extend(about_partner.filter(|record| record.is_doubt()).cloned());
+        records.extend(self.objection(partner).cloned());
         records.extend(self.spend_records(partner, RECORDS_LIMIT - records.len()));
         let vms: Vec<&String> = self.peers.keys().collect();
         for vm in vms.choose_multiple(&mut self.random, REPAIR_RECORDS) {
@@ -249,10 +244,18 @@
             // Of a fleet beyond the limit each answer tells another part.
             let told = others.choose_multiple(&mut self.random, WELCOME_LIMIT);
             message.records = told.map(|record| (*record).clone()).collect();
+            message.records.extend(self.objection(partner).cloned());
         }
         message
     }
 
+    /// What `partner` must hear of itself, or it can't refute it: that it is suspected, or that an
+    /// earlier life of its VM is taken for the later one.
+    fn objection(&self, partner: &str) -> Option<&MemberRecord> {
+        let peer = self.peers.get(partner)?;
+        peer.record.as_ref().filter(|record| record.is_doubt() || peer.contested)
+    }
+
     /// Sets whether partners are asked for all records that this daemon lacks.
     pub fn ask_for_all(&mut self, asks: bool) {
         self.asks_for_all = asks;
@@ -262,7 +265,7 @@
     fn digest(&self) -> u64 {
         let rank = |record: &MemberRecord| {
             let life = record.instance.incarnation.to_string();
-            let belief = format!("{}/{}", record.refutation, record.status);
+            let belief = format!("{}/{}/{}", record.generation, record.refutation, record.status);
             stable_hash(&[&record.instance.vm, &life, &belief])
         };
         self.records().chain([&self.own]).fold(0, |digest, record| digest ^ rank(record))
@@ -278,6 +281,8 @@
         if let Some(peer) = self.peers.get_mut(&message.sender.instance.vm) {
             peer.heard = Some(now);
             peer.asked = true;
+            let believed = peer.record.as_ref().map(|record| &record.instance);
+            peer.contested = believed.is_some_and(|life| *life != message.sender.instance);
         }
         for record in &message.records {
             self.take_record(record, now);
@@ -421,11 +426,16 @@
         }
     }
 
-    /// Guards against being left out while alive: a paused daemon shows as unreachable to its
-    /// peers. A higher refutation goes before any suspicion of this life.
+    /// Guards against being left out while alive. A paused daemon shows as unreachable to its
+    /// peers; a higher refutation goes before any suspicion of this life. One that started after
+    /// the time of day jumped back shows as its own earlier life, which may have been lost or have
+    /// drained; a higher generation goes before all that is said of that life.
     fn refute(&mut self, record: &MemberRecord) {
-        let about_this_life = record.instance == self.own.instance;
-        if about_this_life && record.is_doubt() {
+        if record.instance != self.own.instance {
+            if record.generation >= self.own.generation {
+                self.own.generation = record.generation + 1;
+            }
+        } else if record.is_doubt() {
             self.own.refutation = self.own.refutation.max(record.refutation + 1);
         }
     }
@@ -492,7 +502,14 @@
 
 impl PeerState {
     fn unknown(now: MonotonicTime) -> Self {
-        Self { record: None, since: now, heard: None, asked: false, gossip: Gossip(0) }
+        Self {
+            record: None,
+            since: now,
+            heard: None,
+            asked: false,
+            contested: false,
+            gossip: Gossip(0),
+        }
     }
 
     fn is_reachable(&self) -> bool {
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -41,6 +41,7 @@
         };
         Self {
             instance: Some(record.instance.into()),
+            generation: record.generation,
             refutation: record.refutation,
             status: status.into(),
             place: record.place.map(Into::into),
@@ -78,7 +79,8 @@
         };
         let instance = wire.instance.ok_or(MissingPart("the instance of a record"))?;
         let place = wire.place.map(MemberPlace::try_from).transpose()?;
-        Ok(Self { instance: instance.into(), refutation: wire.refutation, status, place })
+        let (generation, refutation) = (wire.generation, wire.refutation);
+        Ok(Self { instance: instance.into(), generation, refutation, status, place })
     }
 }
 
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -26,7 +26,7 @@
     for index in 1..DAEMONS {
         let instance = InstanceId::new(vm_name(index), 1);
         let message = ExchangeMessage {
-            sender: MemberRecord { instance, refutation: 1, status, place: None },
+            sender: MemberRecord { refutation: 1, status, ..MemberRecord::new(instance, None) },
             sender_leaving: false,
             revision: 1,
             digest: 1,
--- a/crates/crocusdale_core/tests/fleet_start_test.rs
+++ b/crates/crocusdale_core/tests/fleet_start_test.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use support::virtual_fleet::{START_SPREAD_MS, VirtualFleet};
+use support::virtual_fleet::{FIRST_LIFE, START_SPREAD_MS, VirtualFleet};
 
 // All processes of a large fleet are killed and start again within 0.3 s. Each is ready at once and
 // knows a few others; until it knows all, it sends its pieces to other dispatchers than they do, a
@@ -43,6 +43,22 @@
     assert_eq!(fleet.fewest_known(), 100);
 }
 
+// The time of day of a VM jumps back, and its process is killed and starts again. The new process
+// numbers its life by that time, below the one before. Its peers take what it says for old news of a
+// dead process and leave it out of addresses and dispatching for half a minute.
+#[test]
+fn process_that_starts_with_an_earlier_time_of_day_is_taken_back() {
+    for size in [6, 83] {
+        let mut fleet = VirtualFleet::new(size);
+        fleet.run(Duration::from_secs(10));
+        fleet.restart_as(3, FIRST_LIFE - 400);
+        fleet.run(Duration::from_secs(13));
+        assert_eq!(fleet.fewest_known(), size);
+        let lives = fleet.lives_of(3);
+        assert!(lives.iter().all(|life| *life == FIRST_LIFE - 400), "{lives:?}");
+    }
+}
+
 // What the start costs must not go on: in a fleet that has settled, a daemon tells and hears no
 // more than a dozen records a heartbeat.
 #[test]
--- a/crates/crocusdale_core/tests/member_places_test.rs
+++ b/crates/crocusdale_core/tests/member_places_test.rs
@@ -20,7 +20,7 @@
 
 fn record(index: usize, status: MemberStatus) -> MemberRecord {
     let instance = InstanceId::new(format!("entry-{index}"), 1);
-    MemberRecord { instance, refutation: 1, status, place: Some(place(index)) }
+    MemberRecord { refutation: 1, status, ..MemberRecord::new(instance, Some(place(index))) }
 }
 
 fn told(records: Vec<MemberRecord>) -> ExchangeMessage {
@@ -87,6 +87,7 @@
     let index = first.trim_start_matches("entry-").parse().expect("a number");
     let mut restarted: MemberRecord = record(index, MemberStatus::Starting);
     restarted.instance.incarnation = 2;
+    restarted.generation = 2;
     view.take_message(&told(vec![restarted]), MonotonicTime::from_millis(10));
     let second = DispatcherChoice::new(&roster(&view), &view).dispatcher("rerank", &[]).to_owned();
     assert_ne!(second, first);
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -18,6 +18,8 @@
 const ONE_WAY: Duration = Duration::from_millis(2);
 /// Processes of a fleet start within this time of each other.
 pub const START_SPREAD_MS: u64 = 300;
+/// Number of the first life of each process.
+pub const FIRST_LIFE: u64 = 1_000;
 /// Time of an answer of the platform: peers answer sooner.
 const PLATFORM_TIME: Duration = Duration::from_millis(40);
 /// Time after which an unreachable peer is given up.
@@ -53,7 +55,7 @@
 impl VirtualFleet {
     pub fn new(size: usize) -> Self {
         let now = MonotonicTime::from_millis(0);
-        let cores = (0..size).map(|index| core(index, 1, now)).collect();
+        let cores = (0..size).map(|index| core(index, FIRST_LIFE, now)).collect();
         let mut fleet = Self {
             now,
             cores,
@@ -85,8 +87,13 @@
 
     /// Ends a process and starts another one on its VM, at once.
     pub fn restart(&mut self, index: usize) {
+        self.restart_as(index, FIRST_LIFE + 1);
+    }
+
+    /// Ends a process and starts another one on its VM, at once, which numbers its life `life`.
+    pub fn restart_as(&mut self, index: usize, life: u64) {
         self.queue.retain(|_, (owner, _)| *owner != index);
-        self.cores[index] = core(index, 2, self.now);
+        self.cores[index] = core(index, life, self.now);
         self.push(self.now, index, Delivery::Start);
     }
 
@@ -99,6 +106,17 @@
         self.cores.iter().map(known).min().unwrap_or_default()
     }
 
+    /// Lives of the daemon `index`, as the others know it.
+    pub fn lives_of(&self, index: usize) -> Vec<u64> {
+        let others = self.cores.iter().enumerate().filter(|(each, _)| *each != index);
+        let known = |core: &DaemonCore| {
+            let members = core.dump(self.now).members;
+            let record = members.into_iter().find(|each| each.instance.vm == vm_name(index));
+            record.map_or(0, |record| record.instance.incarnation)
+        };
+        others.map(|(_, core)| known(core)).collect()
+    }
+
     /// Daemons that know of the last change of the published upstreams.
     pub fn informed(&self) -> usize {
         let known = |core: &&DaemonCore| {
