Let callers send what the operator declares, and need keys when none is left

Cause, two gaps found by reading: the limits on a caller's head, body and idle connections came from the process's settings alone, so on a deployment that declares more a proper request would have been refused as too large, which no caller sends again. And callers needed access keys if any key was declared: with the last key taken away everybody would have come in.

Change: declared limits are read, and what a process is set to take is raised to them (heads with 8 KB for the line before the fields, idle time by half); keys are needed as soon as a workspace is declared.

--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -8,8 +8,8 @@
 use crate::orders::EngineOrder;
 
 use super::{
-    ConfigurationError, ConfigurationErrorKind, ForwardRules, LabelSelector, LabelSet, PoolKind,
-    RouteTable, StagePlan,
+    CallerLimits, ConfigurationError, ConfigurationErrorKind, ForwardRules, LabelSelector,
+    LabelSet, PoolKind, RouteTable, StagePlan,
 };
 
 /// Priority level of a request that no priority matches.
@@ -29,6 +29,9 @@
     pub(super) routes: RouteTable,
     /// Workspaces by the access keys of their callers.
     pub(super) access: HashMap<String, String>,
+    /// Whether callers need access keys, also while no key is left.
+    pub(super) needs_access: bool,
+    pub(super) caller_limits: Option<CallerLimits>,
 }
 
 /// What holds for the whole deployment.
@@ -208,6 +211,8 @@
             placements: of("placement").map(read_placement).collect(),
             routes: RouteTable::default(),
             access: HashMap::new(),
+            needs_access: false,
+            caller_limits: None,
         })
     }
 
@@ -238,7 +243,13 @@
     /// Whether callers of forwarded requests need access keys.
     #[must_use]
     pub fn needs_access(&self) -> bool {
-        !self.access.is_empty()
+        self.needs_access
+    }
+
+    /// What callers may send, if that is declared.
+    #[must_use]
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        self.caller_limits
     }
 
     /// The workspace whose callers have the access key `key`.
--- a/crates/crocusdale_core/src/configuration/declarations_builder.rs
+++ b/crates/crocusdale_core/src/configuration/declarations_builder.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use super::{
-    Declarations, DeploymentRules, PipelineRules, RouteTable, RoutingPolicy, StageRules,
-    WorkspaceRules,
+    CallerLimits, Declarations, DeploymentRules, PipelineRules, RouteTable, RoutingPolicy,
+    StageRules, WorkspaceRules,
 };
 
 /// Builds declarations that were not written as sections.
@@ -47,11 +47,16 @@
                 placements: Vec::new(),
                 routes: RouteTable::default(),
                 access: HashMap::new(),
+                needs_access: false,
+                caller_limits: None,
             },
         }
     }
 
-    /// Adds a workspace, and the access keys of its callers.
+    /// Adds a workspace, and the access keys of its callers; callers need one from then on.
+    ///
+    /// Guards against the moment at which the last key of all is taken away: with no key left,
+    /// nobody may come in, not everybody.
     #[must_use]
     pub fn workspace(
         mut self,
@@ -59,6 +64,7 @@
         rules: WorkspaceRules,
         keys: impl IntoIterator<Item = String>,
     ) -> Self {
+        self.declarations.needs_access = true;
         for key in keys {
             self.declarations.access.insert(key, name.to_owned());
         }
@@ -82,6 +88,13 @@
         self
     }
 
+    /// Sets what callers may send.
+    #[must_use]
+    pub fn caller_limits(mut self, limits: CallerLimits) -> Self {
+        self.declarations.caller_limits = Some(limits);
+        self
+    }
+
     /// Builds the declarations.
     #[must_use]
     pub fn build(self) -> Declarations {
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -1,5 +1,6 @@
 //! Settings and declarations, checked wholly before use, and the revision in force.
 
+mod caller_limits;
 mod configuration_error;
 mod configuration_ledger;
 mod declarations;
@@ -12,6 +13,7 @@
 mod section_reader;
 mod stage_plan;
 
+pub use caller_limits::CallerLimits;
 pub use configuration_error::{ConfigurationError, ConfigurationErrorKind};
 pub use configuration_ledger::{ConfigurationLedger, DeclarationReader, InForce, LedgerVerdict};
 pub use declarations::{
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -6,6 +6,7 @@
 use super::core_state::CoreState;
 use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
 use crate::claims::RegisterReply;
+use crate::configuration::CallerLimits;
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, WitnessSet};
 use crate::pipeline::{HolderReply, RefusalReason};
@@ -201,6 +202,12 @@
         lock(&self.state.fleet).is_ready()
     }
 
+    /// What callers may send by the declarations in force, if these say so.
+    #[must_use]
+    pub fn caller_limits(&self) -> Option<CallerLimits> {
+        self.state.basis().declarations.as_ref().and_then(|each| each.caller_limits())
+    }
+
     /// Whether the daemon drains.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/crocusdaled/src/forwarding/forward_service.rs
+++ b/crates/crocusdaled/src/forwarding/forward_service.rs
@@ -85,7 +85,9 @@
     }
 
     async fn read(&self, body: Body) -> Result<Bytes, RefusalReason> {
-        let read = tokio::time::timeout(self.body_time, read_body(body, self.body_bytes));
+        let declared = self.engine.core.caller_limits().map_or(0, |limits| limits.body_bytes);
+        let limit = self.body_bytes.max(declared);
+        let read = tokio::time::timeout(self.body_time, read_body(body, limit));
         match read.await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(BodyFault::TooLarge)) => Err(RefusalReason::TooLarge),
--- a/crates/crocusdaled/src/http/http_listener.rs
+++ b/crates/crocusdaled/src/http/http_listener.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crocusdale_core::configuration::CallerLimits;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,6 +22,11 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time for which written data may stay unacknowledged before a connection counts as silent.
 const SILENCE: Duration = Duration::from_secs(15);
+/// Bytes of a head beyond its declared limit: callers count fields, not the first line.
+const HEAD_MARGIN: usize = 8_192;
+/// Multiple of the declared idle time for which a connection is kept, so that this side never closes
+/// one that its caller still counts on.
+const IDLE_FACTOR: f64 = 1.5;
 /// Time that connections have to finish once the listener stops, unless set.
 const FINISH_TIME: Duration = Duration::from_secs(5);
 
@@ -74,6 +80,15 @@
         self
     }
 
+    /// Takes at least what `declared` allows callers, with a margin for what they don't count.
+    #[must_use]
+    fn at_least(mut self, declared: CallerLimits) -> Self {
+        let idle = declared.idle_time.mul_f64(IDLE_FACTOR);
+        self.head_bytes = self.head_bytes.max(declared.head_bytes + HEAD_MARGIN);
+        self.head_time = self.head_time.max(declared.head_time).max(idle);
+        self
+    }
+
     /// Sets the time that connections have to finish once the listener stops.
     #[must_use]
     pub fn finish_time(mut self, finish_time: Duration) -> Self {
@@ -94,7 +109,17 @@
 impl HttpListener {
     /// Serves `router` until `stop` changes; then no connection is accepted, and open ones finish
     /// what they have begun.
-    pub async fn serve(self, router: Router, mut stop: watch::Receiver<bool>) {
+    pub async fn serve(self, router: Router, stop: watch::Receiver<bool>) {
+        self.serve_within(router, stop, || None).await;
+    }
+
+    /// The same, with what is declared for callers at the time at which one connects.
+    pub async fn serve_within(
+        self,
+        router: Router,
+        mut stop: watch::Receiver<bool>,
+        declared: impl Fn() -> Option<CallerLimits>,
+    ) {
         let router = Arc::new(router);
         let permits = Arc::new(Semaphore::new(self.limits.connections));
         let mut connections = JoinSet::new();
@@ -113,8 +138,9 @@
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             };
+            let limits = declared().map_or(self.limits, |limits| self.limits.at_least(limits));
             let connection =
-                serve_connection(stream, peer, Arc::clone(&router), self.limits, stop.clone());
+                serve_connection(stream, peer, Arc::clone(&router), limits, stop.clone());
             connections.spawn(async move {
                 connection.await;
                 drop(permit);
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -130,7 +130,9 @@
             ForwardService::new(Arc::clone(&engine), limits).router()
         }
     };
-    let callers = tokio::spawn(callers.serve(router, stopped));
+    let declaring = Arc::clone(&engine);
+    let declared = move || declaring.core.caller_limits();
+    let callers = tokio::spawn(callers.serve_within(router, stopped, declared));
 
     tokio::spawn(drain_on_signal(Arc::clone(&engine)));
     engine.drained.notified().await;
--- a/crates/crocusdaled/tests/published_platform_test.rs
+++ b/crates/crocusdaled/tests/published_platform_test.rs
@@ -269,6 +269,27 @@
     Ok(())
 }
 
+/// The operator declares that callers may send more than the process is set to take. A scan of that
+/// size must not be refused as too large, which no caller ever tries again.
+#[tokio::test]
+async fn callers_may_send_what_the_operator_declares() -> Result<()> {
+    let fleet = fleet(1).await?;
+    let caller = fleet.daemons[0].caller;
+    let scan = IngressRequest::new("/ask/7", "scan").body(vec![b'x'; 6 << 20]);
+    assert_eq!(IngressCaller::once(caller, &scan).await?.status, 413);
+    let mut configuration = fleet.configuration(5);
+    configuration["limits"] = json!({"maxBodyBytes": 8 << 20, "maxHeaderBytes": 40_000});
+    fleet.store.configure(&configuration);
+    let long = IngressRequest::new("/ask/7", "long").field("x-note", &"n".repeat(30_000));
+    wait_for(SOON, "larger bodies are taken", async || {
+        let answer = IngressCaller::once(caller, &scan).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    })
+    .await?;
+    assert_eq!(IngressCaller::once(caller, &long).await?.status, 200);
+    Ok(())
+}
+
 /// A user complains. The engineer on call has the request's id and the logs, and reads them with the
 /// tools that read every other service's: each fact is a field of its own, and no line holds what
 /// the user sent or was sent.
