Keep no more idle connections than leave an upstream room for those in use

Cause: each daemon kept up to eight idle connections to each upstream, whatever that takes from all. Today's Ege is at the brink as well: 6 daemons x 8 idle connections before officers' services that take 48.

Ruled out: the connections in use (1.3 at a time for each officers' service).

Change: the declared number has an effect now. All daemons together keep half of it, each its share; the other half is for connections in use.

--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -46,6 +46,8 @@
     pub level: u8,
     /// Whether a connection of its own must be used, see [`AttemptOrder::fresh`].
     pub fresh: bool,
+    /// Idle connections that may be kept to the upstream.
+    pub kept_connections: usize,
     /// Time after which the request must not be written any more.
     pub expires: MonotonicTime,
 }
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -22,6 +22,7 @@
             inputs: self.results().iter().map(|result| result.handle.clone()).collect(),
             level: self.plan.level,
             fresh: !self.plan.repeatable,
+            kept_connections: grant.kept_connections,
             expires: self.plan.deadline,
         }
     }
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -58,6 +58,8 @@
     pub(super) near: Vec<usize>,
     pub(super) far: Vec<usize>,
     pub(super) engine: Option<EngineRules>,
+    /// Connections that one upstream takes from all daemons, if it is declared.
+    connections: Option<u32>,
     pub(super) pool: Arc<Mutex<StagePool>>,
 }
 
@@ -72,6 +74,8 @@
     pub address: SocketAddr,
     /// Shortest time in which it has answered of late.
     pub fastest: Duration,
+    /// Idle connections that this daemon may keep to it.
+    pub kept_connections: usize,
 }
 
 impl UpstreamRouter {
@@ -157,7 +161,10 @@
         };
         let known = self.pools.get(stage).map(|known| Arc::clone(&known.pool));
         let pool = known.unwrap_or_else(fresh);
-        router.pools.insert(stage.to_owned(), RoutedPool { near, far, engine, pool });
+        router.pools.insert(
+            stage.to_owned(),
+            RoutedPool { near, far, engine, connections: rules.connections, pool },
+        );
     }
 
     /// Takes what the VM list says of leaving VMs.
@@ -415,14 +422,27 @@
                 _ => Duration::ZERO,
             }
         };
+        let kept_connections = self.kept_connections(&request.stage);
         SlotGrant {
             fastest,
+            kept_connections,
             request,
             upstream: upstream.rules.name.clone(),
             address: upstream.rules.address,
         }
     }
 
+    /// Idle connections that this daemon may keep to each upstream of `stage`.
+    ///
+    /// Guards against upstreams that are full of idle connections: they reset the next one that is
+    /// opened, with a request on it that nobody may repeat. All daemons keep half of what an upstream
+    /// takes; the other half is for connections in use.
+    fn kept_connections(&self, stage: &str) -> usize {
+        let declared = self.pools.get(stage).and_then(|routed| routed.connections);
+        let daemons = self.daemons.load(Ordering::Relaxed).max(1);
+        declared.map_or(usize::MAX, |connections| connections as usize / 2 / daemons)
+    }
+
     fn serve_from(
         &self,
         position: usize,
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -18,7 +18,7 @@
 use super::relay_call::RelayCall;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::upstream::{OpenConnection, SendFault};
+use crate::upstream::SendFault;
 
 /// Largest answer that is no stream, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
@@ -128,7 +128,7 @@
         let mut pump = EventPump { engine, call, attempt, events, flowing: false };
         let end = pump.run(body).await;
         if matches!(end, AttemptEvent::Passed) {
-            pool.give_back(connection, &parts.headers);
+            pool.give_back(connection, &parts.headers, order.kept_connections);
         }
         return Some(end);
     }
@@ -136,7 +136,7 @@
         return Some(AttemptEvent::Broken(BreakReason::Cut));
     };
     let body = body.to_bytes();
-    give_back(engine, connection, &parts.headers);
+    pool.give_back(connection, &parts.headers, order.kept_connections);
     engine.feed(DaemonEvent::Attempt { attempt, event: AttemptEvent::Headed(head.head) });
     wanted.await.ok()?;
     let (status, headers) = (parts.status, head.headers);
@@ -168,10 +168,6 @@
     request
 }
 
-fn give_back(engine: &DaemonEngine, connection: OpenConnection, headers: &http::HeaderMap) {
-    engine.connections().give_back(connection, headers);
-}
-
 /// Opens the way for events to the caller; at the first answer the caller gets its head.
 fn open_events(
     engine: &Arc<DaemonEngine>,
--- a/crates/crocusdaled/src/upstream/connection_pool.rs
+++ b/crates/crocusdaled/src/upstream/connection_pool.rs
@@ -89,12 +89,13 @@
         }
     }
 
-    /// Keeps a connection whose last answer, with these `headers`, was read to its end.
-    pub fn give_back(&self, connection: OpenConnection, headers: &HeaderMap) {
+    /// Keeps a connection whose last answer, with these `headers`, was read to its end, unless
+    /// `most` are kept to its address.
+    pub fn give_back(&self, connection: OpenConnection, headers: &HeaderMap, most: usize) {
         let Some(kept) = idle_time(headers) else { return };
         let mut idle = lock(&self.idle);
         let kept_there = idle.entry(connection.address).or_default();
-        if kept_there.len() < IDLE_CONNECTIONS {
+        if kept_there.len() < most.min(IDLE_CONNECTIONS) {
             let until = Instant::now() + kept;
             kept_there.push(IdleConnection { sender: connection.sender, until });
         }
@@ -125,7 +126,7 @@
             let (parts, body) = connection.send(request).await?.into_parts();
             let body = Limited::new(body, limit).collect().await;
             let body = body.map_err(|fault| SendFault::broken(&fault))?.to_bytes();
-            self.give_back(connection, &parts.headers);
+            self.give_back(connection, &parts.headers, IDLE_CONNECTIONS);
             Ok(Response::from_parts(parts, body))
         };
         match tokio::time::timeout(patience, exchange).await {
