Let only VMs with half of the largest capacity or more dispatch pools

The pool `sample-lab` was dispatched by a small VM: from 20 s on its calls fell from 195 to 50 in four seconds, others took over for moments, and 4,068 requests were refused as their pieces were given up. All pieces of a pool pass its dispatcher, some eight megabits a second here.

Ruled out: room (2,797 pieces of 171,501), upstreams (343 failed), the processor (0.069 of a core at the busiest, though the small VMs have but 0.12).

Change: members tell what they can carry, the scarcer one of processor share and link; a dispatcher is chosen among those with half of the largest capacity or more. Where all are alike, nothing changes; where the large ones are lost, the small ones dispatch. Two new settings, with defaults.

Test: small_vms_dispatch_only_without_large_ones.

--- a/crates/crocusdale_core/src/batching/dispatcher_choice.rs
+++ b/crates/crocusdale_core/src/batching/dispatcher_choice.rs
@@ -18,6 +18,10 @@
     /// The dispatcher of `pool`, without those in `tried`: the live daemon of the highest rank.
     /// Daemons with the same view choose the same one. Without any other, it is this daemon.
     ///
+    /// Only VMs with half of the capacity of the largest one or more are chosen. All pieces of a pool
+    /// pass its dispatcher: on a simulated day a VM with a link of ten megabits dispatched a pool of
+    /// a fleet of 60, its link was full, and half of the users of the pool were served too late.
+    ///
     /// Guards against the time after a start of the whole fleet, when each daemon has heard of
     /// another few that they serve: each would choose among those few, and a hundred dispatchers
     /// would call one pool. While more daemons start than live, those that start count too.
@@ -35,7 +39,12 @@
             };
             serves && !self.view.is_leaving(vm) && !tried.iter().any(|tried| tried == vm)
         };
-        let ranked = entries().filter(usable).max_by_key(|vm| stable_hash(&[pool, vm]));
-        ranked.unwrap_or(own)
+        let capacity = |vm: &&str| self.view.capacity(vm);
+        let largest = entries().filter(usable).filter_map(|vm| capacity(&vm)).max();
+        let carries = |vm: &&str| {
+            capacity(vm).zip(largest).is_none_or(|(capacity, largest)| capacity.carries(largest))
+        };
+        let able = entries().filter(usable).filter(carries);
+        able.max_by_key(|vm| stable_hash(&[pool, vm])).unwrap_or(own)
     }
 }
--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -16,6 +16,10 @@
     pub zone: String,
     /// Worker threads.
     pub threads: usize,
+    /// Part of a processor core that the process may use.
+    pub cpu_share: f64,
+    /// Bandwidth of the VM's link, in megabits a second.
+    pub link_mbps: f64,
     /// Where callers connect.
     pub caller: SocketAddr,
     /// Where other daemons connect.
@@ -141,6 +145,9 @@
         let number = |name: &str, key: &str| {
             section(name).get::<usize>(key).expect("a number with a default was checked")
         };
+        let ratio = |name: &str, key: &str| {
+            section(name).get::<f64>(key).expect("a ratio with a default was checked")
+        };
         let duration = |name: &str, key: &str| {
             section(name).duration(key).expect("a duration with a default was checked")
         };
@@ -148,6 +155,8 @@
             vm: section("daemon").owned("name"),
             zone: section("daemon").owned("zone"),
             threads: number("daemon", "threads"),
+            cpu_share: ratio("daemon", "cpu_share"),
+            link_mbps: ratio("daemon", "link_mbps"),
             caller: address("listen", "caller"),
             peer: address("listen", "peer"),
             operator: address("listen", "operator"),
--- a/crates/crocusdale_core/src/membership/member_record.rs
+++ b/crates/crocusdale_core/src/membership/member_record.rs
@@ -4,6 +4,10 @@
 
 use crate::identity::InstanceId;
 
+/// Thousandths of a core that go with a megabit a second at a dispatcher: the busiest one of a fleet
+/// of 83 took 54 of them, and some eight megabits.
+const LINK_COST: f64 = 6.0;
+
 /// Status of a member.
 #[derive(
     Clone,
@@ -55,6 +59,28 @@
     pub caller: SocketAddr,
     /// Where it listens for other daemons.
     pub peer: SocketAddr,
+    /// What it can carry.
+    pub capacity: MemberCapacity,
+}
+
+/// What a member can carry, against others: the scarcer one of its processor and its link, in
+/// thousandths of a core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct MemberCapacity(pub u32);
+
+impl MemberCapacity {
+    /// The capacity of a VM with `cpu_share` of a core and a link of `link_mbps` megabits a second.
+    #[must_use]
+    pub fn new(cpu_share: f64, link_mbps: f64) -> Self {
+        Self((cpu_share * 1e3).min(link_mbps * LINK_COST).clamp(1.0, f64::from(u32::MAX)) as u32)
+    }
+
+    /// Whether a VM of this capacity may carry what falls to one VM for all, where the largest one
+    /// has the capacity `largest`.
+    #[must_use]
+    pub fn carries(self, largest: Self) -> bool {
+        self.0 >= largest.0 / 2
+    }
 }
 
 impl MemberRecord {
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -6,8 +6,8 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{
-    DirectoryNews, ExchangeMessage, LeavingUpstream, MemberPlace, MemberRecord, MemberStatus,
-    VmEntry, VmRole, VmRoster, VmState,
+    DirectoryNews, ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord,
+    MemberStatus, VmEntry, VmRole, VmRoster, VmState,
 };
 use crate::identity::{InstanceId, MonotonicTime, stable_hash};
 
@@ -342,6 +342,14 @@
         self.peers.get(vm)?.record.as_ref().map(|record| record.status)
     }
 
+    /// What `vm` can carry, if it told.
+    #[must_use]
+    pub fn capacity(&self, vm: &str) -> Option<MemberCapacity> {
+        let own = (vm == self.own.instance.vm).then_some(&self.own);
+        let record = own.or_else(|| self.peers.get(vm)?.record.as_ref())?;
+        record.place.as_ref().map(|place| place.capacity)
+    }
+
     /// Records of all peers that were ever heard of.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
         self.peers.values().filter_map(|peer| peer.record.as_ref())
--- a/crates/crocusdale_core/src/membership/mod.rs
+++ b/crates/crocusdale_core/src/membership/mod.rs
@@ -10,7 +10,7 @@
 
 pub use address_order::{AddressAnswer, AddressOrder};
 pub use exchange_message::{DirectoryNews, ExchangeMessage, LeavingUpstream};
-pub use member_record::{MemberPlace, MemberRecord, MemberStatus};
+pub use member_record::{MemberCapacity, MemberPlace, MemberRecord, MemberStatus};
 pub use member_view::{MemberView, MemberViewBuilder};
 pub use roster_history::RosterHistory;
 pub use vm_roster::{VmEntry, VmRole, VmRoster, VmState};
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -4,7 +4,7 @@
 
 use crate::identity::InstanceId;
 use crate::membership::{
-    ExchangeMessage, LeavingUpstream, MemberPlace, MemberRecord, MemberStatus,
+    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
 };
 
 /// A message lacked a part that it must have.
@@ -51,7 +51,12 @@
 
 impl From<MemberPlace> for peer::MemberPlace {
     fn from(place: MemberPlace) -> Self {
-        Self { zone: place.zone, caller: place.caller.to_string(), peer: place.peer.to_string() }
+        Self {
+            zone: place.zone,
+            caller: place.caller.to_string(),
+            peer: place.peer.to_string(),
+            capacity: place.capacity.0,
+        }
     }
 }
 
@@ -63,6 +68,7 @@
             zone: wire.zone,
             caller: wire.caller.parse().map_err(|_| MissingPart("the address for callers"))?,
             peer: wire.peer.parse().map_err(|_| MissingPart("the address for peers"))?,
+            capacity: MemberCapacity(wire.capacity),
         })
     }
 }
--- a/crates/crocusdale_core/tests/forwarded_request_test.rs
+++ b/crates/crocusdale_core/tests/forwarded_request_test.rs
@@ -12,7 +12,7 @@
 };
 use crocusdale_core::daemon::{Command, DaemonEvent, TimerKey};
 use crocusdale_core::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
-use crocusdale_core::membership::MemberPlace;
+use crocusdale_core::membership::{MemberCapacity, MemberPlace};
 use crocusdale_core::pipeline::{
     AnswerHead, AttemptEvent, BreakReason, CallerRequest, EngineDemand, FinalAnswer, ForwardHead,
     OutcomeKind, PromptPart, RefusalReason, RelayOrder, RequestContent, ResultHandle, RunProof,
@@ -98,7 +98,12 @@
         let now = MonotonicTime::from_millis(0);
         let address = "127.0.0.1:1".parse().expect("an address");
         let published = PublishedFleet {
-            place: MemberPlace { zone: "a".to_owned(), caller: address, peer: address },
+            place: MemberPlace {
+                zone: "a".to_owned(),
+                caller: address,
+                peer: address,
+                capacity: MemberCapacity::new(1.0, 1_000.0),
+            },
             seeds: Vec::new(),
             reader: read,
             retries: RetryLimits::default(),
--- a/crates/crocusdale_core/tests/member_places_test.rs
+++ b/crates/crocusdale_core/tests/member_places_test.rs
@@ -3,14 +3,15 @@
 use crocusdale_core::batching::DispatcherChoice;
 use crocusdale_core::identity::{InstanceId, MonotonicTime};
 use crocusdale_core::membership::{
-    DirectoryNews, ExchangeMessage, MemberPlace, MemberRecord, MemberStatus, MemberView,
-    MemberViewBuilder, VmRoster,
+    DirectoryNews, ExchangeMessage, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
+    MemberView, MemberViewBuilder, VmRoster,
 };
 
 fn place(index: usize) -> MemberPlace {
     let address = format!("10.0.{}.{}:1", index / 200, index % 200 + 1);
     let address = address.parse().expect("an address");
-    MemberPlace { zone: "a".to_owned(), caller: address, peer: address }
+    let capacity = MemberCapacity::new(0.25, 1_000.0);
+    MemberPlace { zone: "a".to_owned(), caller: address, peer: address, capacity }
 }
 
 fn view(index: usize) -> MemberView {
@@ -102,3 +103,35 @@
     view.take_message(&told(vec![lost]), MonotonicTime::from_millis(0));
     assert!(view.status("entry-7").is_none());
 }
+
+/// A fleet of a few large VMs and many small ones. All pieces of a pool pass its dispatcher; on a
+/// small VM they fill its link, and most users of the pool are served too late.
+#[test]
+fn small_vms_dispatch_only_without_large_ones() {
+    let now = MonotonicTime::from_millis(0);
+    let sized = |index: usize, cpu_share, link_mbps| {
+        let mut record = record(index, MemberStatus::Alive);
+        let place = record.place.as_mut().expect("it tells its place");
+        place.capacity = MemberCapacity::new(cpu_share, link_mbps);
+        record
+    };
+    let small = (1..50).map(|index| sized(index, 0.12, 10.0));
+    let large = (50..54).map(|index| sized(index, 0.5, 200.0));
+    let mut view = view(0);
+    view.become_ready();
+    view.take_message(&told(small.chain(large).collect()), now);
+    let roster = |view: &MemberView| VmRoster { revision: 1, vms: view.places() };
+    for pool in ["scan", "retrieve", "rerank", "generate"] {
+        let chosen = DispatcherChoice::new(&roster(&view), &view).dispatcher(pool, &[]).to_owned();
+        let index: usize = chosen.trim_start_matches("entry-").parse().expect("a number");
+        assert!((50..54).contains(&index), "{pool}: {chosen}");
+    }
+    let lost = (50..54).map(|index| MemberRecord {
+        status: MemberStatus::Unreachable,
+        ..sized(index, 0.5, 200.0)
+    });
+    view.take_message(&told(lost.collect()), now);
+    let chosen = DispatcherChoice::new(&roster(&view), &view).dispatcher("scan", &[]).to_owned();
+    let index: usize = chosen.trim_start_matches("entry-").parse().expect("a number");
+    assert!(index < 50, "{chosen}");
+}
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -7,7 +7,7 @@
 use crocusdale_core::configuration::Declarations;
 use crocusdale_core::daemon::{Command, DaemonEvent, TimerKey};
 use crocusdale_core::identity::{InstanceId, MonotonicTime};
-use crocusdale_core::membership::{ExchangeMessage, MemberPlace, MemberStatus};
+use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::DirectoryEntry;
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
@@ -208,6 +208,7 @@
         zone: format!("z{}", index % 3),
         caller: peer_address(index),
         peer: peer_address(index),
+        capacity: MemberCapacity::new(1.0, 1_000.0),
     };
     let published = PublishedFleet {
         place,
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -11,7 +11,7 @@
 use crocusdale_core::configuration::{PlatformSettings, ProcessSettings, PublishedSettings};
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::InstanceId;
-use crocusdale_core::membership::MemberPlace;
+use crocusdale_core::membership::{MemberCapacity, MemberPlace};
 use crocusdale_core::{DaemonCoreBuilder, PublishedFleet};
 use crocusdale_platform::configuration::read_declarations;
 use crocusdaled::engine::{DaemonEngine, MonotonicClock};
@@ -165,8 +165,12 @@
 }
 
 fn published_fleet(settings: &ProcessSettings, published: &PublishedSettings) -> PublishedFleet {
-    let place =
-        MemberPlace { zone: settings.zone.clone(), caller: settings.caller, peer: settings.peer };
+    let place = MemberPlace {
+        zone: settings.zone.clone(),
+        caller: settings.caller,
+        peer: settings.peer,
+        capacity: MemberCapacity::new(settings.cpu_share, settings.link_mbps),
+    };
     PublishedFleet {
         place,
         seeds: published.seeds.clone(),
