--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -6,17 +6,12 @@
 
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::configuration::{ConfigurationLedger, DeclarationReader, LedgerVerdict};
-use crate::identity::{MonotonicTime, stable_hash};
+use crate::identity::MonotonicTime;
 use crate::membership::{
     DirectoryNews, ExchangeMessage, MemberStatus, MemberView, RosterHistory, VmRoster,
 };
 use crate::orders::{EngineOrder, OrderKeeper, OrderStep};
 
-/// Daemons of each zone that hold the watch on the configuration service.
-const READERS_PER_ZONE: usize = 2;
-/// Daemons of a zone for each one that reads the published upstreams. It answers the others twice a
-/// second each, about half a percent of a core.
-const DAEMONS_PER_READER: usize = 16;
 /// Time after which a daemon that heard no peer reads the configuration service itself.
 const READ_BOUND: Duration = Duration::from_secs(5);
 /// Pause of a daemon that is no reader before it looks again whether it must read.
@@ -62,7 +57,7 @@
     pub ledger: ConfigurationLedger,
     /// VM lists in use.
     pub history: RosterHistory,
-    zone: String,
+    pub(super) zone: String,
     started: MonotonicTime,
     roster_period: Duration,
     service_revision: u64,
@@ -445,47 +440,6 @@
         DirectoryNews { changed: self.directory, age }
     }
 
-    /// Whether this daemon watches the configuration for its availability zone.
-    #[must_use]
-    fn is_reader(&self) -> bool {
-        let own = self.view.own().instance.vm.as_str();
-        self.zone_ranks("configuration reader").iter().take(READERS_PER_ZONE).any(|vm| *vm == own)
-    }
-
-    /// Whom this daemon asks whether its list of published upstreams is still the latest: one of the
-    /// daemons of its zone that read the list, or `None` if it is one of them.
-    ///
-    /// One daemon of sixteen reads, so that the reads of a fleet grow a good deal more slowly than
-    /// the fleet: each costs the platform a call and both sides as much as the list is long, 110
-    /// calls a second at 83 daemons when all read, 13 now.
-    #[must_use]
-    pub fn directory_reader(&self) -> Option<String> {
-        let own = self.view.own().instance.vm.as_str();
-        let ranked = self.zone_ranks("directory reader");
-        let readers = &ranked[..ranked.len().div_ceil(DAEMONS_PER_READER)];
-        if readers.contains(&own) {
-            return None;
-        }
-        readers.iter().max_by_key(|vm| stable_hash(&[vm, own])).map(|vm| (*vm).to_owned())
-    }
-
-    /// Usable daemons of this daemon's zone, itself included, ranked for `duty`.
-    fn zone_ranks(&self, duty: &str) -> Vec<&str> {
-        let own = self.view.own().instance.vm.as_str();
-        let usable = |vm: &str| {
-            let doubted = self.view.status(vm).is_some_and(|status| {
-                matches!(status, MemberStatus::Suspect | MemberStatus::Unreachable)
-            });
-            vm == own || !(self.view.is_leaving(vm) || doubted)
-        };
-        let roster = self.history.current();
-        let zone = roster.entries().filter(|vm| vm.zone == self.zone && vm.name != own);
-        let mut ranked: Vec<&str> =
-            zone.map(|vm| vm.name.as_str()).chain([own]).filter(|vm| usable(vm)).collect();
-        ranked.sort_by_cached_key(|vm| std::cmp::Reverse(stable_hash(&[duty, vm])));
-        ranked
-    }
-
     fn note_status(&self, vm: &str, before: Option<MemberStatus>, out: &mut Vec<Command>) {
         let after = self.view.status(vm);
         if let Some(status) = after.filter(|status| Some(*status) != before) {
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -9,6 +9,7 @@
 mod fleet_events;
 mod fleet_state;
 mod piece_flow;
+mod reader_choice;
 mod request_flow;
 mod state_dump;
 
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -6,22 +6,13 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{
-    DirectoryNews, ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord,
-    MemberStatus, VmEntry, VmRole, VmRoster, VmState,
+    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
+    VmEntry, VmRole, VmRoster, VmState,
 };
-use crate::identity::{InstanceId, MonotonicTime, stable_hash};
+use crate::identity::{InstanceId, MonotonicTime};
 
 /// Partners of one period.
 const PARTNERS: usize = 1;
-/// Records that one message carries at most.
-const RECORDS_LIMIT: usize = 12;
-/// Records that the answer to a member that asks for all carries at most, about 100 bytes each: a
-/// fleet of the size that the users aim at, in 50 KB.
-const WELCOME_LIMIT: usize = 512;
-/// Records of no news that a message carries, so that lost news spreads in the end.
-const REPAIR_RECORDS: usize = 2;
-/// Leaving members, and leaving upstreams, that one message carries at most.
-const LEAVING_LIMIT: usize = 16;
 /// Messages that carry each piece of news, times the logarithm of the fleet's size.
 const SPREAD_FACTOR: u32 = 3;
 /// Time after which an unreachable member that no VM list names is forgotten. A VM that was off for
@@ -35,36 +26,36 @@
 /// No promise rests on two views being equal; addresses and the spread of news use them.
 #[derive(Debug)]
 pub struct MemberView {
-    own: MemberRecord,
-    own_leaving: bool,
+    pub(super) own: MemberRecord,
+    pub(super) own_leaving: bool,
     /// Whether this daemon asks its partners for all records that it lacks.
-    asks_for_all: bool,
-    period: Duration,
-    suspicion: Duration,
-    peers: BTreeMap<String, PeerState>,
-    leaving: BTreeMap<InstanceId, Gossip>,
-    leaving_upstreams: HashMap<String, (String, Gossip)>,
-    rounds: u64,
-    order: Vec<String>,
-    last_tick: Option<MonotonicTime>,
-    random: SmallRng,
+    pub(super) asks_for_all: bool,
+    pub(super) period: Duration,
+    pub(super) suspicion: Duration,
+    pub(super) peers: BTreeMap<String, PeerState>,
+    pub(super) leaving: BTreeMap<InstanceId, Gossip>,
+    pub(super) leaving_upstreams: HashMap<String, (String, Gossip)>,
+    pub(super) rounds: u64,
+    pub(super) order: Vec<String>,
+    pub(super) last_tick: Option<MonotonicTime>,
+    pub(super) random: SmallRng,
 }
 
 #[derive(Debug)]
-struct PeerState {
-    record: Option<MemberRecord>,
-    since: MonotonicTime,
-    heard: Option<MonotonicTime>,
+pub(super) struct PeerState {
+    pub(super) record: Option<MemberRecord>,
+    pub(super) since: MonotonicTime,
+    pub(super) heard: Option<MonotonicTime>,
     /// Whether it was heard or failed to answer, at least once.
-    asked: bool,
+    pub(super) asked: bool,
     /// Whether another life of the VM speaks than the one of the record, with an older record.
-    contested: bool,
-    gossip: Gossip,
+    pub(super) contested: bool,
+    pub(super) gossip: Gossip,
 }
 
 /// How many more messages carry a piece of news.
 #[derive(Clone, Copy, Debug, Default)]
-struct Gossip(u32);
+pub(super) struct Gossip(pub(super) u32);
 
 /// Builds a [`MemberView`].
 #[derive(Debug)]
@@ -196,81 +187,6 @@
         reachable.choose_multiple(&mut self.random, count).map(|vm| (*vm).clone()).collect()
     }
 
-    /// Builds this daemon's half of an exchange with `partner`.
-    pub fn message(
-        &mut self,
-        partner: &str,
-        position: (u64, u64),
-        directory: DirectoryNews,
-    ) -> ExchangeMessage {
-        let mut records = Vec::new();
-        records.extend(self.objection(partner).cloned());
-        records.extend(self.spend_records(partner, RECORDS_LIMIT - records.len()));
-        let vms: Vec<&String> = self.peers.keys().collect();
-        for vm in vms.choose_multiple(&mut self.random, REPAIR_RECORDS) {
-            let record = self.peers[*vm].record.as_ref();
-            if records.len() < RECORDS_LIMIT && vm.as_str() != partner {
-                records.extend(record.filter(|record| !records.contains(record)).cloned());
-            }
-        }
-        ExchangeMessage {
-            sender: self.own.clone(),
-            sender_leaving: self.own_leaving,
-            revision: position.0,
-            digest: position.1,
-            records,
-            leaving: self.spend_leaving(),
-            leaving_upstreams: self.spend_leaving_upstreams(),
-            directory: directory.changed,
-            directory_age: directory.age,
-            known_members: self.asks_for_all.then(|| self.digest()),
-        }
-    }
-
-    /// Builds the answer to a member that has the records of the digest `known` and asks for what
-    /// it lacks: all that is known of the fleet, unless that is the same.
-    pub fn welcome(
-        &mut self,
-        partner: &str,
-        known: u64,
-        position: (u64, u64),
-        directory: DirectoryNews,
-    ) -> ExchangeMessage {
-        let mut message = self.message(partner, position, directory);
-        if self.own.place.is_some() && known != self.digest() {
-            let others = self.peers.values().filter_map(|peer| peer.record.as_ref());
-            let others: Vec<&MemberRecord> =
-                others.filter(|record| record.instance.vm != partner).collect();
-            // Of a fleet beyond the limit each answer tells another part.
-            let told = others.choose_multiple(&mut self.random, WELCOME_LIMIT);
-            message.records = told.map(|record| (*record).clone()).collect();
-            message.records.extend(self.objection(partner).cloned());
-        }
-        message
-    }
-
-    /// What `partner` must hear of itself, or it can't refute it: that it is suspected, or that an
-    /// earlier life of its VM is taken for the later one.
-    fn objection(&self, partner: &str) -> Option<&MemberRecord> {
-        let peer = self.peers.get(partner)?;
-        peer.record.as_ref().filter(|record| record.is_doubt() || peer.contested)
-    }
-
-    /// Sets whether partners are asked for all records that this daemon lacks.
-    pub fn ask_for_all(&mut self, asks: bool) {
-        self.asks_for_all = asks;
-    }
-
-    /// Digest of all records, this daemon's own among them, whatever their order.
-    fn digest(&self) -> u64 {
-        let rank = |record: &MemberRecord| {
-            let life = record.instance.incarnation.to_string();
-            let belief = format!("{}/{}/{}", record.generation, record.refutation, record.status);
-            stable_hash(&[&record.instance.vm, &life, &belief])
-        };
-        self.records().chain([&self.own]).fold(0, |digest, record| digest ^ rank(record))
-    }
-
     /// Takes a partner's half. Returns upstreams that are newly known to leave.
     pub fn take_message(
         &mut self,
@@ -455,35 +371,6 @@
         }
     }
 
-    /// Takes out the newest news: what has been told least often goes first, so that the news of a
-    /// lost zone doesn't wait until that of its first VM has been told often enough.
-    fn spend_records(&mut self, partner: &str, limit: usize) -> Vec<MemberRecord> {
-        let peers = self.peers.iter_mut();
-        let mut news: Vec<&mut PeerState> = peers
-            .filter(|(vm, peer)| vm.as_str() != partner && peer.gossip.0 > 0)
-            .map(|(_, peer)| peer)
-            .collect();
-        news.sort_by_key(|peer| std::cmp::Reverse(peer.gossip.0));
-        let told = news.into_iter().take(limit);
-        told.filter_map(|peer| peer.gossip.spend().then(|| peer.record.clone())?).collect()
-    }
-
-    fn spend_leaving(&mut self) -> Vec<InstanceId> {
-        let fresh =
-            self.leaving.iter_mut().filter_map(|(each, gossip)| gossip.spend().then_some(each));
-        fresh.take(LEAVING_LIMIT).cloned().collect()
-    }
-
-    fn spend_leaving_upstreams(&mut self) -> Vec<LeavingUpstream> {
-        let all = self.leaving_upstreams.iter_mut();
-        let fresh = all.filter_map(|(upstream, (life, gossip))| {
-            gossip
-                .spend()
-                .then(|| LeavingUpstream { upstream: upstream.clone(), life: life.clone() })
-        });
-        fresh.take(LEAVING_LIMIT).collect()
-    }
-
     fn choose_partners(&mut self, count: usize) -> Vec<String> {
         let mut partners = Vec::new();
         while partners.len() < count.min(self.peers.len()) {
@@ -539,7 +426,7 @@
 }
 
 impl Gossip {
-    fn spend(&mut self) -> bool {
+    pub(super) fn spend(&mut self) -> bool {
         let left = self.0 > 0;
         self.0 = self.0.saturating_sub(1);
         left
--- a/crates/crocusdale_core/src/membership/mod.rs
+++ b/crates/crocusdale_core/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 mod address_order;
 mod exchange_message;
+mod member_gossip;
 mod member_record;
 mod member_view;
 mod roster_history;
