--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -111,8 +111,12 @@
 
 async fn free_at(engine: &Arc<DaemonEngine>, maker: SocketAddr, body: Vec<u8>) {
     let request = post(FREE_PATH, maker, HeaderMap::new(), body);
-    // Results that could not be given up lapse by themselves.
-    let _ = engine.connections().call(maker, request, ANSWER_LIMIT, FREE_PATIENCE).await;
+    // Results that could not be given up lapse by themselves; until then their room is taken.
+    if let Err(fault) = engine.connections().call(maker, request, ANSWER_LIMIT, FREE_PATIENCE).await
+    {
+        info!(engine.telemetry.log, "results_not_freed";
+            "address" => maker.to_string(), "cause" => fault.cause);
+    }
 }
 
 fn post(
