--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -35,8 +35,10 @@
     failures: u32,
     last_read: Option<MonotonicTime>,
     read_began: Option<MonotonicTime>,
-    /// Reader that was asked last, and when.
+    /// Reader that was asked and has not answered yet, and when it was first asked.
     asked: Option<(String, MonotonicTime)>,
+    /// When a reader was last asked.
+    last_asked: Option<MonotonicTime>,
     /// When the list was last known to be the latest one, by a reading of this daemon or of another.
     current: Option<MonotonicTime>,
     failing_since: Option<MonotonicTime>,
@@ -66,24 +68,29 @@
             return None;
         }
         out.push(Command::SetTimer { timer: TimerKey::Directory, at: now + LOOK_PAUSE });
-        let due = self.asked.as_ref().is_none_or(|(_, since)| now.since(*since) >= READ_PAUSE);
+        let due = self.last_asked.is_none_or(|last| now.since(last) >= READ_PAUSE);
         let reader = reader.filter(|_| due)?;
-        self.asked = Some((reader.clone(), now));
+        self.last_asked = Some(now);
+        // An answer that comes now may be to the question before.
+        if self.asked.as_ref().is_none_or(|(asked, _)| *asked != reader) {
+            self.asked = Some((reader.clone(), now));
+        }
         Some(reader)
     }
 
     /// Takes what a reader says that was asked whether the list is still the latest. Returns since
     /// when it is known to be.
     ///
-    /// What the answer says holds from when the question was sent, less the age that it names:
-    /// however long either was under way, the list is never taken for fresher than it is.
+    /// What the answer says holds from when the question was sent, less the age that it names; of
+    /// two questions that are open, from the first. However long either was under way, the list is
+    /// not taken for fresher than it is.
     pub(super) fn answered(
         &mut self,
         message: &ExchangeMessage,
         now: MonotonicTime,
     ) -> Option<MonotonicTime> {
-        let asked = self.asked.as_ref().filter(|(vm, _)| *vm == message.sender.instance.vm);
-        let (since, age) = asked.map(|(_, since)| *since).zip(message.directory_age)?;
+        let (_, since) = self.asked.take_if(|(vm, _)| *vm == message.sender.instance.vm)?;
+        let age = message.directory_age?;
         debug_assert!(since <= now);
         if message.directory > self.directory.changed() {
             return None;
--- a/crates/crocusdale_core/src/routing/engine_choice.rs
+++ b/crates/crocusdale_core/src/routing/engine_choice.rs
@@ -13,7 +13,8 @@
 /// engine in rank is taken: about two large prompts that are still to be read.
 const BACKLOG_BOUND: u64 = 20_000;
 /// Requests of this daemon's own at one engine that its guess at the others' weighs as much as. With
-/// none of its own an engine counts as an average one, with four as in between.
+/// none of its own an engine counts as an average one, with four as one in between. Chosen, not
+/// fitted: with one request an engine on average, four more there may still be chance.
 const PRIOR_WEIGHT: f64 = 4.0;
 /// Part of the places that other subjects leave free at an engine up to which one subject may fill
 /// it. Half: arrivals come in clumps, and an engine is full at times that is half full on average.
