A model of the whole fleet takes the place of the model of pools

Cause: the model drove the dispatcher alone.

Ruled out: adding engines beside the old model (its request flow was its own, so entry, placement and retries of the core would still not have run); real processes on one machine (not repeatable).

Change: `fleet_model`: the real core of every daemon, on one virtual clock, before modelled batched upstreams (queue, memory, life of results), engines (steps, chunks of prompts, kept parts, memory) and seeded callers that come back once. Loads are INI texts (`--load FILE`); the same text is the configuration of the daemons. `pool_experiment` sets three variants side by side. The model of pools is removed; its four tests run on the new one with their bounds unchanged.

Tests: engines by subject, lost dispatchers, mistakes in a load; all new, they pass at once: they hold the model and what the core already does.

--- a/crates/crocusdale_core/src/configuration/declarations_builder.rs
+++ b/crates/crocusdale_core/src/configuration/declarations_builder.rs
@@ -88,6 +88,13 @@
         self
     }
 
+    /// Sets how upstreams are chosen.
+    #[must_use]
+    pub fn policy(mut self, policy: RoutingPolicy) -> Self {
+        self.declarations.deployment.policy = policy;
+        self
+    }
+
     /// Sets what callers may send.
     #[must_use]
     pub fn caller_limits(mut self, limits: CallerLimits) -> Self {
--- /dev/null
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -0,0 +1,130 @@
+//! What the daemons of a run want done.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use crocusdale_core::DaemonCore;
+use crocusdale_core::daemon::{Command, DaemonEvent};
+use crocusdale_core::membership::ExchangeMessage;
+use crocusdale_core::pipeline::AttemptEvent;
+
+use super::batch_model::BatchModel;
+use super::fleet_run::{
+    FleetRun, HOP, ModelEvent, OfferedPieces, PLATFORM_TIME, SILENCE, daemon_index, vm_name,
+};
+
+impl FleetRun<'_> {
+    pub(super) fn carry_out(&mut self, life: u64, commands: Vec<Command>) {
+        for command in commands {
+            self.carry_out_one(life, command);
+        }
+    }
+
+    fn carry_out_one(&mut self, life: u64, command: Command) {
+        match command {
+            Command::SetTimer { timer, at } => {
+                let after = at.since(self.now);
+                self.push(after, ModelEvent::Timer { life, timer });
+            }
+            Command::Reply { call, answer } => self.replied(life, call, &answer),
+            Command::Relay(order) => self.push(HOP, ModelEvent::Relay(order)),
+            Command::PassOn { attempt, .. } => {
+                let event = DaemonEvent::Attempt { attempt, event: AttemptEvent::Flowing };
+                self.push_core(Duration::ZERO, life, event);
+            }
+            Command::Cancel(attempt) => {
+                self.engines.values_mut().for_each(|(_, engine)| engine.cancel(attempt));
+            }
+            Command::CallBatch(order) => self.push(HOP, ModelEvent::Call { life, order }),
+            Command::CancelBatch(batch) => {
+                self.batches.values_mut().for_each(|upstream| upstream.cancel(life, batch));
+            }
+            Command::FreeResults(results) => self.free(&results),
+            Command::AskRoom { upstream, .. } => {
+                let free = self.batches.get(&upstream).map(BatchModel::free_bytes);
+                self.push_core(HOP * 2, life, DaemonEvent::RoomTold { upstream, free });
+            }
+            command => self.carry_out_between(life, command),
+        }
+    }
+
+    /// Commands that concern other daemons or the platform.
+    fn carry_out_between(&mut self, life: u64, command: Command) {
+        match command {
+            Command::SendPieces { vm, order } => {
+                let dispatcher = daemon_index(&vm);
+                let offered = OfferedPieces { dispatcher, pool: order.pool.clone() };
+                let attempt = order.attempt;
+                if self.daemons[dispatcher].core.is_none() {
+                    let event = AttemptEvent::DispatcherLost(vm);
+                    self.push_core(HOP, life, DaemonEvent::Attempt { attempt, event });
+                    return;
+                }
+                self.offered.insert(attempt, offered);
+                let to = self.daemons[dispatcher].life;
+                self.push_core(HOP, to, DaemonEvent::PiecesOffered(order));
+            }
+            Command::CancelPieces(attempt) => {
+                let Some(offered) = self.offered.remove(&attempt) else { return };
+                let to = self.daemons[offered.dispatcher].life;
+                let pool = offered.pool;
+                self.push_core(HOP, to, DaemonEvent::PiecesWithdrawn { attempt, pool });
+            }
+            Command::AnswerPieces { attempt, outcome, wait } => {
+                let Some(offered) = self.offered.remove(&attempt) else { return };
+                let to = attempt.incarnation;
+                let told = DaemonEvent::WaitTold { pool: offered.pool, wait };
+                self.push_core(HOP, to, told);
+                let event = match outcome {
+                    Ok(results) => AttemptEvent::PiecesMade(results),
+                    Err(fault) => AttemptEvent::PiecesFailed(fault),
+                };
+                self.push_core(HOP, to, DaemonEvent::Attempt { attempt, event });
+            }
+            Command::SendUnwanted { vm, pool, results } => {
+                let to = self.daemons[daemon_index(&vm)].life;
+                self.push_core(HOP, to, DaemonEvent::ResultsUnwanted { pool, results });
+            }
+            Command::Greet { address, message } => {
+                let [_, _, high, low] = match address.ip() {
+                    IpAddr::V4(ip) => ip.octets(),
+                    IpAddr::V6(_) => [0; 4],
+                };
+                let to = usize::from(u16::from_be_bytes([high, low]));
+                self.push(HOP, ModelEvent::Ask { life, to, message });
+            }
+            Command::Exchange { vm, message } => {
+                let to = daemon_index(&vm);
+                self.push(HOP, ModelEvent::Ask { life, to, message });
+            }
+            Command::ReadDirectory => {
+                let event =
+                    DaemonEvent::DirectoryRead { revision: 1, entries: self.published.clone() };
+                self.push_core(PLATFORM_TIME, life, event);
+            }
+            Command::FetchDirectory { vm } => {
+                let core = self.daemons[daemon_index(&vm)].core.as_ref();
+                let list = core.map(DaemonCore::published_upstreams);
+                self.push_core(HOP * 2, life, DaemonEvent::DirectoryFetched(list));
+            }
+            Command::WatchConfiguration { known: 0 } => {
+                let event = DaemonEvent::ConfigurationWatched(Some((1, self.load.text.clone())));
+                self.push_core(PLATFORM_TIME, life, event);
+            }
+            // Nothing else has an effect on what this model shows.
+            _ => {}
+        }
+    }
+
+    pub(super) fn answer_exchange(&mut self, life: u64, to: usize, message: &ExchangeMessage) {
+        let Some(core) = &self.daemons[to].core else {
+            self.push_core(SILENCE, life, DaemonEvent::ExchangeFailed(vm_name(to)));
+            return;
+        };
+        let mut commands = Vec::new();
+        let reply = core.exchange(message, self.now, &mut commands);
+        let own = self.daemons[to].life;
+        self.carry_out(own, commands);
+        self.push_core(HOP, life, DaemonEvent::Exchanged(Box::new(reply)));
+    }
+}
--- /dev/null
+++ b/crates/stand_ins/src/fleet_model/upstream_turns.rs
@@ -0,0 +1,159 @@
+//! What the upstreams of a run do.
+
+use std::collections::HashMap;
+
+use crocusdale_core::batching::{BatchOrder, BatchOutcome, ItemOutcome};
+use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::identity::AttemptId;
+use crocusdale_core::pipeline::{
+    AnswerHead, AttemptEvent, PieceSource, RelayOrder, ResultHandle, RunProof,
+};
+
+use super::batch_model::{PieceCost, SentCall, holder};
+use super::engine_model::EngineNews;
+use super::fleet_run::{FleetRun, HOP, ModelEvent};
+use super::model_callers::ModelRequest;
+use super::model_load::ModelLoad;
+
+impl FleetRun<'_> {
+    pub(super) fn call_batch(&mut self, life: u64, order: BatchOrder) {
+        let name = order.upstream.clone();
+        let Some(upstream) = self.batches.get_mut(&name) else { return };
+        match upstream.take(SentCall { life, order }) {
+            Ok(true) => self.work(name),
+            Ok(false) => {}
+            Err(call) => {
+                self.report.refused_calls += 1;
+                let (batch, outcome) = (call.order.batch, BatchOutcome::Declined);
+                self.push_core(HOP, call.life, DaemonEvent::BatchEnded { batch, outcome });
+            }
+        }
+    }
+
+    /// The first call at an upstream is worked on.
+    fn work(&mut self, upstream: String) {
+        let cost = |request: &str, step| piece_cost(self.load, &self.requests, request, step);
+        let time = self.batches.get(&upstream).and_then(|each| each.call_time(cost));
+        if let Some(time) = time {
+            self.push(time, ModelEvent::CallEnd { upstream });
+        }
+    }
+
+    pub(super) fn end_call(&mut self, name: &str) {
+        let Some(mut upstream) = self.batches.remove(name) else { return };
+        let cost = |request: &str, step| piece_cost(self.load, &self.requests, request, step);
+        let has = |handle: &ResultHandle| {
+            self.batches.get(holder(handle)).is_some_and(|each| each.has(handle, self.now))
+        };
+        let ended = upstream.end_call(self.now, cost, has);
+        let zone = upstream.zone;
+        self.batches.insert(name.to_owned(), upstream);
+        if let Some((call, outcomes)) = ended {
+            self.report.calls += 1;
+            self.report.pieces += outcomes.len() as u64;
+            let crowded = ItemOutcome::NoRoom;
+            self.report.crowded += outcomes.iter().filter(|each| **each == crowded).count() as u64;
+            for item in &call.order.items {
+                if let PieceSource::Results(handles) = &item.source {
+                    self.count_crossed(handles, zone);
+                }
+            }
+            let (batch, outcome) = (call.order.batch, BatchOutcome::Answered(outcomes));
+            self.push_core(HOP, call.life, DaemonEvent::BatchEnded { batch, outcome });
+        }
+        self.work(name.to_owned());
+    }
+
+    fn count_crossed(&mut self, handles: &[ResultHandle], zone: usize) {
+        for handle in handles {
+            let from = self.batches.get(holder(handle)).filter(|each| each.zone != zone);
+            let bytes = from.and_then(|each| each.bytes_of(handle));
+            self.report.crossed_bytes += bytes.unwrap_or_default();
+        }
+    }
+
+    pub(super) fn free(&mut self, results: &[ResultHandle]) {
+        for result in results {
+            if let Some(upstream) = self.batches.get_mut(holder(result)) {
+                upstream.free(result);
+            }
+        }
+    }
+
+    /// A request reaches an engine.
+    pub(super) fn relay(&mut self, order: &RelayOrder) {
+        let attempt = order.attempt;
+        let call = (attempt.incarnation, attempt.call);
+        let Some(number) = self.calls.get(&call).copied() else { return };
+        let Some(demand) = self.requests.get(&number).map(|request| request.demand.clone()) else {
+            return;
+        };
+        let gone = order.inputs.iter().any(|handle| {
+            !self.batches.get(holder(handle)).is_some_and(|each| each.has(handle, self.now))
+        });
+        if gone {
+            let head = AnswerHead { status: 503, proof: RunProof::InputGone };
+            let event = AttemptEvent::Headed(head);
+            self.push_core(HOP, attempt.incarnation, DaemonEvent::Attempt { attempt, event });
+            return;
+        }
+        let Some((zone, engine)) = self.engines.get_mut(&order.upstream) else { return };
+        let zone = *zone;
+        let idle = engine.take(attempt, demand);
+        self.count_crossed(&order.inputs, zone);
+        if idle {
+            self.begin_step(order.upstream.clone());
+        }
+    }
+
+    fn begin_step(&mut self, engine: String) {
+        let Some((_, model)) = self.engines.get_mut(&engine) else { return };
+        if let Some(time) = model.begin_step(&mut self.read_parts) {
+            self.push(time, ModelEvent::EngineStep { engine });
+        }
+    }
+
+    pub(super) fn step_engine(&mut self, name: &str) {
+        let Some((_, engine)) = self.engines.get_mut(name) else { return };
+        for news in engine.end_step() {
+            match news {
+                EngineNews::First(attempt) => {
+                    self.first_event(attempt);
+                    let head = AnswerHead { status: 200, proof: RunProof::Ran };
+                    let event = AttemptEvent::Headed(head);
+                    let event = DaemonEvent::Attempt { attempt, event };
+                    self.push_core(HOP, attempt.incarnation, event);
+                }
+                EngineNews::Last(attempt) => {
+                    let event = DaemonEvent::Attempt { attempt, event: AttemptEvent::Passed };
+                    self.push_core(HOP * 2, attempt.incarnation, event);
+                }
+            }
+        }
+        self.begin_step(name.to_owned());
+    }
+
+    /// The caller sees its first event two messages after its engine has made it.
+    fn first_event(&mut self, attempt: AttemptId) {
+        let number = self.calls.get(&(attempt.incarnation, attempt.call));
+        if let Some(request) = number.and_then(|number| self.requests.get_mut(number)) {
+            request.first = Some(self.now + HOP * 2);
+        }
+    }
+}
+
+/// What a piece of a request costs; one of a request that has ended costs what any piece does.
+fn piece_cost(
+    load: &ModelLoad,
+    requests: &HashMap<u64, ModelRequest>,
+    request: &str,
+    step: u32,
+) -> PieceCost {
+    let number: Option<u64> = request.parse().ok();
+    let request = number.and_then(|number| requests.get(&number));
+    let step = request.and_then(|request| load.kind(request.kind).steps.get(step as usize));
+    step.map_or(PieceCost { work: 1.0, bytes: 0 }, |step| PieceCost {
+        work: step.work,
+        bytes: step.bytes,
+    })
+}
--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -8,8 +8,8 @@
 mod child_process;
 mod daemon_fleet;
 mod declaration_text;
+mod fleet_model;
 mod platform_stand_in;
-mod pool_model;
 mod relay_stand_in;
 mod server_thread;
 mod trace_replay;
@@ -20,8 +20,11 @@
 pub use child_process::ChildProcess;
 pub use daemon_fleet::{DaemonFleet, DaemonFleetBuilder, DaemonProcess, free_address, wait_for};
 pub use declaration_text::DeclarationText;
+pub use fleet_model::{
+    CallForming, KindStep, KindTally, ModelBurst, ModelEngines, ModelFault, ModelKind, ModelLoad,
+    ModelPool, ModelReport, SizeSpread,
+};
 pub use platform_stand_in::{PlatformMode, PlatformStandIn};
-pub use pool_model::{CallForming, ModelBurst, ModelKind, ModelPool, ModelReport, PoolModel};
 pub use relay_stand_in::RelayStandIn;
 pub use server_thread::ServerThread;
 pub use trace_replay::{
--- /dev/null
+++ b/crates/stand_ins/tests/fleet_model_test.rs
@@ -0,0 +1,76 @@
+//! The load that binds first: many small pieces before few upstreams with long calls.
+
+use crocusdale_core::configuration::RoutingPolicy;
+use stand_ins::{CallForming, ModelFault, ModelLoad};
+
+const SEED: u64 = 1;
+
+/// Users' requests come in at six daemons, and each daemon calls the pools for its own. Most calls
+/// hold a piece or two, the pools are busy all day, and requests of three stages are late on a
+/// calm day. One dispatcher a pool serves them all in time.
+#[test]
+fn one_dispatcher_serves_a_calm_day_in_time() {
+    let model = ModelLoad::small(6);
+    let alone = model.run(CallForming::EachDaemon, SEED);
+    let one = model.run(CallForming::OneDispatcher, SEED);
+    assert!(one.share("chain") > 0.95, "{}", one.share("chain"));
+    assert!(one.share("single") > 0.95, "{}", one.share("single"));
+    assert!(alone.share("chain") < 0.5, "{}", alone.share("chain"));
+    assert_eq!(one.refused_calls, 0);
+}
+
+/// The fleet grows tenfold before the same pools. What users see must not change with it.
+#[test]
+fn more_daemons_cost_nothing() {
+    let one = ModelLoad::small(60).run(CallForming::OneDispatcher, SEED);
+    assert!(one.share("chain") > 0.95, "{}", one.share("chain"));
+}
+
+/// A burst is more than the pools can do. The most urgent kind must be served more often than the
+/// least urgent one that needs the same pools.
+#[test]
+fn urgent_requests_go_first_in_a_burst() {
+    let model = ModelLoad::small(6).burst(4.0, 9.0, 2.4);
+    let report = model.run(CallForming::OneDispatcher, SEED);
+    assert!(report.share("chain") > report.share("spare"), "{report:?}");
+}
+
+/// The same seed must give the same run, or two variants can't be compared.
+#[test]
+fn runs_repeat_from_their_seed() {
+    let run = || format!("{:?}", ModelLoad::small(6).run(CallForming::OneDispatcher, 7));
+    assert_eq!(run(), run());
+}
+
+/// Requests about the same things come in everywhere, and each engine that gets one reads the whole
+/// prompt, though another one has just read most of it. Users wait for the reading. Where requests
+/// about one thing go to the same engine, little is read twice, and nobody is served less often.
+#[test]
+fn engines_by_subject_read_little_twice() {
+    let load = ModelLoad::small(6);
+    let in_turn = load.clone().policy(RoutingPolicy::Baseline);
+    let in_turn = in_turn.run(CallForming::OneDispatcher, SEED);
+    let by_subject = load.run(CallForming::OneDispatcher, SEED);
+    assert!(by_subject.read_again * 5 < in_turn.read_again, "{by_subject:?} {in_turn:?}");
+    assert!(by_subject.share_of_all() > in_turn.share_of_all() - 0.01);
+}
+
+/// Two daemons of six are killed, and with them the dispatchers of some pools. What they had read is
+/// lost; callers come back to the others, whose pieces go to the next dispatchers. All but those few
+/// must be served in time.
+#[test]
+fn lost_dispatchers_cost_a_moment() {
+    let killed = ModelFault { from: 8.0, to: 11.0, daemons: 2, slow: None };
+    let report = ModelLoad::small(6).fault(killed).run(CallForming::OneDispatcher, SEED);
+    assert!(report.share_of_all() > 0.9, "{report:?}");
+}
+
+/// A load with a mistake in it must say where, or an experiment shows something else than was meant.
+#[test]
+fn mistakes_in_a_load_are_named() {
+    let error = |text: &str| ModelLoad::parse(text).expect_err("a mistake").to_string();
+    assert!(error("[callers]\ndaemons = many\n").contains("[callers] daemons = many"));
+    assert!(error("[pool encode]\nupstreams = 5\n").contains("[pool encode] pieces is missing"));
+    assert!(error("[callers]\ndaemons=1\nzones=1\nseconds=1\n").contains("[engines NAME]"));
+    assert!(error("[colour]\n").contains("[colour] is unknown"));
+}
