Give inputs up once they are fetched

Cause: found in the fleet model, by the fill of each second. In bursts the second pool's calls held 36 of 66 pieces while requests waited, with 3 of 8.6 MB free: memory for results bounds them. A result lay there for the whole call of the next step, though that call had fetched it at its beginning (as published), so each piece took its memory for two calls and two waits.

Change: an order for pieces names the pool of its inputs if no other step needs them. Its dispatcher gives them up 50 ms after the last call with its pieces was sent. A call that fails then finds them gone, and the request's steps are begun anew, once, as for any lost result.

--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -38,6 +38,13 @@
         /// Their results in order, or why there are none.
         outcome: Result<Vec<PlacedResult>, PieceFault>,
     },
+    /// Give up results of another pool that were fetched.
+    FreeInputs {
+        /// Pool whose upstreams hold them.
+        pool: String,
+        /// The results.
+        results: Vec<ResultHandle>,
+    },
     /// Give up results.
     Free(Vec<ResultHandle>),
     /// Ask an upstream how much of its memory for results is free.
@@ -115,6 +122,9 @@
     pub fn turn_unwanted(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in names {
+            if let Some(pool) = self.pools.get_mut(&name) {
+                pool.free_fetched(now, steps);
+            }
             let freed = self.pools.get_mut(&name).is_some_and(|pool| pool.turn_unwanted(steps));
             if freed {
                 self.turn_pool(&name, now, steps);
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
@@ -6,7 +6,7 @@
 use super::{BatchId, BatchOutcome, DeskStep, ItemOutcome, PoolWait};
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
-use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
+use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
 use crate::retry::RetryBudget;
 use crate::routing::DirectoryEntry;
 
@@ -29,6 +29,8 @@
     pub(super) told: Vec<ResultHandle>,
     /// When this dispatcher last doubted what lies at the upstreams.
     pub(super) taken_over: Option<MonotonicTime>,
+    /// Jobs all of whose pieces are in calls, with the time at which their inputs are fetched.
+    pub(super) fetching: VecDeque<(MonotonicTime, AttemptId)>,
     /// When the pool last had work here.
     pub(super) last_work: Option<MonotonicTime>,
     /// Last reckoning of how long new pieces would wait, and when it was made.
@@ -66,6 +68,7 @@
             unwanted: Vec::new(),
             told: Vec::new(),
             taken_over: None,
+            fetching: VecDeque::new(),
             last_work: None,
             last_wait: None,
             crowded_since: None,
@@ -300,6 +303,25 @@
         !self.told.is_empty() || !told.is_empty()
     }
 
+    /// Gives up the inputs of jobs that were fetched.
+    ///
+    /// An upstream fetches them at the beginning of a call, and its maker's memory bounds how full the
+    /// calls of the pool before are. Given up there and not at the end of the call, they make room
+    /// for twice as much in a burst: in a model of three heavy loads, 0.73 to 0.95, 0.83 to 0.98 and
+    /// 0.42 to 0.52 of the kind of request that passes three pools were in time. If the call fails,
+    /// its pieces find their inputs gone, and the request's steps are begun anew.
+    pub(super) fn free_fetched(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+        while let Some((_, attempt)) = self.fetching.pop_front_if(|(at, _)| *at <= now) {
+            let job = self.jobs.get(&attempt).filter(|job| job.waiting.is_empty());
+            let Some(order) = job.map(|job| &job.order) else { continue };
+            if let (Some(pool), PieceSource::Results(results)) = (&order.inputs_pool, &order.source)
+            {
+                let (pool, results) = (pool.clone(), results.clone());
+                steps.push(DeskStep::FreeInputs { pool, results });
+            }
+        }
+    }
+
     fn item_ended(
         &mut self,
         (attempt, piece): (AttemptId, u32),
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -1,6 +1,7 @@
 //! How calls are formed from the pieces that wait in a pool.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::batch_job::BatchJob;
 use super::batch_pool::OpenBatch;
@@ -9,6 +10,10 @@
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
 
+/// Time after which a call has fetched its inputs: ten megabytes take 8 ms at 10 Gbit/s, and a message
+/// a few. Short against a call, for the rest of which they would only lie in the way.
+const FETCH_TIME: Duration = Duration::from_millis(50);
+
 /// Jobs in the order in which they are served, for one turn.
 #[derive(Debug)]
 struct JobLine {
@@ -141,6 +146,9 @@
             items.extend(taken);
             if job.waiting.is_empty() {
                 self.queue.remove(&(job.rank(), *attempt));
+                if job.order.inputs_pool.is_some() {
+                    self.fetching.push_back((now + FETCH_TIME, *attempt));
+                }
             }
         }
         (items, refs, bytes)
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -135,6 +135,7 @@
                 DeskStep::Settle { attempt, pool, outcome } => {
                     self.settle(attempt, &pool, outcome, now, steps, out);
                 }
+                DeskStep::FreeInputs { pool, results } => self.free_results(&pool, results, out),
                 DeskStep::Free(results) => out.push(Command::FreeResults(results)),
                 DeskStep::AskRoom { upstream, address } => {
                     out.push(Command::Count(CounterName::RoomQuestions));
--- a/crates/crocusdale_core/src/pipeline/piece_order.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_order.rs
@@ -19,6 +19,8 @@
     pub result_bytes: u64,
     /// What the pieces are made from.
     pub source: PieceSource,
+    /// Pool whose upstreams hold the inputs, if no other step needs them.
+    pub inputs_pool: Option<String>,
     /// Zone that will use the results, if that is known.
     pub zone: Option<String>,
     /// Priority level, 0 is the most urgent.
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -42,6 +42,7 @@
             pieces: self.plan.pieces(position),
             result_bytes: self.result_bytes(position),
             source,
+            inputs_pool: self.sole_input(position),
             zone: self.heavy_zone(position),
             level: self.plan.level,
             due: self.plan.due(position),
@@ -57,6 +58,14 @@
         steps.push(ShardStep::OfferPieces { order: Box::new(order), tried, target });
     }
 
+    /// Pool that made the inputs of the step at `position`, if no other step needs them.
+    fn sole_input(&self, position: usize) -> Option<String> {
+        let steps = self.plan.pipeline.plan.steps();
+        let [earlier] = steps[position].after[..] else { return None };
+        let users = steps.iter().filter(|step| step.after.contains(&earlier)).count();
+        (users == 1).then(|| steps[earlier].stage.clone())
+    }
+
     /// Zone in which the inputs of the step at `position` lie, if they are large: each of its
     /// pieces fetches all of them.
     fn heavy_zone(&self, position: usize) -> Option<String> {
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -43,6 +43,7 @@
             left_ms: millis(self.expires.since(now)).unsigned_abs(),
             repeated: self.repeated,
             result_bytes: self.result_bytes,
+            inputs_pool: self.inputs_pool.clone().unwrap_or_default(),
         }
     }
 
@@ -66,6 +67,7 @@
             pieces: wire.pieces,
             result_bytes: wire.result_bytes,
             source,
+            inputs_pool: (!wire.inputs_pool.is_empty()).then_some(wire.inputs_pool),
             zone: (!wire.zone.is_empty()).then_some(wire.zone),
             level: u8::try_from(wire.level).unwrap_or(u8::MAX),
             due: MonotonicTime::from_start(due),
--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -122,6 +122,7 @@
             level: 1,
             due: self.now + Duration::from_millis(due_ms),
             expires: self.now + Duration::from_secs(6),
+            inputs_pool: None,
             repeated: false,
         }
     }
@@ -142,6 +143,7 @@
                     self.settled.push((attempt, outcome));
                 }
                 DeskStep::Free(_) => {}
+                DeskStep::FreeInputs { results, .. } => self.fetched.extend(results),
                 DeskStep::AskRoom { upstream, .. } => {
                     self.asked.push(upstream.clone());
                     if self.free_room.is_some() {
--- a/crates/stand_ins/tests/fleet_model_test.rs
+++ b/crates/stand_ins/tests/fleet_model_test.rs
@@ -75,6 +75,19 @@
     assert!(error("[colour]\n").contains("[colour] is unknown"));
 }
 
+/// The upstreams of the second pool have memory for the results of two full calls, and in a burst
+/// they are full of results that the third pool has fetched already. Their calls stay half empty, and
+/// requests that pass all three pools are late. Given up once they are fetched, nearly all of them
+/// are in time.
+#[test]
+fn results_that_were_fetched_make_room_in_a_burst() {
+    let small = include_str!("../loads/small.ini").replace("memory_mb = 10", "memory_mb = 8");
+    let load = ModelLoad::parse(&small).expect("a load").burst(4.0, 10.0, 1.8);
+    let report = load.run(CallForming::OneDispatcher, SEED);
+    assert!(report.share("chain") > 0.95, "{report:?}");
+    assert!(report.share("spare") > 0.5, "{report:?}");
+}
+
 /// One workspace floods the fleet for eight seconds. Whoever can't be served must hear so while
 /// there is time to go elsewhere, and must not be called back for nothing: all were held to the end
 /// of their time once, and 333 came back of whom none was served.
