Forget the time of a crowd with the crowd; say in the log who floods

A pool without a crowd told 0 s to callers of failed pieces, who would have come back at once.

Ruled out: telling the crowd's time only with late pieces (a caller of a failed piece meets the same crowd).

Change: the reckoned end is dropped once the pool is not crowded; a refusal says 0.4 s at least, as before, or what is left; `request_waits` says whether the request is of a flood.

--- a/crates/crocusdale_core/src/batching/pool_forecast.rs
+++ b/crates/crocusdale_core/src/batching/pool_forecast.rs
@@ -74,6 +74,8 @@
         let mut wait = self.reckon_wait(now);
         self.crowded_since = wait.is_crowded().then(|| self.crowded_since.unwrap_or(now));
         wait.crowded = self.crowded_since.map_or(Duration::ZERO, |since| now.since(since));
+        // Once the crowd is over, nobody need stay away for what was reckoned in it.
+        self.full_until = self.full_until.filter(|_| wait.is_crowded());
         let full = self.full_until.map_or(Duration::ZERO, |until| until.since(now));
         wait.crowded = wait.crowded.max(full);
         self.last_wait = Some((wait.clone(), now));
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -347,6 +347,8 @@
         needed_ms: u64,
         /// Milliseconds that are left of its objective.
         objective_ms: u64,
+        /// Whether its workspace sends much more than it usually does.
+        is_flood: bool,
     },
     /// An upstream is leaving.
     UpstreamLeaving {
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -37,6 +37,7 @@
                     verdict: verdict.to_string(),
                     needed_ms: millis(self.expected_way(&plan, now)),
                     objective_ms: millis(plan.objective.since(now)),
+                    is_flood: plan.is_flood,
                 })));
                 lock(&self.backlog).wait(call, plan);
             }
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -252,8 +252,9 @@
         if verdict == OutcomeKind::Refused && self.plan.forward().is_some() {
             // Whoever comes back at once meets the queue that it was refused for. If that takes
             // longer than its deadline, it is told so, and need not come back in vain.
-            let left = self.plan.deadline.since(now);
-            outcome = outcome.retry(self.retry_after.unwrap_or(left.min(COME_BACK)), true);
+            let least = self.plan.deadline.since(now).min(COME_BACK);
+            let retry_after = self.retry_after.map_or(least, |told| told.max(least));
+            outcome = outcome.retry(retry_after, true);
         }
         outcome.stage = stage;
         outcome.stages = std::mem::take(&mut self.costs);
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -87,11 +87,11 @@
             StateChange::DirectoryTaken { revision, upstreams } => {
                 info!(log, "{}", name; "revision" => revision, "upstreams" => upstreams);
             }
-            StateChange::RequestWaits { request, verdict, needed_ms, objective_ms } => {
+            StateChange::RequestWaits { request, verdict, needed_ms, objective_ms, is_flood } => {
                 info!(log, "{}", name;
                     "request" => &request.key, "workspace" => &request.workspace,
                     "verdict" => verdict, "needed_ms" => needed_ms,
-                    "objective_ms" => objective_ms);
+                    "objective_ms" => objective_ms, "flood" => is_flood);
             }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
