--- /dev/null
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -0,0 +1,250 @@
+//! One daemon that passes callers' own requests on, with every message in the hands of a test.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crocusdale_core::batching::{BatchOrder, BatchOutcome, ItemOutcome};
+use crocusdale_core::configuration::{
+    BatchRules, ConfigurationError, Declarations, DeclarationsBuilder, EngineRules, ForwardRules,
+    LabelSelector, LabelSet, PipelineRules, PlanStep, PoolKind, RepeatRule, StagePlan, StageRules,
+    StepWork, WeightedPool, WorkspaceRules,
+};
+use crocusdale_core::daemon::{Command, DaemonEvent, TimerKey};
+use crocusdale_core::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
+use crocusdale_core::membership::{MemberCapacity, MemberPlace};
+use crocusdale_core::pipeline::{
+    AnswerHead, AttemptEvent, CallerRequest, EngineDemand, FinalAnswer, ForwardHead, OutcomeKind,
+    PromptPart, RefusalReason, RelayOrder, RequestContent, ResultHandle, RunProof,
+};
+use crocusdale_core::retry::RetryLimits;
+use crocusdale_core::routing::DirectoryEntry;
+use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
+
+pub const HOST: &str = "mail.example";
+
+pub fn read(_: &str, _: &str) -> Result<Declarations, Vec<ConfigurationError>> {
+    let stage = |kind| StageRules::published(kind, None);
+    let batch = BatchRules {
+        slots: 1,
+        pieces: 20,
+        call_time: Duration::from_millis(200),
+        piece_time: Duration::from_millis(5),
+        result_bytes: 50_000_000,
+        result_life: Duration::from_secs(4),
+    };
+    let engine = EngineRules { slots: 64, token_memory: 500_000 };
+    let forward =
+        |step: &str, after| PlanStep { stage: step.to_owned(), after, work: StepWork::Forward };
+    let scan = PlanStep {
+        stage: "scan".to_owned(),
+        after: Vec::new(),
+        work: StepWork::Batched { result_bytes: 1_000 },
+    };
+    let workspace =
+        WorkspaceRules { labels: LabelSet::default(), concurrency: u32::MAX, level: None };
+    Ok(DeclarationsBuilder::new("test", Duration::from_secs(1))
+        .stage("notify", stage(PoolKind::Plain))
+        .stage("scan", stage(PoolKind::Batch(batch)))
+        .stage("reader", stage(PoolKind::Engine(engine)))
+        .workspace("letters", workspace, ["secret".to_owned()])
+        .route(HOST, "/ask/", pipeline(RepeatRule::Idempotent, vec![forward("notify", vec![])]))
+        .route(HOST, "/shred/", pipeline(RepeatRule::AtMostOnce, vec![forward("notify", vec![])]))
+        .route(HOST, "/tell/", pipeline(RepeatRule::Stream, vec![forward("reader", vec![])]))
+        .route(
+            HOST,
+            "/digest/",
+            pipeline(RepeatRule::ResumableStream, vec![scan, forward("reader", vec![0])]),
+        )
+        .build())
+}
+
+pub fn pipeline(repeat: RepeatRule, steps: Vec<PlanStep>) -> PipelineRules {
+    let pool = steps.last().map(|step| step.stage.clone()).unwrap_or_default();
+    PipelineRules {
+        name: repeat.to_string(),
+        when: LabelSelector::default(),
+        plan: StagePlan::new(steps).expect("steps need earlier ones only"),
+        repeatable: repeat.is_repeatable(),
+        forward: Some(ForwardRules {
+            repeat,
+            timeout: Duration::from_secs(30),
+            objective: Duration::from_millis(900),
+            level: 1,
+            attempts: 2,
+            pools: vec![WeightedPool { pool, weight: 1 }],
+            public: false,
+        }),
+    }
+}
+
+/// One daemon on a virtual clock, with every message in the hands of the test.
+pub struct Daemon {
+    pub core: DaemonCore,
+    pub now: MonotonicTime,
+    pub timers: BTreeMap<(MonotonicTime, u64), TimerKey>,
+    pub sequence: u64,
+    pub relays: Vec<RelayOrder>,
+    pub batches: Vec<BatchOrder>,
+    pub passed_on: Vec<AttemptId>,
+    pub cancelled: Vec<AttemptId>,
+    pub answers: Vec<(CallId, FinalAnswer)>,
+    /// Deadline of the requests to come.
+    pub deadline: Duration,
+}
+
+impl Daemon {
+    pub fn new() -> Self {
+        let now = MonotonicTime::from_millis(0);
+        let address = "127.0.0.1:1".parse().expect("an address");
+        let published = PublishedFleet {
+            place: MemberPlace {
+                zone: "a".to_owned(),
+                caller: address,
+                peer: address,
+                capacity: MemberCapacity::new(1.0, 1_000.0),
+            },
+            seeds: Vec::new(),
+            reader: read,
+            retries: RetryLimits::default(),
+            grace: Duration::from_secs(8),
+        };
+        let own = InstanceId::new("entry-a1", 7);
+        let core = DaemonCoreBuilder::new(own, "a").published(published).seed(1).build(now);
+        let mut daemon = Self {
+            core,
+            now,
+            timers: BTreeMap::new(),
+            sequence: 0,
+            relays: Vec::new(),
+            batches: Vec::new(),
+            passed_on: Vec::new(),
+            cancelled: Vec::new(),
+            answers: Vec::new(),
+            deadline: Duration::from_secs(2),
+        };
+        let mut commands = Vec::new();
+        daemon.core.start(now, &mut commands);
+        daemon.take(commands);
+        daemon.feed(DaemonEvent::ConfigurationWatched(Some((1, "first".to_owned()))));
+        daemon.publish(&["n1", "n2"], &[]);
+        daemon.advance(3_000);
+        assert!(daemon.core.is_ready());
+        daemon
+    }
+
+    /// Publishes plain upstreams, some of which leave, beside two of each other pool.
+    pub fn publish(&mut self, plain: &[&str], leaving: &[&str]) {
+        let others = [("s1", "scan"), ("s2", "scan"), ("r1", "reader"), ("r2", "reader")];
+        let plain = plain.iter().map(|id| (*id, "notify"));
+        let entries = plain.chain(others).map(|(id, pool)| {
+            let entry = DirectoryEntry {
+                id: id.to_owned(),
+                pool: pool.to_owned(),
+                address: "127.0.0.1:9".parse().expect("an address"),
+                zone: "a".to_owned(),
+                slots: 8,
+                leaving: leaving.contains(&id),
+            };
+            (1 + self.now.since_start().as_millis() as u64, entry)
+        });
+        let entries = entries.collect();
+        let revision = 1 + self.now.since_start().as_millis() as u64;
+        self.feed(DaemonEvent::DirectoryRead { revision, entries });
+    }
+
+    pub fn feed(&mut self, event: DaemonEvent) {
+        let mut commands = Vec::new();
+        self.core.handle(event, self.now, &mut commands);
+        self.take(commands);
+    }
+
+    pub fn take(&mut self, commands: Vec<Command>) {
+        for command in commands {
+            match command {
+                Command::Relay(order) => self.relays.push(order),
+                Command::CallBatch(order) => self.batches.push(order),
+                Command::PassOn { attempt, .. } => self.passed_on.push(attempt),
+                Command::Cancel(attempt) => self.cancelled.push(attempt),
+                Command::Reply { call, answer } => self.answers.push((call, answer)),
+                Command::SetTimer { timer, at } => {
+                    self.sequence += 1;
+                    self.timers.insert((at, self.sequence), timer);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn advance(&mut self, millis: u64) {
+        let until = self.now + Duration::from_millis(millis);
+        while let Some((rank, timer)) =
+            self.timers.first_key_value().map(|(rank, timer)| (*rank, *timer))
+        {
+            if rank.0 > until {
+                break;
+            }
+            self.timers.remove(&rank);
+            self.now = self.now.max(rank.0);
+            self.feed(DaemonEvent::Timer(timer));
+        }
+        self.now = until;
+    }
+
+    pub fn submit(&mut self, path: &str) -> CallId {
+        self.submit_with(path, Some("secret"))
+    }
+
+    pub fn submit_with(&mut self, path: &str, access: Option<&str>) -> CallId {
+        self.sequence += 1;
+        let key = RequestKey::new("", format!("try-{}", self.sequence));
+        let parts = vec![PromptPart { id: 5, tokens: 900 }, PromptPart { id: 6, tokens: 100 }];
+        let demand = EngineDemand { parts, prompt_tokens: 1_000, output_tokens: 50 };
+        let head = ForwardHead {
+            host: HOST.to_owned(),
+            path: path.to_owned(),
+            access: access.map(str::to_owned),
+            pieces: vec![3],
+            piece_source: "envelope".to_owned(),
+            demand: path.starts_with("/digest/").then(|| Arc::new(demand)),
+        };
+        let request = CallerRequest {
+            key: key.clone(),
+            labels: LabelSet::default(),
+            deadline: self.deadline,
+            repeatable: false,
+            stream: false,
+            age: Duration::ZERO,
+            ticket: None,
+            content: RequestContent::Forward(Box::new(head)),
+        };
+        let call = self.core.open_call(&key);
+        self.feed(DaemonEvent::Submitted { call, request: Box::new(request) });
+        call
+    }
+
+    pub fn attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
+        self.feed(DaemonEvent::Attempt { attempt, event });
+    }
+
+    pub fn headed(&mut self, attempt: AttemptId, status: u16, proof: RunProof) {
+        self.attempt(attempt, AttemptEvent::Headed(AnswerHead { status, proof }));
+    }
+
+    pub fn make_pieces(&mut self) {
+        let order = self.batches.remove(0);
+        let items = (0..order.items.len())
+            .map(|index| ItemOutcome::Made(ResultHandle::new(&format!("127.0.0.1:9/{index}"))));
+        let outcome = BatchOutcome::Answered(items.collect());
+        self.feed(DaemonEvent::BatchEnded { batch: order.batch, outcome });
+    }
+
+    pub fn last_relay(&self) -> RelayOrder {
+        self.relays.last().expect("the request was sent on").clone()
+    }
+
+    pub fn answer(&self, call: CallId) -> Option<(OutcomeKind, Option<RefusalReason>)> {
+        let found = self.answers.iter().find(|(answered, _)| *answered == call);
+        found.map(|(_, answer)| (answer.kind, answer.reason))
+    }
+}
--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small fakes of what stands around crocusdale: the platform, upstreams, a path that loses its
-//! connections, and callers. They run inside a test or, as examples, as processes of their own.
+//! connections, and callers. They run inside a test or, as examples, as processes of their own. A
+//! model of a whole fleet runs in virtual time instead, for comparing decisions ([`ModelLoad`]).
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
