Read on behind the refusal of a body that is too large

Cause: the daemon answered 413 as soon as the limit was passed and closed with bytes unread. Ruled out: waiting with the answer until all was read (a refusal goes out at once). Bodies of upstreams' answers are read as before. Test: a caller that writes on after the first byte of the answer, twenty times in one run.

--- a/crates/crocusdaled/src/http/mod.rs
+++ b/crates/crocusdaled/src/http/mod.rs
@@ -3,5 +3,5 @@
 mod body_reader;
 mod http_listener;
 
-pub use body_reader::{BodyFault, read_body};
+pub use body_reader::{BodyFault, read_body, read_caller_body};
 pub use http_listener::{HttpListener, HttpListenerBuilder};
--- a/crates/crocusdaled/src/service/caller_service.rs
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -20,7 +20,7 @@
 use super::OpenCall;
 use super::answer_response::{answer_response, refusal_response, stream_response};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::http::{BodyFault, read_body};
+use crate::http::{BodyFault, read_caller_body};
 
 /// When a caller is told to ask a daemon for addresses again that has just started.
 const READY_RETRY: Duration = Duration::from_millis(1_000);
@@ -159,7 +159,7 @@
     }
 
     async fn read(&self, body: Body) -> Result<CallerRequest, Box<FinalOutcome>> {
-        let read = tokio::time::timeout(self.body_time, read_body(body, self.body_bytes));
+        let read = tokio::time::timeout(self.body_time, read_caller_body(body, self.body_bytes));
         let body = match read.await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyFault::TooLarge)) => {
--- a/crates/crocusdaled/tests/bad_input_test.rs
+++ b/crates/crocusdaled/tests/bad_input_test.rs
@@ -75,6 +75,42 @@
     Ok(())
 }
 
+// A user uploads a scan that is too large. The daemon says so while the upload still goes on, and the
+// user must read that answer: a daemon that closes with bytes unread resets the connection, the
+// upload breaks with a broken pipe, and the answer is lost on its way.
+#[tokio::test]
+async fn refusal_of_a_large_body_reaches_a_caller_that_still_writes() -> Result<()> {
+    let (_upstreams, fleet) = deployment(1).await?;
+    let address = fleet.daemons[0].caller;
+    tokio::task::spawn_blocking(move || {
+        for round in 0..20 {
+            let answer = answer_amid_upload(address)?;
+            assert!(answer.starts_with("HTTP/1.1 413"), "round {round}: {answer}");
+        }
+        Ok(())
+    })
+    .await?
+}
+
+/// Sends a body above the limit, waits for the first bytes of the answer, sends the rest, and then
+/// reads the answer.
+fn answer_amid_upload(address: SocketAddr) -> Result<String> {
+    let head =
+        format!("POST /v1/requests HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n", 4 << 20);
+    let piece = vec![b'x'; 1 << 20];
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(LET_GO))?;
+    stream.write_all(head.as_bytes())?;
+    stream.write_all(&piece)?;
+    stream.write_all(&piece)?;
+    stream.peek(&mut [0])?;
+    stream.write_all(&piece)?;
+    stream.write_all(&piece)?;
+    let mut answer = [0; 1_024];
+    let count = stream.read(&mut answer)?;
+    Ok(String::from_utf8_lossy(&answer[..count]).into_owned())
+}
+
 /// Sends `start`, and then without end if `endless`, until the other end answers or closes.
 fn until_closed(address: SocketAddr, start: &[u8], endless: bool) -> Result<String> {
     let mut stream = TcpStream::connect(address)?;
