End a stream with its last event after an upstream that ran nothing

Cause: an upstream that answered 'wrong process', 'full' or 'an input is gone' left its attempt waiting for the word that its answer is wanted, which never came. The attempt kept the call, and with it a sender of the events that another attempt passed on to the caller: the caller had every event, and waited for the end until its deadline. The log said 'answered'. Ruled out: lost answers, links that went silent (both engines and links were sound in that time). Change: an attempt whose upstream ran nothing ends with that news; and the way of the events is closed with the final answer, whoever holds its other end. Test: with each of the two answers, a stream that waited 20 s for its end without the change.

--- a/crates/crocusdaled/src/forwarding/forward_service.rs
+++ b/crates/crocusdaled/src/forwarding/forward_service.rs
@@ -21,7 +21,7 @@
 use super::relay_call::RelayCall;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::http::{BodyFault, read_body};
+use crate::http::{BodyFault, read_caller_body};
 use crate::service::OpenCall;
 
 /// Passes callers' requests through to upstreams.
@@ -87,7 +87,7 @@
     async fn read(&self, body: Body) -> Result<Bytes, RefusalReason> {
         let declared = self.engine.core.caller_limits().map_or(0, |limits| limits.body_bytes);
         let limit = self.body_bytes.max(declared);
-        let read = tokio::time::timeout(self.body_time, read_body(body, limit));
+        let read = tokio::time::timeout(self.body_time, read_caller_body(body, limit));
         match read.await {
             Ok(Ok(body)) => Ok(body),
             Ok(Err(BodyFault::TooLarge)) => Err(RefusalReason::TooLarge),
@@ -162,7 +162,10 @@
     fn take_end(&mut self, reply: Option<CallReply>) -> Result<(), AnswerBrokenOff> {
         match reply {
             Some(CallReply::Final(answer)) if answer.kind == OutcomeKind::Answered => {
+                // The last event was sent before the core heard of the end. Closed here, the answer
+                // ends with it, whoever else still holds the other end of the way.
                 self.whole = true;
+                self.events.close();
                 Ok(())
             }
             _ => Err(AnswerBrokenOff),
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -137,6 +137,11 @@
     };
     let body = body.to_bytes();
     pool.give_back(connection, &parts.headers, order.kept_connections);
+    if head.head.proof != RunProof::Ran {
+        // Nobody ever wants this answer passed on. An attempt that waited for it would keep its
+        // call, and with it the way of another attempt's events to the caller, open for good.
+        return Some(AttemptEvent::Headed(head.head));
+    }
     engine.feed(DaemonEvent::Attempt { attempt, event: AttemptEvent::Headed(head.head) });
     wanted.await.ok()?;
     let (status, headers) = (parts.status, head.headers);
--- a/crates/crocusdaled/tests/published_platform_test.rs
+++ b/crates/crocusdaled/tests/published_platform_test.rs
@@ -109,6 +109,30 @@
     Ok(())
 }
 
+/// A user sees every word of the answer, and then waits for its end until the deadline passes. The
+/// engine that was asked first had moved, or had lost an input, and said that it ran nothing; the
+/// other one ran the request to its end. The first attempt was never closed, and kept the way of the
+/// events to the caller open.
+#[tokio::test]
+async fn stream_ends_with_its_last_event_after_an_engine_ran_nothing() -> Result<()> {
+    let fleet = fleet(1).await?;
+    let caller = fleet.daemons[0].caller;
+    for index in 0..40 {
+        IngressCaller::once(caller, &digest(&format!("earlier{index}"))).await?;
+    }
+    for (fault, attempt) in [(WorkerFault::Misplaced, "moved"), (WorkerFault::InputGone, "gone")] {
+        set_fault(&fleet.engines, WorkerFault::None);
+        let seen = |engine: &WorkerStandIn| engine.seen().len();
+        let before: Vec<usize> = fleet.engines.iter().map(seen).collect();
+        IngressCaller::once(caller, &digest(&format!("before-{attempt}"))).await?;
+        let used = fleet.engines.iter().zip(before).position(|(each, before)| seen(each) > before);
+        fleet.engines[used.unwrap_or(0)].set_fault(fault);
+        let answer = IngressCaller::once(caller, &digest(attempt)).await?;
+        assert_eq!((answer.status, answer.body, answer.whole), (200, events(0), true), "{fault:?}");
+    }
+    Ok(())
+}
+
 /// Both engines break off. What the caller has is a part, and must not look like the whole.
 #[tokio::test]
 async fn stream_that_nobody_finishes_looks_broken() -> Result<()> {
