Tell the lives of an upstream apart; let foreign entries name nobody

(a) An upstream may start again under the id that it had, and holds nothing of before; 'born' tells its lives apart. Cause of the faults that this would make: everything known of an upstream is kept by its id: notice of leaving (never taken back), ejection, pace, room, engine load, open calls. Change: inside, a life is known by id and birth, so that the next one begins with nothing; only the adapter sends the bare id. What an earlier life wrote late is ignored, its open calls of pieces are lost at once, and idle connections to it are closed. Ruled out: resetting each of those parts when a birth changes (a case in each, and the next part forgets it); cutting forwarded requests at an ended life (a ready answer may be on its way). (b) Entries of other writers: one undecodable value made the whole page unreadable, and with it all upstreams.

--- a/crates/crocusdale_core/src/batching/batch_call.rs
+++ b/crates/crocusdale_core/src/batching/batch_call.rs
@@ -12,8 +12,10 @@
 pub struct BatchOrder {
     /// Identity of the call.
     pub batch: BatchId,
-    /// Name of the upstream; whoever else listens at its address must not run the call.
+    /// Name of the upstream.
     pub upstream: String,
+    /// Identity of its process; whoever else listens at its address must not run the call.
+    pub process: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// The pieces.
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
@@ -97,12 +97,29 @@
         }
         for entry in entries {
             let fresh = || BatchWorker::new(entry, now);
-            let worker = self.workers.entry(entry.id.clone()).or_insert_with(fresh);
+            let worker = self.workers.entry(entry.name()).or_insert_with(fresh);
             worker.staying = !entry.leaving;
         }
+        self.lose_ended_lives(now);
         self.workers.retain(|_, worker| worker.staying || worker.open > 0);
     }
 
+    /// Calls of a process that has started again are lost, with whatever they made.
+    ///
+    /// Guards against a call that nobody works on any more: if the VM of the process lost its power,
+    /// the connection stays silent, and the call's pieces would wait for its patience to end.
+    fn lose_ended_lives(&mut self, now: MonotonicTime) {
+        let staying = self.workers.values().filter(|worker| worker.staying);
+        let living: HashSet<&str> = staying.map(|worker| worker.process.as_str()).collect();
+        let has_ended = |upstream: &String| {
+            let worker = self.workers.get(upstream);
+            worker.is_some_and(|each| !each.staying && living.contains(each.process.as_str()))
+        };
+        for open in self.open.values_mut().filter(|open| has_ended(&open.upstream)) {
+            open.lost_at = now;
+        }
+    }
+
     /// Whether `upstream` belongs to the pool.
     #[must_use]
     pub fn has_upstream(&self, upstream: &str) -> bool {
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -32,6 +32,8 @@
 /// One upstream of a batched pool, as its dispatcher knows it.
 #[derive(Debug)]
 pub(super) struct BatchWorker {
+    /// Identity that its process answers to.
+    pub(super) process: String,
     pub(super) address: SocketAddr,
     pub(super) zone: String,
     /// Whether it gets new calls.
@@ -52,6 +54,7 @@
 impl BatchWorker {
     pub(super) fn new(entry: &DirectoryEntry, now: MonotonicTime) -> Self {
         Self {
+            process: entry.id.clone(),
             address: entry.address,
             zone: entry.zone.clone(),
             staying: !entry.leaving,
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -62,13 +62,13 @@
         let lost_at = now + worker.patience(&self.rules, pieces, now);
         worker.begin(&self.rules, pieces, now);
         worker.room.reserve(bytes);
-        let address = worker.address;
+        let (process, address) = (worker.process.clone(), worker.address);
         let batch = next();
         let upstream = upstream.to_owned();
         let open =
             OpenBatch { upstream: upstream.clone(), since: now, lost_at, bytes, items: refs };
         self.open.insert(batch, open);
-        Some(BatchOrder { batch, upstream, address, items })
+        Some(BatchOrder { batch, upstream, process, address, items })
     }
 
     /// Jobs in the order in which they are served: first those that can still be in time, and those
--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -79,6 +79,8 @@
 pub struct UpstreamRules {
     /// Name of the upstream.
     pub name: String,
+    /// Identity that its process answers to; the name unless the platform publishes another.
+    pub process: String,
     /// VM on which it runs.
     pub vm: String,
     /// Availability zone.
@@ -362,6 +364,7 @@
         }
         upstreams.push(UpstreamRules {
             name: section.name.clone(),
+            process: section.name.clone(),
             vm: section.owned("vm"),
             zone: section.owned("zone"),
             kind,
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -81,6 +81,8 @@
     },
     /// Close all idle connections to an upstream.
     Distrust(String),
+    /// Close the idle connections to an address whose process has started again.
+    ForgetConnections(SocketAddr),
     /// Ask a witness to claim `key` for this process, or to bury it.
     Register {
         /// Call that the reply goes to.
@@ -286,6 +288,8 @@
     ConfigurationConflicts,
     /// Reads of the platform that failed.
     PlatformReadsFailed,
+    /// Items of the platform's store that could not be read.
+    StoreItemsUnreadable,
     /// Orders given to engines.
     OrdersGiven,
     /// Orders that an engine refused, for its fencing number or another cause.
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -132,7 +132,9 @@
     /// The published upstreams were read or heard of.
     pub(super) fn directory_read(&self, changed: bool, now: MonotonicTime, out: &mut Vec<Command>) {
         let (revision, current) = {
-            let state = lock(&self.state.directory);
+            let mut state = lock(&self.state.directory);
+            let restarted = state.directory.take_restarted();
+            out.extend(restarted.into_iter().map(Command::ForgetConnections));
             let known = u64::from(state.directory.is_known());
             (state.directory.changed().max(known), state.current())
         };
--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -35,8 +35,10 @@
 pub struct RelayOrder {
     /// Identity of the attempt.
     pub attempt: AttemptId,
-    /// Name of the upstream; whoever else listens at its address must not run the request.
+    /// Name of the upstream.
     pub upstream: String,
+    /// Identity of its process; whoever else listens at its address must not run the request.
+    pub process: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// Workspace of the caller, if it showed an access key.
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -17,6 +17,7 @@
         RelayOrder {
             attempt,
             upstream: grant.upstream.clone(),
+            process: grant.process.clone(),
             address: grant.address,
             workspace: (!workspace.is_empty()).then(|| workspace.clone()),
             inputs: self.results().iter().map(|result| result.handle.clone()).collect(),
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -8,8 +8,11 @@
 /// One process of an upstream, as the platform publishes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DirectoryEntry {
-    /// Identity of the process; unlike that of any other.
+    /// Identity of the process. A process may start again under the one that it had.
     pub id: String,
+    /// When the process started, in milliseconds since the Unix epoch, if the platform says it. Tells
+    /// its lives apart.
+    pub born: Option<u64>,
     /// Pool that it belongs to.
     pub pool: String,
     /// Where it listens.
@@ -22,6 +25,21 @@
     pub leaving: bool,
 }
 
+impl DirectoryEntry {
+    /// Name under which one life of the process is known, unlike that of any other.
+    ///
+    /// Guards against a process that starts again under its id: it holds nothing of what the one
+    /// before it held, and whatever was learned or believed of that one (open calls, room, pace,
+    /// cached prompts, ejection, leaving) would be taken for its own.
+    #[must_use]
+    pub fn name(&self) -> String {
+        match self.born {
+            Some(born) => format!("{} born {born}", self.id),
+            None => self.id.clone(),
+        }
+    }
+}
+
 /// Upstreams that the platform publishes, as far as this daemon has read or heard.
 ///
 /// Each entry keeps the revision of its last change, so that what a peer tells late never goes
@@ -33,10 +51,12 @@
     /// Revision of the last change that matters to routing.
     changed: u64,
     entries: BTreeMap<String, (u64, DirectoryEntry)>,
-    /// Removed upstreams with the revision of their removal.
-    removed: BTreeMap<String, u64>,
+    /// Removed upstreams with the revision of their removal and their last life.
+    removed: BTreeMap<String, (u64, Option<u64>)>,
     /// Upstreams that are missing from the list since it is back, until when they are waited for.
     missing: BTreeMap<String, MonotonicTime>,
+    /// Where processes listened that have started again since this was last asked.
+    restarted: Vec<SocketAddr>,
 }
 
 impl UpstreamDirectory {
@@ -101,6 +121,13 @@
         !over.is_empty()
     }
 
+    /// Where processes listened that have started again since the last call: connections that are
+    /// left to them are broken, or silent if their VM lost its power.
+    #[must_use]
+    pub fn take_restarted(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.restarted)
+    }
+
     /// All entries with their revisions, for a peer that lacks them.
     #[must_use]
     pub fn snapshot(&self) -> Vec<(u64, DirectoryEntry)> {
@@ -108,16 +135,26 @@
     }
 
     fn put(&mut self, written: u64, entry: DirectoryEntry) -> bool {
-        self.missing.remove(&entry.id);
-        if self.removed.get(&entry.id).is_some_and(|removed| *removed > written) {
+        if self.removed.get(&entry.id).is_some_and(|(removed, _)| *removed > written) {
             return false;
         }
         let known = self.entries.get(&entry.id);
         if known.is_some_and(|(revision, _)| *revision > written) {
             return false;
         }
+        // What an earlier life wrote may reach the platform behind what a later one wrote.
+        let last_life = known.map(|(_, known)| known.born);
+        let last_life = last_life.max(self.removed.get(&entry.id).map(|(_, born)| *born));
+        if last_life.is_some_and(|last| entry.born < last) {
+            return false;
+        }
+        self.missing.remove(&entry.id);
+        let known = self.entries.get(&entry.id);
+        if let Some((_, ended)) = known.filter(|(_, known)| known.born < entry.born) {
+            self.restarted.push(ended.address);
+        }
         // A process that leaves never stays after all: news from before its notice came late.
-        let leaves = known.is_some_and(|(_, known)| known.leaving);
+        let leaves = known.is_some_and(|(_, known)| known.leaving && known.born == entry.born);
         let late = leaves && !entry.leaving;
         let changed = !late && known.is_none_or(|(_, known)| *known != entry);
         if changed {
@@ -144,7 +181,9 @@
     }
 
     fn remove(&mut self, id: &str, revision: u64) -> bool {
-        self.removed.insert(id.to_owned(), revision);
+        let born = self.entries.get(id).and_then(|(_, entry)| entry.born);
+        let last = self.removed.get(id).and_then(|(_, born)| *born);
+        self.removed.insert(id.to_owned(), (revision, born.max(last)));
         let known = self.entries.get(id).is_some_and(|(written, _)| *written <= revision);
         if known {
             self.entries.remove(id);
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -70,6 +70,8 @@
     pub request: SlotRequest,
     /// Name of the upstream.
     pub upstream: String,
+    /// Identity that its process answers to.
+    pub process: String,
     /// Where it listens.
     pub address: SocketAddr,
     /// Shortest time in which it has answered of late.
@@ -428,6 +430,7 @@
             kept_connections,
             request,
             upstream: upstream.rules.name.clone(),
+            process: upstream.rules.process.clone(),
             address: upstream.rules.address,
         }
     }
@@ -481,7 +484,8 @@
     };
     let staying = directory.entries().filter(move |entry| entry.pool == stage && !entry.leaving);
     staying.map(move |entry| UpstreamRules {
-        name: entry.id.clone(),
+        name: entry.name(),
+        process: entry.id.clone(),
         vm: String::new(),
         zone: entry.zone.clone(),
         kind,
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -145,6 +145,7 @@
             slots: self.slots,
             leaving: self.leaving,
             revision,
+            born: self.born,
         }
     }
 }
@@ -160,6 +161,7 @@
             zone: wire.zone,
             slots: wire.slots,
             leaving: wire.leaving,
+            born: wire.born,
         })
     }
 }
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -162,6 +162,7 @@
             }
             Command::ReadDirectory => self.platform.read_directory(self),
             Command::Distrust(upstream) => self.upstreams.distrust(&upstream),
+            Command::ForgetConnections(address) => self.connections.forget(address),
             Command::SetTimer { timer, at } => self.timers.set(timer, at),
             Command::Count(counter) => self.telemetry.count(counter),
             Command::Note(change) => self.telemetry.note(&change),
--- a/crates/crocusdaled/src/platform/mod.rs
+++ b/crates/crocusdaled/src/platform/mod.rs
@@ -3,6 +3,7 @@
 mod platform_reader;
 mod service_reader;
 mod store_reader;
+mod unreadable_items;
 
 pub use platform_reader::PlatformReader;
 pub use service_reader::ServiceReader;
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -8,13 +8,14 @@
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::sync::lock;
 use crocusdale_platform::store::{
-    StoreChange, StoreFault, StoreItem, StorePart, is_configuration, read_changes,
+    StoreChange, StoreChanges, StoreFault, StoreItem, StorePart, is_configuration, read_changes,
     read_configuration, read_page, read_upstream,
 };
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
 use slog::warn;
 
+use super::unreadable_items::UnreadableItems;
 use crate::engine::DaemonEngine;
 use crate::upstream::{ConnectionPool, SendFault};
 
@@ -41,6 +42,8 @@
     position: Arc<AtomicU64>,
     /// When the configuration was last read whole.
     whole_read: Arc<Mutex<Option<Instant>>>,
+    /// Published upstreams that can't be read.
+    unreadable: Arc<UnreadableItems>,
 }
 
 /// Why the store could not be read.
@@ -64,6 +67,14 @@
     }
 }
 
+/// What one reading of a part found.
+struct WholeRead {
+    /// Revision of the store.
+    revision: u64,
+    items: Vec<StoreItem>,
+    unreadable: Vec<StoreFault>,
+}
+
 impl StoreReader {
     /// Reads from `store`.
     #[must_use]
@@ -73,6 +84,7 @@
             connections: Arc::default(),
             position: Arc::default(),
             whole_read: Arc::default(),
+            unreadable: Arc::default(),
         }
     }
 
@@ -97,9 +109,16 @@
         let (reader, engine) = (self.handle(), Arc::clone(engine));
         tokio::spawn(async move {
             let event = match reader.read_whole(StorePart::Upstreams).await {
-                Ok((revision, items)) => {
-                    let read = items.iter().map(|item| Ok((item.revision, read_upstream(item)?)));
-                    DaemonEvent::DirectoryRead { revision, entries: readable(&engine, read) }
+                Ok(WholeRead { revision, items, mut unreadable }) => {
+                    let mut entries = Vec::with_capacity(items.len());
+                    for item in &items {
+                        match read_upstream(item) {
+                            Ok(entry) => entries.push((item.revision, entry)),
+                            Err(fault) => unreadable.push(fault),
+                        }
+                    }
+                    reader.unreadable.note(&engine.telemetry, unreadable);
+                    DaemonEvent::DirectoryRead { revision, entries }
                 }
                 Err(fault) => {
                     reader.report(&engine, StorePart::Upstreams, &fault);
@@ -116,6 +135,7 @@
             connections: Arc::clone(&self.connections),
             position: Arc::clone(&self.position),
             whole_read: Arc::clone(&self.whole_read),
+            unreadable: Arc::clone(&self.unreadable),
         }
     }
 
@@ -123,18 +143,21 @@
         let position = self.position.load(Ordering::Relaxed);
         let read = *lock(&self.whole_read);
         let due = read.is_none_or(|read| read.elapsed() >= WHOLE_READ_PERIOD);
-        let items = if position == 0 || due {
-            let items = self.read_whole(StorePart::Configuration).await?;
+        let read = if position == 0 || due {
+            let read = self.read_whole(StorePart::Configuration).await?;
             *lock(&self.whole_read) = Some(Instant::now());
-            items
+            read
         } else {
             match self.watch(StorePart::Configuration, position, CONFIGURATION_HOLD).await {
-                Ok((revision, changes)) => (revision, written(changes)),
+                Ok(read) => read,
                 Err(ReadFault::HistoryGone) => self.read_whole(StorePart::Configuration).await?,
                 Err(fault) => return Err(fault),
             }
         };
-        let (revision, items) = items;
+        let WholeRead { revision, items, unreadable } = read;
+        if let Some(fault) = unreadable.into_iter().find(|fault| is_configuration(&fault.key)) {
+            return Err(ReadFault::Unreadable(fault));
+        }
         let newest = items.iter().rfind(|item| is_configuration(&item.key));
         let news = newest.map(read_configuration).transpose().map_err(ReadFault::Unreadable)?;
         self.position.store(revision, Ordering::Relaxed);
@@ -143,8 +166,8 @@
 
     /// Reads a part whole. Pages are no snapshot: what changes meanwhile is seen by a watch from
     /// the revision of the first page.
-    async fn read_whole(&self, part: StorePart) -> Result<(u64, Vec<StoreItem>), ReadFault> {
-        let mut items = Vec::new();
+    async fn read_whole(&self, part: StorePart) -> Result<WholeRead, ReadFault> {
+        let (mut items, mut unreadable) = (Vec::new(), Vec::new());
         let mut first_revision = None;
         let mut after: Option<String> = None;
         for _ in 0..PAGES {
@@ -153,12 +176,14 @@
             let page = page.map_err(ReadFault::Unreadable)?;
             first_revision.get_or_insert(page.revision);
             items.extend(page.items);
+            unreadable.extend(page.unreadable);
             after = page.next;
             if after.is_none() {
                 break;
             }
         }
-        Ok((first_revision.unwrap_or_default(), items))
+        let revision = first_revision.unwrap_or_default();
+        Ok(WholeRead { revision, items, unreadable })
     }
 
     async fn watch(
@@ -166,11 +191,12 @@
         part: StorePart,
         revision: u64,
         hold: Duration,
-    ) -> Result<(u64, Vec<StoreChange>), ReadFault> {
+    ) -> Result<WholeRead, ReadFault> {
         let path = part.watch_path(revision, hold);
         let body = self.get(&path, hold + ANSWER_PATIENCE).await?;
-        let changes = read_changes(&body).map_err(ReadFault::Unreadable)?;
-        Ok((changes.revision, changes.changes))
+        let read = read_changes(&body).map_err(ReadFault::Unreadable)?;
+        let StoreChanges { changes, unreadable, revision } = read;
+        Ok(WholeRead { revision, items: written(changes), unreadable })
     }
 
     async fn get(&self, path: &str, patience: Duration) -> Result<Bytes, ReadFault> {
@@ -209,18 +235,3 @@
     };
     changes.into_iter().filter_map(item).collect()
 }
-
-/// Keeps what could be read; an item that could not be is reported, and what was known of it stays.
-fn readable<T>(
-    engine: &DaemonEngine,
-    items: impl Iterator<Item = Result<T, StoreFault>>,
-) -> Vec<T> {
-    let kept = items.filter_map(|item| match item {
-        Ok(item) => Some(item),
-        Err(fault) => {
-            warn!(engine.telemetry.log, "store_item_unreadable"; "cause" => fault.to_string());
-            None
-        }
-    });
-    kept.collect()
-}
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -92,7 +92,7 @@
 
 async fn work(engine: &Arc<DaemonEngine>, order: &BatchOrder) -> BatchOutcome {
     let body = work_body(order, engine.now());
-    let request = post(WORK_PATH, order.address, work_headers(&order.upstream), body);
+    let request = post(WORK_PATH, order.address, work_headers(&order.process), body);
     let connections = engine.connections();
     let answer = connections.call(order.address, request, ANSWER_LIMIT, WORK_PATIENCE).await;
     match answer {
--- a/crates/crocusdaled/tests/published_platform_test.rs
+++ b/crates/crocusdaled/tests/published_platform_test.rs
@@ -197,6 +197,39 @@
     .await
 }
 
+/// A worker gives notice, ends, and starts again under its id: its own notice must not keep users'
+/// requests from the process that is there now. Beside it, entries lie in the store that no worker
+/// wrote; they cost nobody anything but one line each in the log.
+#[tokio::test]
+async fn worker_that_starts_again_is_used_and_foreign_entries_are_not() -> Result<()> {
+    let fleet = fleet(1).await?;
+    let (again, other) = (&fleet.plain[0], &fleet.plain[1]);
+    fleet.store.publish(again.id(), &again.entry("notify", "draining"));
+    fleet.store.publish("torn", &json!({ "service": "notify", "address": "127.0.0.1:9" }));
+    fleet.store.publish("odd", &again.entry("notify", "resting"));
+    let reached = async |worker: &WorkerStandIn| {
+        let before = worker.seen().len();
+        for _ in 0..12 {
+            let request = IngressRequest::new("/ask/7", "probe");
+            let answer = IngressCaller::once(fleet.daemons[0].caller, &request).await;
+            assert!(answer.is_ok_and(|answer| answer.status == 200));
+        }
+        worker.seen().len() > before
+    };
+    wait_for(SOON, "nothing reaches it any more", async || !reached(again).await).await?;
+    assert!(reached(other).await);
+    let mut entry = again.entry("notify", "ready");
+    entry["born"] = json!(1_764_700_000_000_u64);
+    fleet.store.publish(again.id(), &entry);
+    wait_for(SOON, "its next life is used", async || reached(again).await).await?;
+    let log = fleet.log(0)?;
+    let lines: Vec<&str> =
+        log.lines().filter(|line| line.contains("store_item_unreadable")).collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines.iter().any(|line| line.contains("servers/torn")), "{lines:?}");
+    Ok(())
+}
+
 /// A key is taken away while one daemon can read the store and the others can't. The news reaches
 /// them through it, and nobody goes back to the old version when the store is gone for all.
 #[tokio::test]
