Let pauses of the process teach nothing of others

Calls whose answers lay unread were taken for lost at the same moment, and plain services' times were learned with the pause. Ruled out: calls above a fixed time teach nothing (shorter pauses are charged as before; a slow upstream would never be known); taking the pause off the time (the answer may have come in it, so the rest is too short by chance).

--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolWait};
 use crate::configuration::{Declarations, PoolKind};
@@ -167,6 +168,13 @@
         }
     }
 
+    /// This process was paused for `pause` until now.
+    pub fn woke(&mut self, pause: Duration, now: MonotonicTime) {
+        for pool in self.pools.values_mut() {
+            pool.woke(pause, now);
+        }
+    }
+
     /// Lets time pass for all pools.
     pub fn turn(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::time::Duration;
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
@@ -49,7 +50,8 @@
 #[derive(Debug)]
 pub(super) struct OpenBatch {
     pub(super) upstream: String,
-    pub(super) since: MonotonicTime,
+    /// When it began, unless this process was paused since.
+    pub(super) since: Option<MonotonicTime>,
     pub(super) lost_at: MonotonicTime,
     /// Memory that is kept for the results, in bytes.
     pub(super) bytes: u64,
@@ -120,6 +122,20 @@
         }
     }
 
+    /// This process was paused for `pause` until now. What the calls that were open then take says
+    /// nothing of their upstreams, and their answers may lie unread: they are not lost before they
+    /// have had as much time as without the pause. How crowded the pool was is to be seen anew.
+    pub fn woke(&mut self, pause: Duration, now: MonotonicTime) {
+        for open in self.open.values_mut() {
+            open.since = None;
+            open.lost_at = open.lost_at + pause;
+        }
+        self.crowded_since = None;
+        self.full_until = None;
+        self.last_wait = None;
+        self.last_hopeless = Some(now);
+    }
+
     /// Whether `upstream` belongs to the pool.
     #[must_use]
     pub fn has_upstream(&self, upstream: &str) -> bool {
@@ -219,7 +235,7 @@
             return;
         };
         let pieces = u32::try_from(open.items.len()).unwrap_or(u32::MAX);
-        let time = now.since(open.since);
+        let time = open.since.map(|since| now.since(since));
         let rules = self.rules;
         let mut worker = self.workers.get_mut(&open.upstream);
         if let Some(worker) = &mut worker {
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -106,23 +106,25 @@
         self.open += 1;
     }
 
-    /// A call with `pieces` pieces was answered after `time`.
+    /// A call with `pieces` pieces was answered after `time`, if that can be told.
     pub(super) fn answered(
         &mut self,
         rules: &BatchRules,
         pieces: u32,
-        time: Duration,
+        time: Option<Duration>,
         now: MonotonicTime,
     ) {
-        let seen = time.as_secs_f64() / rules.expected(pieces).as_secs_f64().max(0.001);
-        let pace = self.pace_at(now);
-        self.pace = pace + LEARNING_WEIGHT * (seen - pace);
-        self.learned_at = now;
+        if let Some(time) = time {
+            let seen = time.as_secs_f64() / rules.expected(pieces).as_secs_f64().max(0.001);
+            let pace = self.pace_at(now);
+            self.pace = pace + LEARNING_WEIGHT * (seen - pace);
+            self.learned_at = now;
+        }
         self.failures = 0;
         self.open = self.open.saturating_sub(1);
     }
 
-    /// A call with `pieces` pieces failed after `time`.
+    /// A call with `pieces` pieces failed after `time`, if that can be told.
     ///
     /// Guards against an upstream that fails at once: it is free first each time, and would
     /// attract every call of the pool.
@@ -130,12 +132,14 @@
         &mut self,
         rules: &BatchRules,
         pieces: u32,
-        time: Duration,
+        time: Option<Duration>,
         now: MonotonicTime,
     ) {
-        let seen = time.as_secs_f64() / rules.expected(pieces).as_secs_f64().max(0.001);
-        self.pace = self.pace_at(now).max(seen);
-        self.learned_at = now;
+        if let Some(time) = time {
+            let seen = time.as_secs_f64() / rules.expected(pieces).as_secs_f64().max(0.001);
+            self.pace = self.pace_at(now).max(seen);
+            self.learned_at = now;
+        }
         self.open = self.open.saturating_sub(1);
         let doublings = self.failures.min(PAUSE_DOUBLINGS);
         self.failures += 1;
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -66,7 +66,7 @@
         let batch = next();
         let upstream = upstream.to_owned();
         let open =
-            OpenBatch { upstream: upstream.clone(), since: now, lost_at, bytes, items: refs };
+            OpenBatch { upstream: upstream.clone(), since: Some(now), lost_at, bytes, items: refs };
         self.open.insert(batch, open);
         Some(BatchOrder { batch, upstream, process, address, items })
     }
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::directory_state::DirectoryState;
+use super::pause_watch::PauseWatch;
 use super::{DaemonCore, FleetState};
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
 use crate::batching::{BatchDesk, PoolWaits};
@@ -53,6 +54,7 @@
     /// Whether addresses that were given out may no longer point here.
     pub(super) window_over: AtomicBool,
     pub(super) last_housekeeping: Mutex<MonotonicTime>,
+    pub(super) pauses: Mutex<PauseWatch>,
     /// Time until which requests may have waited in a socket through a long pause.
     suspicious_until: Mutex<MonotonicTime>,
     pub(super) tickets: TicketBook,
@@ -203,6 +205,7 @@
             next_call: AtomicU64::new(1),
             window_over: AtomicBool::new(false),
             last_housekeeping: Mutex::new(now),
+            pauses: Mutex::new(PauseWatch::new(now)),
             suspicious_until: Mutex::new(now),
             tickets: TicketBook::new(incarnation, self.seed.wrapping_add(3)),
         })
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -25,8 +25,8 @@
 /// Pause between two turns of unwanted results. Long enough for one call to give up those of many
 /// requests, short against the seconds that an upstream's memory for results lasts.
 const RESULT_PACE: Duration = Duration::from_millis(15);
-/// Lateness of a timer that counts as a pause of the process.
-const PAUSE: Duration = Duration::from_millis(1_000);
+/// Pause of the process from which on everything that was believed is asked for again.
+const LONG_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// All decisions of one daemon: events and time in, commands out.
 ///
@@ -73,6 +73,7 @@
 
     /// Takes an event at `now`; what has to be done about it is added to `out`.
     pub fn handle(&self, event: DaemonEvent, now: MonotonicTime, out: &mut Vec<Command>) {
+        self.look_for_pause(now, out);
         let mut steps = Vec::new();
         match event {
             DaemonEvent::Submitted { call, request } => self.state.submit(call, *request, now, out),
@@ -339,11 +340,7 @@
     }
 
     fn housekeeping(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        let last = std::mem::replace(&mut *lock(&self.state.last_housekeeping), now);
-        if now.since(last) > HOUSEKEEPING + PAUSE {
-            self.state.note_pause(now.since(last), now);
-            self.noticed_pause(now.since(last), now, out);
-        }
+        *lock(&self.state.last_housekeeping) = now;
         self.check_ready(now);
         let lost = lock(&self.state.directory).drop_missing(now);
         if lost {
@@ -362,12 +359,23 @@
         out.push(Command::SetTimer { timer: TimerKey::Housekeeping, at: now + HOUSEKEEPING });
     }
 
-    /// After a pause everything that was believed before it is asked for again. No promise rests
+    /// Looks for a pause of this process that ends with the event at hand, before anything is
+    /// decided by times that it made longer.
+    fn look_for_pause(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let Some(pause) = lock(&self.state.pauses).note_event(now) else { return };
+        out.push(Command::Count(CounterName::PausesNoticed));
+        lock(&self.state.desk).woke(pause, now);
+        if pause >= LONG_PAUSE {
+            self.doubt_beliefs(pause, now, out);
+        }
+    }
+
+    /// After a long pause everything that was believed before it is asked for again. No promise rests
     /// on noticing: deadlines are checked before each dispatch, claims never expire into a run.
-    fn noticed_pause(&self, pause: Duration, now: MonotonicTime, out: &mut Vec<Command>) {
+    fn doubt_beliefs(&self, pause: Duration, now: MonotonicTime, out: &mut Vec<Command>) {
         let millis = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
-        out.push(Command::Count(CounterName::PausesNoticed));
         out.push(Command::Note(StateChange::Paused { millis }));
+        self.state.note_pause(pause, now);
         let mut fleet = lock(&self.state.fleet);
         let partners = fleet.view.random_partners(4);
         fleet.exchange_with(partners, now, out);
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -12,7 +12,7 @@
     CallerRequest, FinalAnswer, FinalOutcome, InquiryBasis, OutcomeKind, RefusalReason,
     RegisterCall, RequestPlan, RequestShard, ShardStep,
 };
-use crate::routing::{SlotGrant, SlotRequest};
+use crate::routing::{AttemptReport, SlotGrant, SlotRequest};
 use crate::sync::lock;
 
 /// When a caller is told to come back after a limit was reached.
@@ -303,6 +303,7 @@
             }
             ShardStep::Withdraw(request) => self.router().withdraw(&request),
             ShardStep::Release { upstream, call, report } => {
+                let report = self.judge_time(report, now);
                 steps = self.run_grants(self.router().release(&upstream, call, report, now), now);
             }
             ShardStep::Flowing { upstream, call } => self.router().flowing(&upstream, call),
@@ -332,6 +333,13 @@
         steps
     }
 
+    /// A time that this process was paused in says nothing of an upstream.
+    fn judge_time(&self, report: AttemptReport, now: MonotonicTime) -> AttemptReport {
+        let AttemptReport::Answered(time) = report else { return report };
+        let since = MonotonicTime::from_start(now.since_start().saturating_sub(time));
+        if lock(&self.pauses).ran_since(since) { report } else { AttemptReport::Unmeasured }
+    }
+
     fn acquire(
         &self,
         request: SlotRequest,
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -33,6 +33,8 @@
 pub enum AttemptReport {
     /// It answered in that time.
     Answered(Duration),
+    /// It answered, in a time that can't be told.
+    Unmeasured,
     /// It failed, was silent, or answered wrongly.
     Failed,
     /// The upstream had no room for it, and said so.
@@ -190,11 +192,10 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match report {
             AttemptReport::Answered(time) => {
-                self.failures = 0;
-                self.ejections = 0;
-                self.ejected_until = None;
+                self.recover();
                 self.learn(time);
             }
+            AttemptReport::Unmeasured => self.recover(),
             AttemptReport::Failed => self.fail(now),
             AttemptReport::Declined => {
                 self.adapt(true);
@@ -216,6 +217,13 @@
         }
     }
 
+    /// It is sound, whatever it did before.
+    fn recover(&mut self) {
+        self.failures = 0;
+        self.ejections = 0;
+        self.ejected_until = None;
+    }
+
     fn learn(&mut self, time: Duration) {
         let learned = self.learned.unwrap_or(time).as_secs_f64();
         let mixed = learned + LEARNING_WEIGHT * (time.as_secs_f64() - learned);
