Pass on for how long an upstream is waited for

Cause: a daemon that was cut off waits two seconds for entries that may have lapsed, and keeps them in its list. Peers that rely on its reading took that list as what the platform publishes. An upstream that left in those two seconds without a notice stayed listed at them for good: the daemon dropped it later at no revision of its own. Change: a list passes on what is waited for and how long; only what the first reading after the time away lacks is waited for.

--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -10,7 +10,7 @@
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, WitnessSet};
 use crate::pipeline::{HolderReply, RefusalReason};
-use crate::routing::DirectoryEntry;
+use crate::routing::PeerDirectory;
 use crate::sync::lock;
 
 /// Pause between two looks at waiting work, pauses and the drain.
@@ -334,9 +334,8 @@
 
     /// Published upstreams that this daemon knows, for a peer that can't read them.
     #[must_use]
-    pub fn published_upstreams(&self) -> (u64, Vec<(u64, DirectoryEntry)>) {
-        let directory = lock(&self.state.directory);
-        (directory.directory.revision(), directory.directory.snapshot())
+    pub fn published_upstreams(&self, now: MonotonicTime) -> PeerDirectory {
+        lock(&self.state.directory).directory.snapshot(now)
     }
 
     fn housekeeping(&self, now: MonotonicTime, out: &mut Vec<Command>) {
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -6,7 +6,7 @@
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
-use crate::routing::DirectoryEntry;
+use crate::routing::{DirectoryEntry, PeerDirectory};
 
 use super::TimerKey;
 
@@ -74,7 +74,7 @@
     /// The published upstreams could not be read.
     DirectoryUnread,
     /// A peer told the published upstreams that it knows, or did not.
-    DirectoryFetched(Option<(u64, Vec<(u64, DirectoryEntry)>)>),
+    DirectoryFetched(Option<PeerDirectory>),
     /// Nobody answered a greeting at a seed.
     GreetingFailed,
     /// A dispatcher said how long new pieces would wait in a pool.
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -3,7 +3,7 @@
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::identity::MonotonicTime;
 use crate::membership::ExchangeMessage;
-use crate::routing::{DirectoryEntry, UpstreamDirectory};
+use crate::routing::{DirectoryEntry, PeerDirectory, UpstreamDirectory};
 
 /// Pause between two reads. The list is always read whole: each upstream renews its entry about
 /// every second, so that a watch would end as soon, and it would miss what changes while the store
@@ -44,8 +44,6 @@
     failing_since: Option<MonotonicTime>,
     /// Whether entries may have lapsed since the last read that succeeded.
     away: bool,
-    /// Time until which entries that lapsed may come back.
-    grace_until: Option<MonotonicTime>,
     fetching: Option<MonotonicTime>,
 }
 
@@ -113,8 +111,11 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
-        self.succeeded(now, out);
-        let changed = self.directory.replace(revision, entries, self.grace(now));
+        let is_back = self.succeeded(now, out);
+        // What this reading lists and a later one does not is gone: only what lapsed before the
+        // list came back may still be on its way.
+        let grace = is_back.then(|| now + RETURN_GRACE);
+        let changed = self.directory.replace(revision, entries, grace);
         self.note(changed, out);
         changed
     }
@@ -153,13 +154,13 @@
     /// Takes the list of a peer. Returns whether routing must change.
     pub(super) fn fetched(
         &mut self,
-        list: Option<(u64, Vec<(u64, DirectoryEntry)>)>,
+        list: Option<PeerDirectory>,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
         self.fetching = None;
-        let Some((revision, entries)) = list else { return false };
-        let changed = self.directory.replace(revision, entries, self.grace(now));
+        let Some(list) = list else { return false };
+        let changed = self.directory.merge(list, now);
         self.note(changed, out);
         changed
     }
@@ -169,27 +170,23 @@
         self.directory.drop_missing(now)
     }
 
-    fn grace(&self, now: MonotonicTime) -> Option<MonotonicTime> {
-        self.grace_until.filter(|until| now < *until)
-    }
-
     fn is_stale(&self, now: MonotonicTime) -> bool {
         self.current.is_none_or(|current| now.since(current) >= STALE_AFTER)
     }
 
-    fn succeeded(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
+    /// A read succeeded. Returns whether it was the first one after a time in which entries may have
+    /// lapsed.
+    fn succeeded(&mut self, now: MonotonicTime, out: &mut Vec<Command>) -> bool {
         if self.failures > 0 && self.last_read.is_some() {
             out.push(Command::Note(StateChange::PlatformRegained));
         }
-        if std::mem::take(&mut self.away) {
-            self.grace_until = Some(now + RETURN_GRACE);
-        }
         self.reading = false;
         self.failures = 0;
         self.failing_since = None;
         self.last_read = Some(now);
         self.current = self.current.max(self.read_began);
         out.push(Command::SetTimer { timer: TimerKey::Directory, at: now + READ_PAUSE });
+        std::mem::take(&mut self.away)
     }
 
     fn note(&self, changed: bool, out: &mut Vec<Command>) {
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -40,6 +41,26 @@
     }
 }
 
+/// A list of published upstreams as another daemon knows it.
+#[derive(Clone, Debug, Default)]
+pub struct PeerDirectory {
+    /// Revision up to which everything has been read.
+    pub revision: u64,
+    /// The upstreams.
+    pub entries: Vec<PeerEntry>,
+}
+
+/// An upstream of a [`PeerDirectory`].
+#[derive(Clone, Debug)]
+pub struct PeerEntry {
+    /// Revision of its last change.
+    pub written: u64,
+    /// What the platform publishes, or published.
+    pub entry: DirectoryEntry,
+    /// Time for which it is still waited for, if the platform has not listed it since it is back.
+    pub lapses_in: Option<Duration>,
+}
+
 /// Upstreams that the platform publishes, as far as this daemon has read or heard.
 ///
 /// Each entry keeps the revision of its last change, so that what a peer tells late never goes
@@ -83,9 +104,9 @@
         self.entries.values().map(|(_, entry)| entry)
     }
 
-    /// Takes a whole list, read at `revision`. With `grace`, the list has just come back after a
-    /// time in which it could not be read, and entries may have lapsed meanwhile: what is missing
-    /// from it is waited for until then. Returns whether anything changed that matters to routing.
+    /// Takes a whole list, read at `revision`. With `grace`, it is the first one after a time in which
+    /// none could be read, and entries may have lapsed meanwhile: what is missing from it is waited
+    /// for until then. Returns whether anything changed that matters to routing.
     pub fn replace(
         &mut self,
         revision: u64,
@@ -109,6 +130,33 @@
         changed
     }
 
+    /// Takes the list of a peer. Returns whether anything changed that matters to routing.
+    ///
+    /// Guards against a gone upstream that is passed on as a listed one: a peer that waits for entries
+    /// which may have lapsed has them in its list, and drops them later by itself, at no revision of
+    /// its own. Daemons that rely on its reading sent requests to such an upstream 2.4 s after it
+    /// had left. What the peer waits for is waited for here, and no longer than there.
+    pub fn merge(&mut self, list: PeerDirectory, now: MonotonicTime) -> bool {
+        let lapsing = list.entries.iter();
+        let lapsing = lapsing.filter_map(|each| Some((each.entry.id.clone(), each.lapses_in?)));
+        let lapsing: Vec<_> = lapsing
+            .map(|(id, left)| {
+                let until = now + left;
+                let known = self.missing.get(&id).copied();
+                (id, known.map_or(until, |known| known.min(until)))
+            })
+            .collect();
+        let entries = list.entries.into_iter().map(|each| (each.written, each.entry)).collect();
+        let revision = list.revision;
+        let changed = self.replace(revision, entries, None);
+        if revision == self.revision {
+            let held = |id: &String| self.entries.contains_key(id);
+            let lapsing: Vec<_> = lapsing.into_iter().filter(|(id, _)| held(id)).collect();
+            self.missing.extend(lapsing);
+        }
+        changed
+    }
+
     /// Drops upstreams that were waited for long enough. Returns whether there were any.
     pub fn drop_missing(&mut self, now: MonotonicTime) -> bool {
         let over = self.missing.iter().filter(|(_, until)| now >= **until);
@@ -128,10 +176,15 @@
         std::mem::take(&mut self.restarted)
     }
 
-    /// All entries with their revisions, for a peer that lacks them.
+    /// All that is known, for a peer that lacks it.
     #[must_use]
-    pub fn snapshot(&self) -> Vec<(u64, DirectoryEntry)> {
-        self.entries.values().cloned().collect()
+    pub fn snapshot(&self, now: MonotonicTime) -> PeerDirectory {
+        let entries = self.entries.iter().map(|(id, (written, entry))| PeerEntry {
+            written: *written,
+            entry: entry.clone(),
+            lapses_in: self.missing.get(id).map(|until| until.since(now)),
+        });
+        PeerDirectory { revision: self.revision, entries: entries.collect() }
     }
 
     fn put(&mut self, written: u64, entry: DirectoryEntry) -> bool {
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -5,7 +5,7 @@
 use crate::batching::PoolWait;
 use crate::identity::{AttemptId, CallId, MonotonicTime};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
-use crate::routing::DirectoryEntry;
+use crate::routing::{DirectoryEntry, PeerDirectory, PeerEntry};
 
 impl From<AttemptId> for peer::Attempt {
     fn from(attempt: AttemptId) -> Self {
@@ -133,28 +133,43 @@
     }
 }
 
-impl DirectoryEntry {
-    /// The entry, last changed at `revision`, for another daemon.
-    #[must_use]
-    pub fn to_wire(&self, revision: u64) -> peer::DirectoryEntry {
-        peer::DirectoryEntry {
-            id: self.id.clone(),
-            pool: self.pool.clone(),
-            address: self.address.to_string(),
-            zone: self.zone.clone(),
-            slots: self.slots,
-            leaving: self.leaving,
-            revision,
-            born: self.born,
+impl From<PeerDirectory> for peer::FetchDirectoryReply {
+    fn from(list: PeerDirectory) -> Self {
+        let entries = list.entries.into_iter().map(Into::into).collect();
+        Self { revision: list.revision, entries }
+    }
+}
+
+impl TryFrom<peer::FetchDirectoryReply> for PeerDirectory {
+    type Error = std::net::AddrParseError;
+
+    fn try_from(wire: peer::FetchDirectoryReply) -> Result<Self, Self::Error> {
+        let entries = wire.entries.into_iter().map(PeerEntry::try_from);
+        Ok(Self { revision: wire.revision, entries: entries.collect::<Result<_, _>>()? })
+    }
+}
+
+impl From<PeerEntry> for peer::DirectoryEntry {
+    fn from(PeerEntry { written, entry, lapses_in }: PeerEntry) -> Self {
+        Self {
+            id: entry.id,
+            pool: entry.pool,
+            address: entry.address.to_string(),
+            zone: entry.zone,
+            slots: entry.slots,
+            leaving: entry.leaving,
+            revision: written,
+            born: entry.born,
+            lapses_in_ms: lapses_in.map(short_millis),
         }
     }
 }
 
-impl TryFrom<peer::DirectoryEntry> for DirectoryEntry {
+impl TryFrom<peer::DirectoryEntry> for PeerEntry {
     type Error = std::net::AddrParseError;
 
     fn try_from(wire: peer::DirectoryEntry) -> Result<Self, Self::Error> {
-        Ok(Self {
+        let entry = DirectoryEntry {
             id: wire.id,
             pool: wire.pool,
             address: wire.address.parse()?,
@@ -162,7 +177,9 @@
             slots: wire.slots,
             leaving: wire.leaving,
             born: wire.born,
-        })
+        };
+        let lapses_in = wire.lapses_in_ms.map(|millis| Duration::from_millis(u64::from(millis)));
+        Ok(Self { written: wire.revision, entry, lapses_in })
     }
 }
 
--- a/crates/crocusdale_core/tests/published_upstreams_test.rs
+++ b/crates/crocusdale_core/tests/published_upstreams_test.rs
@@ -93,3 +93,54 @@
     assert!(directory.replace(7, vec![(7, leaving("u1"))], None));
     assert_eq!(directory.changed(), 7);
 }
+
+/// A daemon that was cut off reads the list again, and waits two seconds for what may have lapsed
+/// meanwhile. An upstream leaves without a notice in that time, and the daemon's peers, which rely on
+/// its reading, take its list: they kept the upstream for good, and sent it requests 2.4 s after it
+/// had left. What the daemon waits for, they wait for too, and no longer.
+#[test]
+fn peers_wait_for_lapsed_entries_no_longer_than_the_reader() {
+    let at = MonotonicTime::from_millis;
+    let mut reader = UpstreamDirectory::default();
+    reader.replace(5, vec![(3, entry("u1")), (4, entry("u2"))], None);
+    reader.replace(9, vec![(8, entry("u1")), (9, entry("u3"))], Some(at(2_000)));
+    let mut peer = UpstreamDirectory::default();
+    peer.replace(5, vec![(3, entry("u1")), (4, entry("u2"))], None);
+    assert!(peer.merge(reader.snapshot(at(500)), at(501)));
+    assert_eq!(ids(&peer), ["u1", "u2", "u3"], "it may come back");
+    assert!(!peer.drop_missing(at(1_900)));
+    assert!(peer.drop_missing(at(2_010)));
+    assert_eq!(ids(&peer), ["u1", "u3"]);
+    assert!(
+        !peer.merge(reader.snapshot(at(1_950)), at(2_020)),
+        "nor does a late list bring it back"
+    );
+    assert_eq!(ids(&peer), ["u1", "u3"]);
+}
+
+/// A peer asks twice while the reader waits. The second list must not begin the time anew.
+#[test]
+fn second_list_of_a_peer_does_not_extend_the_wait() {
+    let at = MonotonicTime::from_millis;
+    let mut reader = UpstreamDirectory::default();
+    reader.replace(5, vec![(4, entry("u2"))], None);
+    reader.replace(9, Vec::new(), Some(at(2_000)));
+    let mut peer = UpstreamDirectory::default();
+    peer.merge(reader.snapshot(at(100)), at(100));
+    peer.merge(reader.snapshot(at(100)), at(1_000));
+    assert!(peer.drop_missing(at(2_000)));
+    assert!(ids(&peer).is_empty());
+}
+
+/// The platform is back, and lists an upstream; half a second later it does not. It has left: waited
+/// for like one whose entry lapsed, it would get requests for longer than it may.
+#[test]
+fn entry_that_was_listed_since_the_return_is_not_waited_for() {
+    let at = MonotonicTime::from_millis;
+    let mut directory = UpstreamDirectory::default();
+    directory.replace(5, vec![(3, entry("u1")), (4, entry("u2"))], None);
+    directory.replace(9, vec![(8, entry("u1"))], Some(at(2_000)));
+    assert!(directory.replace(12, Vec::new(), None), "u1 is gone");
+    assert_eq!(ids(&directory), ["u2"], "u2 is still waited for");
+    assert!(directory.drop_missing(at(2_000)));
+}
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -120,8 +120,8 @@
     /// Daemons that know of the last change of the published upstreams.
     pub fn informed(&self) -> usize {
         let known = |core: &&DaemonCore| {
-            let (_, entries) = core.published_upstreams();
-            entries.iter().any(|(written, _)| *written == self.published.0)
+            let list = core.published_upstreams(self.now);
+            list.entries.iter().any(|each| each.written == self.published.0)
         };
         self.cores.iter().filter(known).count()
     }
@@ -176,7 +176,7 @@
             Command::FetchDirectory { vm } => {
                 let to = vm_index(&vm);
                 let reached = self.reaches(index, to);
-                let list = reached.then(|| self.cores[to].published_upstreams());
+                let list = reached.then(|| self.cores[to].published_upstreams(self.now));
                 let event = Delivery::Event(DaemonEvent::DirectoryFetched(list));
                 self.push(self.now + ONE_WAY * 2, index, event);
             }
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -5,7 +5,7 @@
 
 use crocusdale_core::daemon::{Command, CounterName, DaemonEvent};
 use crocusdale_core::membership::ExchangeMessage;
-use crocusdale_core::routing::DirectoryEntry;
+use crocusdale_core::routing::PeerDirectory;
 use crocusdale_core::sync::lock;
 use crocusdale_schema::peer::peer_service_client::PeerServiceClient;
 use crocusdale_schema::peer::{
@@ -173,18 +173,11 @@
         client.fetch_directory(FetchDirectoryRequest {}).await
     });
     let list = reply.await.ok().filter(|reply| reply.revision > 0).and_then(|reply| {
-        let entries = reply.entries.into_iter().map(|wire| {
-            let revision = wire.revision;
-            DirectoryEntry::try_from(wire).map(|entry| (revision, entry))
-        });
-        match entries.collect::<Result<_, _>>() {
-            Ok(entries) => Some((reply.revision, entries)),
-            Err(fault) => {
-                warn!(engine.telemetry.log, "directory_unreadable";
-                    "peer" => vm, "cause" => fault.to_string());
-                None
-            }
-        }
+        let unreadable = |fault: &std::net::AddrParseError| {
+            warn!(engine.telemetry.log, "directory_unreadable";
+                "peer" => vm, "cause" => fault.to_string());
+        };
+        PeerDirectory::try_from(reply).inspect_err(unreadable).ok()
     });
     engine.feed(DaemonEvent::DirectoryFetched(list));
 }
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -111,9 +111,8 @@
         &self,
         _: Request<FetchDirectoryRequest>,
     ) -> Result<Response<FetchDirectoryReply>, Status> {
-        let (revision, entries) = self.engine.core.published_upstreams();
-        let entries = entries.iter().map(|(changed, entry)| entry.to_wire(*changed)).collect();
-        Ok(Response::new(FetchDirectoryReply { revision, entries }))
+        let list = self.engine.core.published_upstreams(self.engine.now());
+        Ok(Response::new(list.into()))
     }
 
     async fn make_pieces(
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -3,7 +3,6 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use crocusdale_core::DaemonCore;
 use crocusdale_core::daemon::{Command, DaemonEvent};
 use crocusdale_core::membership::ExchangeMessage;
 use crocusdale_core::pipeline::AttemptEvent;
@@ -105,7 +104,7 @@
             }
             Command::FetchDirectory { vm } => {
                 let core = self.daemons[daemon_index(&vm)].core.as_ref();
-                let list = core.map(DaemonCore::published_upstreams);
+                let list = core.map(|core| core.published_upstreams(self.now));
                 self.push_core(HOP * 2, life, DaemonEvent::DirectoryFetched(list));
             }
             Command::WatchConfiguration { known: 0 } => {
