Hand a pool over to its next dispatcher

Hypothesis: when a pool changes hands while both daemons live (rolling restart, a daemon that comes, one that wakes), what waits at the old dispatcher is called by it beside the calls of the new one, and in a process that is about to end it is lost. Change: with each look at the waiting work, and at once when a drain begins, a daemon gives back the pieces of pools that another one dispatches, unless one was in a call. Their owners offer them again as new ones, five times at most. Ruled out: moving pieces that were in a call (they would be repeats without budget).

--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -175,6 +175,13 @@
         }
     }
 
+    /// Hands over what waits in `pool`, which another daemon dispatches now.
+    pub fn hand_over(&mut self, pool: &str, steps: &mut Vec<DeskStep>) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.hand_over(steps);
+        }
+    }
+
     /// Lets time pass for all pools.
     pub fn turn(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -21,12 +21,15 @@
     pub(super) results: Vec<Option<PlacedResult>>,
     /// Pieces that are in no call.
     pub(super) waiting: VecDeque<u32>,
+    /// Whether a piece was in a call, here or at another dispatcher.
+    begun: bool,
 }
 
 impl BatchJob {
     pub(super) fn new(order: PieceOrder) -> Self {
         let pieces = order.pieces;
-        Self { results: vec![None; pieces as usize], waiting: (0..pieces).collect(), order }
+        let (results, waiting) = (vec![None; pieces as usize], (0..pieces).collect());
+        Self { results, waiting, begun: order.repeated, order }
     }
 
     /// Place in the order of jobs: the earliest time by which results are needed goes first.
@@ -42,6 +45,11 @@
         end <= self.order.due
     }
 
+    /// Whether another dispatcher may take it as if it were new.
+    pub(super) fn is_untouched(&self) -> bool {
+        !self.begun
+    }
+
     /// Whether all pieces have results.
     pub(super) fn is_made(&self) -> bool {
         self.results.iter().all(Option::is_some)
@@ -50,6 +58,7 @@
     /// Takes up to `limit` waiting pieces out for a call.
     pub(super) fn take(&mut self, limit: usize) -> Vec<BatchItem> {
         let count = limit.min(self.waiting.len());
+        self.begun |= count > 0;
         let pieces: Vec<u32> = self.waiting.drain(..count).collect();
         let item = |piece| BatchItem {
             request: self.order.request.clone(),
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -209,6 +209,20 @@
         }
     }
 
+    /// Another daemon dispatches the pool now: hands over what was in no call yet.
+    ///
+    /// Guards against two queues before the same upstreams: each of the two dispatchers sends its own
+    /// small calls, and these stand behind each other's where nobody sees them. With this, a rolling
+    /// restart of the whole fleet leaves nothing behind in processes that are about to end.
+    pub fn hand_over(&mut self, steps: &mut Vec<DeskStep>) {
+        let untouched = self.jobs.iter().filter(|(_, job)| job.is_untouched());
+        let mut untouched: Vec<AttemptId> = untouched.map(|(attempt, _)| *attempt).collect();
+        untouched.sort_unstable();
+        for attempt in untouched {
+            self.fail(attempt, PieceFault::Moved, steps);
+        }
+    }
+
     /// Nobody wants the results for `attempt` any more.
     pub fn withdraw(&mut self, attempt: AttemptId) {
         let Some(job) = self.jobs.remove(&attempt) else { return };
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -246,6 +246,8 @@
     AttemptsNotRun,
     /// Batched steps that a dispatcher gave up.
     PiecesFailed,
+    /// Batched steps that were handed to the next dispatcher of their pool before any call.
+    PiecesMoved,
     /// Dispatchers that were lost while they had pieces of this daemon.
     DispatchersLost,
     /// Batched steps begun anew because their results were gone.
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -347,6 +347,7 @@
         }
         let grants = self.state.router().serve_all_waiting(now);
         let mut steps = self.state.run_grants(grants, now);
+        self.state.hand_over_pools(now, &mut steps, out);
         self.state.turn_desk(now, &mut steps, out);
         self.state.turn_backlog(now, &mut steps);
         self.state.run_steps(steps, now, out);
@@ -398,5 +399,9 @@
             *lock(&self.state.refuse_from) = Some(now + accepting);
         }
         out.push(Command::SetTimer { timer: TimerKey::Drain, at: now + window });
+        drop(fleet);
+        let mut steps = Vec::new();
+        self.state.hand_over_pools(now, &mut steps, out);
+        self.state.run_steps(steps, now, out);
     }
 }
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -101,6 +101,30 @@
         self.run_desk(desk_steps, now, steps, out);
     }
 
+    /// Hands over the pieces that wait here in pools which another daemon dispatches now.
+    pub(super) fn hand_over_pools(
+        &self,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        out: &mut Vec<Command>,
+    ) {
+        let waiting = lock(&self.desk).waiting().into_iter().filter(|(_, pieces)| *pieces > 0);
+        let mut pools: Vec<String> = waiting.map(|(pool, _)| pool).collect();
+        if pools.is_empty() {
+            return;
+        }
+        {
+            let fleet = lock(&self.fleet);
+            let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
+            pools.retain(|pool| choice.dispatcher(pool, &[]) != self.own.vm);
+        }
+        let mut desk_steps = Vec::new();
+        for pool in pools {
+            lock(&self.desk).hand_over(&pool, &mut desk_steps);
+        }
+        self.run_desk(desk_steps, now, steps, out);
+    }
+
     /// Lets time pass for the pieces that wait here.
     pub(super) fn turn_desk(
         &self,
--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -164,4 +164,6 @@
     Failed,
     /// The pool has no upstreams.
     NoUpstream,
+    /// Another daemon dispatches the pool now, and none of them was in a call.
+    Moved,
 }
--- a/crates/crocusdale_core/src/pipeline/branch_run.rs
+++ b/crates/crocusdale_core/src/pipeline/branch_run.rs
@@ -17,6 +17,8 @@
     pub(super) attempts: u32,
     /// Upstreams, or dispatchers, that failed it.
     pub(super) tried: Vec<String>,
+    /// Times that its pieces were handed to another dispatcher without having been in a call.
+    pub(super) moves: u32,
     pub(super) open: Option<OpenAttempt>,
     /// Attempt whose failure is kept back, to be passed on if no other attempt can be made.
     pub(super) held: Option<AttemptId>,
@@ -62,6 +64,7 @@
             since: now,
             attempts: 0,
             tried: Vec::new(),
+            moves: 0,
             open: None,
             held: None,
             answer: None,
@@ -117,7 +120,9 @@
     pub(super) fn reason(self) -> RefusalReason {
         match self {
             Self::NotSent | Self::Pieces(PieceFault::NoUpstream) => RefusalReason::NoUpstream,
-            Self::NotRun | Self::Pieces(PieceFault::Late) => RefusalReason::Overload,
+            Self::NotRun | Self::Pieces(PieceFault::Late | PieceFault::Moved) => {
+                RefusalReason::Overload
+            }
             Self::Declined | Self::Pieces(PieceFault::Failed) => RefusalReason::UpstreamError,
             Self::Broken(_) | Self::Pieces(PieceFault::InputGone) => RefusalReason::UpstreamBroken,
         }
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -14,6 +14,9 @@
 
 /// Dispatchers that a batched step is given to, one after another, before it is given up.
 const DISPATCHERS: usize = 3;
+/// Times that pieces which were in no call are handed on. A pool changes hands once for each daemon
+/// that comes or goes; more than this a second would be a fleet that does not agree on anything.
+const MOVES: u32 = 5;
 /// Bytes that a step fetches from which on it goes where they lie rather than where its own results
 /// will be needed. Below it, a fetch from another zone costs next to nothing.
 const HEAVY_BYTES: u64 = 200_000;
@@ -116,10 +119,19 @@
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) -> Option<FinalAnswer> {
-        steps.push(count(CounterName::PiecesFailed));
+        let counter = match fault {
+            PieceFault::Moved => CounterName::PiecesMoved,
+            _ => CounterName::PiecesFailed,
+        };
+        steps.push(count(counter));
         self.branches[index].open = None;
         let in_time = now < self.plan.deadline;
         match fault {
+            PieceFault::Moved if in_time && self.branches[index].moves < MOVES => {
+                self.branches[index].moves += 1;
+                self.offer_pieces(index, now, steps);
+                None
+            }
             PieceFault::InputGone if in_time && self.remakes < REMAKES => {
                 self.remake(now, steps);
                 None
