Judge whether pieces can be in time by the time of a usual call

Hypothesis: in a burst a pool's calls are full, and take up to twice the time of the shortest one by which a job counts as in time. Change: the order of jobs goes by the time of a call as full as calls were of late; unless a flood waits, whose pieces would put everybody else behind. Test: a job that needs a call of its own waits for one that is surely in time.

--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -43,6 +43,8 @@
     pub(super) full_until: Option<MonotonicTime>,
     /// When jobs that wait in vain were last looked for.
     pub(super) last_hopeless: Option<MonotonicTime>,
+    /// Pieces that a usual call holds, of late.
+    pub(super) usual_pieces: f64,
     /// Work that came in and could be in time.
     pub(super) inflow: InflowMeter,
 }
@@ -79,6 +81,7 @@
             crowded_since: None,
             full_until: None,
             last_hopeless: None,
+            usual_pieces: 1.0,
             inflow: InflowMeter::default(),
         }
     }
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -14,6 +14,9 @@
 /// a few. Short against a call, for the rest of which they would only lie in the way.
 const FETCH_TIME: Duration = Duration::from_millis(50);
 
+/// Weight of the newest call in what a usual call holds: some seconds of a pool of five upstreams.
+const FULLNESS_WEIGHT: f64 = 0.1;
+
 /// Jobs in the order in which they are served, for one turn.
 #[derive(Debug)]
 struct JobLine {
@@ -59,6 +62,7 @@
         }
         let pieces = u32::try_from(items.len()).unwrap_or(u32::MAX);
         let worker = self.workers.get_mut(upstream)?;
+        self.usual_pieces += FULLNESS_WEIGHT * (f64::from(pieces) - self.usual_pieces);
         let lost_at = now + worker.patience(&self.rules, pieces, now);
         worker.begin(&self.rules, pieces, now);
         worker.room.reserve(bytes);
@@ -71,13 +75,27 @@
         Some(BatchOrder { batch, upstream, process, address, items })
     }
 
+    /// Time that a call should take that is as full as calls were of late.
+    ///
+    /// Whether a job can be in time is judged by it. By the shortest call, in bursts jobs went first
+    /// that then came late by the time of the pieces beside them, and made the next one late too.
+    /// On the days with trouble of three simulated deployments, 20 runs each, the worth rose from
+    /// 0.558, 0.658 and 0.562 to 0.564, 0.664 and 0.578.
+    pub(super) fn usual_call(&self) -> Duration {
+        // In a flood calls are full of its pieces; judged by these, requests of everybody else would
+        // be put behind.
+        let is_flooded = self.jobs.values().any(|job| job.order.is_flood);
+        let pieces = if is_flooded { 1 } else { self.usual_pieces.ceil() as u32 };
+        self.rules.expected(pieces)
+    }
+
     /// Jobs in the order in which they are served: first those that can still be in time, and those
     /// of requests that have been worked on, by the time at which they are needed; then the others,
     /// by priority and the end of their time.
     pub(super) fn order_of_jobs(&self, now: MonotonicTime) -> Vec<AttemptId> {
-        let shortest = self.rules.expected(1);
+        let call = self.usual_call();
         let in_time = |attempt: &AttemptId| {
-            self.jobs.get(attempt).is_some_and(|job| job.is_ahead(now + shortest))
+            self.jobs.get(attempt).is_some_and(|job| job.is_ahead(now + call))
         };
         let jobs = self.queue.keys().map(|(_, attempt)| *attempt);
         let (mut order, mut late): (Vec<AttemptId>, Vec<AttemptId>) = jobs.partition(in_time);
--- a/crates/crocusdale_core/tests/batch_pool_test.rs
+++ b/crates/crocusdale_core/tests/batch_pool_test.rs
@@ -319,3 +319,31 @@
     assert_eq!(bench.calls[0].items[0].request, name);
     assert_eq!(bench.calls[0].items.len(), PIECES as usize, "what is left is the flood's");
 }
+
+/// A burst has filled the calls of the pool, and lasts. A request can be in time by a call that it
+/// has to itself, not by one that is full, as calls are. Put first, it came late all the same, and
+/// made one late that could have been in time: users of both waited for nothing.
+#[test]
+fn request_that_needs_a_call_of_its_own_waits_for_those_in_time() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    for _ in 0..40 {
+        let order = bench.order(PIECES, 5_000);
+        bench.offer(order);
+        while !bench.calls.is_empty() {
+            bench.advance(CALL_MS + PIECE_MS * u64::from(PIECES));
+            bench.end_call(made);
+        }
+    }
+    let busy = bench.order(1, 900);
+    bench.offer(busy);
+    let alone = bench.order(PIECES, 200 + CALL_MS + PIECE_MS);
+    let alone = bench.offer(alone);
+    let sure = bench.order(PIECES, 900);
+    let sure = bench.offer(sure);
+    bench.advance(200);
+    bench.end_call(made);
+    assert_eq!(bench.calls[0].items[0].request, format!("request-{}", sure.call.0));
+    bench.advance(CALL_MS + PIECE_MS * u64::from(PIECES));
+    bench.end_call(made);
+    assert_eq!(bench.calls[0].items[0].request, format!("request-{}", alone.call.0));
+}
