Keep light inputs until their step has ended; name what was tried in the log

Hypothesis: inputs are given up once they are fetched also where that makes no room: results of 8 KB at upstreams with 18 MB. Change: only inputs of a fiftieth of an upstream's memory or more are given up early. Ruled out: giving up only while the memory is short at that moment (a flag in the messages between daemons; the size alone tells most of it).

--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -109,8 +109,11 @@
     pub upstream: String,
     /// Time from the first wish for an upstream to the answer, in milliseconds.
     pub time_ms: f64,
-    /// Attempts that were made.
+    /// Attempts that were made and may have run.
     pub attempts: u32,
+    /// Upstreams, or dispatchers, that failed it or ran nothing before, in order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tried: Vec<String>,
     /// Seconds of upstreams' time, by the stage's declared cost.
     pub cost: f64,
 }
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -8,7 +8,7 @@
     FinalAnswer, PieceFault, PieceOrder, PieceSource, PlacedResult, RefusalReason, RequestRun,
     ResultHandle, ShardStep,
 };
-use crate::configuration::StepWork;
+use crate::configuration::{PoolKind, StepWork};
 use crate::daemon::CounterName;
 use crate::identity::MonotonicTime;
 
@@ -17,6 +17,10 @@
 /// Times that pieces which were in no call are handed on. A pool changes hands once for each daemon
 /// that comes or goes; more than this a second would be a fleet that does not agree on anything.
 const MOVES: u32 = 5;
+/// Part of an upstream's memory for results, as one in so many, below which the inputs of a step stay
+/// there until it has ended. Given up once they are fetched, they make no room to speak of, and a
+/// piece that fails by chance then has its request begun anew.
+const LIGHT_SHARE: u64 = 50;
 /// Bytes that a step fetches from which on it goes where they lie rather than where its own results
 /// will be needed. Below it, a fetch from another zone costs next to nothing.
 const HEAVY_BYTES: u64 = 200_000;
@@ -62,12 +66,18 @@
         steps.push(ShardStep::OfferPieces { order: Box::new(order), tried, target });
     }
 
-    /// Pool that made the inputs of the step at `position`, if no other step needs them.
+    /// Pool that made the inputs of the step at `position`, if no other step needs them and they take
+    /// up enough of an upstream's memory to be given up before the step has ended.
     fn sole_input(&self, position: usize) -> Option<String> {
         let steps = self.plan.pipeline.plan.steps();
         let [earlier] = steps[position].after[..] else { return None };
         let users = steps.iter().filter(|step| step.after.contains(&earlier)).count();
-        (users == 1).then(|| steps[earlier].stage.clone())
+        let bytes = self.result_bytes(earlier) * u64::from(self.plan.pieces(earlier));
+        let PoolKind::Batch(rules) = self.plan.stage(&steps[earlier].stage).kind else {
+            return None;
+        };
+        let is_heavy = bytes.saturating_mul(LIGHT_SHARE) >= rules.result_bytes;
+        (users == 1 && is_heavy).then(|| steps[earlier].stage.clone())
     }
 
     /// Zone in which the inputs of the step at `position` lie, if they are large: each of its
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -368,6 +368,7 @@
             upstream: open.upstream.clone(),
             time_ms: now.since(branch.since).as_secs_f64() * 1e3,
             attempts: branch.attempts,
+            tried: branch.tried.clone(),
             cost: spent.as_secs_f64() * rate,
         });
         if open.has_slot() {
--- a/crates/crocusdale_core/tests/forwarded_request_test.rs
+++ b/crates/crocusdale_core/tests/forwarded_request_test.rs
@@ -220,3 +220,41 @@
     }
     assert_eq!(first.last_relay().upstream, second.last_relay().upstream);
 }
+
+/// An operator asks why a request took so long, and its log line says one attempt. It had been sent
+/// to a process that had moved: what was tried before stands beside the upstream that answered.
+#[test]
+fn upstreams_that_ran_nothing_are_named() {
+    let mut daemon = Daemon::new();
+    let call = daemon.submit("/ask/7");
+    let first = daemon.last_relay();
+    daemon.headed(first.attempt, 421, RunProof::WrongProcess);
+    let second = daemon.last_relay();
+    daemon.headed(second.attempt, 200, RunProof::Ran);
+    daemon.attempt(second.attempt, AttemptEvent::Passed);
+    let (_, answer) = daemon.answers.iter().find(|(each, _)| *each == call).expect("answered");
+    let stage = &answer.stages[0];
+    assert_eq!((&stage.upstream, stage.attempts), (&second.upstream, 1));
+    assert_eq!(stage.tried, [first.upstream]);
+}
+
+/// A piece of a request's second step fails by chance, as one in some hundreds does. Where its inputs
+/// had been given up as soon as they were fetched, the whole request was begun anew, and came late. So
+/// inputs that take up a thousandth of an upstream's memory stay until their step has ended; those of
+/// an eighth are given up, as the next requests need their room.
+#[test]
+fn light_inputs_stay_until_their_step_has_ended() {
+    for (path, given_up) in [("/light/7", 0), ("/heavy/7", 3)] {
+        let mut daemon = Daemon::new();
+        daemon.submit(path);
+        daemon.advance(110);
+        daemon.make_pieces();
+        daemon.advance(110);
+        assert_eq!(daemon.batches.len(), 1, "the second step is under way");
+        daemon.advance(100);
+        assert_eq!(daemon.freed.len(), given_up, "{path}");
+        daemon.make_pieces();
+        daemon.advance(100);
+        assert!(daemon.freed.len() >= 3, "{path}: nobody needs them any more");
+    }
+}
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -36,17 +36,25 @@
     let engine = EngineRules { slots: 64, token_memory: 500_000 };
     let forward =
         |step: &str, after| PlanStep { stage: step.to_owned(), after, work: StepWork::Forward };
-    let scan = PlanStep {
-        stage: "scan".to_owned(),
-        after: Vec::new(),
-        work: StepWork::Batched { result_bytes: 1_000 },
+    let batched = |step: &str, after, result_bytes| PlanStep {
+        stage: step.to_owned(),
+        after,
+        work: StepWork::Batched { result_bytes },
+    };
+    let scan = batched("scan", Vec::new(), 1_000);
+    let chain = |result_bytes| {
+        let scan = batched("scan", Vec::new(), result_bytes);
+        vec![scan, batched("rank", vec![0], 1_000), forward("reader", vec![1])]
     };
     let workspace =
         WorkspaceRules { labels: LabelSet::default(), concurrency: u32::MAX, level: None };
     Ok(DeclarationsBuilder::new("test", Duration::from_secs(1))
         .stage("notify", stage(PoolKind::Plain))
         .stage("scan", stage(PoolKind::Batch(batch)))
+        .stage("rank", stage(PoolKind::Batch(batch)))
         .stage("reader", stage(PoolKind::Engine(engine)))
+        .route(HOST, "/light/", pipeline(RepeatRule::ResumableStream, chain(1_000)))
+        .route(HOST, "/heavy/", pipeline(RepeatRule::ResumableStream, chain(2_000_000)))
         .workspace("letters", workspace, ["secret".to_owned()])
         .route(HOST, "/ask/", pipeline(RepeatRule::Idempotent, vec![forward("notify", vec![])]))
         .route(HOST, "/shred/", pipeline(RepeatRule::AtMostOnce, vec![forward("notify", vec![])]))
@@ -86,6 +94,8 @@
     pub sequence: u64,
     pub relays: Vec<RelayOrder>,
     pub batches: Vec<BatchOrder>,
+    /// Results that upstreams were told to give up.
+    pub freed: Vec<ResultHandle>,
     pub passed_on: Vec<AttemptId>,
     pub cancelled: Vec<AttemptId>,
     pub answers: Vec<(CallId, FinalAnswer)>,
@@ -118,6 +128,7 @@
             sequence: 0,
             relays: Vec::new(),
             batches: Vec::new(),
+            freed: Vec::new(),
             passed_on: Vec::new(),
             cancelled: Vec::new(),
             answers: Vec::new(),
@@ -135,7 +146,8 @@
 
     /// Publishes plain upstreams, some of which leave, beside two of each other pool.
     pub fn publish(&mut self, plain: &[&str], leaving: &[&str]) {
-        let others = [("s1", "scan"), ("s2", "scan"), ("r1", "reader"), ("r2", "reader")];
+        let others =
+            [("s1", "scan"), ("s2", "scan"), ("k1", "rank"), ("r1", "reader"), ("r2", "reader")];
         let plain = plain.iter().map(|id| (*id, "notify"));
         let entries = plain.chain(others).map(|(id, pool)| {
             let entry = DirectoryEntry {
@@ -165,6 +177,7 @@
             match command {
                 Command::Relay(order) => self.relays.push(order),
                 Command::CallBatch(order) => self.batches.push(order),
+                Command::FreeResults(results) => self.freed.extend(results),
                 Command::PassOn { attempt, .. } => self.passed_on.push(attempt),
                 Command::Cancel(attempt) => self.cancelled.push(attempt),
                 Command::Reply { call, answer } => self.answers.push((call, answer)),
