--- a/crates/crocusdaled/tests/published_platform_test.rs
+++ b/crates/crocusdaled/tests/published_platform_test.rs
@@ -222,6 +222,11 @@
     entry["born"] = json!(1_764_700_000_000_u64);
     fleet.store.publish(again.id(), &entry);
     wait_for(SOON, "its next life is used", async || reached(again).await).await?;
+    // The list may have been read for the first time with that life, and lines are written later.
+    wait_for(SOON, "the log names both", async || {
+        fleet.log(0).is_ok_and(|log| log.matches("store_item_unreadable").count() >= 2)
+    })
+    .await?;
     let log = fleet.log(0)?;
     let lines: Vec<&str> =
         log.lines().filter(|line| line.contains("store_item_unreadable")).collect();
