Tell in logs and metrics how old the list of upstreams is, and where it came from

Cause: after a leaving upstream was called too late, neither logs nor metrics could tell whether a daemon had an old list, had not acted on a new one, or had taken a notice back. Change, of sight alone: directory_taken names the peer whose list it is and the age of the list before; directory_aged is logged when a daemon reads although another one should; counters of readings, of those begun for age, of fetches and of failed fetches; gauges of revision and age. No decision changes.

--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -288,6 +288,15 @@
     ConfigurationsRejected,
     /// Two texts under one revision.
     ConfigurationConflicts,
+    /// Readings of the published upstreams that were begun.
+    DirectoryReads,
+    /// Of these, those of a daemon that lets another one read for it, begun because it had not heard
+    /// of a reading for too long.
+    DirectoryReadsForAge,
+    /// Lists of published upstreams that a peer was asked for.
+    DirectoryFetches,
+    /// Of these, those that did not come.
+    DirectoryFetchesFailed,
     /// Reads of the platform that failed.
     PlatformReadsFailed,
     /// Items of the platform's store that could not be read.
@@ -338,6 +347,18 @@
         revision: u64,
         /// Upstreams that stay.
         upstreams: usize,
+        /// Peer whose list it is, or `None` for a reading of this daemon.
+        peer: Option<String>,
+        /// Milliseconds since the list before was last known to be the latest.
+        age_ms: Option<u64>,
+    },
+    /// This daemon reads the published upstreams itself although another one should, because it has
+    /// not heard of a reading for too long.
+    DirectoryAged {
+        /// Milliseconds since its list was last known to be the latest.
+        age_ms: Option<u64>,
+        /// The daemon that should read for it.
+        reader: String,
     },
     /// The platform can't be read any more.
     PlatformLost,
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -240,6 +240,7 @@
         let outcomes = self.state.registers.iter().map(|each| lock(each).outcome_count()).sum();
         let keys = self.state.shards.iter().map(|each| lock(each).key_count()).sum();
         let open_calls = self.open_calls();
+        let directory_age = lock(&self.state.directory).age(now);
         let fleet = lock(&self.state.fleet);
         let (revision, digest) = fleet.ledger.position();
         let rejected = fleet.ledger.rejected();
@@ -260,6 +261,9 @@
                 .unwrap_or_default(),
             configuration_conflicts: fleet.ledger.conflicts(),
             roster_revision: fleet.history.current().revision,
+            directory_revision: fleet.directory,
+            directory_age_ms: directory_age
+                .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             peers: fleet.view.peer_count(),
             members,
             leaving_members,
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -44,7 +44,8 @@
     failing_since: Option<MonotonicTime>,
     /// Whether entries may have lapsed since the last read that succeeded.
     away: bool,
-    fetching: Option<MonotonicTime>,
+    /// Peer that was asked for its list, and when.
+    fetching: Option<(String, MonotonicTime)>,
 }
 
 impl DirectoryState {
@@ -60,9 +61,7 @@
             return None;
         }
         if reader.is_none() || self.is_stale(now) {
-            self.reading = true;
-            self.read_began = Some(now);
-            out.push(Command::ReadDirectory);
+            self.begin_reading(reader, now, out);
             return None;
         }
         out.push(Command::SetTimer { timer: TimerKey::Directory, at: now + LOOK_PAUSE });
@@ -115,8 +114,9 @@
         // What this reading lists and a later one does not is gone: only what lapsed before the
         // list came back may still be on its way.
         let grace = is_back.then(|| now + RETURN_GRACE);
+        let age = self.age(now);
         let changed = self.directory.replace(revision, entries, grace);
-        self.note(changed, out);
+        self.note(changed, None, age, out);
         changed
     }
 
@@ -144,9 +144,11 @@
         out: &mut Vec<Command>,
     ) {
         let newer = changed > self.directory.changed();
-        let fetching = self.fetching.is_some_and(|since| now.since(since) < FETCH_PATIENCE);
+        let fetching = self.fetching.as_ref();
+        let fetching = fetching.is_some_and(|(_, since)| now.since(*since) < FETCH_PATIENCE);
         if newer && !fetching {
-            self.fetching = Some(now);
+            self.fetching = Some((vm.to_owned(), now));
+            out.push(Command::Count(CounterName::DirectoryFetches));
             out.push(Command::FetchDirectory { vm: vm.to_owned() });
         }
     }
@@ -158,10 +160,13 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
-        self.fetching = None;
-        let Some(list) = list else { return false };
+        let peer = self.fetching.take().map(|(vm, _)| vm);
+        let Some(list) = list else {
+            out.push(Command::Count(CounterName::DirectoryFetchesFailed));
+            return false;
+        };
         let changed = self.directory.merge(list, now);
-        self.note(changed, out);
+        self.note(changed, peer, self.age(now), out);
         changed
     }
 
@@ -170,6 +175,28 @@
         self.directory.drop_missing(now)
     }
 
+    /// Time since the list was last known to be the latest.
+    pub(super) fn age(&self, now: MonotonicTime) -> Option<Duration> {
+        self.current.map(|current| now.since(current))
+    }
+
+    fn begin_reading(
+        &mut self,
+        reader: Option<String>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        self.reading = true;
+        self.read_began = Some(now);
+        out.push(Command::Count(CounterName::DirectoryReads));
+        if let Some(reader) = reader {
+            out.push(Command::Count(CounterName::DirectoryReadsForAge));
+            let age_ms = self.age(now).map(millis);
+            out.push(Command::Note(StateChange::DirectoryAged { age_ms, reader }));
+        }
+        out.push(Command::ReadDirectory);
+    }
+
     fn is_stale(&self, now: MonotonicTime) -> bool {
         self.current.is_none_or(|current| now.since(current) >= STALE_AFTER)
     }
@@ -189,11 +216,24 @@
         std::mem::take(&mut self.away)
     }
 
-    fn note(&self, changed: bool, out: &mut Vec<Command>) {
+    fn note(
+        &self,
+        changed: bool,
+        peer: Option<String>,
+        age: Option<Duration>,
+        out: &mut Vec<Command>,
+    ) {
         if changed {
             let revision = self.directory.changed();
             let upstreams = self.directory.entries().filter(|entry| !entry.leaving).count();
-            out.push(Command::Note(StateChange::DirectoryTaken { revision, upstreams }));
+            let age_ms = age.map(millis);
+            let taken = StateChange::DirectoryTaken { revision, upstreams, peer, age_ms };
+            out.push(Command::Note(taken));
         }
     }
 }
+
+/// Whole milliseconds of `time`.
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -29,6 +29,10 @@
     pub configuration_conflicts: u64,
     /// Revision of the VM list.
     pub roster_revision: u64,
+    /// Revision of the last change of the published upstreams that is known, 0 for none.
+    pub directory_revision: u64,
+    /// Time since that was last known to be the last change, in milliseconds.
+    pub directory_age_ms: Option<u64>,
     /// Peers in the VM list.
     pub peers: usize,
     /// What is believed of the peers.
--- a/crates/crocusdaled/src/telemetry/metric_set.rs
+++ b/crates/crocusdaled/src/telemetry/metric_set.rs
@@ -30,6 +30,8 @@
     revision: IntGauge,
     rejected_revision: IntGauge,
     roster_revision: IntGauge,
+    directory_revision: IntGauge,
+    directory_age: IntGauge,
     peers: IntGauge,
     running: IntGauge,
     registers: IntGauge,
@@ -118,6 +120,16 @@
                 "Newest rejected revision, 0 for none",
             ),
             roster_revision: gauge(registry, "roster_revision", "Revision of the VM list"),
+            directory_revision: gauge(
+                registry,
+                "directory_revision",
+                "Revision of the last known change of the published upstreams",
+            ),
+            directory_age: gauge(
+                registry,
+                "directory_age_milliseconds",
+                "Time since that was known to be the last change, -1 if it never was",
+            ),
             peers: gauge(registry, "peers", "Daemons in the VM list, without this one"),
             running: gauge(registry, "running", "Requests that run"),
             registers: gauge(registry, "registers", "Registers kept as a witness"),
@@ -131,6 +143,8 @@
         self.revision.set(whole(dump.revision));
         self.rejected_revision.set(whole(dump.rejected_revision.unwrap_or_default()));
         self.roster_revision.set(whole(dump.roster_revision));
+        self.directory_revision.set(whole(dump.directory_revision));
+        self.directory_age.set(dump.directory_age_ms.map_or(-1, whole));
         self.peers.set(whole(dump.peers as u64));
         self.running.set(whole(dump.running as u64));
         self.registers.set(whole(dump.registers as u64));
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -84,8 +84,13 @@
             StateChange::RosterTaken { revision, vms } => {
                 info!(log, "{}", name; "revision" => revision, "vms" => vms);
             }
-            StateChange::DirectoryTaken { revision, upstreams } => {
-                info!(log, "{}", name; "revision" => revision, "upstreams" => upstreams);
+            StateChange::DirectoryTaken { revision, upstreams, peer, age_ms } => {
+                info!(log, "{}", name;
+                    "revision" => revision, "upstreams" => upstreams, "peer" => peer.as_deref(),
+                    "age_ms" => age_ms);
+            }
+            StateChange::DirectoryAged { age_ms, reader } => {
+                info!(log, "{}", name; "age_ms" => age_ms, "reader" => reader);
             }
             StateChange::RequestWaits { request, verdict, needed_ms, objective_ms, is_flood } => {
                 info!(log, "{}", name;
