Fail two tests of processes that wake and send by an old list

Cause: nothing that is sent asks how old the list of upstreams is. A process that is held up for 3 s handles the requests that it finds before any timer, by a list from before. The same holds for any other reason for which the renewal in the background is late. Conclusion: the bound rests on timers being on time; it must hold where the choice is made.

--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -128,6 +128,59 @@
     assert!(worst + SENDING < NOTICE_BOUND, "sent {worst:?} after the notice");
 }
 
+/// A process gets no processor for three seconds, and the first thing that it finds is a request. Its
+/// list is as old as that; the notice of an upstream lies in between. Users' requests must wait for a
+/// reading, which takes some milliseconds, and go elsewhere.
+#[test]
+fn daemon_that_wakes_reads_before_it_sends() {
+    let mut daemon = Daemon::new();
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.advance(100);
+    daemon.now = daemon.now + Duration::from_secs(3);
+    for _ in 0..8 {
+        daemon.submit("/ask/it");
+    }
+    assert!(daemon.relays.is_empty(), "sent by a list that is 3.1 s old");
+    assert_eq!(daemon.readings.len(), 1, "the list is read at once");
+    daemon.advance(20);
+    daemon.publish(&["n1", "n2"], &["n1"]);
+    let called: Vec<&str> = daemon.relays.iter().map(|relay| relay.upstream.as_str()).collect();
+    assert!(!called.is_empty(), "the requests go on");
+    assert!(called.iter().all(|upstream| *upstream == "n2"), "{called:?}");
+}
+
+/// The same at the dispatcher of a batched pool, whose pieces wait for a call.
+#[test]
+fn dispatcher_that_wakes_reads_before_it_calls() {
+    let mut daemon = Daemon::new();
+    daemon.deadline = Duration::from_secs(20);
+    daemon.publish(&["n1"], &[]);
+    daemon.advance(100);
+    daemon.now = daemon.now + Duration::from_secs(3);
+    daemon.submit("/digest/1");
+    daemon.advance(150);
+    assert!(daemon.batches.is_empty(), "called by a list that is 3.25 s old");
+    daemon.publish(&["n1"], &["s1"]);
+    daemon.advance(150);
+    let called: Vec<&str> = daemon.batches.iter().map(|each| each.upstream.as_str()).collect();
+    assert_eq!(called, ["s2"]);
+}
+
+/// The platform does not answer, as in an outage. Users must not pay for it: their requests go on by
+/// the list that is known, after four tenths of a second at most.
+#[test]
+fn requests_go_on_while_the_platform_is_silent() {
+    let mut daemon = Daemon::new();
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.advance(100);
+    daemon.now = daemon.now + Duration::from_secs(3);
+    daemon.submit("/ask/it");
+    daemon.advance(410);
+    assert_eq!(daemon.relays.len(), 1, "the request is sent on");
+    daemon.submit("/ask/it");
+    assert_eq!(daemon.relays.len(), 2, "and so is each that follows");
+}
+
 /// Answers of peers are under way for up to 0.8 s, those of the platform for up to 0.4 s, while
 /// upstreams give notice all the time. A daemon that takes its list for younger than it is sends
 /// requests to upstreams that have left.
