Fail two tests of the same cause elsewhere: a sleep taken for an outage, a wait after a return

Cause, looked for beyond the list's age: what is believed of time without its owner's state. A reading that fails because its process slept lifts the guard as an outage would; and a daemon that was cut off waits two seconds, from its own first reading, for entries that may have lapsed, which with a reading in vain (0.9 s) and a pause (1 s) before it is later than three seconds after its return, when the users count on it again.

--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -179,6 +179,25 @@
     assert_eq!(daemon.relays.len(), 2, "and so is each that follows");
 }
 
+/// A process freezes amid a reading, and the first thing that it notices when it wakes is that the
+/// reading took too long; the answer lies unread. Taken for an outage of the platform, that would have
+/// it send requests by a list that is 3.1 s old.
+#[test]
+fn reading_that_slept_proves_no_outage() {
+    let mut daemon = Daemon::new();
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.advance(500);
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.advance(510);
+    assert_eq!(daemon.readings.len(), 1, "a reading is under way");
+    daemon.now = daemon.now + Duration::from_secs(3);
+    daemon.feed(DaemonEvent::DirectoryUnread);
+    daemon.submit("/ask/it");
+    assert!(daemon.relays.is_empty(), "sent by a list that is 3.5 s old");
+    daemon.feed(DaemonEvent::DirectoryUnread);
+    assert_eq!(daemon.relays.len(), 1, "the reading that was begun awake failed too");
+}
+
 /// Answers of peers are under way for up to 0.8 s, those of the platform for up to 0.4 s, while
 /// upstreams give notice all the time. A daemon that takes its list for younger than it is sends
 /// requests to upstreams that have left.
@@ -214,6 +233,33 @@
     }
 }
 
+/// A daemon is cut off, and reads again 1.6 s after a last reading in vain began, in which time it may
+/// have been back. An upstream that is missing may have lapsed, or left meanwhile; it is waited for,
+/// but three seconds after its return the users count on this daemon again.
+#[test]
+fn daemon_that_is_back_waits_for_nobody_beyond_what_users_allow() {
+    let mut daemon = Daemon::new();
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.advance(500);
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.advance(500);
+    let mut back = daemon.now;
+    for _ in 0..5 {
+        back = daemon.readings.pop().expect("a reading is under way");
+        daemon.advance(900);
+        daemon.feed(DaemonEvent::DirectoryUnread);
+        while daemon.readings.is_empty() {
+            daemon.advance(10);
+        }
+    }
+    daemon.publish(&["n2"], &[]);
+    while daemon.now < back + (Duration::from_millis(3_000) - CONNECT_PATIENCE) {
+        daemon.advance(10);
+    }
+    let known = daemon.core.published_upstreams(daemon.now).entries;
+    assert!(known.iter().all(|each| each.entry.id != "n1"), "n1 is still waited for");
+}
+
 /// An upstream whose every entry differs from the one before.
 fn entry(slots: u64) -> DirectoryEntry {
     DirectoryEntry {
