Take no sleep for an outage, and wait for nobody longer than users allow after a return

Cause: a reading that failed while its process slept counted as an outage; the wait for entries that may have lapsed ran from this daemon's own first reading, up to two seconds after its return. Change: a reading that was slept through is begun once more before anything follows from its failure; the wait ends 0.3 s, the time to connect, before the users count on the daemon again, reckoned from when the last reading in vain began. The age in the log is that of the list before a reading.

--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -3,7 +3,7 @@
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::identity::MonotonicTime;
 use crate::membership::ExchangeMessage;
-use crate::routing::{DirectoryEntry, PeerDirectory, UpstreamDirectory};
+use crate::routing::{CONNECT_PATIENCE, DirectoryEntry, PeerDirectory, UpstreamDirectory};
 
 /// Pause between two reads. The list is always read whole: each upstream renews its entry about
 /// every second, so that a watch would end as soon, and it would miss what changes while the store
@@ -14,7 +14,6 @@
 /// which the users bound the time from a notice to the last request. It leaves 0.4 s for a reading
 /// that is begun at [`STALE_AFTER`].
 ///
-/// [`CONNECT_PATIENCE`]: crate::routing::CONNECT_PATIENCE
 const FIT_FOR: Duration = Duration::from_millis(1_500);
 /// Time in which a platform in order answers a reading: some milliseconds, and for a list of 150
 /// upstreams 50 ms on a link of ten megabits. One that takes longer is slow or away, or the path to
@@ -36,6 +35,9 @@
 /// Time after the return of the published list within which a missing upstream may come back. The
 /// users state two seconds for entries that lapsed while the list could not be written.
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
+/// Time after which the users count again on a daemon that reaches the platform again; the shortest
+/// that they state.
+const COUNTED_ON_AFTER: Duration = Duration::from_millis(3_000);
 
 /// The published upstreams, and when to read them.
 #[derive(Debug, Default)]
@@ -46,6 +48,10 @@
     next_look: Option<MonotonicTime>,
     /// Whether attempts wait for a reading.
     overdue: bool,
+    /// Whether the open reading was begun because this process slept through the one before.
+    repeated: bool,
+    /// When the last reading in vain began.
+    failed_began: Option<MonotonicTime>,
     failures: u32,
     last_read: Option<MonotonicTime>,
     /// When a reader was last asked.
@@ -65,6 +71,8 @@
     began: MonotonicTime,
     /// When a platform in order has answered it.
     answer_due: MonotonicTime,
+    /// Whether this process was paused since.
+    slept: bool,
 }
 
 impl DirectoryState {
@@ -115,11 +123,15 @@
     }
 
     /// This process was paused for `pause` until now: an answer that was due meanwhile may lie unread.
+    /// Once for each reading, as a process that stutters must see an outage too.
     pub(super) fn woke(&mut self, pause: Duration, now: MonotonicTime) {
         if let Some(reading) = &mut self.reading
-            && reading.answer_due + pause > now
+            && !reading.slept
         {
-            reading.answer_due = now + ANSWER_TIME;
+            reading.slept = true;
+            if reading.answer_due + pause > now {
+                reading.answer_due = now + ANSWER_TIME;
+            }
         }
     }
 
@@ -158,11 +170,11 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
+        let age = self.age(now);
         let is_back = self.succeeded(now, out);
         // What this reading lists and a later one does not is gone: only what lapsed before the
         // list came back may still be on its way.
-        let grace = is_back.then(|| now + RETURN_GRACE);
-        let age = self.age(now);
+        let grace = is_back.then(|| self.return_grace(now));
         let changed = self.directory.replace(revision, entries, grace);
         self.note(changed, None, age, out);
         changed
@@ -171,10 +183,19 @@
     /// A read failed.
     pub(super) fn read_failed(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
         out.push(Command::Count(CounterName::PlatformReadsFailed));
+        let reading = self.reading.take();
+        if reading.as_ref().is_some_and(|reading| reading.slept) && !self.repeated {
+            // Guards against a process that takes its own sleep for an outage of the platform, and so
+            // goes on by a list from before it: the answer may have come meanwhile, unread.
+            self.repeated = true;
+            self.begin_reading(None, now, out);
+            return;
+        }
+        self.repeated = false;
+        self.failed_began = reading.map(|reading| reading.began);
         if self.failures == 0 && self.directory.is_known() {
             out.push(Command::Note(StateChange::PlatformLost));
         }
-        self.reading = None;
         self.failures += 1;
         let since = *self.failing_since.get_or_insert(now);
         self.away |= now.since(since) >= AWAY_AFTER;
@@ -234,7 +255,7 @@
         out: &mut Vec<Command>,
     ) {
         let answer_due = now + ANSWER_TIME;
-        self.reading = Some(OpenReading { began: now, answer_due });
+        self.reading = Some(OpenReading { began: now, answer_due, slept: false });
         out.push(Command::SetTimer { timer: TimerKey::DirectoryAnswer, at: answer_due });
         out.push(Command::Count(CounterName::DirectoryReads));
         if let Some(reader) = reader {
@@ -245,6 +266,18 @@
         out.push(Command::ReadDirectory);
     }
 
+    /// Until when upstreams are waited for that the first reading after an outage does not list.
+    ///
+    /// Guards against requests to one that has left while this daemon alone was cut off: it may have
+    /// been back since its last reading in vain began, which with the pause after it can be two
+    /// seconds ago, and is counted on three seconds after its return.
+    fn return_grace(&self, now: MonotonicTime) -> MonotonicTime {
+        let counted_on = self.failed_began.unwrap_or(now) + COUNTED_ON_AFTER;
+        let last =
+            MonotonicTime::from_start(counted_on.since_start().saturating_sub(CONNECT_PATIENCE));
+        last.min(now + RETURN_GRACE)
+    }
+
     fn set_look(&mut self, at: MonotonicTime, out: &mut Vec<Command>) {
         self.next_look = Some(at);
         out.push(Command::SetTimer { timer: TimerKey::Directory, at });
@@ -262,6 +295,7 @@
         }
         let began = self.reading.take().map(|reading| reading.began);
         self.failures = 0;
+        self.repeated = false;
         self.failing_since = None;
         self.last_read = Some(now);
         self.current = self.current.max(began);
