Start the upstreams of process tests at hosts of their own

Cause: upstream_that_refuses_connections_costs_nothing ended unknown with upstream_broken once. Shown on a scratch copy: a server that takes the freed port and breaks off gives the very symptom. All upstreams of all tests listened on one host at ports that the system gives, so a parallel test's server may get one that was just freed. That this happened in that run its output does not show. Ruled out: a connection to itself (0 of 160,000 tries at a freed port). Change: each upstream gets a random host of the loopback network; nothing of the test is eased. Conclusion: mended by what it needs to occur; if it comes again the cause is another.

--- a/crates/crocusdaled/tests/common/mod.rs
+++ b/crates/crocusdaled/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use stand_ins::{DaemonFleet, DaemonFleetBuilder, DeclarationText, UpstreamStandIn};
+use stand_ins::{DaemonFleet, DaemonFleetBuilder, DeclarationText, UpstreamStandIn, free_address};
 
 /// Life of a key in the declarations of these tests.
 pub const KEY_LIFE: Duration = Duration::from_millis(3_000);
@@ -59,8 +59,13 @@
     }
 }
 
+/// Two upstreams at hosts of their own.
+///
+/// Guards against a port that another test's server takes once its upstream has ended, on the host that
+/// all share: the daemons' requests reach that server, which breaks off, and an order is unknown where
+/// its connection should have been refused.
 fn pair(name: &str) -> Result<Vec<UpstreamStandIn>> {
-    let start = |index| UpstreamStandIn::start(&format!("{name}-{index}"), any_port());
+    let start = |index| UpstreamStandIn::start(&format!("{name}-{index}"), free_address()?);
     (0..2).map(start).collect()
 }
 
