Fail two tests of failures of long ago that are taken for an outage

Cause, found on reading the diff: a daemon whose list is kept young by another one does not read again after a failure, so the failure stands for good. It lifts the limit on the list's age seconds later, and with the next failure it makes an outage of many seconds in which entries may have lapsed. Class: the same, a belief used without its age.

--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -261,6 +261,58 @@
     assert!(known.iter().all(|each| each.entry.id != "n1"), "n1 is still waited for");
 }
 
+/// A daemon that lets another one read for it failed to read once, long ago, and its list was kept young
+/// by that one since. It fails once more, and the next reading lacks an upstream, which has left.
+/// Reckoned from the first failure that would be an outage of many seconds, in which the entry may have
+/// lapsed: the upstream would be waited for, and get requests for two seconds more.
+#[test]
+fn two_failures_far_apart_are_no_outage() {
+    let mut daemon = following_daemon();
+    daemon.feed(DaemonEvent::DirectoryUnread);
+    let known = daemon.core.dump(daemon.now).directory_revision;
+    for _ in 0..50 {
+        daemon.advance(100);
+        daemon.feed(answer_of_reader(known, daemon.now));
+    }
+    assert!(daemon.readings.is_empty(), "the peer reads");
+    daemon.advance(1_110);
+    daemon.feed(DaemonEvent::DirectoryUnread);
+    daemon.advance(300);
+    daemon.publish(&["n2"], &[]);
+    let known = daemon.core.published_upstreams(daemon.now).entries;
+    assert!(known.iter().all(|each| each.entry.id != "n1"), "n1 is still waited for");
+}
+
+/// The same daemon, whose list is young in spite of its failure, freezes for three seconds. That old
+/// failure must not stand for an outage now.
+#[test]
+fn failure_of_long_ago_does_not_lift_the_limit() {
+    let mut daemon = following_daemon();
+    daemon.feed(DaemonEvent::DirectoryUnread);
+    let known = daemon.core.dump(daemon.now).directory_revision;
+    for _ in 0..50 {
+        daemon.advance(100);
+        daemon.feed(answer_of_reader(known, daemon.now));
+    }
+    daemon.now = daemon.now + Duration::from_secs(3);
+    daemon.submit("/ask/it");
+    assert!(daemon.relays.is_empty(), "sent by a list that is 3 s old");
+}
+
+/// A daemon whose list a peer reads, and which has begun to read itself for once.
+fn following_daemon() -> Daemon {
+    let mut daemon = Daemon::new();
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.advance(500);
+    daemon.publish(&["n1", "n2"], &[]);
+    let known = daemon.core.dump(daemon.now).directory_revision;
+    daemon.feed(answer_of_reader(known, daemon.now));
+    daemon.advance(1_300);
+    assert_eq!(daemon.readings.len(), 1, "it reads for age");
+    daemon.readings.clear();
+    daemon
+}
+
 /// An upstream whose every entry differs from the one before.
 fn entry(slots: u64) -> DirectoryEntry {
     DirectoryEntry {
