Let a failed reading say something of its own time only

Cause: see the tests; a failure of a daemon that does not read again stood for good. Ruled out: to clear it whenever a peer has read; after an outage in which entries lapsed a peer's word would end the wait for them, and users would be refused while they come back. Change: a failure counts if its reading began since the list was last known to be the latest, and for 2.5 s, longer than the time to the next one; a run of failures that a peer's reading interrupts is no outage.

--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -13,12 +13,14 @@
 /// was given to an upstream is sent there, [`CONNECT_PATIENCE`], it stays below the two seconds for
 /// which the users bound the time from a notice to the last request. It leaves 0.4 s for a reading
 /// that is begun at [`STALE_AFTER`].
-///
 const FIT_FOR: Duration = Duration::from_millis(1_500);
 /// Time in which a platform in order answers a reading: some milliseconds, and for a list of 150
 /// upstreams 50 ms on a link of ten megabits. One that takes longer is slow or away, or the path to
 /// it is; no bound is due then, and callers must not wait for it.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Time for which a failed reading says that the platform, or the path to it, is out of order. The next
+/// one ends 1.9 s later at the latest: the longest pause, and the patience of a reading.
+const FAILURE_LIFE: Duration = Duration::from_millis(2_500);
 /// First pause after a failed read, and the longest one.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(1_000));
 /// Age of the list at which a daemon reads itself, whoever should read for it. A list that is asked
@@ -50,14 +52,15 @@
     overdue: bool,
     /// Whether the open reading was begun because this process slept through the one before.
     repeated: bool,
-    /// When the last reading in vain began.
-    failed_began: Option<MonotonicTime>,
+    /// The last reading in vain.
+    failed: Option<FailedReading>,
     failures: u32,
     last_read: Option<MonotonicTime>,
     /// When a reader was last asked.
     last_asked: Option<MonotonicTime>,
     /// When the list was last known to be the latest one, by a reading of this daemon or of another.
     current: Option<MonotonicTime>,
+    /// When the first of the readings in vain ended, since the list was last known to be the latest.
     failing_since: Option<MonotonicTime>,
     /// Whether entries may have lapsed since the last read that succeeded.
     away: bool,
@@ -75,6 +78,13 @@
     slept: bool,
 }
 
+/// A reading in vain.
+#[derive(Debug)]
+struct FailedReading {
+    began: MonotonicTime,
+    ended: MonotonicTime,
+}
+
 impl DirectoryState {
     /// Reads the list if this daemon is a reader, for which `reader` is `None`, or if nobody is
     /// known to have read it of late. Returns the reader that is to be asked, if it is time.
@@ -109,11 +119,12 @@
     /// reading has failed or stays unanswered for longer than [`ANSWER_TIME`].
     pub(super) fn is_overdue(&mut self, now: MonotonicTime, out: &mut Vec<Command>) -> bool {
         let old = self.directory.is_known() && self.age(now).is_some_and(|age| age >= FIT_FOR);
-        if old && self.failing_since.is_none() && self.reading.is_none() {
+        let failing = self.is_failing(now);
+        if old && !failing && self.reading.is_none() {
             self.begin_reading(None, now, out);
         }
         let silent = self.reading.as_ref().is_some_and(|reading| now >= reading.answer_due);
-        let overdue = old && self.failing_since.is_none() && !silent;
+        let overdue = old && !failing && !silent;
         if overdue && !self.overdue {
             let age_ms = self.age(now).map(millis);
             out.push(Command::Note(StateChange::DirectoryOverdue { age_ms }));
@@ -154,6 +165,11 @@
         }
         let current = MonotonicTime::from_start(sent.since_start().checked_sub(age)?);
         self.current = self.current.max(Some(current));
+        // A peer has read since: what failed before is over. An outage that was long enough for entries
+        // to lapse ends only with a reading of this daemon, which then waits for them.
+        if !self.away && self.failing_since.is_some_and(|since| current > since) {
+            self.failing_since = None;
+        }
         self.current
     }
 
@@ -192,7 +208,8 @@
             return;
         }
         self.repeated = false;
-        self.failed_began = reading.map(|reading| reading.began);
+        let began = reading.map_or(now, |reading| reading.began);
+        self.failed = Some(FailedReading { began, ended: now });
         if self.failures == 0 && self.directory.is_known() {
             out.push(Command::Note(StateChange::PlatformLost));
         }
@@ -248,6 +265,18 @@
         self.current.map(|current| now.since(current))
     }
 
+    /// Whether a reading that was begun since the list was last known to be the latest has failed, of
+    /// late.
+    ///
+    /// Guards against a failure of long ago that stands for an outage: a daemon whose list is kept young
+    /// by another one does not read again after it.
+    fn is_failing(&self, now: MonotonicTime) -> bool {
+        self.failed.as_ref().is_some_and(|failed| {
+            let since = self.current.is_none_or(|current| failed.began > current);
+            since && now.since(failed.ended) < FAILURE_LIFE
+        })
+    }
+
     fn begin_reading(
         &mut self,
         reader: Option<String>,
@@ -272,7 +301,8 @@
     /// been back since its last reading in vain began, which with the pause after it can be two
     /// seconds ago, and is counted on three seconds after its return.
     fn return_grace(&self, now: MonotonicTime) -> MonotonicTime {
-        let counted_on = self.failed_began.unwrap_or(now) + COUNTED_ON_AFTER;
+        let began = self.failed.as_ref().map_or(now, |failed| failed.began);
+        let counted_on = began + COUNTED_ON_AFTER;
         let last =
             MonotonicTime::from_start(counted_on.since_start().saturating_sub(CONNECT_PATIENCE));
         last.min(now + RETURN_GRACE)
