--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -9,21 +9,21 @@
 #[path = "support/forward_daemon.rs"]
 #[allow(dead_code, reason = "no test file uses all of it")]
 mod forward_daemon;
+#[path = "support/reader_answer.rs"]
+mod reader_answer;
 mod support;
 
 use std::time::Duration;
 
 use crocusdale_core::daemon::DaemonEvent;
-use crocusdale_core::identity::{InstanceId, MonotonicTime};
-use crocusdale_core::membership::{
-    ExchangeMessage, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
-};
+use crocusdale_core::identity::MonotonicTime;
 use crocusdale_core::pipeline::{AttemptEvent, RunProof};
 use crocusdale_core::routing::{CONNECT_PATIENCE, DirectoryEntry};
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
 use forward_daemon::Daemon;
+use reader_answer::answer_of_reader;
 use support::virtual_fleet::VirtualFleet;
 
 /// Time from a notice until the upstream must get nothing more: the shortest that the users state.
@@ -35,40 +35,6 @@
 /// Pause between two requests.
 const REQUEST_PACE: u64 = 10;
 
-/// A peer that reads the list for the daemon under test, as its name ranks before that daemon's.
-const READER: &str = "entry-a2";
-
-fn reader_record() -> MemberRecord {
-    let address = "127.0.0.1:2".parse().expect("an address");
-    let place = MemberPlace {
-        zone: "a".to_owned(),
-        caller: address,
-        peer: address,
-        capacity: MemberCapacity::new(1.0, 1_000.0),
-    };
-    let mut record = MemberRecord::new(InstanceId::new(READER, 8), Some(place));
-    record.status = MemberStatus::Alive;
-    record
-}
-
-/// What the daemon that reads for this one answers to a question that was sent at `sent`: it has just
-/// read, and found `directory` to be the last change.
-fn answer_of_reader(directory: u64, sent: MonotonicTime) -> DaemonEvent {
-    let message = Box::new(ExchangeMessage {
-        sender: reader_record(),
-        sender_leaving: false,
-        revision: 0,
-        digest: 0,
-        records: Vec::new(),
-        leaving: Vec::new(),
-        leaving_upstreams: Vec::new(),
-        directory,
-        directory_age: Some(Duration::ZERO),
-        known_members: None,
-    });
-    DaemonEvent::Exchanged { message, sent }
-}
-
 /// Sends requests until `until`, and answers readings that take `reading`, the notice of `n1` in them
 /// if they began after it was given at `notice`. Returns until when the last request to `n1` may be
 /// written.
@@ -111,14 +77,14 @@
         daemon.advance(500);
         daemon.publish(&["n1", "n2"], &[]);
         let known = daemon.core.dump(daemon.now).directory_revision;
-        daemon.feed(answer_of_reader(known, daemon.now));
+        daemon.feed(answer_of_reader((1, known), daemon.now));
         daemon.advance(500);
-        daemon.feed(answer_of_reader(known, daemon.now));
+        daemon.feed(answer_of_reader((1, known), daemon.now));
         daemon.advance(10 * offset);
         assert!(daemon.readings.is_empty(), "the peer reads");
         let notice = daemon.now;
         daemon.advance(ANSWER.as_millis() as u64);
-        daemon.feed(answer_of_reader(known, notice));
+        daemon.feed(answer_of_reader((1, known), notice));
         let until = notice + Duration::from_secs(4);
         let last = last_request_to_leaving(&mut daemon, notice, until, READING);
         worst = worst.max(last.map_or(Duration::ZERO, |last| last.since(notice)));
@@ -272,7 +238,7 @@
     let known = daemon.core.dump(daemon.now).directory_revision;
     for _ in 0..50 {
         daemon.advance(100);
-        daemon.feed(answer_of_reader(known, daemon.now));
+        daemon.feed(answer_of_reader((1, known), daemon.now));
     }
     assert!(daemon.readings.is_empty(), "the peer reads");
     daemon.advance(1_110);
@@ -292,7 +258,7 @@
     let known = daemon.core.dump(daemon.now).directory_revision;
     for _ in 0..50 {
         daemon.advance(100);
-        daemon.feed(answer_of_reader(known, daemon.now));
+        daemon.feed(answer_of_reader((1, known), daemon.now));
     }
     daemon.now = daemon.now + Duration::from_secs(3);
     daemon.submit("/ask/it");
@@ -306,7 +272,7 @@
     daemon.advance(500);
     daemon.publish(&["n1", "n2"], &[]);
     let known = daemon.core.dump(daemon.now).directory_revision;
-    daemon.feed(answer_of_reader(known, daemon.now));
+    daemon.feed(answer_of_reader((1, known), daemon.now));
     daemon.advance(1_300);
     assert_eq!(daemon.readings.len(), 1, "it reads for age");
     daemon.readings.clear();
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -22,8 +22,12 @@
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
 
 pub const HOST: &str = "mail.example";
+/// Text of a configuration in which the key of [`Daemon::submit`] is gone.
+pub const WITHOUT_KEYS: &str = "without keys";
+/// The key.
+pub const KEY: &str = "secret";
 
-pub fn read(_: &str, _: &str) -> Result<Declarations, Vec<ConfigurationError>> {
+pub fn read(_: &str, text: &str) -> Result<Declarations, Vec<ConfigurationError>> {
     let stage = |kind| StageRules::published(kind, None);
     let batch = BatchRules {
         slots: 1,
@@ -46,6 +50,7 @@
         let scan = batched("scan", Vec::new(), result_bytes);
         vec![scan, batched("rank", vec![0], 1_000), forward("reader", vec![1])]
     };
+    let key = if text == WITHOUT_KEYS { "another key" } else { KEY };
     let workspace =
         WorkspaceRules { labels: LabelSet::default(), concurrency: u32::MAX, level: None };
     Ok(DeclarationsBuilder::new("test", Duration::from_secs(1))
@@ -55,7 +60,7 @@
         .stage("reader", stage(PoolKind::Engine(engine)))
         .route(HOST, "/light/", pipeline(RepeatRule::ResumableStream, chain(1_000)))
         .route(HOST, "/heavy/", pipeline(RepeatRule::ResumableStream, chain(2_000_000)))
-        .workspace("letters", workspace, ["secret".to_owned()])
+        .workspace("letters", workspace, [key.to_owned()])
         .route(HOST, "/ask/", pipeline(RepeatRule::Idempotent, vec![forward("notify", vec![])]))
         .route(HOST, "/shred/", pipeline(RepeatRule::AtMostOnce, vec![forward("notify", vec![])]))
         .route(HOST, "/tell/", pipeline(RepeatRule::Stream, vec![forward("reader", vec![])]))
@@ -103,6 +108,8 @@
     pub readings: Vec<MonotonicTime>,
     /// Deadline of the requests to come.
     pub deadline: Duration,
+    /// Revision and text of the configuration that the platform publishes.
+    pub configuration: (u64, String),
 }
 
 impl Daemon {
@@ -136,6 +143,7 @@
             answers: Vec::new(),
             readings: Vec::new(),
             deadline: Duration::from_secs(2),
+            configuration: (1, "first".to_owned()),
         };
         let mut commands = Vec::new();
         daemon.core.start(now, &mut commands);
@@ -149,6 +157,26 @@
 
     /// Publishes plain upstreams, some of which leave, beside two of each other pool.
     pub fn publish(&mut self, plain: &[&str], leaving: &[&str]) {
+        // What answers a reading of long ago is as old as that, and the daemon reads again.
+        loop {
+            self.readings.clear();
+            let answer = self.answer_with(plain, leaving);
+            self.feed(answer);
+            self.feed(DaemonEvent::Timer(TimerKey::DirectoryAnswer));
+            if self.readings.is_empty() {
+                break;
+            }
+        }
+    }
+
+    /// Lets the daemon begin a reading, and returns the answer, in which no upstream leaves.
+    pub fn reading_answer(&mut self, plain: &[&str]) -> DaemonEvent {
+        self.feed(DaemonEvent::Timer(TimerKey::DirectoryAnswer));
+        assert_eq!(self.readings.len(), 1, "what is published is being read");
+        self.answer_with(plain, &[])
+    }
+
+    fn answer_with(&self, plain: &[&str], leaving: &[&str]) -> DaemonEvent {
         let others =
             [("s1", "scan"), ("s2", "scan"), ("k1", "rank"), ("r1", "reader"), ("r2", "reader")];
         let plain = plain.iter().map(|id| (*id, "notify"));
@@ -164,17 +192,8 @@
             };
             (1 + self.now.since_start().as_millis() as u64, entry)
         });
-        let entries: Vec<_> = entries.collect();
         let revision = 1 + self.now.since_start().as_millis() as u64;
-        // What answers a reading of long ago is as old as that, and the daemon reads again.
-        loop {
-            self.readings.clear();
-            self.feed(DaemonEvent::DirectoryRead { revision, entries: entries.clone() });
-            self.feed(DaemonEvent::Timer(TimerKey::DirectoryAnswer));
-            if self.readings.is_empty() {
-                break;
-            }
-        }
+        DaemonEvent::DirectoryRead { revision, entries: entries.collect() }
     }
 
     pub fn feed(&mut self, event: DaemonEvent) {
@@ -218,10 +237,17 @@
     }
 
     pub fn submit(&mut self, path: &str) -> CallId {
-        self.submit_with(path, Some("secret"))
+        self.submit_with(path, Some(KEY))
     }
 
     pub fn submit_with(&mut self, path: &str, access: Option<&str>) -> CallId {
+        let (call, request) = self.request(path, access);
+        self.feed(DaemonEvent::Submitted { call, request });
+        call
+    }
+
+    /// A request that has not come yet.
+    pub fn request(&mut self, path: &str, access: Option<&str>) -> (CallId, Box<CallerRequest>) {
         self.sequence += 1;
         let key = RequestKey::new("", format!("try-{}", self.sequence));
         let parts = vec![PromptPart { id: 5, tokens: 900 }, PromptPart { id: 6, tokens: 100 }];
@@ -244,9 +270,7 @@
             ticket: None,
             content: RequestContent::Forward(Box::new(head)),
         };
-        let call = self.core.open_call(&key);
-        self.feed(DaemonEvent::Submitted { call, request: Box::new(request) });
-        call
+        (self.core.open_call(&key), Box::new(request))
     }
 
     pub fn attempt(&mut self, attempt: AttemptId, event: AttemptEvent) {
--- /dev/null
+++ b/crates/crocusdale_core/tests/support/reader_answer.rs
@@ -0,0 +1,43 @@
+//! Answers of a peer that reads what is published for the daemon under test.
+
+use std::time::Duration;
+
+use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::identity::{InstanceId, MonotonicTime};
+use crocusdale_core::membership::{
+    ExchangeMessage, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
+};
+
+/// The peer: its name ranks before that of the daemon under test.
+const READER: &str = "entry-a2";
+
+fn reader_record() -> MemberRecord {
+    let address = "127.0.0.1:2".parse().expect("an address");
+    let place = MemberPlace {
+        zone: "a".to_owned(),
+        caller: address,
+        peer: address,
+        capacity: MemberCapacity::new(1.0, 1_000.0),
+    };
+    let mut record = MemberRecord::new(InstanceId::new(READER, 8), Some(place));
+    record.status = MemberStatus::Alive;
+    record
+}
+
+/// What the peer answers to a question that was sent at `sent`: it has just read, and found the
+/// configuration and the list of upstreams to stand at the revisions of `position`.
+pub fn answer_of_reader((revision, directory): (u64, u64), sent: MonotonicTime) -> DaemonEvent {
+    let message = Box::new(ExchangeMessage {
+        sender: reader_record(),
+        sender_leaving: false,
+        revision,
+        digest: 0,
+        records: Vec::new(),
+        leaving: Vec::new(),
+        leaving_upstreams: Vec::new(),
+        directory,
+        directory_age: Some(Duration::ZERO),
+        known_members: None,
+    });
+    DaemonEvent::Exchanged { message, sent }
+}
