Read all that a store publishes at one pace, and judge requests by what is young enough

Change: one call reads configuration and upstreams, so that both have one age. The guard that holds attempts while that is too old also holds requests that were not judged yet; their deadline runs on. Whether work waits is decided under the lock under which it is put aside, which closes the race of two threads. How old it may be, and how often it is asked for, follows from the users' bounds, which the settings name now: the sum stays below bounds of 1, 2, 3 and 4 s in one test with each part at its longest. A watch of the configuration is left to the readers, held for 10 s, and nothing rests on it. Calls of a fleet of 195 in five zones by the model: 40 a second before, at most 13 now.

--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -5,6 +5,7 @@
 
 use super::section_reader::{CheckedSection, ErrorCollector, parse_addresses, read_sections};
 use super::{ConfigurationError, ConfigurationErrorKind};
+use crate::daemon::NewsBounds;
 use crate::retry::RetryLimits;
 
 /// Settings of one process.
@@ -67,6 +68,8 @@
     pub grace: Duration,
     /// How many retries all daemons may make together at one pool.
     pub retries: RetryLimits,
+    /// How late news of the platform may take effect.
+    pub bounds: NewsBounds,
 }
 
 /// Bounds on what callers may send.
@@ -229,6 +232,7 @@
     }
     let number =
         |key: &str| published.get::<f64>(key).expect("a number with a default was checked");
+    let millis = |key: &str| Duration::from_secs_f64(number(key) / 1_000.0);
     PlatformSettings::Published(PublishedSettings {
         store: address("published", "store"),
         seeds: published.text("seeds").and_then(parse_addresses).unwrap_or_default(),
@@ -240,5 +244,10 @@
             reserve: number("retry_reserve"),
             window: Duration::from_secs_f64(number("retry_window_s")),
         },
+        bounds: NewsBounds {
+            notice: millis("notice_ms"),
+            configuration: millis("configuration_ms"),
+            contact: millis("contact_ms"),
+        },
     })
 }
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -133,7 +133,7 @@
         /// The peer.
         vm: String,
     },
-    /// Read the published upstreams.
+    /// Read all that a store publishes: upstreams and configuration.
     ReadDirectory,
     /// Fetch the configuration that a peer has in force.
     FetchConfiguration {
@@ -142,7 +142,7 @@
         /// Revision in force here.
         known: u64,
     },
-    /// Read the configuration service, waiting there for a revision other than `known`.
+    /// Wait for a configuration other than `known`, at a configuration service or a store.
     WatchConfiguration {
         /// Revision that was last read from the service.
         known: u64,
@@ -242,6 +242,8 @@
     AttemptsSent,
     /// Attempts that waited because the list of published upstreams was too old.
     AttemptsHeld,
+    /// Requests that waited to be judged until what the platform publishes had been read.
+    RequestsHeld,
     /// Attempts of which no byte was written.
     AttemptsNotSent,
     /// Attempts that an upstream answered with an error status.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use super::directory_state::DirectoryState;
-use super::list_guard::HeldAttempts;
+use super::held_work::HeldWork;
+use super::news_bounds::NewsPace;
 use super::pause_watch::PauseWatch;
-use super::{DaemonCore, FleetState};
+use super::{DaemonCore, FleetState, NewsBounds};
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
 use crate::batching::{BatchDesk, PoolWaits};
 use crate::claims::RegisterShard;
@@ -38,8 +39,8 @@
     pub(super) gate: Mutex<AdmissionGate>,
     pub(super) fleet: Mutex<FleetState>,
     pub(super) directory: Mutex<DirectoryState>,
-    /// Attempts that wait until the list of published upstreams has been read.
-    pub(super) held: Mutex<HeldAttempts>,
+    /// What waits until what the platform publishes has been read.
+    pub(super) held: Mutex<HeldWork>,
     pub(super) desk: Mutex<BatchDesk>,
     /// How long pieces would wait in each pool.
     pub(super) waits: Mutex<PoolWaits>,
@@ -107,6 +108,8 @@
     pub retries: RetryLimits,
     /// Time between the wish that a process ends and the moment at which it is killed.
     pub grace: Duration,
+    /// How late news of the platform may take effect.
+    pub bounds: NewsBounds,
 }
 
 impl DaemonCoreBuilder {
@@ -177,7 +180,11 @@
         let mut desk = BatchDesk::default();
         desk.set_retries(retries);
         let grace = self.published.as_ref().map(|each| each.grace);
+        let mut directory = DirectoryState::default();
         if let Some(published) = self.published {
+            let pace = NewsPace::from(published.bounds);
+            directory = DirectoryState::new(pace);
+            fleet.set_pace(pace);
             fleet.set_reader(published.reader);
             fleet.set_seeds(published.seeds, now);
         }
@@ -196,7 +203,7 @@
             started: now,
             gate: Mutex::new(AdmissionGate::new(self.requests)),
             fleet: Mutex::new(fleet),
-            directory: Mutex::default(),
+            directory: Mutex::new(directory),
             held: Mutex::default(),
             desk: Mutex::new(desk),
             waits: Mutex::default(),
@@ -246,6 +253,9 @@
 
     pub(super) fn set_router(&self, router: UpstreamRouter) {
         *self.router.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(router);
+        // The router before it may have been told after this one was made.
+        let is_closed = lock(&self.held).is_closed();
+        self.router().hold(is_closed);
     }
 
     pub(super) fn basis(&self) -> Arc<RequestBasis> {
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::core_state::CoreState;
+use super::held_work::HeldRequest;
 use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
 use crate::claims::RegisterReply;
 use crate::configuration::CallerLimits;
@@ -77,7 +78,10 @@
         self.state.check_list(now, out);
         let mut steps = Vec::new();
         match event {
-            DaemonEvent::Submitted { call, request } => self.state.submit(call, *request, now, out),
+            DaemonEvent::Submitted { call, request } => {
+                let held = HeldRequest { call, request: *request, arrived: now };
+                self.state.receive(held, now, out);
+            }
             DaemonEvent::Inquired { call, key, age } => {
                 self.state.inquire(call, key, age, now, out);
             }
@@ -117,7 +121,7 @@
             event => self.fleet_event(event, now, out),
         }
         self.state.run_steps(steps, now, out);
-        if self.state.router().is_held() {
+        if lock(&self.state.held).is_closed() {
             self.state.check_list(now, out);
         }
     }
@@ -285,7 +289,8 @@
 
     fn open_calls(&self) -> usize {
         let begun: usize = self.state.shards.iter().map(|shard| lock(shard).open_count()).sum();
-        begun + lock(&self.state.backlog).len()
+        let held = lock(&self.state.held).request_count();
+        begun + lock(&self.state.backlog).len() + held
     }
 
     fn timer(&self, timer: TimerKey, now: MonotonicTime, out: &mut Vec<Command>) {
@@ -324,6 +329,7 @@
     /// Ends every request that is still open: the process is about to end.
     fn end_requests(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let mut steps = Vec::new();
+        self.state.end_held(now, out);
         self.state.end_waiting(now, &mut steps);
         for shard in &self.state.shards {
             lock(shard).end_all(RefusalReason::Draining, now, &mut steps);
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -69,14 +69,16 @@
     ConfigurationWatched(Option<(u64, String)>),
     /// The configuration service did not answer.
     ConfigurationUnread,
-    /// All published upstreams were read, each with the revision of its last change.
+    /// All that a store publishes was read.
     DirectoryRead {
-        /// Revision of the list.
+        /// Revision of the store.
         revision: u64,
-        /// The upstreams.
+        /// All published upstreams, each with the revision of its last change.
         entries: Vec<(u64, DirectoryEntry)>,
+        /// The configuration, if it is another one than at the reading before.
+        configuration: Option<(u64, String)>,
     },
-    /// The published upstreams could not be read.
+    /// What a store publishes could not be read.
     DirectoryUnread,
     /// A peer told the published upstreams that it knows, or did not.
     DirectoryFetched(Option<PeerDirectory>),
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -1,19 +1,11 @@
 use std::time::Duration;
 
+use super::news_bounds::NewsPace;
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::identity::MonotonicTime;
 use crate::membership::ExchangeMessage;
 use crate::routing::{CONNECT_PATIENCE, DirectoryEntry, PeerDirectory, UpstreamDirectory};
 
-/// Pause between two reads. The list is always read whole: each upstream renews its entry about
-/// every second, so that a watch would end as soon, and it would miss what changes while the store
-/// forgets its history. The users bound the time from a notice to the last request at two seconds.
-const READ_PAUSE: Duration = Duration::from_millis(500);
-/// Age of the list beyond which no choice rests on it. Together with the time in which a request that
-/// was given to an upstream is sent there, [`CONNECT_PATIENCE`], it stays below the two seconds for
-/// which the users bound the time from a notice to the last request. It leaves 0.4 s for a reading
-/// that is begun at [`STALE_AFTER`].
-const FIT_FOR: Duration = Duration::from_millis(1_500);
 /// Time in which a platform in order answers a reading: some milliseconds, and for a list of 150
 /// upstreams 50 ms on a link of ten megabits. One that takes longer is slow or away, or the path to
 /// it is; no bound is due then, and callers must not wait for it.
@@ -23,11 +15,6 @@
 const FAILURE_LIFE: Duration = Duration::from_millis(2_500);
 /// First pause after a failed read, and the longest one.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(200), Duration::from_millis(1_000));
-/// Age of the list at which a daemon reads itself, whoever should read for it. A list that is asked
-/// for every 0.4 s, of a daemon that reads twice a second, is 0.95 s old at most.
-const STALE_AFTER: Duration = Duration::from_millis(1_100);
-/// Pause between two questions to the daemon that reads the list for this one.
-const ASK_PAUSE: Duration = Duration::from_millis(400);
 /// Time after which a fetch from a peer counts as lost.
 const FETCH_PATIENCE: Duration = Duration::from_millis(800);
 /// Time for which reads must have failed for the list to count as away: entries may have lapsed
@@ -37,13 +24,11 @@
 /// Time after the return of the published list within which a missing upstream may come back. The
 /// users state two seconds for entries that lapsed while the list could not be written.
 const RETURN_GRACE: Duration = Duration::from_millis(2_000);
-/// Time after which the users count again on a daemon that reaches the platform again; the shortest
-/// that they state.
-const COUNTED_ON_AFTER: Duration = Duration::from_millis(3_000);
 
-/// The published upstreams, and when to read them.
+/// The published upstreams, and when to read what the platform publishes.
 #[derive(Debug, Default)]
 pub(super) struct DirectoryState {
+    pace: NewsPace,
     pub(super) directory: UpstreamDirectory,
     reading: Option<OpenReading>,
     /// When the next look is due.
@@ -58,7 +43,8 @@
     last_read: Option<MonotonicTime>,
     /// When a reader was last asked.
     last_asked: Option<MonotonicTime>,
-    /// When the list was last known to be the latest one, by a reading of this daemon or of another.
+    /// When list and configuration were last known to be the latest, by a reading of this daemon or of
+    /// another.
     current: Option<MonotonicTime>,
     /// When the first of the readings in vain ended, since the list was last known to be the latest.
     failing_since: Option<MonotonicTime>,
@@ -86,6 +72,11 @@
 }
 
 impl DirectoryState {
+    /// Knows nothing yet, and reads at `pace`.
+    pub(super) fn new(pace: NewsPace) -> Self {
+        Self { pace, ..Self::default() }
+    }
+
     /// Reads the list if this daemon is a reader, for which `reader` is `None`, or if nobody is
     /// known to have read it of late. Returns the reader that is to be asked, if it is time.
     pub(super) fn look(
@@ -102,13 +93,13 @@
             self.begin_reading(reader, now, out);
             return None;
         }
-        let due = self.last_asked.is_none_or(|last| now.since(last) >= ASK_PAUSE);
+        let due = self.last_asked.is_none_or(|last| now.since(last) >= self.pace.ask_pause);
         if due {
             self.last_asked = Some(now);
         }
         // To the millisecond: looks that came late made the list as much older.
-        let ask = self.last_asked.map_or(now, |last| last + ASK_PAUSE);
-        let stale = self.current.map_or(now, |current| current + STALE_AFTER);
+        let ask = self.last_asked.map_or(now, |last| last + self.pace.ask_pause);
+        let stale = self.current.map_or(now, |current| current + self.pace.stale_after);
         self.set_look(ask.min(stale), out);
         reader.filter(|_| due)
     }
@@ -118,7 +109,8 @@
     /// It is fit again with an answer, from the platform or from a peer, and whatever its age once a
     /// reading has failed or stays unanswered for longer than [`ANSWER_TIME`].
     pub(super) fn is_overdue(&mut self, now: MonotonicTime, out: &mut Vec<Command>) -> bool {
-        let old = self.directory.is_known() && self.age(now).is_some_and(|age| age >= FIT_FOR);
+        let old =
+            self.directory.is_known() && self.age(now).is_some_and(|age| age >= self.pace.fit_for);
         let failing = self.is_failing(now);
         if old && !failing && self.reading.is_none() {
             self.begin_reading(None, now, out);
@@ -146,21 +138,23 @@
         }
     }
 
-    /// Takes what a peer says of its list in the answer to a heartbeat that was sent at `sent`.
-    /// Returns since when the list here is known to be the latest.
+    /// Takes what a peer says of its readings in the answer to a heartbeat that was sent at `sent`;
+    /// `revision` is that of the configuration in force here. Returns since when what is known here is
+    /// known to be the latest.
     ///
     /// Guards against a list that is taken for younger than it is, because its age is reckoned from
     /// when the answer came, or from a later question: a notice that lies in between seems to be
     /// known, and its upstream gets requests for longer than it may, 0.8 s where the answer of a peer
     /// was that slow. What the answer says was true when its own question was sent, less the age that
-    /// it names, and the list here is the latest of then if it lacks nothing that the peer knows.
+    /// it names, and what is known here was the latest then if it lacks nothing that the peer knows.
     pub(super) fn heard_age(
         &mut self,
         message: &ExchangeMessage,
+        revision: u64,
         sent: MonotonicTime,
     ) -> Option<MonotonicTime> {
         let age = message.directory_age?;
-        if message.directory > self.directory.changed() {
+        if message.directory > self.directory.changed() || message.revision > revision {
             return None;
         }
         let current = MonotonicTime::from_start(sent.since_start().checked_sub(age)?);
@@ -299,10 +293,10 @@
     ///
     /// Guards against requests to one that has left while this daemon alone was cut off: it may have
     /// been back since its last reading in vain began, which with the pause after it can be two
-    /// seconds ago, and is counted on three seconds after its return.
+    /// seconds ago, and is counted on [`NewsPace::contact`] after its return.
     fn return_grace(&self, now: MonotonicTime) -> MonotonicTime {
         let began = self.failed.as_ref().map_or(now, |failed| failed.began);
-        let counted_on = began + COUNTED_ON_AFTER;
+        let counted_on = began + self.pace.contact;
         let last =
             MonotonicTime::from_start(counted_on.since_start().saturating_sub(CONNECT_PATIENCE));
         last.min(now + RETURN_GRACE)
@@ -314,7 +308,7 @@
     }
 
     fn is_stale(&self, now: MonotonicTime) -> bool {
-        self.current.is_none_or(|current| now.since(current) >= STALE_AFTER)
+        self.current.is_none_or(|current| now.since(current) >= self.pace.stale_after)
     }
 
     /// A read succeeded. Returns whether it was the first one after a time in which entries may have
@@ -329,7 +323,7 @@
         self.failing_since = None;
         self.last_read = Some(now);
         self.current = self.current.max(began);
-        self.set_look(now + READ_PAUSE, out);
+        self.set_look(now + self.pace.read_pause, out);
         std::mem::take(&mut self.away)
     }
 
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -59,6 +59,7 @@
 
     /// The caller of a request that waits is gone.
     pub(super) fn abandon_waiting(&self, call: CallId, steps: &mut Vec<ShardStep>) {
+        lock(&self.held).abandon(call);
         if let Some(plan) = lock(&self.backlog).withdraw(call) {
             steps.push(ShardStep::GiveBack(plan.permit));
         }
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -21,13 +21,16 @@
                 let news = lock(&self.state.fleet).take_message(&message, now, out);
                 self.state.take_leaving(&news, now, out);
                 self.heard(&message, now, out);
-                let current = lock(&self.state.directory).heard_age(&message, sent);
+                let (revision, _) = lock(&self.state.fleet).ledger.position();
+                let current = lock(&self.state.directory).heard_age(&message, revision, sent);
                 if current.is_some() {
                     lock(&self.state.fleet).directory_current = current;
                 }
             }
             DaemonEvent::GreetingFailed => out.push(Command::Count(CounterName::ExchangesFailed)),
-            DaemonEvent::DirectoryRead { revision, entries } => {
+            DaemonEvent::DirectoryRead { revision, entries, configuration } => {
+                // First, so that no list says that it is young with an older configuration in force.
+                self.take_configuration(configuration, now, out);
                 let mut directory = lock(&self.state.directory);
                 let changed = directory.read_whole(revision, entries, now, out);
                 drop(directory);
@@ -120,7 +123,7 @@
         self.state.run_steps(steps, now, out);
     }
 
-    /// Has the published upstreams read, or asks the daemon that reads them for this one.
+    /// Has what is published read, or asks the daemon that reads it for this one.
     pub(super) fn look_at_directory(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let reader = lock(&self.state.fleet).directory_reader();
         let asked = lock(&self.state.directory).look(reader, now, out);
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -4,6 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
+use super::news_bounds::NewsPace;
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::configuration::{ConfigurationLedger, DeclarationReader, LedgerVerdict};
 use crate::identity::MonotonicTime;
@@ -71,8 +72,10 @@
     pub directory: u64,
     /// When that was last known to be the last change.
     pub directory_current: Option<MonotonicTime>,
-    /// Whether the published upstreams must be known before callers are served.
-    needs_directory: bool,
+    /// Whether one store publishes configuration and upstreams, which must both be known before callers
+    /// are served.
+    pub(super) needs_directory: bool,
+    pub(super) pace: NewsPace,
     seeds: Vec<SocketAddr>,
     next_seed: usize,
     seeds_asked: usize,
@@ -99,6 +102,7 @@
             directory: 0,
             directory_current: None,
             needs_directory: false,
+            pace: NewsPace::default(),
             seeds: Vec::new(),
             next_seed: 0,
             seeds_asked: 0,
@@ -111,6 +115,11 @@
         self.ledger = ConfigurationLedger::new(reader);
     }
 
+    /// Sets how often what the platform publishes is asked for.
+    pub(super) fn set_pace(&mut self, pace: NewsPace) {
+        self.pace = pace;
+    }
+
     /// Finds peers through `seeds` and what members tell of each other, not through a VM list, and
     /// needs the published upstreams.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>, now: MonotonicTime) {
@@ -350,13 +359,21 @@
     }
 
     /// Watches if this daemon is a reader or has heard of no peer for too long.
+    ///
+    /// A store is read whole at a pace of its own, see [`NewsPace`]. There a watch only has a change
+    /// take effect within milliseconds.
     pub fn decide_watch(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
         if self.watching {
             return;
         }
         let bound = MonotonicTime::from_start(now.since_start().saturating_sub(READ_BOUND));
         let none_yet = self.ledger.in_force().is_none();
-        if self.is_reader() || none_yet || !self.view.heard_since(bound) {
+        let watches = if self.needs_directory {
+            !none_yet && self.directory_reader().is_none()
+        } else {
+            self.is_reader() || none_yet || !self.view.heard_since(bound)
+        };
+        if watches {
             self.watching = true;
             out.push(Command::WatchConfiguration { known: self.service_revision });
         } else {
--- a/crates/crocusdale_core/src/daemon/list_guard.rs
+++ b/crates/crocusdale_core/src/daemon/list_guard.rs
@@ -1,55 +1,45 @@
-//! Attempts wait while the list of published upstreams is too old to choose by.
+//! Requests and attempts wait while what the platform publishes is too old to choose by.
 
 use super::core_state::CoreState;
+use super::held_work::HeldRequest;
 use super::{Command, CounterName};
 use crate::identity::MonotonicTime;
 use crate::pipeline::{RefusalReason, ShardStep};
 use crate::routing::SlotRequest;
 use crate::sync::lock;
 
-/// Attempts that wait until the list of published upstreams has been read.
-#[derive(Debug, Default)]
-pub(super) struct HeldAttempts {
-    attempts: Vec<(SlotRequest, RefusalReason)>,
-}
-
-impl HeldAttempts {
-    /// Lets an attempt wait; `reason` is why its request is refused if there is no upstream.
-    pub(super) fn hold(&mut self, request: SlotRequest, reason: RefusalReason) {
-        self.attempts.push((request, reason));
-    }
-
-    /// Takes out what waits for the call and the stage of `request`.
-    pub(super) fn withdraw(&mut self, request: &SlotRequest) {
-        self.attempts.retain(|(held, _)| held.call != request.call || held.stage != request.stage);
-    }
-}
-
 impl CoreState {
-    /// Decides at `now` whether the list of published upstreams is fit to choose by, before anything
-    /// is chosen.
+    /// Decides at `now` whether what the platform publishes, configuration and list of upstreams, is
+    /// known well enough to choose by, before anything is chosen.
     ///
-    /// Guards against requests to an upstream that has left, sent by a list that was not renewed in
-    /// time: this process got no processor, or a timer, a peer or a reading was late. It shows as a
-    /// leaving upstream that is called seconds after its notice. The guard holds because it is asked
-    /// where the choice is made, and needs nothing to be on time.
+    /// Guards against requests to an upstream that has left, and against requests that are judged by a
+    /// configuration that was replaced, because what is known was not renewed in time: this process got
+    /// no processor, or a timer, a peer or a reading was late. It shows as a leaving upstream that is
+    /// called seconds after its notice, or as an access key that works for seconds after it was taken
+    /// away. The guard holds because it is asked where the choice is made, and needs nothing to be on
+    /// time.
     pub(super) fn check_list(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        let overdue = lock(&self.directory).is_overdue(now, out);
-        if !self.router().hold(overdue) {
-            return;
-        }
+        let (overdue, released) = {
+            let mut directory = lock(&self.directory);
+            let overdue = directory.is_overdue(now, out);
+            (overdue, lock(&self.held).set_closed(overdue))
+        };
+        let Some(released) = released else { return };
+        self.router().hold(overdue);
         lock(&self.desk).hold(overdue);
         if overdue {
             return;
         }
-        let held = std::mem::take(&mut *lock(&self.held));
         let mut steps = Vec::new();
-        for (request, reason) in held.attempts {
+        for (request, reason) in released.attempts {
             self.acquire(request, reason, now, &mut steps);
         }
         steps.extend(self.run_grants(self.router().serve_all_waiting(now), now));
         self.turn_desk(now, &mut steps, out);
         self.run_steps(steps, now, out);
+        for held in released.requests {
+            self.submit(held, now, out);
+        }
     }
 
     /// Finds an upstream for an attempt, lets it wait for one, or denies it for `reason`.
@@ -60,16 +50,31 @@
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) {
-        let router = self.router();
-        if router.is_held() {
+        let Some(request) = lock(&self.held).hold_attempt(request, reason) else {
             steps.push(ShardStep::Command(Command::Count(CounterName::AttemptsHeld)));
-            lock(&self.held).hold(request, reason);
             return;
-        }
-        match router.acquire(request, now) {
+        };
+        match self.router().acquire(request, now) {
             Ok(Some(grant)) => self.shard(grant.request.call.0).granted(grant, now, steps),
             Ok(None) => {}
             Err(request) => self.shard(request.call.0).denied(request.call, reason, now, steps),
         }
     }
+
+    /// Begins a request, refuses it, or lets it wait until it can be judged.
+    pub(super) fn receive(&self, held: HeldRequest, now: MonotonicTime, out: &mut Vec<Command>) {
+        let held = lock(&self.held).hold_request(held);
+        match held {
+            Some(held) => self.submit(held, now, out),
+            None => out.push(Command::Count(CounterName::RequestsHeld)),
+        }
+    }
+
+    /// Ends the requests that wait to be judged: the process is about to end.
+    pub(super) fn end_held(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let requests = lock(&self.held).take_requests();
+        for held in requests {
+            self.submit(held, now, out);
+        }
+    }
 }
--- a/crates/crocusdale_core/src/daemon/reader_choice.rs
+++ b/crates/crocusdale_core/src/daemon/reader_choice.rs
@@ -6,29 +6,26 @@
 
 /// Daemons of each zone that hold the watch on the configuration service.
 const READERS_PER_ZONE: usize = 2;
-/// Daemons of a zone for each one that reads the published upstreams. It answers the others twice a
-/// second each, about half a percent of a core.
-const DAEMONS_PER_READER: usize = 16;
 
 impl FleetState {
-    /// Whether this daemon watches the configuration for its availability zone.
+    /// Whether this daemon watches the configuration service for its availability zone.
     #[must_use]
     pub(super) fn is_reader(&self) -> bool {
         let own = self.view.own().instance.vm.as_str();
         self.zone_ranks("configuration reader").iter().take(READERS_PER_ZONE).any(|vm| *vm == own)
     }
 
-    /// Whom this daemon asks whether its list of published upstreams is still the latest: one of the
-    /// daemons of its zone that read the list, or `None` if it is one of them.
+    /// Whom this daemon asks whether what it knows of the store is still the latest: one of the daemons
+    /// of its zone that read the store, or `None` if it is one of them.
     ///
-    /// One daemon of sixteen reads, so that the reads of a fleet grow a good deal more slowly than
-    /// the fleet: each costs the platform a call and both sides as much as the list is long, 110
-    /// calls a second at 83 daemons when all read, 13 now.
+    /// One daemon of sixteen reads, of more if the bounds allow longer pauses, so that the reads of a
+    /// fleet grow a good deal more slowly than the fleet: each costs the platform a call and both sides
+    /// as much as the list is long.
     #[must_use]
     pub fn directory_reader(&self) -> Option<String> {
         let own = self.view.own().instance.vm.as_str();
         let ranked = self.zone_ranks("directory reader");
-        let readers = &ranked[..ranked.len().div_ceil(DAEMONS_PER_READER)];
+        let readers = &ranked[..ranked.len().div_ceil(self.pace.daemons_per_reader())];
         if readers.contains(&own) {
             return None;
         }
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::core_state::CoreState;
+use super::held_work::HeldRequest;
 use super::{Command, CounterName, StateChange};
 use crate::claims::{RegisterReply, RegisterState};
 use crate::configuration::Declarations;
@@ -26,14 +27,9 @@
 const DISAGREEMENT_RETRY: Duration = Duration::from_millis(1_000);
 
 impl CoreState {
-    /// Begins a request, or refuses it.
-    pub(super) fn submit(
-        &self,
-        call: CallId,
-        request: CallerRequest,
-        now: MonotonicTime,
-        out: &mut Vec<Command>,
-    ) {
+    /// Begins a request, or refuses it. Its deadline runs from when it came.
+    pub(super) fn submit(&self, held: HeldRequest, now: MonotonicTime, out: &mut Vec<Command>) {
+        let HeldRequest { call, request, arrived } = held;
         let mut steps = Vec::new();
         let key = request.key.clone();
         let claimed = !request.repeatable && request.forward().is_none();
@@ -56,7 +52,7 @@
         };
         let (forwarded, age) = (request.forward().is_some(), request.age);
         let repeatable = request.repeatable || forwarded;
-        match self.admit(request, declarations, now) {
+        match self.admit(request, declarations, arrived, now) {
             Ok(plan) if !plan.claimed => self.enter(call, plan, now, &mut steps),
             Ok(plan) => self.start_claimed(call, plan, now, &mut steps),
             Err((refusal, repeatable_there)) => {
@@ -163,11 +159,12 @@
         &self,
         request: CallerRequest,
         declarations: &Arc<Declarations>,
+        arrived: MonotonicTime,
         now: MonotonicTime,
     ) -> Result<RequestPlan, (Box<FinalOutcome>, bool)> {
         let key = request.key.clone();
         let mut plan =
-            RequestPlan::make(request, declarations, now).map_err(|refusal| (refusal, true))?;
+            RequestPlan::make(request, declarations, arrived).map_err(|refusal| (refusal, true))?;
         let repeatable = plan.repeatable;
         // A request that can't end in time is refused before it takes anything from those that can.
         let needed = self.router().estimate(&plan.pipeline.plan, plan.level);
--- a/crates/crocusdale_core/tests/configuration_age_test.rs
+++ b/crates/crocusdale_core/tests/configuration_age_test.rs
@@ -14,16 +14,16 @@
 use std::sync::Barrier;
 use std::time::Duration;
 
-use crocusdale_core::daemon::{Command, DaemonEvent};
+use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds};
 use crocusdale_core::identity::MonotonicTime;
 use crocusdale_core::pipeline::{AttemptEvent, OutcomeKind, RefusalReason, RunProof};
 
 use forward_daemon::{Daemon, KEY, WITHOUT_KEYS};
 use reader_answer::answer_of_reader;
 
-/// Time from the acknowledgement of a configuration until requests must be judged by it: the shortest
-/// that the users state.
-const CONFIGURATION_BOUND: Duration = Duration::from_millis(2_000);
+/// Times from the acknowledgement of a configuration until requests must be judged by it: those that
+/// the users state, and half of the shortest.
+const CONFIGURATION_BOUNDS_MS: [u64; 4] = [1_000, 2_000, 3_000, 4_000];
 /// Longest answer of a platform that is in order.
 const READING: Duration = Duration::from_millis(390);
 /// Longest answer of a peer, after which it counts as lost.
@@ -66,28 +66,38 @@
 /// one may.
 #[test]
 fn longest_times_of_a_configuration_add_up_to_less_than_the_bound() {
+    for bound in CONFIGURATION_BOUNDS_MS.map(Duration::from_millis) {
+        let worst = worst_time(NewsBounds { configuration: bound, ..NewsBounds::default() });
+        assert!(worst < bound, "let in {worst:?} after the key was taken away, {bound:?} allowed");
+        let notice = NewsBounds { notice: bound, configuration: bound * 2, contact: bound * 2 };
+        assert!(worst_time(notice) < bound, "the other bound is the shorter one");
+    }
+}
+
+/// Longest time from the removal of a key to the last request that was let in with it.
+fn worst_time(bounds: NewsBounds) -> Duration {
+    let shortest = bounds.configuration.min(bounds.notice).as_millis() as u64;
     let mut worst = Duration::ZERO;
     for offset in 0..50 {
-        let mut daemon = Daemon::new();
-        daemon.publish(&["n1", "n2"], &[]);
-        daemon.advance(500);
+        let mut daemon = Daemon::with_bounds(bounds);
         daemon.publish(&["n1", "n2"], &[]);
         let known = daemon.core.dump(daemon.now);
         let position = (known.revision, known.directory_revision);
         daemon.feed(answer_of_reader(position, daemon.now));
-        daemon.advance(500);
+        daemon.advance(100);
         daemon.feed(answer_of_reader(position, daemon.now));
-        daemon.advance(10 * offset);
+        daemon.advance(offset * shortest / 200);
         assert!(daemon.readings.is_empty(), "the peer reads");
         let removal = daemon.now;
-        daemon.advance(ANSWER.as_millis() as u64);
+        let answered = last_request_let_in(&mut daemon, removal, removal + ANSWER);
         daemon.feed(answer_of_reader(position, removal));
-        let until = removal + Duration::from_secs(4);
-        let last = last_request_let_in(&mut daemon, removal, until);
+        let until = removal + Duration::from_secs(6);
+        let last = last_request_let_in(&mut daemon, removal, until).max(answered);
         worst = worst.max(last.map_or(Duration::ZERO, |last| last.since(removal)));
     }
-    assert!(worst > Duration::from_millis(500), "the change came too early: {worst:?}");
-    assert!(worst < CONFIGURATION_BOUND, "let in {worst:?} after the key was taken away");
+    let least = bounds.configuration.min(bounds.notice) / 4;
+    assert!(worst > least, "the change came too early to be missed: {worst:?}");
+    worst
 }
 
 /// A process gets no processor for three seconds, in which the operator takes a key away. The first
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -10,7 +10,7 @@
     LabelSelector, LabelSet, PipelineRules, PlanStep, PoolKind, RepeatRule, StagePlan, StageRules,
     StepWork, WeightedPool, WorkspaceRules,
 };
-use crocusdale_core::daemon::{Command, DaemonEvent, TimerKey};
+use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds, TimerKey};
 use crocusdale_core::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
 use crocusdale_core::membership::{MemberCapacity, MemberPlace};
 use crocusdale_core::pipeline::{
@@ -114,6 +114,10 @@
 
 impl Daemon {
     pub fn new() -> Self {
+        Self::with_bounds(NewsBounds::default())
+    }
+
+    pub fn with_bounds(bounds: NewsBounds) -> Self {
         let now = MonotonicTime::from_millis(0);
         let address = "127.0.0.1:1".parse().expect("an address");
         let published = PublishedFleet {
@@ -127,6 +131,7 @@
             reader: read,
             retries: RetryLimits::default(),
             grace: Duration::from_secs(8),
+            bounds,
         };
         let own = InstanceId::new("entry-a1", 7);
         let core = DaemonCoreBuilder::new(own, "a").published(published).seed(1).build(now);
@@ -193,7 +198,8 @@
             (1 + self.now.since_start().as_millis() as u64, entry)
         });
         let revision = 1 + self.now.since_start().as_millis() as u64;
-        DaemonEvent::DirectoryRead { revision, entries: entries.collect() }
+        let (entries, configuration) = (entries.collect(), Some(self.configuration.clone()));
+        DaemonEvent::DirectoryRead { revision, entries, configuration }
     }
 
     pub fn feed(&mut self, event: DaemonEvent) {
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::Declarations;
-use crocusdale_core::daemon::{Command, DaemonEvent, TimerKey};
+use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds, TimerKey};
 use crocusdale_core::identity::{InstanceId, MonotonicTime};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::retry::RetryLimits;
@@ -29,6 +29,10 @@
 const SLOW_PLATFORM_TIME: Duration = Duration::from_millis(390);
 /// Time after which an unreachable peer is given up.
 const SILENCE: Duration = Duration::from_millis(800);
+/// Time for which the platform holds a watch without news.
+const HOLD: Duration = Duration::from_secs(10);
+/// Availability zones, unless a test says otherwise.
+const ZONES: usize = 3;
 /// Seeds that each process knows.
 const SEEDS: usize = 3;
 
@@ -43,14 +47,18 @@
 pub struct VirtualFleet {
     pub now: MonotonicTime,
     pub cores: Vec<DaemonCore>,
+    zones: usize,
+    bounds: NewsBounds,
     queue: BTreeMap<(MonotonicTime, u64), (usize, Delivery)>,
     sequence: u64,
     /// Records that were told, of all daemons.
     pub records: usize,
     /// Published upstreams, and the revision of the last change.
     pub published: (u64, Vec<(u64, DirectoryEntry)>),
-    /// Reads of the published upstreams.
+    /// Readings of what is published.
     pub reads: usize,
+    /// Watches of the configuration, each held for [`HOLD`].
+    pub watches: usize,
     /// Daemons that reach no other daemon, and are reached by none.
     pub cut_off: HashSet<usize>,
     /// Daemons whose reads fail.
@@ -61,11 +69,20 @@
 
 impl VirtualFleet {
     pub fn new(size: usize) -> Self {
+        Self::in_zones(size, ZONES, NewsBounds::default())
+    }
+
+    /// A fleet in `zones` availability zones.
+    pub fn in_zones(size: usize, zones: usize, bounds: NewsBounds) -> Self {
         let now = MonotonicTime::from_millis(0);
-        let cores = (0..size).map(|index| core(index, FIRST_LIFE, now)).collect();
+        let start = |index| core(index, FIRST_LIFE, zones, bounds, now);
+        let cores = (0..size).map(start).collect();
         let mut fleet = Self {
             now,
             cores,
+            zones,
+            bounds,
+            watches: 0,
             queue: BTreeMap::new(),
             sequence: 0,
             records: 0,
@@ -101,7 +118,7 @@
     /// Ends a process and starts another one on its VM, at once, which numbers its life `life`.
     pub fn restart_as(&mut self, index: usize, life: u64) {
         self.queue.retain(|_, (owner, _)| *owner != index);
-        self.cores[index] = core(index, life, self.now);
+        self.cores[index] = core(index, life, self.zones, self.bounds, self.now);
         self.push(self.now, index, Delivery::Start);
     }
 
@@ -174,15 +191,16 @@
                 let event = if self.turned_away.contains(&index) {
                     DaemonEvent::DirectoryUnread
                 } else {
-                    DaemonEvent::DirectoryRead { revision, entries }
+                    let configuration = Some((1, DECLARATIONS.to_owned()));
+                    DaemonEvent::DirectoryRead { revision, entries, configuration }
                 };
                 let delay = self.delay(PLATFORM_TIME, SLOW_PLATFORM_TIME);
                 self.push(self.now + delay, index, Delivery::Event(event));
             }
-            Command::WatchConfiguration { known: 0 } => {
-                let read = Some((1, DECLARATIONS.to_owned()));
-                let event = DaemonEvent::ConfigurationWatched(read);
-                self.push(self.now + PLATFORM_TIME, index, Delivery::Event(event));
+            Command::WatchConfiguration { .. } => {
+                self.watches += 1;
+                let event = DaemonEvent::ConfigurationWatched(None);
+                self.push(self.now + HOLD, index, Delivery::Event(event));
             }
             Command::FetchDirectory { vm } => {
                 let to = vm_index(&vm);
@@ -221,9 +239,16 @@
     }
 }
 
-fn core(index: usize, life: u64, now: MonotonicTime) -> DaemonCore {
+fn core(
+    index: usize,
+    life: u64,
+    zones: usize,
+    bounds: NewsBounds,
+    now: MonotonicTime,
+) -> DaemonCore {
+    let zone = format!("z{}", index % zones);
     let place = MemberPlace {
-        zone: format!("z{}", index % 3),
+        zone: zone.clone(),
         caller: peer_address(index),
         peer: peer_address(index),
         capacity: MemberCapacity::new(1.0, 1_000.0),
@@ -234,9 +259,9 @@
         reader: Declarations::check,
         retries: RetryLimits::default(),
         grace: Duration::from_secs(8),
+        bounds,
     };
     let own = InstanceId::new(vm_name(index), life);
-    let zone = format!("z{}", index % 3);
     DaemonCoreBuilder::new(own, zone).published(published).seed(index as u64).build(now)
 }
 
--- a/crates/crocusdale_core/tests/upstream_news_test.rs
+++ b/crates/crocusdale_core/tests/upstream_news_test.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use crocusdale_core::daemon::NewsBounds;
 use crocusdale_core::routing::DirectoryEntry;
 use support::virtual_fleet::VirtualFleet;
 
@@ -43,6 +44,25 @@
     }
 }
 
+// Each call of the platform is paid for. A fleet of 195 in five zones made 40 a second: 15 readers of
+// the list at two a second, and ten watchers of the configuration at one. With one reading for both,
+// and pauses as long as the bounds of such a fleet allow, a third is enough.
+#[test]
+fn large_fleet_makes_a_third_of_the_calls() {
+    let bound = Duration::from_secs(4);
+    let bounds = NewsBounds { notice: bound, configuration: bound, contact: bound };
+    let mut fleet = VirtualFleet::in_zones(195, 5, bounds);
+    fleet.published = (1, vec![(1, entry(false))]);
+    fleet.run(Duration::from_secs(10));
+    (fleet.reads, fleet.watches) = (0, 0);
+    fleet.run(Duration::from_secs(30));
+    let calls = fleet.reads + fleet.watches;
+    assert!(calls * 3 <= 20 * 40, "{} readings and {} watches in 20 s", fleet.reads, fleet.watches);
+    fleet.published = (2, vec![(2, entry(true))]);
+    fleet.run(Duration::from_secs(30) + bound);
+    assert_eq!(fleet.informed(), 195);
+}
+
 // An upstream gives notice. Most daemons don't read the list themselves; all must know in time.
 #[test]
 fn notice_reaches_all_in_time() {
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -1,15 +1,14 @@
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use crocusdale_core::daemon::DaemonEvent;
-use crocusdale_core::sync::lock;
 use crocusdale_platform::store::{
-    StoreChange, StoreChanges, StoreFault, StoreItem, StorePart, is_configuration, read_changes,
-    read_configuration, read_page, read_upstream,
+    StoreChange, StoreChanges, StoreFault, StoreItem, is_configuration, is_upstream, range_path,
+    read_changes, read_configuration, read_page, read_upstream, watch_path,
 };
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
@@ -19,13 +18,10 @@
 use crate::engine::DaemonEngine;
 use crate::upstream::{ConnectionPool, SendFault};
 
-/// How long the store may hold a watch of the configuration. Open connections may go silent for
-/// good, and then the news comes only with the next watch; it must be in force within two seconds.
-const CONFIGURATION_HOLD: Duration = Duration::from_millis(1_500);
-/// Time after which the configuration is read whole, whatever a watch says: a store that forgets its
-/// history lets a watch wait on, or go on behind a change that it never told. Below the three
-/// seconds after which the users count on a store that has come back.
-const WHOLE_READ_PERIOD: Duration = Duration::from_millis(2_000);
+/// How long the store may hold a watch of the configuration. A watch only brings a change sooner than
+/// the next reading of everything, so that a silent connection, or a store that has forgotten its
+/// history, does no harm. Each watch is a call that is paid for.
+const CONFIGURATION_HOLD: Duration = Duration::from_millis(10_000);
 /// Time beyond the hold for which an answer may take. An answer takes a few milliseconds in calm,
 /// and up to some tenths of a second while the store is slow.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(900);
@@ -38,14 +34,24 @@
 pub struct StoreReader {
     store: SocketAddr,
     connections: Arc<ConnectionPool>,
-    /// Revision of the store after which the configuration is watched, 0 before the first reading.
+    /// Revision of the store up to which the configuration is known, 0 before the first reading.
     position: Arc<AtomicU64>,
-    /// When the configuration was last read whole.
-    whole_read: Arc<Mutex<Option<Instant>>>,
+    /// Revision of the configuration's item that the last reading gave on.
+    given_on: Arc<AtomicU64>,
     /// Published upstreams that can't be read.
     unreadable: Arc<UnreadableItems>,
 }
 
+/// A call of the store.
+#[derive(Clone, Copy, Debug, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum StoreCall {
+    /// Reads everything.
+    Reading,
+    /// Waits for another configuration.
+    Watch,
+}
+
 /// Why the store could not be read.
 #[derive(Debug)]
 enum ReadFault {
@@ -67,7 +73,7 @@
     }
 }
 
-/// What one reading of a part found.
+/// What one reading found.
 struct WholeRead {
     /// Revision of the store.
     revision: u64,
@@ -83,20 +89,19 @@
             store,
             connections: Arc::default(),
             position: Arc::default(),
-            whole_read: Arc::default(),
+            given_on: Arc::default(),
             unreadable: Arc::default(),
         }
     }
 
-    /// Reads the configuration, or once it is known waits for another one.
+    /// Waits for another configuration than the one that was read last.
     pub fn watch_configuration(&self, engine: &Arc<DaemonEngine>) {
         let (reader, engine) = (self.handle(), Arc::clone(engine));
         tokio::spawn(async move {
             let event = match reader.next_configuration().await {
                 Ok(news) => DaemonEvent::ConfigurationWatched(news),
                 Err(fault) => {
-                    reader.position.store(0, Ordering::Relaxed);
-                    reader.report(&engine, StorePart::Configuration, &fault);
+                    reader.report(&engine, StoreCall::Watch, &fault);
                     DaemonEvent::ConfigurationUnread
                 }
             };
@@ -104,24 +109,14 @@
         });
     }
 
-    /// Reads the published upstreams.
+    /// Reads all that is published.
     pub fn read_directory(&self, engine: &Arc<DaemonEngine>) {
         let (reader, engine) = (self.handle(), Arc::clone(engine));
         tokio::spawn(async move {
-            let event = match reader.read_whole(StorePart::Upstreams).await {
-                Ok(WholeRead { revision, items, mut unreadable }) => {
-                    let mut entries = Vec::with_capacity(items.len());
-                    for item in &items {
-                        match read_upstream(item) {
-                            Ok(entry) => entries.push((item.revision, entry)),
-                            Err(fault) => unreadable.push(fault),
-                        }
-                    }
-                    reader.unreadable.note(&engine.telemetry, unreadable);
-                    DaemonEvent::DirectoryRead { revision, entries }
-                }
+            let event = match reader.read_whole().await {
+                Ok(read) => reader.directory_event(read, &engine),
                 Err(fault) => {
-                    reader.report(&engine, StorePart::Upstreams, &fault);
+                    reader.report(&engine, StoreCall::Reading, &fault);
                     DaemonEvent::DirectoryUnread
                 }
             };
@@ -134,44 +129,67 @@
             store: self.store,
             connections: Arc::clone(&self.connections),
             position: Arc::clone(&self.position),
-            whole_read: Arc::clone(&self.whole_read),
+            given_on: Arc::clone(&self.given_on),
             unreadable: Arc::clone(&self.unreadable),
         }
     }
 
-    async fn next_configuration(&self) -> Result<Option<(u64, String)>, ReadFault> {
-        let position = self.position.load(Ordering::Relaxed);
-        let read = *lock(&self.whole_read);
-        let due = read.is_none_or(|read| read.elapsed() >= WHOLE_READ_PERIOD);
-        let read = if position == 0 || due {
-            let read = self.read_whole(StorePart::Configuration).await?;
-            *lock(&self.whole_read) = Some(Instant::now());
-            read
-        } else {
-            match self.watch(StorePart::Configuration, position, CONFIGURATION_HOLD).await {
-                Ok(read) => read,
-                Err(ReadFault::HistoryGone) => self.read_whole(StorePart::Configuration).await?,
-                Err(fault) => return Err(fault),
+    fn directory_event(&self, read: WholeRead, engine: &DaemonEngine) -> DaemonEvent {
+        let WholeRead { revision, items, mut unreadable } = read;
+        let mut entries = Vec::with_capacity(items.len());
+        let mut configuration = None;
+        for item in &items {
+            if is_configuration(&item.key) {
+                match self.news_of(item) {
+                    Ok(news) => configuration = news,
+                    Err(fault) => unreadable.push(fault),
+                }
+            } else if is_upstream(&item.key) {
+                match read_upstream(item) {
+                    Ok(entry) => entries.push((item.revision, entry)),
+                    Err(fault) => unreadable.push(fault),
+                }
             }
-        };
-        let WholeRead { revision, items, unreadable } = read;
+        }
+        unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
+        self.unreadable.note(&engine.telemetry, unreadable);
+        self.position.fetch_max(revision, Ordering::Relaxed);
+        DaemonEvent::DirectoryRead { revision, entries, configuration }
+    }
+
+    /// The configuration in `item`, if it is another one than the last reading gave on.
+    fn news_of(&self, item: &StoreItem) -> Result<Option<(u64, String)>, StoreFault> {
+        if self.given_on.load(Ordering::Relaxed) == item.revision {
+            return Ok(None);
+        }
+        let news = read_configuration(item)?;
+        self.given_on.store(item.revision, Ordering::Relaxed);
+        Ok(Some(news))
+    }
+
+    async fn next_configuration(&self) -> Result<Option<(u64, String)>, ReadFault> {
+        let path = watch_path(self.position.load(Ordering::Relaxed), CONFIGURATION_HOLD);
+        let body = self.get(&path, CONFIGURATION_HOLD + ANSWER_PATIENCE).await?;
+        let read = read_changes(&body).map_err(ReadFault::Unreadable)?;
+        let StoreChanges { changes, unreadable, revision } = read;
         if let Some(fault) = unreadable.into_iter().find(|fault| is_configuration(&fault.key)) {
             return Err(ReadFault::Unreadable(fault));
         }
+        let items = written(changes);
         let newest = items.iter().rfind(|item| is_configuration(&item.key));
         let news = newest.map(read_configuration).transpose().map_err(ReadFault::Unreadable)?;
-        self.position.store(revision, Ordering::Relaxed);
+        self.position.fetch_max(revision, Ordering::Relaxed);
         Ok(news)
     }
 
-    /// Reads a part whole. Pages are no snapshot: what changes meanwhile is seen by a watch from
-    /// the revision of the first page.
-    async fn read_whole(&self, part: StorePart) -> Result<WholeRead, ReadFault> {
+    /// Reads everything. Pages are no snapshot: what changes meanwhile is seen by the next reading, and
+    /// by a watch from the revision of the first page.
+    async fn read_whole(&self) -> Result<WholeRead, ReadFault> {
         let (mut items, mut unreadable) = (Vec::new(), Vec::new());
         let mut first_revision = None;
         let mut after: Option<String> = None;
         for _ in 0..PAGES {
-            let path = part.range_path(after.as_deref());
+            let path = range_path(after.as_deref());
             let page = read_page(&self.get(&path, ANSWER_PATIENCE).await?);
             let page = page.map_err(ReadFault::Unreadable)?;
             first_revision.get_or_insert(page.revision);
@@ -186,19 +204,6 @@
         Ok(WholeRead { revision, items, unreadable })
     }
 
-    async fn watch(
-        &self,
-        part: StorePart,
-        revision: u64,
-        hold: Duration,
-    ) -> Result<WholeRead, ReadFault> {
-        let path = part.watch_path(revision, hold);
-        let body = self.get(&path, hold + ANSWER_PATIENCE).await?;
-        let read = read_changes(&body).map_err(ReadFault::Unreadable)?;
-        let StoreChanges { changes, unreadable, revision } = read;
-        Ok(WholeRead { revision, items: written(changes), unreadable })
-    }
-
     async fn get(&self, path: &str, patience: Duration) -> Result<Bytes, ReadFault> {
         let mut request = Request::new(Full::default());
         *request.uri_mut() = path.parse().unwrap_or_default();
@@ -214,9 +219,9 @@
         }
     }
 
-    fn report(&self, engine: &DaemonEngine, part: StorePart, fault: &ReadFault) {
+    fn report(&self, engine: &DaemonEngine, call: StoreCall, fault: &ReadFault) {
         warn!(engine.telemetry.log, "store_unread";
-            "part" => part.to_string(), "store" => self.store.to_string(),
+            "call" => call.to_string(), "store" => self.store.to_string(),
             "cause" => fault.to_string());
     }
 }
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -99,8 +99,9 @@
                 self.push(HOP, ModelEvent::Ask { life, to, message });
             }
             Command::ReadDirectory => {
-                let event =
-                    DaemonEvent::DirectoryRead { revision: 1, entries: self.published.clone() };
+                let entries = self.published.clone();
+                let configuration = Some((1, self.load.text.clone()));
+                let event = DaemonEvent::DirectoryRead { revision: 1, entries, configuration };
                 self.push_core(PLATFORM_TIME, life, event);
             }
             Command::FetchDirectory { vm } => {
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -6,7 +6,7 @@
 
 use crocusdale_core::batching::BatchOrder;
 use crocusdale_core::configuration::{ConfigurationError, Declarations};
-use crocusdale_core::daemon::{DaemonEvent, TimerKey};
+use crocusdale_core::daemon::{DaemonEvent, NewsBounds, TimerKey};
 use crocusdale_core::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace};
 use crocusdale_core::pipeline::{
@@ -235,6 +235,7 @@
             reader: read_load,
             retries: RetryLimits::default(),
             grace: Duration::from_secs(8),
+            bounds: NewsBounds::default(),
         };
         let own = InstanceId::new(vm_name(daemon), life);
         DaemonCoreBuilder::new(own, zone).published(published).seed(daemon as u64).build(self.now)
