Reserve the load of later pools when a step's time is reckoned

Cause: a step was due at the objective less half-full calls of the later pools with nothing waiting there; each pool used that time up. Ruled out: who begins (few waited at the entry), and room (4 of 143,456 results found none). Hypothesis: a step that leaves the time that later pools need as they are loaded puts those behind that can't be in time anyway, and more of the others are. Change: dispatchers tell the time of a usual call beside the wait; a request reserves both for each later step.

--- a/crates/crocusdale_core/src/batching/pool_forecast.rs
+++ b/crates/crocusdale_core/src/batching/pool_forecast.rs
@@ -139,7 +139,8 @@
             let before: usize = late.range(..=level).map(|(_, pieces)| pieces).sum();
             turn.wait(work_of(&self.rules, ahead + before))
         });
-        PoolWait { in_time, late: waits.collect(), crowded: Duration::ZERO }
+        let call = self.usual_call();
+        PoolWait { in_time, late: waits.collect(), crowded: Duration::ZERO, call }
     }
 
     fn late_turn(&self, now: MonotonicTime) -> Option<LateTurn> {
--- a/crates/crocusdale_core/src/batching/pool_waits.rs
+++ b/crates/crocusdale_core/src/batching/pool_waits.rs
@@ -20,6 +20,8 @@
     /// For how long the pool has had no room for late requests. Nobody knows when a burst ends; it is
     /// taken to last for as long again.
     pub crowded: Duration,
+    /// Time of a call that is as full as calls were of late, zero if none is known.
+    pub call: Duration,
 }
 
 impl PoolWait {
@@ -57,7 +59,7 @@
     pub fn after(&self, age: Duration) -> Self {
         let left = |wait: &Duration| wait.saturating_sub(age);
         let late = self.late.iter().map(left).collect();
-        Self { in_time: left(&self.in_time), late, crowded: self.crowded }
+        Self { in_time: left(&self.in_time), late, ..self.clone() }
     }
 }
 
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -4,7 +4,7 @@
 use super::{Command, StateChange};
 use crate::admission::EntryVerdict;
 use crate::batching::PoolWait;
-use crate::configuration::StepWork;
+use crate::configuration::{PlanStep, StepWork};
 use crate::identity::{CallId, MonotonicTime};
 use crate::pipeline::{
     FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason, RequestPlan, ShardStep,
@@ -28,6 +28,7 @@
         steps: &mut Vec<ShardStep>,
     ) {
         plan.is_flood = lock(&self.workspaces).count(&plan.request.key.workspace, now);
+        plan.delays = self.expected_delays(&plan, now);
         match self.entry_verdict(&plan, now) {
             EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, steps),
             EntryVerdict::Hopeless => self.refuse_late(call, &plan, now, steps),
@@ -48,7 +49,8 @@
     pub(super) fn turn_backlog(&self, now: MonotonicTime, steps: &mut Vec<ShardStep>) {
         let judge = |plan: &RequestPlan| self.entry_verdict(plan, now);
         let taken = lock(&self.backlog).take(LATE_PER_TURN, judge);
-        for (call, plan, verdict) in taken {
+        for (call, mut plan, verdict) in taken {
+            plan.delays = self.expected_delays(&plan, now);
             if verdict == EntryVerdict::Hopeless {
                 self.refuse_late(call, &plan, now, steps);
             } else {
@@ -74,12 +76,25 @@
 
     /// Time that a request should need from now to its answer, by what dispatchers said last.
     fn expected_way(&self, plan: &RequestPlan, now: MonotonicTime) -> Duration {
+        let delays = self.expected_delays(plan, now);
+        let steps = &plan.pipeline.plan;
+        steps.longest_way(|step, position| plan.step_time(position, step) + delays[position])
+    }
+
+    /// Time that each step should take beyond what it takes if nothing waits, by what dispatchers said
+    /// last: the wait for its calls, and the pieces of others in these.
+    fn expected_delays(&self, plan: &RequestPlan, now: MonotonicTime) -> Vec<Duration> {
         let waits = lock(&self.waits);
-        plan.pipeline.plan.longest_way(|step, position| {
-            let needed = matches!(step.work, StepWork::Batched { .. }) && plan.pieces(position) > 0;
-            let wait = if needed { waits.wait(&step.stage, now).in_time } else { Duration::ZERO };
-            plan.step_time(position, step) + wait
-        })
+        let steps = plan.pipeline.plan.steps().iter().enumerate();
+        let delay = |(position, step): (usize, &PlanStep)| {
+            let batched = matches!(step.work, StepWork::Batched { .. });
+            if !batched || plan.pieces(position) == 0 {
+                return Duration::ZERO;
+            }
+            let wait = waits.wait(&step.stage, now);
+            wait.in_time + wait.call.saturating_sub(plan.step_time(position, step))
+        };
+        steps.map(delay).collect()
     }
 
     /// What dispatchers said last of the pools that a request needs.
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -44,6 +44,9 @@
     pub is_flood: bool,
     /// Its place under the limits.
     pub permit: AdmissionPermit,
+    /// Time that each step should take beyond [`Self::step_time`], as the pools were loaded when the
+    /// request began.
+    pub delays: Vec<Duration>,
 }
 
 impl RequestPlan {
@@ -97,6 +100,7 @@
             claimed: !repeatable,
             is_flood: false,
             permit: AdmissionPermit::default(),
+            delays: Vec::new(),
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -145,6 +149,7 @@
             claimed: false,
             is_flood: false,
             permit: AdmissionPermit::default(),
+            delays: Vec::new(),
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -196,11 +201,15 @@
         MonotonicTime::from_start(self.deadline.since_start().saturating_sub(after))
     }
 
-    /// Time by which the step at `position` should end for the request to meet its objective.
+    /// Time by which the step at `position` should end for the request to meet its objective, if the
+    /// steps after it are delayed as [`Self::delays`] says.
     #[must_use]
     pub fn due(&self, position: usize) -> MonotonicTime {
         let plan = &self.pipeline.plan;
-        let after = plan.way_after(position, |step, position| self.step_time(position, step));
+        let after = plan.way_after(position, |step, position| {
+            let delay = self.delays.get(position).copied().unwrap_or_default();
+            self.step_time(position, step) + delay
+        });
         let since_start = self.objective.since_start().saturating_sub(after);
         MonotonicTime::from_start(since_start)
     }
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -95,6 +95,7 @@
         wait_ms: short_millis(wait.in_time),
         late_wait_ms: wait.late.iter().copied().map(short_millis).collect(),
         crowded_ms: short_millis(wait.crowded),
+        call_ms: short_millis(wait.call),
     }
 }
 
@@ -106,6 +107,7 @@
         in_time: wait(&wire.wait_ms),
         late: wire.late_wait_ms.iter().map(wait).collect(),
         crowded: wait(&wire.crowded_ms),
+        call: wait(&wire.call_ms),
     }
 }
 
