--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -2,7 +2,6 @@
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
-use super::call_clock::CallClock;
 use super::pool_forecast::InflowMeter;
 use super::{BatchId, BatchOutcome, DeskStep, ItemOutcome, PoolWait};
 use crate::configuration::BatchRules;
@@ -44,8 +43,6 @@
     pub(super) last_hopeless: Option<MonotonicTime>,
     /// Pieces that a usual call holds, of late.
     pub(super) usual_pieces: f64,
-    /// How long calls took of late.
-    pub(super) clock: CallClock,
     /// Work that came in and could be in time.
     pub(super) inflow: InflowMeter,
 }
@@ -83,7 +80,6 @@
             full_until: None,
             last_hopeless: None,
             usual_pieces: 1.0,
-            clock: CallClock::default(),
             inflow: InflowMeter::default(),
         }
     }
@@ -202,10 +198,6 @@
         match outcome {
             BatchOutcome::Answered(items) if items.len() == open.items.len() => {
                 if let Some(worker) = worker {
-                    if let Some(time) = time {
-                        // What sets one upstream apart from the others is in its pace.
-                        self.clock.note(time.div_f64(worker.pace_at(now).max(1.0)));
-                    }
                     worker.answered(&rules, pieces, time, now);
                 }
                 let failed = items.iter().filter(|item| **item == ItemOutcome::Failed).count();
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -177,8 +177,7 @@
         self.paused_until = self.paused_until.max(now + pause);
     }
 
-    /// Time of its calls against the declared one, as far as that is not too long ago.
-    pub(super) fn pace_at(&self, now: MonotonicTime) -> f64 {
+    fn pace_at(&self, now: MonotonicTime) -> f64 {
         let age = now.since(self.learned_at).as_secs_f64();
         1.0 + (self.pace - 1.0) * (-age / UNLEARNING_TIME).exp()
     }
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -77,7 +77,7 @@
         Some(BatchOrder { batch, upstream, process, address, items, write_by })
     }
 
-    /// Time within which a call should end that is as full as calls were of late.
+    /// Time that a call should take that is as full as calls were of late.
     ///
     /// Whether a job can be in time is judged by it. By the shortest call, in bursts jobs went first
     /// that then came late by the time of the pieces beside them, and made the next one late too.
@@ -86,10 +86,9 @@
     pub(super) fn usual_call(&self) -> Duration {
         // In a flood calls are full of its pieces; judged by these, requests of everybody else would
         // be put behind.
-        if self.jobs.values().any(|job| job.order.is_flood) {
-            return self.rules.expected(1);
-        }
-        self.rules.expected(self.usual_pieces.ceil() as u32).max(self.clock.usual())
+        let is_flooded = self.jobs.values().any(|job| job.order.is_flood);
+        let pieces = if is_flooded { 1 } else { self.usual_pieces.ceil() as u32 };
+        self.rules.expected(pieces)
     }
 
     /// Jobs in the order in which they are served: first those that can still be in time, and those
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -12,7 +12,6 @@
 mod batch_job;
 mod batch_pool;
 mod batch_worker;
-mod call_clock;
 mod call_forming;
 mod dispatcher_choice;
 mod pool_changes;
--- a/crates/crocusdale_core/tests/pool_forecast_test.rs
+++ b/crates/crocusdale_core/tests/pool_forecast_test.rs
@@ -91,27 +91,3 @@
     bench.advance(50);
     assert_eq!(bench.desk.expected_wait(POOL, bench.now).retry_after(), Duration::ZERO);
 }
-
-/// Calls of a pool take 200 ms or 320 ms by turns, whatever is in them. A request that needs its result
-/// in 230 ms would be late half of the time, and one beside it that has 340 ms would be late for certain
-/// if it had to wait for that. The one that is in time either way goes first.
-#[test]
-fn who_is_in_time_is_judged_by_how_much_calls_vary() {
-    let mut bench = Bench::new(&[("u1", "a")]);
-    for round in 0..30 {
-        let order = bench.order(1, 5_000);
-        bench.offer(order);
-        bench.advance(if round % 2 == 0 { 200 } else { 320 });
-        bench.end_call(made);
-    }
-    let last = bench.order(PIECES, 5_000);
-    bench.offer(last);
-    let doubtful = bench.order(PIECES, 300 + 240);
-    bench.offer(doubtful);
-    let safe = bench.order(PIECES, 300 + 340);
-    let safe = bench.offer(safe);
-    bench.advance(300);
-    bench.end_call(made);
-    bench.end_call(made);
-    assert_eq!(bench.settled.last().map(|(attempt, _)| *attempt), Some(safe));
-}
