Open four circles of files, and split the watch from the fleet's state

Calls of peers, the header of attempts, and the reading and running of the model's loads stand in files of their own or where they are used first.

--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! All decisions of a daemon behind one pair of events and commands.
 
 mod command;
+mod configuration_watch;
 mod core_state;
 mod daemon_core;
 mod daemon_event;
--- a/crates/crocusdaled/src/peer/mod.rs
+++ b/crates/crocusdaled/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Calls between daemons.
 
+mod peer_call;
 mod peer_client;
 mod peer_server;
 mod piece_client;
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -7,7 +7,6 @@
 use crocusdale_core::membership::ExchangeMessage;
 use crocusdale_core::routing::PeerDirectory;
 use crocusdale_core::sync::lock;
-use crocusdale_schema::peer::peer_service_client::PeerServiceClient;
 use crocusdale_schema::peer::{
     AskOutcomeRequest, BuryRequest, ClaimRequest, FetchConfigurationRequest, FetchDirectoryRequest,
     RecordOutcomeRequest, RecordedOutcome,
@@ -16,6 +15,7 @@
 use tonic::codec::CompressionEncoding;
 use tonic::transport::{Channel, Endpoint};
 
+use super::peer_call::{call, call_at};
 use super::piece_client::send_pieces;
 use super::unwanted_results::UnwantedResults;
 use crate::engine::DaemonEngine;
@@ -40,8 +40,6 @@
 const RECORD_ATTEMPTS: u32 = 5;
 /// Pause after the first attempt; it grows by as much after each further one.
 const RECORD_PAUSE: Duration = Duration::from_millis(300);
-/// Largest message between peers, in bytes.
-pub(super) const MESSAGE_LIMIT: usize = 4 << 20;
 
 /// Calls other daemons.
 #[derive(Debug, Default)]
@@ -50,10 +48,6 @@
     unwanted: UnwantedResults,
 }
 
-/// A call of a peer did not succeed.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct PeerSilence;
-
 impl PeerClient {
     /// Carries out a command that concerns a peer; the reply goes to the core.
     pub fn carry_out(&self, engine: &Arc<DaemonEngine>, command: Command) {
@@ -88,7 +82,7 @@
         &self.unwanted
     }
 
-    fn channel(&self, address: SocketAddr) -> Channel {
+    pub(super) fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = lock(&self.channels);
         let connect = || {
             let endpoint = Endpoint::from_shared(format!("http://{address}"));
@@ -105,47 +99,11 @@
 
     /// Guards against a connection to a peer that went silent for good: after a call without an
     /// answer the next one opens a new connection.
-    fn forget(&self, address: SocketAddr) {
+    pub(super) fn forget(&self, address: SocketAddr) {
         lock(&self.channels).remove(&address);
     }
 }
 
-/// Calls the daemon on `vm`, within `patience`.
-pub(super) async fn call<R, F>(
-    engine: &Arc<DaemonEngine>,
-    vm: &str,
-    patience: Duration,
-    run: impl FnOnce(PeerServiceClient<Channel>) -> F,
-) -> Result<R, PeerSilence>
-where
-    F: Future<Output = Result<tonic::Response<R>, tonic::Status>>,
-{
-    let address = engine.core.peer_address(vm).ok_or(PeerSilence)?;
-    call_at(engine, address, patience, run).await
-}
-
-/// Calls the daemon that listens at `address`, within `patience`.
-async fn call_at<R, F>(
-    engine: &Arc<DaemonEngine>,
-    address: SocketAddr,
-    patience: Duration,
-    run: impl FnOnce(PeerServiceClient<Channel>) -> F,
-) -> Result<R, PeerSilence>
-where
-    F: Future<Output = Result<tonic::Response<R>, tonic::Status>>,
-{
-    let channel = engine.peers().channel(address);
-    let client = PeerServiceClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
-    match tokio::time::timeout(patience, run(client)).await {
-        Ok(Ok(response)) => Ok(response.into_inner()),
-        Ok(Err(_)) => Err(PeerSilence),
-        Err(_) => {
-            engine.peers().forget(address);
-            Err(PeerSilence)
-        }
-    }
-}
-
 async fn exchange(engine: &Arc<DaemonEngine>, vm: String, message: ExchangeMessage) {
     let wire = crocusdale_schema::peer::ExchangeMessage::from(message);
     let sent = engine.now();
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -19,7 +19,7 @@
 use tonic::codec::CompressionEncoding;
 use tonic::{Request, Response, Status};
 
-use super::peer_client::MESSAGE_LIMIT;
+use super::peer_call::MESSAGE_LIMIT;
 use super::piece_table::TakenPieces;
 use crate::engine::DaemonEngine;
 
--- a/crates/crocusdaled/src/peer/piece_client.rs
+++ b/crates/crocusdaled/src/peer/piece_client.rs
@@ -6,7 +6,7 @@
 use crocusdale_core::pipeline::{AttemptEvent, PieceOrder};
 use crocusdale_core::wire::{read_pieces_reply, read_pool_wait};
 
-use super::peer_client::call;
+use super::peer_call::call;
 use crate::engine::DaemonEngine;
 
 /// Time beyond that of the pieces within which their dispatcher should have answered.
--- a/crates/crocusdaled/src/peer/unwanted_results.rs
+++ b/crates/crocusdaled/src/peer/unwanted_results.rs
@@ -6,7 +6,7 @@
 use crocusdale_core::sync::lock;
 use crocusdale_schema::peer::{FreeResultsRequest, PoolResults};
 
-use super::peer_client::call;
+use super::peer_call::call;
 use crate::engine::DaemonEngine;
 
 /// Time for which unwanted results are gathered before their dispatcher is told, so that one call
--- a/crates/crocusdaled/src/upstream/answer_reader.rs
+++ b/crates/crocusdaled/src/upstream/answer_reader.rs
@@ -11,10 +11,12 @@
 use tokio_util::io::StreamReader;
 use volo_http::response::Response;
 
-use super::upstream_client::ATTEMPT_HEADER;
 use crate::engine::DaemonEngine;
 use crate::http::{BodyFault, read_body};
 
+/// Header with the attempt that a call belongs to.
+pub(super) const ATTEMPT_HEADER: &str = "x-crocusdale-attempt";
+
 /// Largest answer of a stage, in bytes.
 const ANSWER_LIMIT: usize = 8 << 20;
 /// Longest line of a stream, in bytes.
--- a/crates/crocusdaled/src/upstream/upstream_client.rs
+++ b/crates/crocusdaled/src/upstream/upstream_client.rs
@@ -14,7 +14,7 @@
 use volo_http::error::client::{ClientError, ErrorKind};
 use volo_http::response::Response;
 
-use super::answer_reader::read_answer;
+use super::answer_reader::{ATTEMPT_HEADER, read_answer};
 use crate::engine::DaemonEngine;
 
 /// Time to open a connection to an upstream.
@@ -24,8 +24,6 @@
 /// Time after which an idle connection is closed; upstreams keep theirs for longer.
 const IDLE_TIME: Duration = Duration::from_secs(5);
 
-/// Header with the attempt that a call belongs to.
-pub(super) const ATTEMPT_HEADER: &str = "x-crocusdale-attempt";
 /// Header with the time left, in milliseconds.
 const DEADLINE_HEADER: &str = "x-crocusdale-deadline-ms";
 /// Header with the priority level.
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -94,6 +94,14 @@
     pub(super) report: ModelReport,
 }
 
+impl ModelLoad {
+    /// Runs the load; the same seed gives the same report.
+    #[must_use]
+    pub fn run(&self, forming: CallForming, seed: u64) -> ModelReport {
+        FleetRun::new(self, forming, seed).run()
+    }
+}
+
 impl<'a> FleetRun<'a> {
     pub(super) fn new(load: &'a ModelLoad, forming: CallForming, seed: u64) -> Self {
         let mut run = Self {
--- a/crates/stand_ins/src/fleet_model/load_reader.rs
+++ b/crates/stand_ins/src/fleet_model/load_reader.rs
@@ -13,6 +13,8 @@
     KindStep, ModelBurst, ModelEngines, ModelFault, ModelKind, ModelLoad, ModelPool, SizeSpread,
 };
 
+/// The built-in load.
+const SMALL: &str = include_str!("../../loads/small.ini");
 /// Time after which a result that nobody gave up is dropped, unless a load says otherwise.
 const RESULT_LIFE_MS: f64 = 4_000.0;
 
@@ -49,7 +51,31 @@
     }
 }
 
-pub(super) fn read(text: &str) -> Result<ModelLoad> {
+impl ModelLoad {
+    /// The built-in load: three batched pools of a few upstreams, twelve engines and three kinds of
+    /// request, before `daemons` daemons.
+    ///
+    /// # Panics
+    ///
+    /// Never: the text is part of the program, and its tests read it.
+    #[must_use]
+    pub fn small(daemons: usize) -> Self {
+        let mut load = Self::parse(SMALL).expect("the built-in load is checked by tests");
+        load.daemons = daemons;
+        load
+    }
+
+    /// Reads a load from INI text, see `loads/small.ini`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the section and key that is missing or can't be read.
+    pub fn parse(text: &str) -> Result<Self> {
+        read(text)
+    }
+}
+
+fn read(text: &str) -> Result<ModelLoad> {
     let ini = Ini::load_from_str(text).context("not an INI text")?;
     let mut load = ModelLoad {
         text: text.to_owned(),
--- a/crates/stand_ins/src/fleet_model/model_load.rs
+++ b/crates/stand_ins/src/fleet_model/model_load.rs
@@ -1,19 +1,13 @@
 use std::time::Duration;
 
-use anyhow::Result;
 use crocusdale_core::configuration::{
     BatchRules, Declarations, DeclarationsBuilder, EngineRules, ForwardRules, LabelSelector,
     LabelSet, PipelineRules, PlanStep, PoolKind, RepeatRule, RoutingPolicy, StagePlan, StageRules,
     StepWork, WeightedPool, WorkspaceRules,
 };
 
-use super::load_reader;
-use super::model_report::ModelReport;
-
 /// Host that all requests of the model name.
 pub(super) const HOST: &str = "model.example";
-/// The built-in load.
-const SMALL: &str = include_str!("../../loads/small.ini");
 
 /// Who forms the calls of a batched pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::VariantArray)]
@@ -172,28 +166,6 @@
 }
 
 impl ModelLoad {
-    /// The built-in load: three batched pools of a few upstreams, twelve engines and three kinds of
-    /// request, before `daemons` daemons.
-    ///
-    /// # Panics
-    ///
-    /// Never: the text is part of the program, and its tests read it.
-    #[must_use]
-    pub fn small(daemons: usize) -> Self {
-        let mut load = Self::parse(SMALL).expect("the built-in load is checked by tests");
-        load.daemons = daemons;
-        load
-    }
-
-    /// Reads a load from INI text, see `loads/small.ini`.
-    ///
-    /// # Errors
-    ///
-    /// Returns the section and key that is missing or can't be read.
-    pub fn parse(text: &str) -> Result<Self> {
-        load_reader::read(text)
-    }
-
     /// Adds a burst of all kinds.
     #[must_use]
     pub fn burst(mut self, from: f64, to: f64, factor: f64) -> Self {
@@ -224,12 +196,6 @@
         self
     }
 
-    /// Runs the load; the same seed gives the same report.
-    #[must_use]
-    pub fn run(&self, forming: CallForming, seed: u64) -> ModelReport {
-        super::fleet_run::FleetRun::new(self, forming, seed).run()
-    }
-
     /// Requests against the ordinary rate of `kind` and `workspace`.
     pub(super) fn factor(&self, second: f64, kind: &ModelKind, workspace: usize) -> f64 {
         let running = self.bursts.iter().filter(|burst| {
