Name attempts by VM and life, so that no request gets the results of another one

Cause: the number of a life is a millisecond and 16 random bits; about 190 processes start in one millisecond there, two alike in a quarter of all starts, and with them their calls' numbers. Ruled out: an answer of the upstream that was mixed up, as a call takes 200 ms. Change: attempts bear a hash of VM and life.

--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -180,7 +180,7 @@
         out: &mut Vec<Command>,
     ) {
         let wait = lock(&self.desk).expected_wait(pool, now);
-        if attempt.incarnation != self.own.incarnation {
+        if attempt.incarnation != self.own.mark() {
             out.push(Command::AnswerPieces { attempt, outcome, wait });
             return;
         }
--- a/crates/crocusdale_core/src/identity/request_key.rs
+++ b/crates/crocusdale_core/src/identity/request_key.rs
@@ -41,7 +41,7 @@
 /// Identity of one attempt at one stage; unlike that of any other attempt of any process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
 pub struct AttemptId {
-    /// Incarnation of the process that made the attempt.
+    /// Mark of the life of the process that made the attempt, [`super::InstanceId::mark`].
     pub incarnation: u64,
     /// Call that the attempt serves.
     pub call: CallId,
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -114,7 +114,7 @@
     ) {
         debug_assert!(!plan.claimed);
         steps.push(set_timer(TimerKey::Deadline(call), plan.deadline));
-        let mut run = RequestRun::new(call, self.own.incarnation, plan);
+        let mut run = RequestRun::new(call, self.own.mark(), plan);
         run.begin(now, steps);
         let active = ActiveRun { run, poll: None, witnesses: None, followers: Vec::new() };
         self.runs.insert(call, active);
@@ -134,7 +134,7 @@
         steps.push(set_timer(TimerKey::Claim(call), now + CLAIM_PATIENCE));
         steps.extend(register_calls(call, &key, &witnesses, witnesses.vms().to_vec(), false));
         let poll = Some(WitnessPoll::new(self.own.clone(), witnesses));
-        let run = RequestRun::new(call, self.own.incarnation, plan);
+        let run = RequestRun::new(call, self.own.mark(), plan);
         let followers = self.take_inquiries(&key);
         self.keys.begin(key, call);
         self.runs.insert(call, ActiveRun { run, poll, witnesses: None, followers });
--- a/crates/crocusdale_core/tests/pool_handover_test.rs
+++ b/crates/crocusdale_core/tests/pool_handover_test.rs
@@ -69,7 +69,8 @@
         fault: PieceFault::Moved,
         retry_after: Duration::from_millis(300),
     };
-    let attempt = |sequence| AttemptId { incarnation: 7, call, sequence };
+    let incarnation = daemon.core.instance().mark();
+    let attempt = |sequence| AttemptId { incarnation, call, sequence };
     daemon.attempt(attempt(1), moved());
     assert_eq!(daemon.answer(call), None);
     daemon.advance(110);
@@ -79,7 +80,7 @@
     assert_eq!(daemon.answer(call), Some((OutcomeKind::Answered, None)));
     let call = daemon.submit("/digest/8");
     for sequence in 1..=6 {
-        daemon.attempt(AttemptId { incarnation: 7, call, sequence }, moved());
+        daemon.attempt(AttemptId { incarnation, call, sequence }, moved());
     }
     assert_eq!(daemon.answer(call), Some((OutcomeKind::Refused, Some(RefusalReason::Overload))));
 }
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -118,6 +118,11 @@
     }
 
     pub fn with_bounds(bounds: NewsBounds) -> Self {
+        Self::named("entry-a1", bounds)
+    }
+
+    /// The daemon on `vm`, in its seventh life.
+    pub fn named(vm: &str, bounds: NewsBounds) -> Self {
         let now = MonotonicTime::from_millis(0);
         let address = "127.0.0.1:1".parse().expect("an address");
         let published = PublishedFleet {
@@ -133,7 +138,7 @@
             grace: Duration::from_secs(8),
             bounds,
         };
-        let own = InstanceId::new("entry-a1", 7);
+        let own = InstanceId::new(vm, 7);
         let core = DaemonCoreBuilder::new(own, "a").published(published).seed(1).build(now);
         let mut daemon = Self {
             core,
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -72,7 +72,7 @@
             }
             Command::AnswerPieces { attempt, outcome, wait } => {
                 let Some(offered) = self.offered.remove(&attempt) else { return };
-                let to = attempt.incarnation;
+                let to = self.life_of(attempt);
                 let retry_after = wait.retry_after();
                 let told = DaemonEvent::WaitTold { pool: offered.pool, wait };
                 self.push_core(HOP, to, told);
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -91,6 +91,8 @@
     /// Request of each open call of a daemon's life.
     pub(super) calls: HashMap<(u64, CallId), u64>,
     pub(super) offered: HashMap<AttemptId, OfferedPieces>,
+    /// Life of a daemon by the mark that its attempts bear.
+    lives: HashMap<u64, u64>,
     pub(super) report: ModelReport,
 }
 
@@ -119,6 +121,7 @@
             requests: HashMap::new(),
             calls: HashMap::new(),
             offered: HashMap::new(),
+            lives: HashMap::new(),
             report: ModelReport::default(),
         };
         run.publish();
@@ -216,8 +219,14 @@
         }
     }
 
+    /// Life of the daemon that made `attempt`.
+    pub(super) fn life_of(&self, attempt: AttemptId) -> u64 {
+        self.lives.get(&attempt.incarnation).copied().expect("attempts come from started daemons")
+    }
+
     fn start(&mut self, daemon: usize) {
         let life = self.daemons[daemon].life;
+        self.lives.insert(InstanceId::new(vm_name(daemon), life).mark(), life);
         let core = self.core(daemon, life);
         let mut commands = Vec::new();
         core.start(self.now, &mut commands);
@@ -411,7 +420,7 @@
             self.offered.remove(&attempt);
             let event = AttemptEvent::DispatcherLost(vm_name(daemon));
             let event = DaemonEvent::Attempt { attempt, event };
-            self.push_core(HOP, attempt.incarnation, event);
+            self.push_core(HOP, self.life_of(attempt), event);
         }
     }
 }
--- a/crates/stand_ins/src/fleet_model/upstream_turns.rs
+++ b/crates/stand_ins/src/fleet_model/upstream_turns.rs
@@ -97,7 +97,7 @@
     /// A request reaches an engine.
     pub(super) fn relay(&mut self, order: &RelayOrder) {
         let attempt = order.attempt;
-        let call = (attempt.incarnation, attempt.call);
+        let call = (self.life_of(attempt), attempt.call);
         let Some(number) = self.calls.get(&call).copied() else { return };
         let Some(demand) = self.requests.get(&number).map(|request| request.demand.clone()) else {
             return;
@@ -108,7 +108,7 @@
         if gone {
             let head = AnswerHead { status: 503, proof: RunProof::InputGone };
             let event = AttemptEvent::Headed(head);
-            self.push_core(HOP, attempt.incarnation, DaemonEvent::Attempt { attempt, event });
+            self.push_core(HOP, self.life_of(attempt), DaemonEvent::Attempt { attempt, event });
             return;
         }
         let Some((zone, engine)) = self.engines.get_mut(&order.upstream) else { return };
@@ -136,11 +136,11 @@
                     let head = AnswerHead { status: 200, proof: RunProof::Ran };
                     let event = AttemptEvent::Headed(head);
                     let event = DaemonEvent::Attempt { attempt, event };
-                    self.push_core(HOP, attempt.incarnation, event);
+                    self.push_core(HOP, self.life_of(attempt), event);
                 }
                 EngineNews::Last(attempt) => {
                     let event = DaemonEvent::Attempt { attempt, event: AttemptEvent::Passed };
-                    self.push_core(HOP * 2, attempt.incarnation, event);
+                    self.push_core(HOP * 2, self.life_of(attempt), event);
                 }
             }
         }
@@ -149,7 +149,7 @@
 
     /// The caller sees its first event two messages after its engine has made it.
     fn first_event(&mut self, attempt: AttemptId) {
-        let number = self.calls.get(&(attempt.incarnation, attempt.call));
+        let number = self.calls.get(&(self.life_of(attempt), attempt.call));
         if let Some(request) = number.and_then(|number| self.requests.get_mut(number)) {
             request.first = Some(self.now + HOP * 2);
         }
