--- a/crates/crocusdale_core/src/configuration/label_set.rs
+++ b/crates/crocusdale_core/src/configuration/label_set.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -63,6 +64,17 @@
     }
 }
 
+/// In the form that [`LabelSet::parse`] reads.
+impl fmt::Display for LabelSet {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, (key, value)) in self.0.iter().enumerate() {
+            let separator = if position == 0 { "" } else { "," };
+            write!(formatter, "{separator}{key}={value}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Whether `text` is 1 to 64 letters, digits, `-`, `_` or `.`.
 pub(super) fn is_word(text: &str) -> bool {
     (1..=64).contains(&text.len())
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -2,11 +2,12 @@
 use std::sync::Arc;
 
 use crate::batching::{BatchId, BatchOrder, PoolWait};
-use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
+use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey};
 use crate::membership::{ExchangeMessage, WitnessSet};
 use crate::orders::EngineOrder;
 use crate::pipeline::{
-    AttemptOrder, FinalAnswer, PieceFault, PieceOrder, PlacedResult, RelayOrder, ResultHandle,
+    AttemptOrder, BreakReason, FinalAnswer, PieceFault, PieceOrder, PlacedResult, RelayOrder,
+    ResultHandle,
 };
 
 /// What the process around the core has to do.
@@ -388,6 +389,17 @@
         /// Whether its workspace sends much more than it usually does.
         is_flood: bool,
     },
+    /// An upstream broke off an attempt that it had begun, or may have.
+    AttemptBroken {
+        /// The request.
+        request: RequestKey,
+        /// What it has in common with its repeats.
+        digest: RequestDigest,
+        /// The upstream.
+        upstream: String,
+        /// How it showed.
+        reason: BreakReason,
+    },
     /// An upstream is leaving.
     UpstreamLeaving {
         /// The upstream.
--- a/crates/crocusdale_core/src/pipeline/caller_request.rs
+++ b/crates/crocusdale_core/src/pipeline/caller_request.rs
@@ -5,7 +5,7 @@
 
 use super::{FinalOutcome, ForwardHead, OutcomeKind, RefusalReason};
 use crate::configuration::LabelSet;
-use crate::identity::RequestKey;
+use crate::identity::{RequestDigest, RequestKey};
 
 /// Longest workspace name or key, in bytes.
 pub const KEY_LIMIT: usize = 128;
@@ -70,6 +70,32 @@
 }
 
 impl CallerRequest {
+    /// Sets the digest of what is passed through, once its body has been read.
+    pub fn set_content(&mut self, content: RequestDigest) {
+        if let RequestContent::Forward(head) = &mut self.content {
+            head.content = content;
+        }
+    }
+
+    /// What the request has in common with its repeats, if it is sent by the workspace `workspace`.
+    #[must_use]
+    pub fn digest(&self, workspace: &str) -> RequestDigest {
+        match &self.content {
+            RequestContent::Json(payload) => {
+                let labels = self.labels.to_string();
+                RequestDigest::of(&[
+                    workspace.as_bytes(),
+                    labels.as_bytes(),
+                    payload.get().as_bytes(),
+                ])
+            }
+            RequestContent::Forward(head) => {
+                let content = head.content.0.to_le_bytes();
+                RequestDigest::of(&[workspace.as_bytes(), head.host.as_bytes(), &content])
+            }
+        }
+    }
+
     /// The head of a request that is passed through.
     #[must_use]
     pub fn forward(&self) -> Option<&ForwardHead> {
--- a/crates/crocusdale_core/src/pipeline/forward_head.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_head.rs
@@ -1,6 +1,8 @@
 use std::fmt;
 use std::sync::Arc;
 
+use crate::identity::RequestDigest;
+
 /// What the core knows of a request that is passed through; its body never enters the core.
 #[derive(Clone, Debug, Default)]
 pub struct ForwardHead {
@@ -8,6 +10,8 @@
     pub host: String,
     /// Path, without its query.
     pub path: String,
+    /// Digest of method, path, query and body.
+    pub content: RequestDigest,
     /// Access key of the caller.
     pub access: Option<String>,
     /// Pieces of each batched step, in the order of the pipeline's steps; 0 leaves a step out.
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -7,7 +7,7 @@
     Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind, StageRules, StepWork,
     WeightedPool, WorkspaceRules,
 };
-use crate::identity::{MonotonicTime, RequestKey};
+use crate::identity::{MonotonicTime, RequestDigest, RequestKey};
 
 /// Time that a forwarded request takes to its answer before anything was learned of its pool.
 const FIRST_ANSWER: Duration = Duration::from_millis(250);
@@ -19,6 +19,8 @@
 pub struct RequestPlan {
     /// The request.
     pub request: CallerRequest,
+    /// What it has in common with its repeats.
+    pub digest: RequestDigest,
     /// Declarations that it runs under to its end.
     pub declarations: Arc<Declarations>,
     /// Its pipeline.
@@ -90,6 +92,7 @@
         };
         let repeatable = request.repeatable && pipeline.repeatable;
         Ok(Self {
+            digest: request.digest(&request.key.workspace),
             pipeline: pipeline.clone(),
             level: declarations.level_for(&labels),
             arrived: now,
@@ -139,6 +142,7 @@
         pipeline.plan = pipeline.plan.with_pool(draw_pool(forward, &request.key));
         request.key.workspace = workspace.unwrap_or_default().to_owned();
         Ok(Self {
+            digest: request.digest(&request.key.workspace),
             pipeline,
             level,
             arrived: now,
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -6,7 +6,7 @@
     RunEvidence, ShardStep, StageCost,
 };
 use crate::configuration::{RepeatRule, StepWork};
-use crate::daemon::{Command, CounterName, TimerKey};
+use crate::daemon::{Command, CounterName, StateChange, TimerKey};
 use crate::identity::{AttemptId, CallId, MonotonicTime};
 use crate::routing::{AttemptReport, SlotGrant, SlotRequest};
 
@@ -411,6 +411,14 @@
         let open = branch.open.take()?;
         branch.tried.push(open.upstream.clone());
         steps.push(count(failure.counter()));
+        if let FailedAttempt::Broken(reason) = failure {
+            steps.push(ShardStep::Command(Command::Note(StateChange::AttemptBroken {
+                request: self.plan.request.key.clone(),
+                digest: self.plan.digest,
+                upstream: open.upstream.clone(),
+                reason,
+            })));
+        }
         if failure.is_distrusted() {
             steps.push(ShardStep::Command(Command::Distrust(open.upstream)));
         }
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -11,7 +11,9 @@
     StepWork, WeightedPool, WorkspaceRules,
 };
 use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds, TimerKey};
-use crocusdale_core::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
+use crocusdale_core::identity::{
+    AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey,
+};
 use crocusdale_core::membership::{MemberCapacity, MemberPlace};
 use crocusdale_core::pipeline::{
     AnswerHead, AttemptEvent, CallerRequest, EngineDemand, FinalAnswer, ForwardHead, OutcomeKind,
@@ -266,6 +268,7 @@
         let head = ForwardHead {
             host: HOST.to_owned(),
             path: path.to_owned(),
+            content: RequestDigest::of(&[path.as_bytes()]),
             access: access.map(str::to_owned),
             pieces: vec![3],
             piece_source: "envelope".to_owned(),
--- a/crates/crocusdaled/src/forwarding/forward_service.rs
+++ b/crates/crocusdaled/src/forwarding/forward_service.rs
@@ -4,9 +4,12 @@
 use bytes::Bytes;
 use crocusdale_core::configuration::LimitSettings;
 use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::identity::RequestDigest;
 use crocusdale_core::pipeline::{FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason};
 use crocusdale_platform::ingress::{IngressCall, read_call, refusal_head};
 use futures::stream;
+use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderValue, StatusCode, header};
 use http_body::Frame;
 use slog::warn;
@@ -58,7 +61,7 @@
 
     async fn serve(&self, request: Request) -> Response {
         let (parts, body) = request.into_parts();
-        let IngressCall { request, headers, last_event, unreadable } = read_call(&parts);
+        let IngressCall { mut request, headers, last_event, unreadable } = read_call(&parts);
         if !unreadable.is_empty() {
             warn!(self.engine.telemetry.log, "fields_unreadable";
                 "request" => &request.key.key, "taken_as_missing" => unreadable.join(","));
@@ -70,6 +73,7 @@
                 return self.refusal(&FinalAnswer::from(outcome));
             }
         };
+        request.set_content(content_digest(&parts, &body));
         let mut call = OpenCall::open(&self.engine, &request.key);
         let attempt = request.key.key.clone();
         let target = (parts.method, parts.uri);
@@ -131,6 +135,12 @@
     }
 }
 
+/// Digest of what a caller sends again when it repeats its request; fields of the head may differ.
+fn content_digest(parts: &Parts, body: &[u8]) -> RequestDigest {
+    let target = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    RequestDigest::of(&[parts.method.as_str().as_bytes(), target.as_bytes(), body])
+}
+
 /// Events of an answer on their way to the caller.
 struct EventFlow {
     call: OpenCall,
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -101,6 +101,12 @@
                     "verdict" => verdict, "needed_ms" => needed_ms,
                     "objective_ms" => objective_ms, "flood" => is_flood);
             }
+            StateChange::AttemptBroken { request, digest, upstream, reason } => {
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "digest" => digest.to_string(), "upstream" => upstream,
+                    "reason" => reason.to_string());
+            }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
             }
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -7,7 +7,9 @@
 use crocusdale_core::batching::BatchOrder;
 use crocusdale_core::configuration::{ConfigurationError, Declarations};
 use crocusdale_core::daemon::{DaemonEvent, NewsBounds, TimerKey};
-use crocusdale_core::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
+use crocusdale_core::identity::{
+    AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey,
+};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace};
 use crocusdale_core::pipeline::{
     AttemptEvent, CallerRequest, FinalAnswer, ForwardHead, OutcomeKind, RelayOrder, RequestContent,
@@ -311,6 +313,7 @@
         let head = ForwardHead {
             host: HOST.to_owned(),
             path: rules.path(),
+            content: RequestDigest(number as u64),
             access: Some(workspace_name(workspace)),
             pieces: request.pieces.clone(),
             piece_source: number.to_string(),
