--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crocusdale_core::configuration::Declarations;
+use crocusdale_core::configuration::{DeclarationReader, Declarations};
 use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds, TimerKey};
-use crocusdale_core::identity::{InstanceId, MonotonicTime};
+use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
+use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, RelayOrder};
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::DirectoryEntry;
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
@@ -29,6 +30,8 @@
 const SLOW_PLATFORM_TIME: Duration = Duration::from_millis(390);
 /// Time after which an unreachable peer is given up.
 const SILENCE: Duration = Duration::from_millis(800);
+/// Longest time for which a question is under way whose answer still counts.
+pub const LATE_QUESTION: Duration = Duration::from_millis(790);
 /// Time for which the platform holds a watch without news.
 const HOLD: Duration = Duration::from_secs(10);
 /// Availability zones, unless a test says otherwise.
@@ -49,6 +52,7 @@
     pub cores: Vec<DaemonCore>,
     zones: usize,
     bounds: NewsBounds,
+    reader: DeclarationReader,
     queue: BTreeMap<(MonotonicTime, u64), (usize, Delivery)>,
     sequence: u64,
     /// Records that were told, of all daemons.
@@ -65,6 +69,12 @@
     pub turned_away: HashSet<usize>,
     /// Draws how long answers of peers and of the platform are under way, if they are slow.
     pub slowness: Option<SmallRng>,
+    /// Whether each question to a peer is under way for as long as a call of one may take.
+    pub questions_are_late: bool,
+    /// Requests that were passed to upstreams, by which daemon and when.
+    pub relays: Vec<(usize, MonotonicTime, RelayOrder)>,
+    /// Final answers, and the daemons that gave them.
+    pub answers: Vec<(usize, CallId, FinalAnswer)>,
 }
 
 impl VirtualFleet {
@@ -74,14 +84,25 @@
 
     /// A fleet in `zones` availability zones.
     pub fn in_zones(size: usize, zones: usize, bounds: NewsBounds) -> Self {
+        Self::with_reader(size, zones, bounds, Declarations::check)
+    }
+
+    /// A fleet whose daemons read their configuration by `reader`.
+    pub fn with_reader(
+        size: usize,
+        zones: usize,
+        bounds: NewsBounds,
+        reader: DeclarationReader,
+    ) -> Self {
         let now = MonotonicTime::from_millis(0);
-        let start = |index| core(index, FIRST_LIFE, zones, bounds, now);
+        let start = |index| core(index, FIRST_LIFE, zones, bounds, reader, now);
         let cores = (0..size).map(start).collect();
         let mut fleet = Self {
             now,
             cores,
             zones,
             bounds,
+            reader,
             watches: 0,
             queue: BTreeMap::new(),
             sequence: 0,
@@ -91,6 +112,9 @@
             cut_off: HashSet::new(),
             turned_away: HashSet::new(),
             slowness: None,
+            questions_are_late: false,
+            relays: Vec::new(),
+            answers: Vec::new(),
         };
         for index in 0..size {
             // A fixed scatter over the spread: 7 is coprime to it.
@@ -118,7 +142,7 @@
     /// Ends a process and starts another one on its VM, at once, which numbers its life `life`.
     pub fn restart_as(&mut self, index: usize, life: u64) {
         self.queue.retain(|_, (owner, _)| *owner != index);
-        self.cores[index] = core(index, life, self.zones, self.bounds, self.now);
+        self.cores[index] = core(index, life, self.zones, self.bounds, self.reader, self.now);
         self.push(self.now, index, Delivery::Start);
     }
 
@@ -151,6 +175,18 @@
         self.cores.iter().filter(known).count()
     }
 
+    /// Gives a caller's request to a daemon.
+    pub fn submit(&mut self, index: usize, request: CallerRequest) -> CallId {
+        let call = self.cores[index].open_call(&request.key);
+        self.feed(index, DaemonEvent::Submitted { call, request: Box::new(request) });
+        call
+    }
+
+    /// Gives an event to a daemon.
+    pub fn feed(&mut self, index: usize, event: DaemonEvent) {
+        self.deliver(index, Delivery::Event(event));
+    }
+
     fn deliver(&mut self, index: usize, delivery: Delivery) {
         let mut commands = Vec::new();
         let core = &self.cores[index];
@@ -209,6 +245,8 @@
                 let event = Delivery::Event(DaemonEvent::DirectoryFetched(list));
                 self.push(self.now + ONE_WAY * 2, index, event);
             }
+            Command::Relay(order) => self.relays.push((index, self.now, order)),
+            Command::Reply { call, answer } => self.answers.push((index, call, answer)),
             _ => {}
         }
     }
@@ -230,7 +268,8 @@
             return;
         }
         let question = Delivery::Ask { from, message, sent: self.now };
-        self.push(self.now + ONE_WAY, to, question);
+        let way = if self.questions_are_late { LATE_QUESTION } else { ONE_WAY };
+        self.push(self.now + way, to, question);
     }
 
     fn push(&mut self, at: MonotonicTime, index: usize, delivery: Delivery) {
@@ -244,6 +283,7 @@
     life: u64,
     zones: usize,
     bounds: NewsBounds,
+    reader: DeclarationReader,
     now: MonotonicTime,
 ) -> DaemonCore {
     let zone = format!("z{}", index % zones);
@@ -256,7 +296,7 @@
     let published = PublishedFleet {
         place,
         seeds: (0..SEEDS).map(peer_address).collect(),
-        reader: Declarations::check,
+        reader,
         retries: RetryLimits::default(),
         grace: Duration::from_secs(8),
         bounds,
