--- a/crates/crocusdale_core/src/admission/entry_backlog.rs
+++ b/crates/crocusdale_core/src/admission/entry_backlog.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use crate::identity::{CallId, MonotonicTime};
+use crate::identity::{CallId, MonotonicTime, RequestDigest};
 use crate::pipeline::RequestPlan;
 
 /// Requests that can't be in time, in the order in which they begin once there is room: the most
@@ -70,6 +70,12 @@
         ranks.into_iter().filter_map(take).collect()
     }
 
+    /// Takes the requests out that are like `digest`.
+    pub fn take_like(&mut self, digest: RequestDigest) -> Vec<(CallId, RequestPlan)> {
+        let like = self.waiting.extract_if(.., |_, plan| plan.digest == digest);
+        like.map(|((_, _, call), plan)| (call, plan)).collect()
+    }
+
     /// Takes all requests out.
     pub fn take_all(&mut self) -> Vec<(CallId, RequestPlan)> {
         let all = std::mem::take(&mut self.waiting);
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -143,6 +143,14 @@
         /// Revision in force here.
         known: u64,
     },
+    /// Find out whether an upstream under which attempts broke off refuses connections. Answered
+    /// by [`super::DaemonEvent::UpstreamProbed`].
+    ProbeUpstream {
+        /// The upstream.
+        upstream: String,
+        /// Where it listens, or did.
+        address: SocketAddr,
+    },
     /// Wait for a configuration other than `known`, at a configuration service or a store.
     WatchConfiguration {
         /// Revision that was last read from the service.
@@ -213,6 +221,8 @@
     DirectoryAnswer,
     /// Next turn of unwanted results.
     Results,
+    /// Time to tell others of upstreams that ended under requests.
+    CrashNews,
     /// Next greeting of the seeds.
     Seeds,
     /// Last moment at which a draining process can still answer its open requests.
@@ -271,6 +281,8 @@
     ForeignAnswers,
     /// Answers that were cut or could not be read; dropped.
     BrokenAnswers,
+    /// Requests that were quarantined because upstreams ended under them.
+    RequestsQuarantined,
     /// Attempts given up because nothing came.
     SilentAttempts,
     /// Answers to attempts that had ended; dropped.
@@ -400,6 +412,20 @@
         /// How it showed.
         reason: BreakReason,
     },
+    /// A request is not sent on any more, because upstreams ended under it.
+    RequestQuarantined {
+        /// What it has in common with its repeats.
+        digest: RequestDigest,
+        /// Upstreams that ended.
+        ends: usize,
+        /// Peer that told the last of them, or `None` if this daemon saw it.
+        peer: Option<String>,
+    },
+    /// A request is sent on again, because one like it was answered whole.
+    QuarantineLifted {
+        /// What it has in common with its repeats.
+        digest: RequestDigest,
+    },
     /// An upstream is leaving.
     UpstreamLeaving {
         /// The upstream.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -15,6 +15,7 @@
 use crate::identity::{InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{MemberPlace, MemberViewBuilder, RosterHistory};
 use crate::pipeline::RequestShard;
+use crate::quarantine::CrashWatch;
 use crate::retry::RetryLimits;
 use crate::routing::UpstreamRouter;
 use crate::sync::lock;
@@ -42,6 +43,8 @@
     /// What waits until what the platform publishes has been read.
     pub(super) held: Mutex<HeldWork>,
     pub(super) desk: Mutex<BatchDesk>,
+    /// Upstreams that ended under requests.
+    pub(super) crashes: Mutex<CrashWatch>,
     /// How long pieces would wait in each pool.
     pub(super) waits: Mutex<PoolWaits>,
     /// What each workspace sends.
@@ -180,6 +183,7 @@
         let mut desk = BatchDesk::default();
         desk.set_retries(retries);
         let grace = self.published.as_ref().map(|each| each.grace);
+        let crashes = CrashWatch::new(&self.own.vm, self.published.is_some());
         let mut directory = DirectoryState::default();
         if let Some(published) = self.published {
             let pace = NewsPace::from(published.bounds);
@@ -206,6 +210,7 @@
             directory: Mutex::new(directory),
             held: Mutex::default(),
             desk: Mutex::new(desk),
+            crashes: Mutex::new(crashes),
             waits: Mutex::default(),
             workspaces: Mutex::default(),
             backlog: Mutex::default(),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -115,6 +115,9 @@
             DaemonEvent::BatchEnded { batch, outcome } => {
                 self.state.batch_ended(batch, outcome, now, &mut steps, out);
             }
+            DaemonEvent::UpstreamProbed { upstream, has_ended } => {
+                self.state.upstream_probed(&upstream, has_ended, now, out);
+            }
             DaemonEvent::RoomTold { upstream, free } => {
                 self.state.room_told(&upstream, free, now, &mut steps, out);
             }
@@ -141,7 +144,9 @@
         out: &mut Vec<Command>,
     ) -> ExchangeMessage {
         self.state.check_list(now, out);
-        let (news, reply) = {
+        let sender = &message.sender.instance.vm;
+        self.state.take_crashes(&message.crashes, sender, now, out);
+        let (news, mut reply) = {
             let mut fleet = lock(&self.state.fleet);
             let news = fleet.take_message(message, now, out);
             let position = fleet.ledger.position();
@@ -151,8 +156,12 @@
                 Some(known) => fleet.view.welcome(vm, known, position, directory),
                 None => fleet.view.message(vm, position, directory),
             };
+            let reply = ExchangeMessage { crash_summary: fleet.crash_summary, ..reply };
             (news, reply)
         };
+        if message.crash_summary != reply.crash_summary {
+            reply.crashes = lock(&self.state.crashes).records(now);
+        }
         self.state.take_leaving(&news, now, out);
         self.heard(message, now, out);
         reply
@@ -284,6 +293,7 @@
             waiting: router.waiting(),
             waiting_pieces: lock(&self.state.desk).waiting(),
             upstreams: router.summaries(now),
+            quarantined: lock(&self.state.crashes).quarantined(now),
         }
     }
 
@@ -311,6 +321,7 @@
             }
             // Whatever comes looks at the age of the list; this has something come in time.
             TimerKey::DirectoryAnswer => {}
+            TimerKey::CrashNews => self.state.tell_crashes(now, out),
             TimerKey::Seeds => lock(&self.state.fleet).greet_seed(now, out),
             TimerKey::EndRequests => self.end_requests(now, out),
             TimerKey::Exit => {
@@ -358,6 +369,7 @@
     fn housekeeping(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         *lock(&self.state.last_housekeeping) = now;
         self.check_ready(now);
+        self.state.forget_crashes(now);
         let lost = lock(&self.state.directory).drop_missing(now);
         if lost {
             self.directory_read(true, now, out);
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -69,6 +69,13 @@
     ConfigurationWatched(Option<(u64, String)>),
     /// The configuration service did not answer.
     ConfigurationUnread,
+    /// An upstream under which attempts broke off was looked at.
+    UpstreamProbed {
+        /// The upstream.
+        upstream: String,
+        /// Whether it refuses connections.
+        has_ended: bool,
+    },
     /// All that a store publishes was read.
     DirectoryRead {
         /// Revision of the store.
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -117,13 +117,20 @@
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) {
-        steps.push(ShardStep::GiveBack(plan.permit.clone()));
         let waits = self.pool_waits(plan, now);
         let retry_after = waits.iter().map(PoolWait::retry_after).max().unwrap_or_default();
-        let outcome = FinalOutcome::new(OutcomeKind::Refused, &plan.request.key);
-        let outcome = outcome.reason(RefusalReason::Overload);
-        let answer = FinalAnswer::from(outcome.retry(retry_after, true));
-        steps.push(ShardStep::Command(Command::Reply { call, answer }));
+        refuse_unbegun(call, plan, (RefusalReason::Overload, retry_after), steps);
+    }
+
+    /// Refuses a request that waits and is quarantined for `left`.
+    pub(super) fn refuse_waiting(
+        &self,
+        call: CallId,
+        plan: &RequestPlan,
+        left: Duration,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        refuse_unbegun(call, plan, (RefusalReason::Quarantined, left), steps);
     }
 
     /// Whether a request with batched steps can be in time, by what their dispatchers said last.
@@ -153,6 +160,18 @@
     }
 }
 
+fn refuse_unbegun(
+    call: CallId,
+    plan: &RequestPlan,
+    (reason, retry_after): (RefusalReason, Duration),
+    steps: &mut Vec<ShardStep>,
+) {
+    steps.push(ShardStep::GiveBack(plan.permit.clone()));
+    let outcome = FinalOutcome::new(OutcomeKind::Refused, &plan.request.key).reason(reason);
+    let answer = FinalAnswer::from(outcome.retry(retry_after, true));
+    steps.push(ShardStep::Command(Command::Reply { call, answer }));
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -18,6 +18,8 @@
     ) {
         match event {
             DaemonEvent::Exchanged { message, sent } => {
+                let sender = &message.sender.instance.vm;
+                self.state.take_crashes(&message.crashes, sender, now, out);
                 let news = lock(&self.state.fleet).take_message(&message, now, out);
                 self.state.take_leaving(&news, now, out);
                 self.heard(&message, now, out);
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -12,6 +12,7 @@
     DirectoryNews, ExchangeMessage, MemberStatus, MemberView, RosterHistory, VmRoster,
 };
 use crate::orders::{EngineOrder, OrderKeeper, OrderStep};
+use crate::quarantine::CrashRecord;
 
 /// Peers that are told at once of a new revision.
 const EAGER_PARTNERS: usize = 4;
@@ -64,6 +65,8 @@
     ready: bool,
     /// Revision of the last change of the published upstreams that is known here.
     pub directory: u64,
+    /// Summary of what is known here of upstreams that ended under requests.
+    pub(super) crash_summary: u64,
     /// When that was last known to be the last change.
     pub directory_current: Option<MonotonicTime>,
     /// Whether one store publishes configuration and upstreams, which must both be known before callers
@@ -94,6 +97,7 @@
             highest_heard: (0, 0),
             ready: false,
             directory: 0,
+            crash_summary: 0,
             directory_current: None,
             needs_directory: false,
             pace: NewsPace::default(),
@@ -135,8 +139,7 @@
         let address = others[self.next_seed % others.len()];
         self.next_seed += 1;
         self.seeds_asked = self.seeds_asked.saturating_add(1);
-        let message =
-            Box::new(self.view.message("", self.ledger.position(), self.directory_news(now)));
+        let message = Box::new(self.message_to("", now));
         out.push(Command::Greet { address, message });
         let alone = self.view.peer_count() == 0;
         let pause = if alone { SEED_PACE.0 } else { SEED_PACE.1 };
@@ -385,13 +388,37 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
-        let (position, directory) = (self.ledger.position(), self.directory_news(now));
         for vm in partners {
-            let message = Box::new(self.view.message(&vm, position, directory));
+            let message = Box::new(self.message_to(&vm, now));
             out.push(Command::Exchange { vm, message });
         }
     }
 
+    /// Tells those of whom all others hear soon that upstreams ended under requests: the daemons that
+    /// read for others, which each daemon asks several times a second. Without such, a few at random.
+    pub fn tell_crashes(
+        &mut self,
+        records: &[CrashRecord],
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let partners = if self.needs_directory {
+            self.all_directory_readers()
+        } else {
+            self.view.random_partners(EAGER_PARTNERS)
+        };
+        for vm in partners {
+            let message =
+                ExchangeMessage { crashes: records.to_vec(), ..self.message_to(&vm, now) };
+            out.push(Command::Exchange { vm, message: Box::new(message) });
+        }
+    }
+
+    fn message_to(&mut self, vm: &str, now: MonotonicTime) -> ExchangeMessage {
+        let message = self.view.message(vm, self.ledger.position(), self.directory_news(now));
+        ExchangeMessage { crash_summary: self.crash_summary, ..message }
+    }
+
     /// `pause`, shortened at random by up to a quarter, so that daemons don't act in step.
     pub fn jittered(&mut self, pause: Duration) -> Duration {
         pause.mul_f64(self.random.random_range(0.75..=1.0))
--- a/crates/crocusdale_core/src/daemon/list_guard.rs
+++ b/crates/crocusdale_core/src/daemon/list_guard.rs
@@ -50,6 +50,11 @@
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) {
+        // Asked where an upstream is chosen, so that nothing that began before the quarantine gets one.
+        if let Some(left) = self.quarantine_left(request.digest, now) {
+            self.shard(request.call.0).quarantined(request.call, left, now, steps);
+            return;
+        }
         let Some(request) = lock(&self.held).hold_attempt(request, reason) else {
             steps.push(ShardStep::Command(Command::Count(CounterName::AttemptsHeld)));
             return;
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod command;
 mod configuration_watch;
 mod core_state;
+mod crash_flow;
 mod daemon_core;
 mod daemon_event;
 mod directory_state;
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -166,6 +166,9 @@
         let mut plan =
             RequestPlan::make(request, declarations, arrived).map_err(|refusal| (refusal, true))?;
         let repeatable = plan.repeatable;
+        if let Some(left) = self.quarantine_left(plan.digest, now) {
+            return Err((refusal(&key, RefusalReason::Quarantined, left), repeatable));
+        }
         // A request that can't end in time is refused before it takes anything from those that can.
         let needed = self.router().estimate(&plan.pipeline.plan, plan.level);
         if now + needed > plan.deadline {
@@ -319,6 +322,10 @@
                 lock(&self.desk).withdraw(attempt, &pool);
                 out.push(Command::CancelPieces(attempt));
             }
+            ShardStep::Suspect { digest, upstream, address } => {
+                self.suspect(digest, upstream, address, out);
+            }
+            ShardStep::Succeeded(digest) => self.note_success(digest, now, out),
             ShardStep::GiveBack(permit) => lock(&self.gate).release(&permit),
             ShardStep::Register(register) => self.ask_witness(register, now, &mut steps, out),
             ShardStep::Greet { upstream, life, leaving: false } => {
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -1,6 +1,6 @@
 use serde::Serialize;
 
-use crate::identity::InstanceId;
+use crate::identity::{InstanceId, RequestDigest};
 use crate::membership::MemberRecord;
 use crate::routing::UpstreamSummary;
 
@@ -55,4 +55,6 @@
     pub waiting_pieces: Vec<(String, usize)>,
     /// Upstreams.
     pub upstreams: Vec<UpstreamSummary>,
+    /// Requests that are not sent on because upstreams ended under them.
+    pub quarantined: Vec<RequestDigest>,
 }
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`batching`]: calls that pieces of many requests share.
 //! * [`routing`]: which upstream gets an attempt.
 //! * [`orders`]: what model engines must hold, and who tells them.
+//! * [`quarantine`]: requests that crash their upstreams.
 //! * [`retry`]: when an attempt may be repeated.
 //! * [`pipeline`]: the life of one request through its stages.
 //! * [`sync`]: the one way of taking a lock.
@@ -40,6 +41,7 @@
 pub mod membership;
 pub mod orders;
 pub mod pipeline;
+pub mod quarantine;
 pub mod retry;
 pub mod routing;
 pub mod sync;
--- a/crates/crocusdale_core/src/membership/exchange_message.rs
+++ b/crates/crocusdale_core/src/membership/exchange_message.rs
@@ -2,6 +2,7 @@
 
 use super::MemberRecord;
 use crate::identity::InstanceId;
+use crate::quarantine::CrashRecord;
 
 /// News that an upstream is leaving.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize)]
@@ -43,6 +44,10 @@
     /// Time since the sender, or whoever it heard from, began to read the published upstreams and
     /// found that change to be the last one.
     pub directory_age: Option<Duration>,
+    /// Summary of what the sender knows of upstreams that ended under requests.
+    pub crash_summary: u64,
+    /// Such upstreams: news, or in an answer all that is known, if the asker knows something else.
+    pub crashes: Vec<CrashRecord>,
     /// Digest of all records that the sender has, if it asks for those that it lacks.
     pub known_members: Option<u64>,
 }
--- a/crates/crocusdale_core/src/membership/member_gossip.rs
+++ b/crates/crocusdale_core/src/membership/member_gossip.rs
@@ -45,6 +45,9 @@
             directory: directory.changed,
             directory_age: directory.age,
             known_members: self.asks_for_all.then(|| self.digest()),
+            // Another part of the core knows these.
+            crash_summary: 0,
+            crashes: Vec::new(),
         }
     }
 
--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -153,6 +153,8 @@
     Silent,
     /// The answer was larger than what is read.
     TooLarge,
+    /// The caller was gone before the answer had ended.
+    Unwanted,
 }
 
 /// Why pieces of a batched step have no results.
--- a/crates/crocusdale_core/src/pipeline/branch_run.rs
+++ b/crates/crocusdale_core/src/pipeline/branch_run.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use serde_json::value::RawValue;
 
 use super::{BreakReason, PieceFault, PlacedResult, RefusalReason, StreamAssembler};
@@ -30,6 +32,8 @@
 pub(super) struct OpenAttempt {
     pub(super) id: AttemptId,
     pub(super) upstream: String,
+    /// Where the upstream listens, if this daemon calls it itself.
+    pub(super) address: Option<SocketAddr>,
     pub(super) sent: MonotonicTime,
     pub(super) progress: MonotonicTime,
     pub(super) role: AttemptRole,
@@ -112,6 +116,11 @@
         }
     }
 
+    /// Whether the upstream may have ended under the attempt.
+    pub(super) fn is_suspicious(self) -> bool {
+        matches!(self, Self::Broken(BreakReason::Cut))
+    }
+
     /// Whether idle connections to the upstream may be as bad as this one was.
     pub(super) fn is_distrusted(self) -> bool {
         matches!(self, Self::Broken(_))
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -88,6 +88,8 @@
     UpstreamError,
     /// The answer of an upstream was cut, foreign or malformed, or none came.
     UpstreamBroken,
+    /// Upstreams ended under requests like this one.
+    Quarantined,
     /// The key could not be claimed at its witnesses.
     NotClaimed,
     /// The key is so old, or its age so uncertain, that its witnesses may have forgotten it.
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -62,6 +62,7 @@
             deadline: self.plan.deadline,
             tried: Vec::new(),
             demand,
+            digest: self.plan.digest,
         })
     }
 
@@ -94,6 +95,7 @@
         }
         self.progress(index, now);
         if head.is_success() {
+            self.succeeded = true;
             self.pass_on(id, steps);
             return None;
         }
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -60,7 +60,8 @@
         let branch = &mut self.branches[index];
         branch.attempts += 1;
         let (upstream, role) = (String::new(), AttemptRole::Pieces);
-        branch.open = Some(OpenAttempt { id, upstream, sent: now, progress: now, role });
+        branch.open =
+            Some(OpenAttempt { id, upstream, address: None, sent: now, progress: now, role });
         let tried = branch.tried.clone();
         let target = self.target_request().filter(|_| self.makes_heavy(position)).map(Box::new);
         steps.push(ShardStep::OfferPieces { order: Box::new(order), tried, target });
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -29,6 +29,8 @@
     pub(super) sequence: u32,
     /// Whether the caller has got a part of the answer.
     pub(super) forwarded: bool,
+    /// Whether an upstream began to answer with a success.
+    pub(super) succeeded: bool,
     /// Times that results were gone and their steps were begun anew.
     pub(super) remakes: u32,
     /// Whether results were given up because an upstream had fetched them.
@@ -52,6 +54,7 @@
             evidence: RunEvidence::default(),
             sequence: 0,
             forwarded: false,
+            succeeded: false,
             remakes: 0,
             freed: false,
             carried: None,
@@ -119,8 +122,14 @@
             steps.push(ShardStep::Command(Command::Cancel(held)));
         }
         branch.attempts += 1;
-        branch.open =
-            Some(OpenAttempt { id, upstream: grant.upstream, sent: now, progress: now, role });
+        branch.open = Some(OpenAttempt {
+            id,
+            upstream: grant.upstream,
+            address: Some(grant.address),
+            sent: now,
+            progress: now,
+            role,
+        });
         self.evidence.sent += 1;
         steps.push(count(CounterName::AttemptsSent));
         None
@@ -143,6 +152,7 @@
             branch.open = Some(OpenAttempt {
                 id: held,
                 upstream: String::new(),
+                address: None,
                 sent: now,
                 progress: now,
                 role: AttemptRole::Forward,
@@ -183,6 +193,7 @@
                     return self.attempt_failed(index, failure, now, steps);
                 }
                 self.evidence.ran += 1;
+                steps.push(ShardStep::Succeeded(self.plan.digest));
                 self.branch_answered(index, BranchAnswer::Json(answer), now, steps)
             }
             AttemptEvent::Declined { status: _ } => {
@@ -200,6 +211,9 @@
                 None
             }
             AttemptEvent::Passed => {
+                if self.succeeded {
+                    steps.push(ShardStep::Succeeded(self.plan.digest));
+                }
                 self.evidence.ran = (self.evidence.ran + 1).min(self.evidence.sent);
                 self.free_inputs(steps);
                 self.branch_answered(index, BranchAnswer::Passed, now, steps)
@@ -236,6 +250,17 @@
         self.attempt_failed(index, FailedAttempt::Broken(BreakReason::Silent), now, steps)
     }
 
+    /// No upstream is given the request any more: it is quarantined for `left`.
+    pub fn quarantined(
+        &mut self,
+        left: Duration,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) -> Option<FinalAnswer> {
+        self.retry_after = Some(left);
+        self.denied(RefusalReason::Quarantined, now, steps)
+    }
+
     /// Ends the run without an answer; whatever is open is given up.
     pub fn end(
         &mut self,
@@ -328,6 +353,7 @@
             deadline: self.plan.deadline,
             tried: branch.tried.clone(),
             demand: demand.filter(|_| branch.work == StepWork::Forward),
+            digest: self.plan.digest,
         }
     }
 
@@ -419,6 +445,10 @@
                 reason,
             })));
         }
+        if let Some(address) = open.address.filter(|_| failure.is_suspicious()) {
+            let (digest, upstream) = (self.plan.digest, open.upstream.clone());
+            steps.push(ShardStep::Suspect { digest, upstream, address });
+        }
         if failure.is_distrusted() {
             steps.push(ShardStep::Command(Command::Distrust(open.upstream)));
         }
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -8,7 +8,7 @@
 };
 use crate::claims::{ClaimVerdict, RegisterReply, WitnessPoll};
 use crate::daemon::{Command, CounterName, TimerKey};
-use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
+use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey};
 use crate::membership::WitnessSet;
 use crate::routing::{AttemptReport, SlotGrant};
 
@@ -296,6 +296,41 @@
         }
     }
 
+    /// Ends the runs that are like `digest`, which is quarantined for `left`, and have not been sent on.
+    pub fn end_quarantined(
+        &mut self,
+        digest: RequestDigest,
+        left: Duration,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let like = self
+            .runs
+            .iter()
+            .filter(|(_, active)| active.run.plan().digest == digest && active.run.is_unsent());
+        let calls: Vec<CallId> = like.map(|(call, _)| *call).collect();
+        for call in calls {
+            self.quarantined(call, left, now, steps);
+        }
+    }
+
+    /// No upstream is given the request of `call` any more: it is quarantined for `left`.
+    pub fn quarantined(
+        &mut self,
+        call: CallId,
+        left: Duration,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let Some(active) = self.runs.get_mut(&call) else { return };
+        if active.poll.is_some() {
+            self.give_up_claim(call, now, steps);
+            return;
+        }
+        let end = active.run.quarantined(left, now, steps);
+        self.finish_if(call, end, now, steps);
+    }
+
     /// Ends every run.
     pub fn end_all(
         &mut self,
--- a/crates/crocusdale_core/src/pipeline/shard_step.rs
+++ b/crates/crocusdale_core/src/pipeline/shard_step.rs
@@ -1,6 +1,8 @@
+use std::net::SocketAddr;
+
 use crate::admission::AdmissionPermit;
 use crate::daemon::Command;
-use crate::identity::{AttemptId, CallId, RequestKey};
+use crate::identity::{AttemptId, CallId, RequestDigest, RequestKey};
 use crate::membership::WitnessSet;
 use crate::pipeline::{PieceOrder, RefusalReason, ResultHandle};
 use crate::routing::{AttemptReport, SlotRequest};
@@ -60,6 +62,17 @@
         /// Its call.
         call: CallId,
     },
+    /// An attempt broke off: did its upstream end?
+    Suspect {
+        /// What the request has in common with its repeats.
+        digest: RequestDigest,
+        /// The upstream.
+        upstream: String,
+        /// Where it listens.
+        address: SocketAddr,
+    },
+    /// A request like this was answered whole.
+    Succeeded(RequestDigest),
     /// A request ended.
     GiveBack(AdmissionPermit),
     /// Ask one witness.
--- /dev/null
+++ b/crates/crocusdale_core/src/quarantine/crash_book.rs
@@ -0,0 +1,198 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::success_memory::INNOCENCE;
+use super::{CrashRecord, UpstreamEnd};
+use crate::identity::{MonotonicTime, RequestDigest, stable_hash};
+
+/// Upstreams that have ended under a request before it is quarantined for the first time.
+///
+/// One may end by chance under anything. That a second one ends under the same request, with not one
+/// whole answer in between, is rare enough to stop it for a while: each further end costs all that runs
+/// at an upstream.
+const FIRST_ENDS: usize = 2;
+/// Time of that quarantine, from the last end: longer than a caller waits, so that no further upstream
+/// ends meanwhile, and short for a request that was merely there when two upstreams failed.
+pub const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
+/// Upstreams that have ended before it is quarantined for long: the third one ended after it had been let
+/// in again.
+const LAST_ENDS: usize = 3;
+/// Time of that quarantine, from the last end. Long enough for operators to look; then the request may be
+/// harmless, as its upstreams may have been mended.
+pub const LAST_QUARANTINE: Duration = Duration::from_secs(600);
+/// Time for which fewer ends than [`LAST_ENDS`] are remembered, from the last one: several times the first
+/// quarantine.
+const SUSPICION: Duration = Duration::from_secs(120);
+/// What is added to the time of this process, so that ends of before its start have a time too.
+const EPOCH: Duration = Duration::from_secs(3_600);
+/// Ends that are kept for one request: those of the quarantine and of what ran when it began.
+const ENDS_LIMIT: usize = 8;
+/// Requests that are remembered. All that ran on a few upstreams that ended at one moment; more could
+/// not be told in one message.
+const BOOK_LIMIT: usize = 512;
+
+/// Upstreams that ended under requests, as far as this daemon saw or heard.
+///
+/// Books of two daemons that have the same records have the same summary, and taking a record twice or
+/// in another order changes nothing.
+#[derive(Debug, Default)]
+pub struct CrashBook {
+    entries: HashMap<RequestDigest, BookEntry>,
+}
+
+#[derive(Debug, Default)]
+struct BookEntry {
+    ends: Vec<(u64, MonotonicTime)>,
+    /// When a request like this was last known to be answered whole.
+    cleared: Option<MonotonicTime>,
+}
+
+impl CrashBook {
+    /// Takes note that `upstream` ended under a request. Returns whether that is new.
+    pub fn note_end(&mut self, digest: RequestDigest, upstream: u64, now: MonotonicTime) -> bool {
+        self.add_end(digest, upstream, now + EPOCH)
+    }
+
+    /// A request like this was answered whole: what ended under it ended by chance. Returns whether
+    /// there was anything to clear.
+    pub fn clear(&mut self, digest: RequestDigest, now: MonotonicTime) -> bool {
+        let Some(entry) = self.entries.get_mut(&digest) else { return false };
+        let had_ends = !entry.ends.is_empty();
+        entry.cleared = Some(now + EPOCH);
+        entry.ends.clear();
+        had_ends
+    }
+
+    /// Takes what another daemon tells. Returns whether anything of it was new.
+    pub fn take(&mut self, record: &CrashRecord, now: MonotonicTime) -> bool {
+        let time = |age: Duration| {
+            MonotonicTime::from_start((now + EPOCH).since_start().saturating_sub(age))
+        };
+        let mut news = false;
+        if let Some(age) = record.cleared.filter(|age| *age < INNOCENCE) {
+            let entry = self.entries.entry(record.digest).or_default();
+            if entry.cleared.is_none() {
+                entry.cleared = Some(time(age));
+                entry.ends.retain(|(_, end)| *end >= time(age) + INNOCENCE);
+                news = true;
+            }
+        }
+        for end in &record.ends {
+            news |= self.add_end(record.digest, end.upstream, time(end.age));
+        }
+        news
+    }
+
+    fn add_end(&mut self, digest: RequestDigest, upstream: u64, at: MonotonicTime) -> bool {
+        let known = self.entries.get(&digest);
+        if known.is_some_and(|entry| !entry.lacks(upstream, at)) {
+            return false;
+        }
+        if known.is_none() && self.entries.len() >= BOOK_LIMIT {
+            self.make_room();
+        }
+        self.entries.entry(digest).or_default().ends.push((upstream, at));
+        true
+    }
+
+    /// Time for which a request like this is still not sent on, if it is quarantined.
+    #[must_use]
+    pub fn quarantine(&self, digest: RequestDigest, now: MonotonicTime) -> Option<Duration> {
+        let entry = self.entries.get(&digest)?;
+        let left = entry.quarantine()?.saturating_sub((now + EPOCH).since(entry.last_end()?));
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Number of upstreams that ended under a request like this.
+    #[must_use]
+    pub fn ends(&self, digest: RequestDigest) -> usize {
+        self.entries.get(&digest).map_or(0, |entry| entry.ends.len())
+    }
+
+    /// Requests that are quarantined.
+    #[must_use]
+    pub fn quarantined(&self, now: MonotonicTime) -> Vec<RequestDigest> {
+        let digests = self.entries.keys().copied();
+        digests.filter(|digest| self.quarantine(*digest, now).is_some()).collect()
+    }
+
+    /// A number that is the same for books with the same records, whatever their order and ages; 0 for
+    /// an empty one.
+    #[must_use]
+    pub fn summary(&self) -> u64 {
+        let rank = |(digest, entry): (&RequestDigest, &BookEntry)| {
+            let mut ends: Vec<u64> = entry.ends.iter().map(|(upstream, _)| *upstream).collect();
+            ends.sort_unstable();
+            stable_hash(&[&digest.to_string(), &format!("{ends:x?}/{}", entry.cleared.is_some())])
+        };
+        self.entries.iter().map(rank).fold(0, |summary, rank| summary ^ rank)
+    }
+
+    /// What is known of one request, to tell others.
+    #[must_use]
+    pub fn record(&self, digest: RequestDigest, now: MonotonicTime) -> Option<CrashRecord> {
+        let entry = self.entries.get(&digest)?;
+        let age = |at: MonotonicTime| (now + EPOCH).since(at);
+        let end = |(upstream, at): &(u64, MonotonicTime)| UpstreamEnd {
+            upstream: *upstream,
+            age: age(*at),
+        };
+        Some(CrashRecord {
+            digest,
+            ends: entry.ends.iter().map(end).collect(),
+            cleared: entry.cleared.map(age),
+        })
+    }
+
+    /// All that is known.
+    #[must_use]
+    pub fn records(&self, now: MonotonicTime) -> Vec<CrashRecord> {
+        self.entries.keys().filter_map(|digest| self.record(*digest, now)).collect()
+    }
+
+    /// Forgets what is too old to count. Returns whether there was anything.
+    pub fn forget(&mut self, now: MonotonicTime) -> bool {
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| entry.is_wanted(now + EPOCH));
+        self.entries.len() < before
+    }
+
+    /// Guards against a book that grows without bound where upstreams fail by the dozen: the request
+    /// with the fewest ends under it goes, and the oldest among these.
+    fn make_room(&mut self) {
+        let least = self.entries.iter();
+        let least =
+            least.min_by_key(|(digest, entry)| (entry.ends.len(), entry.last_end(), **digest));
+        if let Some(digest) = least.map(|(digest, _)| *digest) {
+            self.entries.remove(&digest);
+        }
+    }
+}
+
+impl BookEntry {
+    /// Whether the end of `upstream` at `at` counts and is not known.
+    fn lacks(&self, upstream: u64, at: MonotonicTime) -> bool {
+        let is_known = self.ends.iter().any(|(known, _)| *known == upstream);
+        let is_innocent = self.cleared.is_some_and(|cleared| at < cleared + INNOCENCE);
+        !is_known && !is_innocent && self.ends.len() < ENDS_LIMIT
+    }
+
+    /// Time of its quarantine, from the last end.
+    fn quarantine(&self) -> Option<Duration> {
+        match self.ends.len() {
+            0..FIRST_ENDS => None,
+            FIRST_ENDS..LAST_ENDS => Some(FIRST_QUARANTINE),
+            _ => Some(LAST_QUARANTINE),
+        }
+    }
+
+    fn last_end(&self) -> Option<MonotonicTime> {
+        self.ends.iter().map(|(_, at)| *at).max()
+    }
+
+    fn is_wanted(&self, now: MonotonicTime) -> bool {
+        let life = self.quarantine().unwrap_or_default().max(SUSPICION);
+        let by_ends = self.last_end().is_some_and(|last| now.since(last) < life);
+        by_ends || self.cleared.is_some_and(|cleared| now.since(cleared) < INNOCENCE)
+    }
+}
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::SubjectTally;
-use crate::identity::{CallId, MonotonicTime};
+use crate::identity::{CallId, MonotonicTime, RequestDigest};
 use crate::pipeline::EngineDemand;
 use crate::retry::RetryBudget;
 
@@ -30,6 +30,8 @@
     pub tried: Vec<String>,
     /// What it asks of a model engine.
     pub demand: Option<Arc<EngineDemand>>,
+    /// What the request has in common with its repeats.
+    pub digest: RequestDigest,
 }
 
 /// What waits for one pool, most urgent first.
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -2,10 +2,11 @@
 
 use crocusdale_schema::peer;
 
-use crate::identity::InstanceId;
+use crate::identity::{InstanceId, RequestDigest};
 use crate::membership::{
     ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
 };
+use crate::quarantine::{CrashRecord, UpstreamEnd};
 
 /// A message lacked a part that it must have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -102,6 +103,39 @@
     }
 }
 
+impl From<CrashRecord> for peer::CrashRecord {
+    fn from(record: CrashRecord) -> Self {
+        let end = |end: UpstreamEnd| peer::UpstreamEnd {
+            upstream: end.upstream,
+            age_ms: whole_millis(end.age),
+        };
+        Self {
+            digest: record.digest.0,
+            ends: record.ends.into_iter().map(end).collect(),
+            cleared_age_ms: record.cleared.map(whole_millis),
+        }
+    }
+}
+
+impl From<peer::CrashRecord> for CrashRecord {
+    fn from(wire: peer::CrashRecord) -> Self {
+        let millis = |millis: u32| Duration::from_millis(millis.into());
+        let end = |end: peer::UpstreamEnd| UpstreamEnd {
+            upstream: end.upstream,
+            age: millis(end.age_ms),
+        };
+        Self {
+            digest: RequestDigest(wire.digest),
+            ends: wire.ends.into_iter().map(end).collect(),
+            cleared: wire.cleared_age_ms.map(millis),
+        }
+    }
+}
+
+fn whole_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 impl From<ExchangeMessage> for peer::ExchangeMessage {
     fn from(message: ExchangeMessage) -> Self {
         Self {
@@ -114,6 +148,8 @@
             leaving_upstreams: message.leaving_upstreams.into_iter().map(Into::into).collect(),
             directory: message.directory,
             known_members: message.known_members,
+            crash_summary: message.crash_summary,
+            crashes: message.crashes.into_iter().map(Into::into).collect(),
             // Rounded up: a list must never be taken for younger than it is.
             directory_age_ms: message
                 .directory_age
@@ -137,6 +173,8 @@
             directory: wire.directory,
             known_members: wire.known_members,
             directory_age: wire.directory_age_ms.map(Duration::from_millis),
+            crash_summary: wire.crash_summary,
+            crashes: wire.crashes.into_iter().map(Into::into).collect(),
         })
     }
 }
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -36,6 +36,8 @@
             directory: 0,
             directory_age: None,
             known_members: None,
+            crash_summary: 0,
+            crashes: Vec::new(),
         };
         view.take_message(&message, now);
     }
--- a/crates/crocusdale_core/tests/connection_share_test.rs
+++ b/crates/crocusdale_core/tests/connection_share_test.rs
@@ -32,6 +32,7 @@
         deadline: MonotonicTime::from_millis(1_000),
         tried: Vec::new(),
         demand: None,
+        digest: Default::default(),
     };
     let grant = router.acquire(request, MonotonicTime::from_millis(0));
     grant.expect("the pool is there").expect("a place is free").kept_connections
--- a/crates/crocusdale_core/tests/engine_choice_test.rs
+++ b/crates/crocusdale_core/tests/engine_choice_test.rs
@@ -152,6 +152,7 @@
         deadline: MonotonicTime::from_start(Duration::from_secs(60)),
         tried: Vec::new(),
         demand: Some(Arc::new(demand)),
+        digest: Default::default(),
     }
 }
 
--- a/crates/crocusdale_core/tests/member_places_test.rs
+++ b/crates/crocusdale_core/tests/member_places_test.rs
@@ -36,6 +36,8 @@
         directory: 0,
         directory_age: None,
         known_members: None,
+        crash_summary: 0,
+        crashes: Vec::new(),
     }
 }
 
--- a/crates/crocusdale_core/tests/support/reader_answer.rs
+++ b/crates/crocusdale_core/tests/support/reader_answer.rs
@@ -38,6 +38,8 @@
         directory,
         directory_age: Some(Duration::ZERO),
         known_members: None,
+        crash_summary: 0,
+        crashes: Vec::new(),
     });
     DaemonEvent::Exchanged { message, sent }
 }
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -10,7 +10,7 @@
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, RelayOrder};
 use crocusdale_core::retry::RetryLimits;
-use crocusdale_core::routing::DirectoryEntry;
+use crocusdale_core::routing::{CONNECT_PATIENCE, DirectoryEntry};
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
 
 use rand::Rng as _;
@@ -71,6 +71,12 @@
     pub slowness: Option<SmallRng>,
     /// Whether each question to a peer is under way for as long as a call of one may take.
     pub questions_are_late: bool,
+    /// Whether only daemons that read the platform hear and tell of crashes, so that nothing spreads by
+    /// the chance of heartbeats.
+    only_readers_tell: bool,
+    readers: HashSet<usize>,
+    /// Upstreams that take no connections any more.
+    pub ended: HashSet<String>,
     /// Requests that were passed to upstreams, by which daemon and when.
     pub relays: Vec<(usize, MonotonicTime, RelayOrder)>,
     /// Final answers, and the daemons that gave them.
@@ -113,6 +119,9 @@
             turned_away: HashSet::new(),
             slowness: None,
             questions_are_late: false,
+            only_readers_tell: false,
+            readers: HashSet::new(),
+            ended: HashSet::new(),
             relays: Vec::new(),
             answers: Vec::new(),
         };
@@ -175,6 +184,14 @@
         self.cores.iter().filter(known).count()
     }
 
+    /// From now on only daemons that read the platform for others hear and tell of crashes.
+    pub fn tell_by_readers_only(&mut self) {
+        self.only_readers_tell = true;
+        // All daemons read when they start.
+        self.readers.clear();
+        self.run(self.now.since_start() + Duration::from_secs(1));
+    }
+
     /// Gives a caller's request to a daemon.
     pub fn submit(&mut self, index: usize, request: CallerRequest) -> CallId {
         let call = self.cores[index].open_call(&request.key);
@@ -196,8 +213,15 @@
                 core.handle(DaemonEvent::Timer(timer), self.now, &mut commands);
             }
             Delivery::Event(event) => core.handle(event, self.now, &mut commands),
-            Delivery::Ask { from, message, sent } => {
-                let reply = core.exchange(&message, self.now, &mut commands);
+            Delivery::Ask { from, mut message, sent } => {
+                let is_mute = self.only_readers_tell && !self.readers.contains(&index);
+                if is_mute {
+                    message.crashes.clear();
+                }
+                let mut reply = core.exchange(&message, self.now, &mut commands);
+                if is_mute {
+                    reply.crashes.clear();
+                }
                 self.records += message.records.len() + reply.records.len();
                 let event =
                     Delivery::Event(DaemonEvent::Exchanged { message: Box::new(reply), sent });
@@ -223,6 +247,7 @@
             }
             Command::ReadDirectory => {
                 self.reads += 1;
+                self.readers.insert(index);
                 let (revision, entries) = self.published.clone();
                 let event = if self.turned_away.contains(&index) {
                     DaemonEvent::DirectoryUnread
@@ -245,6 +270,13 @@
                 let event = Delivery::Event(DaemonEvent::DirectoryFetched(list));
                 self.push(self.now + ONE_WAY * 2, index, event);
             }
+            Command::ProbeUpstream { upstream, .. } => {
+                let late = self.questions_are_late;
+                let has_ended = self.ended.contains(&upstream);
+                let probed = DaemonEvent::UpstreamProbed { upstream, has_ended };
+                let time = if late { CONNECT_PATIENCE } else { ONE_WAY };
+                self.push(self.now + time, index, Delivery::Event(probed));
+            }
             Command::Relay(order) => self.relays.push((index, self.now, order)),
             Command::Reply { call, answer } => self.answers.push((index, call, answer)),
             _ => {}
--- a/crates/crocusdale_core/tests/upstream_lives_test.rs
+++ b/crates/crocusdale_core/tests/upstream_lives_test.rs
@@ -126,6 +126,7 @@
         deadline: now + Duration::from_secs(5),
         tried: Vec::new(),
         demand: None,
+        digest: Default::default(),
     };
     for call in 1..=3 {
         let grant = router.acquire(request(call), now).expect("hope").expect("a place");
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -11,7 +11,7 @@
 use crate::peer::{PeerClient, PieceTable};
 use crate::platform::PlatformReader;
 use crate::telemetry::Telemetry;
-use crate::upstream::{BatchClient, ConnectionPool, UpstreamClient};
+use crate::upstream::{BatchClient, ConnectionPool, UpstreamClient, probe_upstream};
 
 /// The core with everything that carries its commands out.
 #[derive(Debug)]
@@ -162,6 +162,9 @@
             }
             Command::ReadDirectory => self.platform.read_directory(self),
             Command::Distrust(upstream) => self.upstreams.distrust(&upstream),
+            Command::ProbeUpstream { upstream, address } => {
+                probe_upstream(self, upstream, address);
+            }
             Command::ForgetConnections(address) => self.connections.forget(address),
             Command::SetTimer { timer, at } => self.timers.set(timer, at),
             Command::Count(counter) => self.telemetry.count(counter),
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -236,7 +236,7 @@
             }
             if self.events.send(event.bytes).await.is_err() {
                 // The caller is gone; its call says so to the core.
-                return Some(AttemptEvent::Broken(BreakReason::Cut));
+                return Some(AttemptEvent::Broken(BreakReason::Unwanted));
             }
             if !self.flowing {
                 self.flowing = true;
--- a/crates/crocusdaled/src/service/answer_response.rs
+++ b/crates/crocusdaled/src/service/answer_response.rs
@@ -107,6 +107,7 @@
         | RefusalReason::Deadline
         | RefusalReason::UpstreamError
         | RefusalReason::UpstreamBroken
+        | RefusalReason::Quarantined
         | RefusalReason::HolderLost => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -107,6 +107,13 @@
                     "digest" => digest.to_string(), "upstream" => upstream,
                     "reason" => reason.to_string());
             }
+            StateChange::RequestQuarantined { digest, ends, peer } => {
+                info!(log, "{}", name;
+                    "digest" => digest.to_string(), "ends" => ends, "peer" => peer.as_deref());
+            }
+            StateChange::QuarantineLifted { digest } => {
+                info!(log, "{}", name; "digest" => digest.to_string());
+            }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
             }
--- a/crates/crocusdaled/src/upstream/mod.rs
+++ b/crates/crocusdaled/src/upstream/mod.rs
@@ -5,7 +5,9 @@
 mod connection_pool;
 mod engine_orders;
 mod upstream_client;
+mod upstream_probe;
 
 pub use batch_client::BatchClient;
 pub use connection_pool::{ConnectionPool, OpenConnection, SendFault};
 pub use upstream_client::UpstreamClient;
+pub use upstream_probe::probe_upstream;
