--- a/crates/crocusdale_core/src/quarantine/crash_book.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_book.rs
@@ -8,12 +8,13 @@
 /// Upstreams that have ended under a request before it is quarantined for the first time.
 ///
 /// One may end by chance under anything. That a second one ends under the same request, with not one
-/// whole answer in between, is rare enough to stop it for a while: each further end costs all that runs
+/// whole answer in between, is rare enough to stop it for a moment: each further end costs all that runs
 /// at an upstream.
 const FIRST_ENDS: usize = 2;
-/// Time of that quarantine, from the last end: longer than a caller waits, so that no further upstream
-/// ends meanwhile, and short for a request that was merely there when two upstreams failed.
-pub const FIRST_QUARANTINE: Duration = Duration::from_secs(30);
+/// Time of that quarantine, from the last end. Longer than news of an end take to all daemons, so that the
+/// fleet tries again knowing all; short for a request that was merely there when two upstreams failed,
+/// whose caller may still come back in time.
+pub const FIRST_QUARANTINE: Duration = Duration::from_secs(4);
 /// Upstreams that have ended before it is quarantined for long: the third one ended after it had been let
 /// in again.
 const LAST_ENDS: usize = 3;
--- a/crates/crocusdale_core/tests/crashing_request_test.rs
+++ b/crates/crocusdale_core/tests/crashing_request_test.rs
@@ -172,6 +172,15 @@
         }
     }
 
+    /// The request crashes a third upstream, once it is let in again.
+    fn crash_third(&mut self, daemon: usize) {
+        self.run(self.fleet.now + FIRST_QUARANTINE);
+        self.tries += 1;
+        self.fleet.submit(daemon, forwarded(self.tries, "/tell/crash"));
+        self.run(self.fleet.now + RUN_TIME + STEP * 2);
+        assert_eq!(self.crashed.len(), CRASHES);
+    }
+
     /// Time from two crashes at one moment, under two daemons, until no daemon sends the request on.
     fn time_to_quarantine(&mut self) -> Duration {
         let wait = Duration::from_millis(self.random.random_range(0..500));
@@ -273,7 +282,7 @@
     }
 }
 
-/// A daemon is cut off from the others while a request crashes two upstreams; it reaches the platform
+/// A daemon is cut off from the others while a request crashes three upstreams; it reaches the platform
 /// again, and the callers count on it once it has been in contact for as long as the bound says.
 #[test]
 fn daemon_that_was_cut_off_knows_in_time() {
@@ -281,6 +290,7 @@
         let mut engines = CrashingEngines::new(6, seed);
         engines.fleet.cut_off.insert(5);
         engines.crash_two([0, 1]);
+        engines.crash_third(2);
         engines.fleet.run(engines.fleet.now.since_start() + Duration::from_secs(5));
         assert!(!engines.is_quarantined_at(5), "it hears of nothing");
         engines.fleet.cut_off.clear();
@@ -290,13 +300,14 @@
     }
 }
 
-/// A daemon restarts after a request has crashed two upstreams: its own memory is gone, and it must know
+/// A daemon restarts after a request has crashed three upstreams: its own memory is gone, and it must know
 /// from its peers before it serves callers.
 #[test]
 fn daemon_that_starts_again_knows_before_it_serves() {
     for size in [6, 60] {
         let mut engines = CrashingEngines::new(size, 1);
         engines.crash_two([0, 1]);
+        engines.crash_third(2);
         engines.fleet.run(engines.fleet.now.since_start() + Duration::from_secs(3));
         engines.fleet.restart(0);
         while !engines.fleet.cores[0].is_ready() {
