--- a/crates/crocusdaled/src/upstream/upstream_probe.rs
+++ b/crates/crocusdaled/src/upstream/upstream_probe.rs
@@ -1,6 +1,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::routing::CONNECT_PATIENCE;
@@ -8,6 +9,9 @@
 
 use crate::engine::DaemonEngine;
 
+/// Time in which a process that ends closes its sockets, one after the other.
+const CLOSING: Duration = Duration::from_millis(10);
+
 /// Finds out whether `upstream` still takes connections at `address`, and tells the core.
 ///
 /// The connection is closed unused. Only a refusal proves an end: silence may be that of a path which
@@ -15,6 +19,7 @@
 pub fn probe_upstream(engine: &Arc<DaemonEngine>, upstream: String, address: SocketAddr) {
     let engine = Arc::clone(engine);
     tokio::spawn(async move {
+        tokio::time::sleep(CLOSING).await;
         let opened = tokio::time::timeout(CONNECT_PATIENCE, TcpStream::connect(address)).await;
         let has_ended = matches!(
             opened, Ok(Err(fault)) if fault.kind() == ErrorKind::ConnectionRefused
