--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -35,7 +35,9 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
-        let verdict = lock(&self.crashes).probed(upstream, has_ended, now);
+        // What was known to leave has left, with whatever still ran there.
+        let has_crashed = has_ended && !lock(&self.directory).directory.is_leaving(upstream);
+        let verdict = lock(&self.crashes).probed(upstream, has_crashed, now);
         self.follow(verdict, None, now, out);
     }
 
--- a/crates/crocusdale_core/src/identity/mod.rs
+++ b/crates/crocusdale_core/src/identity/mod.rs
@@ -13,6 +13,10 @@
 /// Hashes `parts` to a number that is the same in every process.
 #[must_use]
 pub fn stable_hash(parts: &[&str]) -> u64 {
-    let parts: Vec<&[u8]> = parts.iter().map(|part| part.as_bytes()).collect();
-    RequestDigest::of(&parts).0
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for part in parts {
+        hasher.update(&part.len().to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.digest()
 }
--- a/crates/crocusdale_core/src/identity/request_digest.rs
+++ b/crates/crocusdale_core/src/identity/request_digest.rs
@@ -5,10 +5,14 @@
 /// What a request has in common with its repeats: caller, target and content. Each try of a caller
 /// has another [`super::RequestKey`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RequestDigest(pub u64);
+pub struct RequestDigest(pub [u8; RequestDigest::LEN]);
 
 impl RequestDigest {
-    /// Digests `parts`; the same in every process.
+    /// Length, in bytes.
+    pub const LEN: usize = 16;
+
+    /// Digests `parts`; the same in every process. Nobody can make a request that is taken for another
+    /// caller's.
     ///
     /// # Examples
     ///
@@ -21,18 +25,20 @@
     /// ```
     #[must_use]
     pub fn of(parts: &[&[u8]]) -> Self {
-        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        let mut hasher = blake3::Hasher::new();
         for part in parts {
             hasher.update(&part.len().to_le_bytes());
             hasher.update(part);
         }
-        Self(hasher.digest())
+        let mut digest = [0; Self::LEN];
+        hasher.finalize_xof().fill(&mut digest);
+        Self(digest)
     }
 }
 
 impl fmt::Display for RequestDigest {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:016x}", self.0)
+        self.0.iter().try_for_each(|byte| write!(formatter, "{byte:02x}"))
     }
 }
 
--- a/crates/crocusdale_core/src/pipeline/caller_request.rs
+++ b/crates/crocusdale_core/src/pipeline/caller_request.rs
@@ -90,8 +90,8 @@
                 ])
             }
             RequestContent::Forward(head) => {
-                let content = head.content.0.to_le_bytes();
-                RequestDigest::of(&[workspace.as_bytes(), head.host.as_bytes(), &content])
+                let (host, content) = (head.host.as_bytes(), &head.content.0);
+                RequestDigest::of(&[workspace.as_bytes(), host, content])
             }
         }
     }
--- a/crates/crocusdale_core/src/quarantine/crash_book.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_book.rs
@@ -5,24 +5,17 @@
 use super::{CrashRecord, UpstreamEnd};
 use crate::identity::{MonotonicTime, RequestDigest, stable_hash};
 
-/// Upstreams that have ended under a request before it is quarantined for the first time.
+/// Upstreams that have ended under a request before it is quarantined.
 ///
-/// One may end by chance under anything. That a second one ends under the same request, with not one
-/// whole answer in between, is rare enough to stop it for a moment: each further end costs all that runs
-/// at an upstream.
-const FIRST_ENDS: usize = 2;
-/// Time of that quarantine, from the last end. Longer than news of an end take to all daemons, so that the
-/// fleet tries again knowing all; short for a request that was merely there when two upstreams failed,
-/// whose caller may still come back in time.
-pub const FIRST_QUARANTINE: Duration = Duration::from_secs(4);
-/// Upstreams that have ended before it is quarantined for long: the third one ended after it had been let
-/// in again.
-const LAST_ENDS: usize = 3;
-/// Time of that quarantine, from the last end. Long enough for operators to look; then the request may be
-/// harmless, as its upstreams may have been mended.
-pub const LAST_QUARANTINE: Duration = Duration::from_secs(600);
-/// Time for which fewer ends than [`LAST_ENDS`] are remembered, from the last one: several times the first
-/// quarantine.
+/// One or two may end by chance under a request that is tried again. A third one, with not one whole
+/// answer in between, is the request's doing.
+const QUARANTINE_ENDS: usize = 3;
+/// Time for which it is not sent on, from the last end. Each trial costs an upstream and all that runs
+/// there. Long enough for operators to look; then the request may be harmless, as its upstreams may have
+/// been mended.
+pub const QUARANTINE: Duration = Duration::from_secs(600);
+/// Time for which fewer ends are remembered, from the last one: longer than a caller pauses between two
+/// tries.
 const SUSPICION: Duration = Duration::from_secs(120);
 /// What is added to the time of this process, so that ends of before its start have a time too.
 const EPOCH: Duration = Duration::from_secs(3_600);
@@ -180,11 +173,7 @@
 
     /// Time of its quarantine, from the last end.
     fn quarantine(&self) -> Option<Duration> {
-        match self.ends.len() {
-            0..FIRST_ENDS => None,
-            FIRST_ENDS..LAST_ENDS => Some(FIRST_QUARANTINE),
-            _ => Some(LAST_QUARANTINE),
-        }
+        (self.ends.len() >= QUARANTINE_ENDS).then_some(QUARANTINE)
     }
 
     fn last_end(&self) -> Option<MonotonicTime> {
--- a/crates/crocusdale_core/src/quarantine/crash_watch.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_watch.rs
@@ -63,10 +63,15 @@
     }
 
     /// The upstream was looked at.
-    pub fn probed(&mut self, upstream: &str, has_ended: bool, now: MonotonicTime) -> CrashVerdict {
+    pub fn probed(
+        &mut self,
+        upstream: &str,
+        has_crashed: bool,
+        now: MonotonicTime,
+    ) -> CrashVerdict {
         let suspects = self.suspects.remove(upstream).unwrap_or_default();
         let mut verdict = CrashVerdict::default();
-        for digest in suspects.into_iter().filter(|_| has_ended) {
+        for digest in suspects.into_iter().filter(|_| has_crashed) {
             if self.successes.knows(digest, now) {
                 continue;
             }
--- a/crates/crocusdale_core/src/quarantine/mod.rs
+++ b/crates/crocusdale_core/src/quarantine/mod.rs
@@ -2,15 +2,14 @@
 //!
 //! A caller repeats such a request with another key and the same content, at any daemon. What its
 //! repeats share is a [`RequestDigest`](crate::identity::RequestDigest); under it the daemons count
-//! together the upstreams that ended while they ran it: two of them stop it for [`FIRST_QUARANTINE`], and
-//! a third one for [`LAST_QUARANTINE`].
+//! together the upstreams that ended while they ran it; the third one stops it for [`QUARANTINE`].
 
 mod crash_book;
 mod crash_record;
 mod crash_watch;
 mod success_memory;
 
-pub use crash_book::{CrashBook, FIRST_QUARANTINE, LAST_QUARANTINE};
+pub use crash_book::{CrashBook, QUARANTINE};
 pub use crash_record::{CrashRecord, UpstreamEnd};
 pub use crash_watch::{CrashVerdict, CrashWatch};
 pub use success_memory::SuccessMemory;
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -104,6 +104,12 @@
         self.entries.values().map(|(_, entry)| entry)
     }
 
+    /// Whether the upstream named `name` has given notice.
+    #[must_use]
+    pub fn is_leaving(&self, name: &str) -> bool {
+        self.entries().any(|entry| entry.leaving && entry.name() == name)
+    }
+
     /// Takes a whole list, read at `revision`. With `grace`, it is the first one after a time in which
     /// none could be read, and entries may have lapsed meanwhile: what is missing from it is waited
     /// for until then. Returns whether anything changed that matters to routing.
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -110,25 +110,29 @@
             age_ms: whole_millis(end.age),
         };
         Self {
-            digest: record.digest.0,
+            digest: record.digest.0.to_vec(),
             ends: record.ends.into_iter().map(end).collect(),
             cleared_age_ms: record.cleared.map(whole_millis),
         }
     }
 }
 
-impl From<peer::CrashRecord> for CrashRecord {
-    fn from(wire: peer::CrashRecord) -> Self {
+impl TryFrom<peer::CrashRecord> for CrashRecord {
+    type Error = MissingPart;
+
+    fn try_from(wire: peer::CrashRecord) -> Result<Self, Self::Error> {
+        let digest = wire.digest.try_into();
+        let digest = digest.map_err(|_| MissingPart("the digest of a crash record"))?;
         let millis = |millis: u32| Duration::from_millis(millis.into());
         let end = |end: peer::UpstreamEnd| UpstreamEnd {
             upstream: end.upstream,
             age: millis(end.age_ms),
         };
-        Self {
-            digest: RequestDigest(wire.digest),
+        Ok(Self {
+            digest: RequestDigest(digest),
             ends: wire.ends.into_iter().map(end).collect(),
             cleared: wire.cleared_age_ms.map(millis),
-        }
+        })
     }
 }
 
@@ -174,7 +178,7 @@
             known_members: wire.known_members,
             directory_age: wire.directory_age_ms.map(Duration::from_millis),
             crash_summary: wire.crash_summary,
-            crashes: wire.crashes.into_iter().map(Into::into).collect(),
+            crashes: wire.crashes.into_iter().map(TryInto::try_into).collect::<Result<_, _>>()?,
         })
     }
 }
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -313,7 +313,7 @@
         let head = ForwardHead {
             host: HOST.to_owned(),
             path: rules.path(),
-            content: RequestDigest(number),
+            content: RequestDigest::of(&[&number.to_le_bytes()]),
             access: Some(workspace_name(workspace)),
             pieces: request.pieces.clone(),
             piece_source: number.to_string(),
