--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -115,6 +115,9 @@
             DaemonEvent::BatchEnded { batch, outcome } => {
                 self.state.batch_ended(batch, outcome, now, &mut steps, out);
             }
+            DaemonEvent::UpstreamNoticed { upstream, notice } => {
+                self.state.take_notice(&upstream, notice, out);
+            }
             DaemonEvent::UpstreamProbed { upstream, has_ended } => {
                 self.state.upstream_probed(&upstream, has_ended, now, out);
             }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -6,7 +6,7 @@
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
-use crate::routing::{DirectoryEntry, PeerDirectory};
+use crate::routing::{DirectoryEntry, PeerDirectory, UpstreamNotice};
 
 use super::TimerKey;
 
@@ -69,6 +69,13 @@
     ConfigurationWatched(Option<(u64, String)>),
     /// The configuration service did not answer.
     ConfigurationUnread,
+    /// An upstream said something of itself in an answer.
+    UpstreamNoticed {
+        /// The upstream.
+        upstream: String,
+        /// What it said.
+        notice: UpstreamNotice,
+    },
     /// An upstream under which attempts broke off was looked at.
     UpstreamProbed {
         /// The upstream.
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 mod held_work;
 mod list_guard;
 mod news_bounds;
+mod notice_flow;
 mod pause_watch;
 mod piece_flow;
 mod reader_choice;
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod subject_tally;
 mod upstream_choice;
 mod upstream_directory;
+mod upstream_notice;
 mod upstream_router;
 mod upstream_state;
 
@@ -13,5 +14,6 @@
 pub use stage_pool::{SlotRequest, StagePool};
 pub use subject_tally::SubjectTally;
 pub use upstream_directory::{DirectoryEntry, PeerDirectory, PeerEntry, UpstreamDirectory};
+pub use upstream_notice::UpstreamNotice;
 pub use upstream_router::{CONNECT_PATIENCE, SlotGrant, UpstreamRouter};
 pub use upstream_state::{AttemptReport, UpstreamState, UpstreamSummary};
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -3,6 +3,7 @@
 use crocusdale_core::DaemonCore;
 use crocusdale_core::daemon::{Command, DaemonEvent};
 use crocusdale_core::identity::{CallId, MonotonicTime};
+use crocusdale_core::routing::UpstreamNotice;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedReceiver;
 
@@ -128,6 +129,13 @@
         self.carry_out(commands);
     }
 
+    /// Tells the core what `upstream` said of itself in an answer, if it said anything.
+    pub(crate) fn take_notice(self: &Arc<Self>, upstream: &str, notice: UpstreamNotice) {
+        if !notice.is_empty() {
+            self.feed(DaemonEvent::UpstreamNoticed { upstream: upstream.to_owned(), notice });
+        }
+    }
+
     /// Carries out commands of the core.
     pub fn carry_out(self: &Arc<Self>, commands: Vec<Command>) {
         for command in commands {
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -6,6 +6,7 @@
 use crocusdale_core::identity::{AttemptId, CallId};
 use crocusdale_core::pipeline::{AttemptEvent, BreakReason, EventVerdict, RelayOrder, RunProof};
 use crocusdale_core::sync::lock;
+use crocusdale_platform::notice::read_notice;
 use crocusdale_platform::relay::{RelayedHead, read_head, request_headers};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -117,6 +118,7 @@
     if head.foreign {
         return Some(AttemptEvent::Broken(BreakReason::Foreign));
     }
+    engine.take_notice(&order.upstream, read_notice(parts.status, &parts.headers));
     let success = parts.status.is_success();
     if head.head.proof == RunProof::Ran && success && !head.signed {
         return Some(AttemptEvent::Broken(BreakReason::Malformed));
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -8,6 +8,7 @@
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::pipeline::ResultHandle;
 use crocusdale_core::sync::lock;
+use crocusdale_platform::notice::read_notice;
 use crocusdale_platform::pieces::{
     FREE_PATH, REPORT_PATH, WORK_PATH, free_bodies, read_free_room, read_work, work_body,
     work_headers,
@@ -81,7 +82,10 @@
     let request = bare(REPORT_PATH, address);
     let connections = engine.connections();
     let free = match connections.call(address, request, ANSWER_LIMIT, REPORT_PATIENCE).await {
-        Ok(answer) => read_free_room(answer.status(), answer.body()),
+        Ok(answer) => {
+            engine.take_notice(upstream, read_notice(answer.status(), answer.headers()));
+            read_free_room(answer.status(), answer.body())
+        }
         Err(fault) => Err(fault.cause),
     };
     free.inspect_err(|cause| {
@@ -101,6 +105,7 @@
     match answer {
         Ok(answer) => {
             let (parts, body) = answer.into_parts();
+            engine.take_notice(&order.upstream, read_notice(parts.status, &parts.headers));
             read_work(parts.status, &parts.headers, &body)
         }
         Err(fault) => {
