--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -175,6 +175,13 @@
         }
     }
 
+    /// `upstream` wants nothing until `until`.
+    pub fn stay_away(&mut self, upstream: &str, until: MonotonicTime) {
+        for pool in self.pools.values_mut() {
+            pool.stay_away(upstream, until);
+        }
+    }
+
     /// This process was paused for `pause` until now.
     pub fn woke(&mut self, pause: Duration, now: MonotonicTime) {
         for pool in self.pools.values_mut() {
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -154,6 +154,13 @@
         self.taken_over.is_some_and(|since| now.since(since) < self.rules.result_life)
     }
 
+    /// `upstream` wants nothing until `until`.
+    pub fn stay_away(&mut self, upstream: &str, until: MonotonicTime) {
+        if let Some(worker) = self.workers.get_mut(upstream) {
+            worker.stay_away(until);
+        }
+    }
+
     /// An upstream said how many bytes for results are free there, or nothing.
     pub fn room_told(&mut self, upstream: &str, free: Option<u64>, now: MonotonicTime) {
         let rules = self.rules;
@@ -249,8 +256,9 @@
     }
 
     fn ask_for_room(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
-        let staying = self.workers.iter_mut().filter(|(_, worker)| worker.staying);
-        for (upstream, worker) in staying {
+        let wanting =
+            self.workers.iter_mut().filter(|(_, worker)| worker.staying && !worker.is_away(now));
+        for (upstream, worker) in wanting {
             if worker.room.must_ask(now) {
                 let (upstream, address) = (upstream.clone(), worker.address);
                 steps.push(DeskStep::AskRoom { upstream, address });
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -47,6 +47,8 @@
     learned_at: MonotonicTime,
     failures: u32,
     paused_until: MonotonicTime,
+    /// Time until which it wants nothing, by its own word.
+    away_until: MonotonicTime,
     /// Its memory for results.
     pub(super) room: RoomAccount,
 }
@@ -64,6 +66,7 @@
             learned_at: now,
             failures: 0,
             paused_until: now,
+            away_until: now,
             room: RoomAccount::default(),
         }
     }
@@ -162,6 +165,17 @@
         self.pause(FULL_PAUSE, now);
     }
 
+    /// It wants nothing until `until`.
+    pub(super) fn stay_away(&mut self, until: MonotonicTime) {
+        self.away_until = self.away_until.max(until);
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Whether it wants anything.
+    pub(super) fn is_away(&self, now: MonotonicTime) -> bool {
+        now < self.away_until
+    }
+
     /// Another process listens at its address.
     pub(super) fn displaced(&mut self, now: MonotonicTime) {
         self.open = self.open.saturating_sub(1);
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -426,14 +426,12 @@
         /// What it has in common with its repeats.
         digest: RequestDigest,
     },
-    /// An upstream said something of itself in an answer.
-    UpstreamNoticed {
+    /// An upstream turned this daemon away.
+    UpstreamAway {
         /// The upstream.
         upstream: String,
-        /// Whether it is about to leave.
-        leaving: bool,
         /// Milliseconds for which it wants nothing more from this daemon.
-        stay_away_ms: Option<u64>,
+        stay_away_ms: u64,
     },
     /// An upstream is leaving.
     UpstreamLeaving {
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -116,7 +116,7 @@
                 self.state.batch_ended(batch, outcome, now, &mut steps, out);
             }
             DaemonEvent::UpstreamNoticed { upstream, notice } => {
-                self.state.take_notice(&upstream, notice, out);
+                self.state.take_notice(&upstream, notice, now, out);
             }
             DaemonEvent::UpstreamProbed { upstream, has_ended } => {
                 self.state.upstream_probed(&upstream, has_ended, now, out);
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -4,7 +4,6 @@
 
 use super::core_state::RequestBasis;
 use super::{Command, CounterName, DaemonCore, DaemonEvent};
-use crate::configuration::Declarations;
 use crate::identity::MonotonicTime;
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::sync::lock;
@@ -100,7 +99,7 @@
             fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
         };
         if let Some(declarations) = declarations {
-            self.reroute(&declarations, now, out);
+            self.state.reroute(&declarations, now, out);
         }
         self.refresh_basis();
         let grants = self.state.router().serve_all_waiting(now);
@@ -108,23 +107,6 @@
         self.state.run_steps(steps, now, out);
     }
 
-    /// Takes pools and upstreams as they are now.
-    pub(super) fn reroute(
-        &self,
-        declarations: &Declarations,
-        now: MonotonicTime,
-        out: &mut Vec<Command>,
-    ) {
-        let directory = lock(&self.state.directory).directory.clone();
-        let router = self.state.router().reconfigured(declarations, &directory);
-        router.take_roster(self.state.basis().history.current());
-        self.state.set_router(router);
-        let (mut steps, mut desk_steps) = (Vec::new(), Vec::new());
-        lock(&self.state.desk).reconfigure(declarations, &directory, now, &mut desk_steps);
-        self.state.run_desk(desk_steps, now, &mut steps, out);
-        self.state.run_steps(steps, now, out);
-    }
-
     /// Has what is published read, or asks the daemon that reads it for this one.
     pub(super) fn look_at_directory(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let reader = lock(&self.state.fleet).directory_reader();
@@ -153,7 +135,7 @@
             fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
         };
         if let Some(declarations) = declarations.filter(|_| changed) {
-            self.reroute(&declarations, now, out);
+            self.state.reroute(&declarations, now, out);
             let grants = self.state.router().serve_all_waiting(now);
             let steps = self.state.run_grants(grants, now);
             self.state.run_steps(steps, now, out);
--- a/crates/crocusdale_core/src/daemon/list_guard.rs
+++ b/crates/crocusdale_core/src/daemon/list_guard.rs
@@ -52,7 +52,8 @@
     ) {
         // Asked where an upstream is chosen, so that nothing that began before the quarantine gets one.
         if let Some(left) = self.quarantine_left(request.digest, now) {
-            self.shard(request.call.0).quarantined(request.call, left, now, steps);
+            let why = (RefusalReason::Quarantined, left);
+            self.shard(request.call.0).denied_for(request.call, why, now, steps);
             return;
         }
         let Some(request) = lock(&self.held).hold_attempt(request, reason) else {
@@ -62,7 +63,13 @@
         match self.router().acquire(request, now) {
             Ok(Some(grant)) => self.shard(grant.request.call.0).granted(grant, now, steps),
             Ok(None) => {}
-            Err(request) => self.shard(request.call.0).denied(request.call, reason, now, steps),
+            Err(request) => match self.router().away_for(&request, now) {
+                Some(left) => {
+                    let why = (RefusalReason::Overload, left);
+                    self.shard(request.call.0).denied_for(request.call, why, now, steps);
+                }
+                None => self.shard(request.call.0).denied(request.call, reason, now, steps),
+            },
         }
     }
 
--- a/crates/crocusdale_core/src/daemon/notice_flow.rs
+++ b/crates/crocusdale_core/src/daemon/notice_flow.rs
@@ -1,8 +1,14 @@
 //! What upstreams say of themselves in their answers.
 
+use std::sync::Arc;
+
 use super::core_state::CoreState;
 use super::{Command, StateChange};
+use crate::configuration::Declarations;
+use crate::identity::MonotonicTime;
+use crate::membership::LeavingUpstream;
 use crate::routing::UpstreamNotice;
+use crate::sync::lock;
 
 impl CoreState {
     /// Takes what `upstream` said of itself.
@@ -10,13 +16,74 @@
         &self,
         upstream: &str,
         notice: UpstreamNotice,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        if notice.leaving {
+            // Published upstreams have another name in each life.
+            let news = LeavingUpstream { upstream: upstream.to_owned(), life: upstream.to_owned() };
+            let mut fleet = lock(&self.fleet);
+            if fleet.view.take_leaving_upstream(&news, now) {
+                fleet.tell_at_once(now, out);
+            }
+            drop(fleet);
+            self.take_leaving(&[news], now, out);
+        }
+        if let Some(time) = notice.stay_away {
+            self.router().stay_away(upstream, now + time);
+            lock(&self.desk).stay_away(upstream, now + time);
+            let stay_away_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            let upstream = upstream.to_owned();
+            out.push(Command::Note(StateChange::UpstreamAway { upstream, stay_away_ms }));
+        }
+    }
+
+    /// Takes the news that upstreams leave, and lets the work that waits for them go elsewhere.
+    pub(super) fn take_leaving(
+        &self,
+        news: &[LeavingUpstream],
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        let (mut has_news, mut list_changed) = (false, false);
+        for leaving in news {
+            let is_routed = self.router().take_leaving(leaving);
+            let is_listed = lock(&self.directory).directory.note_leaving(&leaving.upstream, now);
+            if is_routed || is_listed {
+                let upstream = leaving.upstream.clone();
+                out.push(Command::Note(StateChange::UpstreamLeaving { upstream }));
+            }
+            has_news |= is_routed || is_listed;
+            list_changed |= is_listed;
+        }
+        if !has_news {
+            return;
+        }
+        let declarations = {
+            let fleet = lock(&self.fleet);
+            fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
+        };
+        if let Some(declarations) = declarations.filter(|_| list_changed) {
+            self.reroute(&declarations, now, out);
+        }
+        let steps = self.run_grants(self.router().serve_all_waiting(now), now);
+        self.run_steps(steps, now, out);
+    }
+
+    /// Takes pools and upstreams as they are now.
+    pub(super) fn reroute(
+        &self,
+        declarations: &Declarations,
+        now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
-        let stay_away = notice.stay_away.map(|time| time.as_millis());
-        out.push(Command::Note(StateChange::UpstreamNoticed {
-            upstream: upstream.to_owned(),
-            leaving: notice.leaving,
-            stay_away_ms: stay_away.map(|millis| u64::try_from(millis).unwrap_or(u64::MAX)),
-        }));
+        let directory = lock(&self.directory).directory.clone();
+        let router = self.router().reconfigured(declarations, &directory);
+        router.take_roster(self.basis().history.current());
+        self.set_router(router);
+        let (mut steps, mut desk_steps) = (Vec::new(), Vec::new());
+        lock(&self.desk).reconfigure(declarations, &directory, now, &mut desk_steps);
+        self.run_desk(desk_steps, now, &mut steps, out);
+        self.run_steps(steps, now, out);
     }
 }
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -4,7 +4,7 @@
 
 use super::core_state::CoreState;
 use super::held_work::HeldRequest;
-use super::{Command, CounterName, StateChange};
+use super::{Command, CounterName};
 use crate::claims::{RegisterReply, RegisterState};
 use crate::configuration::Declarations;
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
@@ -136,25 +136,6 @@
         reply
     }
 
-    /// Takes the news that an upstream is leaving, and lets its waiting work go elsewhere.
-    pub(super) fn take_leaving(
-        &self,
-        news: &[LeavingUpstream],
-        now: MonotonicTime,
-        out: &mut Vec<Command>,
-    ) {
-        let router = self.router();
-        let fresh: Vec<_> = news.iter().filter(|each| router.take_leaving(each)).collect();
-        for leaving in &fresh {
-            let upstream = leaving.upstream.clone();
-            out.push(Command::Note(StateChange::UpstreamLeaving { upstream }));
-        }
-        if !fresh.is_empty() {
-            let steps = self.run_grants(router.serve_all_waiting(now), now);
-            self.run_steps(steps, now, out);
-        }
-    }
-
     fn admit(
         &self,
         request: CallerRequest,
@@ -333,7 +314,7 @@
             }
             ShardStep::Greet { upstream, life, leaving: true } => {
                 let news = LeavingUpstream { upstream, life };
-                lock(&self.fleet).view.take_leaving_upstream(&news);
+                lock(&self.fleet).view.take_leaving_upstream(&news, now);
                 self.take_leaving(&[news], now, out);
             }
         }
--- a/crates/crocusdale_core/src/membership/member_gossip.rs
+++ b/crates/crocusdale_core/src/membership/member_gossip.rs
@@ -116,10 +116,9 @@
 
     fn spend_leaving_upstreams(&mut self) -> Vec<LeavingUpstream> {
         let all = self.leaving_upstreams.iter_mut();
-        let fresh = all.filter_map(|(upstream, (life, gossip))| {
-            gossip
-                .spend()
-                .then(|| LeavingUpstream { upstream: upstream.clone(), life: life.clone() })
+        let fresh = all.filter_map(|(upstream, news)| {
+            let (upstream, life) = (upstream.clone(), news.life.clone());
+            news.gossip.spend().then_some(LeavingUpstream { upstream, life })
         });
         fresh.take(LEAVING_LIMIT).collect()
     }
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -18,6 +18,9 @@
 /// Time after which an unreachable member that no VM list names is forgotten. A VM that was off for
 /// longer is found again through the seeds.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Time for which it is remembered that an upstream leaves: it and all messages about it are gone long
+/// before.
+const LEAVING_LIFE: Duration = Duration::from_secs(600);
 /// Periods between two attempts to reach an unreachable member.
 const UNREACHABLE_PACE: u64 = 4;
 
@@ -34,7 +37,7 @@
     pub(super) suspicion: Duration,
     pub(super) peers: BTreeMap<String, PeerState>,
     pub(super) leaving: BTreeMap<InstanceId, Gossip>,
-    pub(super) leaving_upstreams: HashMap<String, (String, Gossip)>,
+    pub(super) leaving_upstreams: HashMap<String, LeavingNews>,
     pub(super) rounds: u64,
     pub(super) order: Vec<String>,
     pub(super) last_tick: Option<MonotonicTime>,
@@ -53,6 +56,14 @@
     pub(super) gossip: Gossip,
 }
 
+/// News of an upstream that leaves.
+#[derive(Debug)]
+pub(super) struct LeavingNews {
+    pub(super) life: String,
+    pub(super) since: MonotonicTime,
+    pub(super) gossip: Gossip,
+}
+
 /// How many more messages carry a piece of news.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Gossip(pub(super) u32);
@@ -210,7 +221,7 @@
             self.take_leaving(instance);
         }
         let news = message.leaving_upstreams.iter();
-        news.filter(|each| self.take_leaving_upstream(each)).cloned().collect()
+        news.filter(|each| self.take_leaving_upstream(each, now)).cloned().collect()
     }
 
     /// Takes the news that an exchange with `vm` failed.
@@ -229,13 +240,16 @@
     }
 
     /// Takes the news that an upstream is leaving; returns whether it was new.
-    pub fn take_leaving_upstream(&mut self, leaving: &LeavingUpstream) -> bool {
-        let spread = self.spread();
+    pub fn take_leaving_upstream(&mut self, leaving: &LeavingUpstream, now: MonotonicTime) -> bool {
         let known = self.leaving_upstreams.get(&leaving.upstream);
-        if known.is_some_and(|(life, _)| *life == leaving.life) {
+        if known.is_some_and(|news| news.life == leaving.life) {
             return false;
         }
-        self.leaving_upstreams.insert(leaving.upstream.clone(), (leaving.life.clone(), spread));
+        // Published upstreams have another name in each life, so that names add up.
+        self.leaving_upstreams.retain(|_, news| now.since(news.since) < LEAVING_LIFE);
+        let (life, gossip) = (leaving.life.clone(), self.spread());
+        let news = LeavingNews { life, since: now, gossip };
+        self.leaving_upstreams.insert(leaving.upstream.clone(), news);
         true
     }
 
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -250,15 +250,15 @@
         self.attempt_failed(index, FailedAttempt::Broken(BreakReason::Silent), now, steps)
     }
 
-    /// No upstream is given the request any more: it is quarantined for `left`.
-    pub fn quarantined(
+    /// No upstream is given the request, for a reason that holds for `left`.
+    pub fn denied_for(
         &mut self,
-        left: Duration,
+        (reason, left): (RefusalReason, Duration),
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) -> Option<FinalAnswer> {
         self.retry_after = Some(left);
-        self.denied(RefusalReason::Quarantined, now, steps)
+        self.denied(reason, now, steps)
     }
 
     /// Ends the run without an answer; whatever is open is given up.
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -310,15 +310,15 @@
             .filter(|(_, active)| active.run.plan().digest == digest && active.run.is_unsent());
         let calls: Vec<CallId> = like.map(|(call, _)| *call).collect();
         for call in calls {
-            self.quarantined(call, left, now, steps);
+            self.denied_for(call, (RefusalReason::Quarantined, left), now, steps);
         }
     }
 
-    /// No upstream is given the request of `call` any more: it is quarantined for `left`.
-    pub fn quarantined(
+    /// No upstream is given the request of `call`, for a reason that holds for the time beside it.
+    pub fn denied_for(
         &mut self,
         call: CallId,
-        left: Duration,
+        why: (RefusalReason, Duration),
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) {
@@ -327,7 +327,7 @@
             self.give_up_claim(call, now, steps);
             return;
         }
-        let end = active.run.quarantined(left, now, steps);
+        let end = active.run.denied_for(why, now, steps);
         self.finish_if(call, end, now, steps);
     }
 
--- a/crates/crocusdale_core/src/routing/engine_choice.rs
+++ b/crates/crocusdale_core/src/routing/engine_choice.rs
@@ -149,14 +149,14 @@
             })
         };
         let all: Vec<usize> = routed.near.iter().chain(&routed.far).copied().collect();
-        let usable = |ejected_at| {
+        let usable = |healthy| {
             let positions = all.iter().copied();
             let open = move |position: &usize| {
-                self.cost_if_usable(*position, request, ejected_at).is_some()
+                self.cost_if_usable(*position, request, healthy, now).is_some()
             };
             positions.filter(open).filter_map(candidate).collect::<Vec<_>>()
         };
-        let healthy = usable(Some(now));
-        if healthy.is_empty() { usable(None) } else { healthy }
+        let healthy = usable(true);
+        if healthy.is_empty() { usable(false) } else { healthy }
     }
 }
--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -1,6 +1,7 @@
 //! Which upstream of a pool a request goes to.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use rand::Rng as _;
 
@@ -23,13 +24,13 @@
         now: MonotonicTime,
     ) -> Option<usize> {
         if self.policy == RoutingPolicy::Baseline {
-            return self.next_in_turn(routed);
+            return self.next_in_turn(routed, now);
         }
         if let (Some(rules), Some(demand)) = (&routed.engine, &request.demand) {
             return self.choose_engine(routed, rules, demand, request, now);
         }
-        let healthy = |position: usize| self.cost_if_usable(position, request, Some(now));
-        let any = |position: usize| self.cost_if_usable(position, request, None);
+        let healthy = |position: usize| self.cost_if_usable(position, request, true, now);
+        let any = |position: usize| self.cost_if_usable(position, request, false, now);
         self.best_of(&self.sample(&routed.near), healthy)
             .or_else(|| self.best_of(&routed.near, healthy))
             .or_else(|| self.best_of(&self.sample(&routed.far), healthy))
@@ -39,17 +40,22 @@
                 let ejected = all.iter().all(|position| {
                     lock(&self.upstreams[*position].state).is_ejected(now)
                         || lock(&self.upstreams[*position].state).is_leaving()
+                        || !lock(&self.upstreams[*position].state).away_for(now).is_zero()
                 });
                 if ejected { self.best_of(&all, any) } else { None }
             })
     }
 
     /// The next upstream of the pool that isn't leaving, whatever is known of it.
-    fn next_in_turn(&self, routed: &RoutedPool) -> Option<usize> {
+    fn next_in_turn(&self, routed: &RoutedPool, now: MonotonicTime) -> Option<usize> {
         let all: Vec<usize> = routed.near.iter().chain(&routed.far).copied().collect();
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
         let mut from_turn = all.iter().cycle().skip(turn % all.len().max(1)).take(all.len());
-        from_turn.find(|position| !lock(&self.upstreams[**position].state).is_leaving()).copied()
+        let usable = |position: &&usize| {
+            let state = lock(&self.upstreams[**position].state);
+            !state.is_leaving() && state.away_for(now).is_zero()
+        };
+        from_turn.find(usable).copied()
     }
 
     fn sample(&self, positions: &[usize]) -> Vec<usize> {
@@ -65,27 +71,50 @@
         usable.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, position)| position)
     }
 
+    /// Cost of the upstream at `position` if it may be chosen; with `healthy`, only if nothing speaks
+    /// against it.
     pub(super) fn cost_if_usable(
         &self,
         position: usize,
         request: &SlotRequest,
-        ejected_at: Option<MonotonicTime>,
+        healthy: bool,
+        now: MonotonicTime,
     ) -> Option<f64> {
         let upstream = &self.upstreams[position];
         if request.tried.contains(&upstream.rules.name) {
             return None;
         }
         let state = lock(&upstream.state);
-        let ejected = ejected_at.is_some_and(|now| state.is_ejected(now));
-        let full = ejected_at.is_some_and(|now| state.is_full(now));
-        (!state.is_leaving() && !ejected && !full && state.has_room()).then(|| state.cost())
+        let doubted = healthy && (state.is_ejected(now) || state.is_full(now));
+        let wanted = !state.is_leaving() && state.away_for(now).is_zero();
+        (wanted && !doubted && state.has_room()).then(|| state.cost())
     }
 
-    /// Whether any upstream of the pool could ever serve `request`.
-    pub(super) fn has_hope(&self, routed: &RoutedPool, request: &SlotRequest) -> bool {
-        routed.near.iter().chain(&routed.far).any(|position| {
+    /// Whether any upstream of the pool could serve `request` before its deadline.
+    pub(super) fn has_hope(
+        &self,
+        routed: &RoutedPool,
+        request: &SlotRequest,
+        now: MonotonicTime,
+    ) -> bool {
+        let away = self.shortest_away(routed, request, now);
+        away.is_some_and(|away| now + away < request.deadline)
+    }
+
+    /// Time after which the first upstream of the pool wants requests like this again, `None` if none
+    /// ever does.
+    pub(super) fn shortest_away(
+        &self,
+        routed: &RoutedPool,
+        request: &SlotRequest,
+        now: MonotonicTime,
+    ) -> Option<Duration> {
+        let away = |position: &usize| {
             let upstream = &self.upstreams[*position];
-            !request.tried.contains(&upstream.rules.name) && !lock(&upstream.state).is_leaving()
-        })
+            let state = lock(&upstream.state);
+            let tried = request.tried.contains(&upstream.rules.name);
+            (!tried && !state.is_leaving()).then(|| state.away_for(now))
+        };
+        routed.near.iter().chain(&routed.far).filter_map(away).min()
     }
 }
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -6,6 +6,9 @@
 
 use crate::identity::MonotonicTime;
 
+/// Time for which it is remembered that a process said that it leaves. It is gone long before.
+const TOLD_LIFE: Duration = Duration::from_secs(600);
+
 /// One process of an upstream, as the platform publishes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DirectoryEntry {
@@ -78,6 +81,8 @@
     missing: BTreeMap<String, MonotonicTime>,
     /// Where processes listened that have started again since this was last asked.
     restarted: Vec<SocketAddr>,
+    /// Names of processes that said themselves, or to a peer, that they leave, with the time of the news.
+    told_leaving: HashMap<String, MonotonicTime>,
 }
 
 impl UpstreamDirectory {
@@ -104,6 +109,21 @@
         self.entries.values().map(|(_, entry)| entry)
     }
 
+    /// Takes the news that the process named `name` leaves, from itself or a peer. Returns whether that
+    /// matters to routing.
+    ///
+    /// Guards against calls of a process that has said in an answer that it leaves while the platform,
+    /// which knows nothing of it yet, lists it as one that stays: it shows as requests that reach a
+    /// leaving upstream for as long as the platform is away. The news holds for each list of before and
+    /// after, and outlives the entry, which may lapse and come back; a later life has another name.
+    pub fn note_leaving(&mut self, name: &str, now: MonotonicTime) -> bool {
+        self.told_leaving.retain(|_, told| now.since(*told) < TOLD_LIFE);
+        self.told_leaving.insert(name.to_owned(), now);
+        let mut entries = self.entries.values_mut().map(|(_, entry)| entry);
+        let Some(entry) = entries.find(|entry| entry.name() == name) else { return false };
+        !std::mem::replace(&mut entry.leaving, true)
+    }
+
     /// Whether the upstream named `name` has given notice.
     #[must_use]
     pub fn is_leaving(&self, name: &str) -> bool {
@@ -214,6 +234,7 @@
         }
         // A process that leaves never stays after all: news from before its notice came late.
         let leaves = known.is_some_and(|(_, known)| known.leaving && known.born == entry.born);
+        let leaves = leaves || self.told_leaving.contains_key(&entry.name());
         let late = leaves && !entry.leaving;
         let changed = !late && known.is_none_or(|(_, known)| *known != entry);
         if changed {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -198,6 +198,20 @@
         upstream.is_some_and(|upstream| lock(&upstream.state).leave(&leaving.life))
     }
 
+    /// `upstream` wants nothing from this daemon until `until`.
+    pub fn stay_away(&self, upstream: &str, until: MonotonicTime) {
+        if let Some(upstream) = self.upstream(upstream) {
+            lock(&upstream.state).stay_away(until);
+        }
+    }
+
+    /// Time after which an upstream wants requests like this again, if none does now.
+    #[must_use]
+    pub fn away_for(&self, request: &SlotRequest, now: MonotonicTime) -> Option<Duration> {
+        let routed = self.pools.get(&request.stage)?;
+        self.shortest_away(routed, request, now).filter(|away| !away.is_zero())
+    }
+
     /// Takes the news that the process `life` answers behind `upstream`, and stays.
     pub fn greet(&self, upstream: &str, life: &str) {
         if let Some(upstream) = self.upstream(upstream) {
@@ -231,7 +245,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the request if its pool is gone, empty or its queue full.
+    /// Returns the request if its pool is gone, empty or its queue full, or if no upstream of it wants
+    /// anything before the request's deadline.
     pub fn acquire(
         &self,
         request: SlotRequest,
@@ -248,7 +263,7 @@
         if let Some(position) = self.choose(routed, &request, now) {
             return Ok(Some(self.grant(position, request, now)));
         }
-        if !self.has_hope(routed, &request) {
+        if !self.has_hope(routed, &request, now) {
             return Err(request);
         }
         if lock(&routed.pool).wait(request.clone()) { Ok(None) } else { Err(request) }
@@ -403,6 +418,7 @@
                 let state = lock(&upstream.state);
                 state.has_room()
                     && !state.is_leaving()
+                    && state.away_for(now).is_zero()
                     && !state.is_ejected(now)
                     && !state.is_full(now)
             };
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -61,6 +61,8 @@
     leaving_life: Option<String>,
     /// Time until which it gets no work because it had no room.
     full_until: Option<MonotonicTime>,
+    /// Time until which it wants nothing from this daemon, by its own word.
+    away_until: Option<MonotonicTime>,
     /// What is known of its prompt memory, if it is a model engine.
     pub(super) engine: Option<EngineLoad>,
 }
@@ -97,6 +99,7 @@
             listed_leaving: false,
             leaving_life: None,
             full_until: None,
+            away_until: None,
             engine: None,
         }
     }
@@ -160,6 +163,18 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
+    /// It wants nothing from this daemon until `until`.
+    pub fn stay_away(&mut self, until: MonotonicTime) {
+        self.away_until = self.away_until.max(Some(until));
+    }
+
+    /// Time for which it still wants nothing from this daemon. Unlike [`Self::is_full`] that is no guess,
+    /// and holds also where no other upstream is left.
+    #[must_use]
+    pub fn away_for(&self, now: MonotonicTime) -> Duration {
+        self.away_until.map_or(Duration::ZERO, |until| until.since(now))
+    }
+
     /// Attempts that this daemon has open there.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/crocusdale_core/tests/upstream_notice_test.rs
+++ b/crates/crocusdale_core/tests/upstream_notice_test.rs
@@ -3,19 +3,23 @@
 //! What was seen: a request reached an engine 4.9 s after an answer of that engine had told the daemon
 //! that it leaves (bound 2 s). In which order: the store is away; the engine writes its notice there in
 //! vain, and says it in each answer; daemons pass these answers on, and go on choosing it.
+//! Cause: only the platform's list was asked whether an upstream leaves; nobody read the answers. Shown by
+//! the log lines of such answers, each followed by requests to the same upstream.
 
 #[path = "support/forward_daemon.rs"]
 #[allow(dead_code, reason = "no test file uses all of it")]
 mod forward_daemon;
+mod support;
 
 use std::time::Duration;
 
-use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::daemon::{DaemonEvent, NewsBounds};
 use crocusdale_core::identity::MonotonicTime;
 use crocusdale_core::pipeline::{AttemptEvent, OutcomeKind, RefusalReason, RunProof};
-use crocusdale_core::routing::{CONNECT_PATIENCE, UpstreamNotice};
+use crocusdale_core::routing::{CONNECT_PATIENCE, DirectoryEntry, UpstreamNotice};
 
-use forward_daemon::Daemon;
+use forward_daemon::{Daemon, read};
+use support::virtual_fleet::VirtualFleet;
 
 /// Time from an answer with a notice until the upstream must get nothing more: the shortest that the
 /// users state.
@@ -168,3 +172,32 @@
     daemon.advance(1_000);
     assert!(daemon.relays.is_empty());
 }
+
+/// One daemon of many hears it from the upstream itself while nobody reaches the platform: its peers know
+/// within about two seconds, and callers are spared the retries.
+#[test]
+fn peers_hear_of_an_upstream_that_says_it_leaves() {
+    for size in [6, 60] {
+        let mut fleet = VirtualFleet::with_reader(size, 3, NewsBounds::default(), read);
+        let entry = DirectoryEntry {
+            id: "e1".to_owned(),
+            born: Some(7),
+            pool: "reader".to_owned(),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            zone: "z0".to_owned(),
+            slots: 64,
+            leaving: false,
+        };
+        let name = entry.name();
+        fleet.published = (2, vec![(2, entry)]);
+        fleet.run(Duration::from_secs(5));
+        fleet.turned_away = (0..size).collect();
+        fleet.feed(0, DaemonEvent::UpstreamNoticed { upstream: name, notice: LEAVING });
+        fleet.run(Duration::from_secs(8));
+        let knows = |daemon: &usize| {
+            let list = fleet.cores[*daemon].published_upstreams(fleet.now);
+            list.entries.iter().all(|each| each.entry.leaving)
+        };
+        assert_eq!((0..size).filter(knows).count(), size);
+    }
+}
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -114,9 +114,8 @@
             StateChange::QuarantineLifted { digest } => {
                 info!(log, "{}", name; "digest" => digest.to_string());
             }
-            StateChange::UpstreamNoticed { upstream, leaving, stay_away_ms } => {
-                info!(log, "{}", name;
-                    "upstream" => upstream, "leaving" => leaving, "stay_away_ms" => stay_away_ms);
+            StateChange::UpstreamAway { upstream, stay_away_ms } => {
+                info!(log, "{}", name; "upstream" => upstream, "stay_away_ms" => stay_away_ms);
             }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
--- a/crates/crocusdaled/tests/published_platform_test.rs
+++ b/crates/crocusdaled/tests/published_platform_test.rs
@@ -377,3 +377,50 @@
     assert!(!log.contains(" { ") && !log.contains("letter complaint"), "{log}");
     Ok(())
 }
+
+/// The store is away, and a worker that leaves can't write its notice there; it says so in its answers.
+/// Another one turns requests away for some seconds. Neither gets anything after such an answer.
+#[tokio::test]
+async fn workers_that_say_so_themselves_get_nothing_more() -> Result<()> {
+    let fleet = fleet(1).await?;
+    let caller = fleet.daemons[0].caller;
+    let ask = async |name: &str, count: usize| -> Result<()> {
+        for index in 0..count {
+            let request = IngressRequest::new("/ask/7", &format!("{name}{index}"));
+            let answer = IngressCaller::once(caller, &request).await?;
+            assert_eq!(answer.status, 200, "{name}{index}");
+        }
+        Ok(())
+    };
+    ask("earlier", 20).await?;
+    fleet.store.set_mode(StoreMode::Silent);
+    let seen = |index: usize| fleet.plain[index].seen().len();
+    fleet.plain[0].set_fault(WorkerFault::Leaving);
+    wait_for(SOON, "the worker answers once more", async || {
+        let before = seen(0);
+        let _ = ask("once", 1).await;
+        seen(0) > before
+    })
+    .await?;
+    let before = seen(0);
+    ask("after", 40).await?;
+    assert_eq!(seen(0), before, "it has said that it leaves");
+    fleet.plain[1].set_fault(WorkerFault::Away);
+    let refused = IngressCaller::once(caller, &IngressRequest::new("/ask/7", "refused")).await?;
+    assert_eq!(refused.status, 503);
+    fleet.plain[1].set_fault(WorkerFault::None);
+    let before = seen(1);
+    for index in 0..10 {
+        // With less time than the worker wants to be left alone for, it is refused at once.
+        let short = IngressRequest::new("/ask/7", &format!("short{index}"));
+        let short = short.field("x-deadline-ms", "1500");
+        let answer = IngressCaller::once(caller, &short).await?;
+        let after: f64 = answer.headers["retry-after"].to_str()?.parse()?;
+        assert!(answer.status == 503 && after > 1.5, "{} {after}", answer.status);
+    }
+    assert_eq!(seen(1), before, "it wants nothing yet");
+    let patient = IngressRequest::new("/ask/7", "patient");
+    assert_eq!(IngressCaller::once(caller, &patient).await?.status, 200);
+    assert_eq!(seen(1), before + 1, "it wants requests again");
+    Ok(())
+}
