--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -2,7 +2,9 @@
 use std::sync::Arc;
 
 use crate::batching::{BatchId, BatchOrder, PoolWait};
-use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey};
+use crate::identity::{
+    AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey, StorePosition,
+};
 use crate::membership::{ExchangeMessage, WitnessSet};
 use crate::orders::EngineOrder;
 use crate::pipeline::{
@@ -318,6 +320,8 @@
     DirectoryFetchesFailed,
     /// Reads of the platform that failed.
     PlatformReadsFailed,
+    /// Times that the store was seen to have come back from an older copy.
+    StoreRestores,
     /// Items of the platform's store that could not be read.
     StoreItemsUnreadable,
     /// Orders given to engines.
@@ -362,7 +366,9 @@
     },
     /// Published upstreams changed.
     DirectoryTaken {
-        /// Revision of the change.
+        /// Era of the store at the change.
+        era: u64,
+        /// Revision of the change in that era.
         revision: u64,
         /// Upstreams that stay.
         upstreams: usize,
@@ -371,6 +377,17 @@
         /// Milliseconds since the list before was last known to be the latest.
         age_ms: Option<u64>,
     },
+    /// The store has come back from an older copy.
+    StoreRestored {
+        /// Up to where it had been read before.
+        before: StorePosition,
+        /// Where it is now.
+        after: StorePosition,
+        /// Upstreams that the copy doesn't list, and that are kept until they should have written again.
+        missing: usize,
+        /// Peer that told it, or `None` for a reading of this daemon.
+        peer: Option<String>,
+    },
     /// This daemon reads the published upstreams itself although another one should, because it has
     /// not heard of a reading for too long.
     DirectoryAged {
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -282,7 +282,8 @@
                 .unwrap_or_default(),
             configuration_conflicts: fleet.ledger.conflicts(),
             roster_revision: fleet.history.current().revision,
-            directory_revision: fleet.directory,
+            directory_revision: fleet.directory.revision,
+            directory_era: fleet.directory.era,
             directory_age_ms: directory_age
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             peers: fleet.view.peer_count(),
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -2,7 +2,7 @@
 
 use crate::batching::{BatchId, BatchOutcome, PoolWait};
 use crate::claims::RegisterReply;
-use crate::identity::{AttemptId, CallId, MonotonicTime, RequestKey};
+use crate::identity::{AttemptId, CallId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
@@ -85,9 +85,9 @@
     },
     /// All that a store publishes was read.
     DirectoryRead {
-        /// Revision of the store.
-        revision: u64,
-        /// All published upstreams, each with the revision of its last change.
+        /// Position of the store.
+        position: StorePosition,
+        /// All published upstreams, each with the revision of its last change in that era.
         entries: Vec<(u64, DirectoryEntry)>,
         /// The configuration, if it is another one than at the reading before.
         configuration: Option<(u64, String)>,
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -2,9 +2,11 @@
 
 use super::news_bounds::NewsPace;
 use super::{Command, CounterName, StateChange, TimerKey};
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::ExchangeMessage;
-use crate::routing::{CONNECT_PATIENCE, DirectoryEntry, PeerDirectory, UpstreamDirectory};
+use crate::routing::{
+    CONNECT_PATIENCE, DirectoryEntry, PeerDirectory, RESTORE_GRACE, UpstreamDirectory,
+};
 
 /// Time in which a platform in order answers a reading: some milliseconds, and for a list of 150
 /// upstreams 50 ms on a link of ten megabits. One that takes longer is slow or away, or the path to
@@ -175,17 +177,24 @@
     /// Takes a whole list. Returns whether routing must change.
     pub(super) fn read_whole(
         &mut self,
-        revision: u64,
+        position: StorePosition,
         entries: Vec<(u64, DirectoryEntry)>,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
         let age = self.age(now);
         let is_back = self.succeeded(now, out);
+        let before = self.directory.position();
+        let is_restored = self.directory.is_known() && position.era > before.era;
         // What this reading lists and a later one does not is gone: only what lapsed before the
         // list came back may still be on its way.
-        let grace = is_back.then(|| self.return_grace(now));
-        let changed = self.directory.replace(revision, entries, grace);
+        let grace = match (is_back, is_restored) {
+            (true, false) => Some(self.return_grace(now)),
+            (_, true) => Some(now + RESTORE_GRACE),
+            (false, false) => None,
+        };
+        let changed = self.directory.replace(position, entries, grace);
+        self.note_restore(before, None, out);
         self.note(changed, None, age, out);
         changed
     }
@@ -218,7 +227,7 @@
     pub(super) fn heard_of(
         &mut self,
         vm: &str,
-        changed: u64,
+        changed: StorePosition,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
@@ -244,7 +253,9 @@
             out.push(Command::Count(CounterName::DirectoryFetchesFailed));
             return false;
         };
+        let before = self.directory.position();
         let changed = self.directory.merge(list, now);
+        self.note_restore(before, peer.as_deref(), out);
         self.note(changed, peer, self.age(now), out);
         changed
     }
@@ -327,6 +338,17 @@
         std::mem::take(&mut self.away)
     }
 
+    /// Tells of a store that came back from an older copy.
+    fn note_restore(&self, before: StorePosition, peer: Option<&str>, out: &mut Vec<Command>) {
+        let after = self.directory.position();
+        if before.is_none() || after.era <= before.era {
+            return;
+        }
+        let (peer, missing) = (peer.map(str::to_owned), self.directory.missing_count());
+        out.push(Command::Count(CounterName::StoreRestores));
+        out.push(Command::Note(StateChange::StoreRestored { before, after, missing, peer }));
+    }
+
     fn note(
         &self,
         changed: bool,
@@ -335,10 +357,10 @@
         out: &mut Vec<Command>,
     ) {
         if changed {
-            let revision = self.directory.changed();
+            let StorePosition { era, revision } = self.directory.changed();
             let upstreams = self.directory.entries().filter(|entry| !entry.leaving).count();
             let age_ms = age.map(millis);
-            let taken = StateChange::DirectoryTaken { revision, upstreams, peer, age_ms };
+            let taken = StateChange::DirectoryTaken { era, revision, upstreams, peer, age_ms };
             out.push(Command::Note(taken));
         }
     }
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -4,7 +4,7 @@
 
 use super::core_state::RequestBasis;
 use super::{Command, CounterName, DaemonCore, DaemonEvent};
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::sync::lock;
 
@@ -28,12 +28,12 @@
                     lock(&self.state.fleet).directory_current = current;
                 }
             }
-            DaemonEvent::GreetingFailed => out.push(Command::Count(CounterName::ExchangesFailed)),
-            DaemonEvent::DirectoryRead { revision, entries, configuration } => {
+            DaemonEvent::GreetingFailed => lock(&self.state.fleet).greeting_failed(out),
+            DaemonEvent::DirectoryRead { position, entries, configuration } => {
                 // First, so that no list says that it is young with an older configuration in force.
                 self.take_configuration(configuration, now, out);
                 let mut directory = lock(&self.state.directory);
-                let changed = directory.read_whole(revision, entries, now, out);
+                let changed = directory.read_whole(position, entries, now, out);
                 drop(directory);
                 self.directory_read(changed, now, out);
             }
@@ -122,7 +122,7 @@
             let mut state = lock(&self.state.directory);
             let restarted = state.directory.take_restarted();
             out.extend(restarted.into_iter().map(Command::ForgetConnections));
-            let known = u64::from(state.directory.is_known());
+            let known = StorePosition::from(u64::from(state.directory.is_known()));
             (state.directory.changed().max(known), state.current())
         };
         let declarations = {
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -7,7 +7,7 @@
 use super::news_bounds::NewsPace;
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::configuration::{ConfigurationLedger, DeclarationReader, LedgerVerdict};
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{
     DirectoryNews, ExchangeMessage, MemberStatus, MemberView, RosterHistory, VmRoster,
 };
@@ -63,8 +63,8 @@
     /// Newest position that any peer had in force.
     highest_heard: (u64, u64),
     ready: bool,
-    /// Revision of the last change of the published upstreams that is known here.
-    pub directory: u64,
+    /// Position of the last change of the published upstreams that is known here.
+    pub directory: StorePosition,
     /// Summary of what is known here of upstreams that ended under requests.
     pub(super) crash_summary: u64,
     /// When that was last known to be the last change.
@@ -75,7 +75,7 @@
     pub(super) pace: NewsPace,
     seeds: Vec<SocketAddr>,
     next_seed: usize,
-    seeds_asked: usize,
+    seeds_failed: usize,
     random: SmallRng,
 }
 
@@ -96,14 +96,14 @@
             fetching: None,
             highest_heard: (0, 0),
             ready: false,
-            directory: 0,
+            directory: StorePosition::default(),
             crash_summary: 0,
             directory_current: None,
             needs_directory: false,
             pace: NewsPace::default(),
             seeds: Vec::new(),
             next_seed: 0,
-            seeds_asked: 0,
+            seeds_failed: 0,
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -133,12 +133,11 @@
         let others: Vec<SocketAddr> =
             self.seeds.iter().copied().filter(|seed| Some(*seed) != own).collect();
         if others.is_empty() {
-            self.seeds_asked = usize::MAX;
+            self.seeds_failed = usize::MAX;
             return;
         }
         let address = others[self.next_seed % others.len()];
         self.next_seed += 1;
-        self.seeds_asked = self.seeds_asked.saturating_add(1);
         let message = Box::new(self.message_to("", now));
         out.push(Command::Greet { address, message });
         let alone = self.view.peer_count() == 0;
@@ -189,9 +188,9 @@
     pub fn become_ready(&mut self, now: MonotonicTime) -> bool {
         let asked = self.view.has_asked(START_SAMPLE) || now.since(self.started) >= START_GRACE;
         let (revision, digest) = self.highest_heard;
-        let asked = asked && (self.seeds.is_empty() || self.seeds_asked > 0);
+        let asked = asked && (self.has_met_fleet() || now.since(self.started) >= START_GRACE);
         let ready = self.ledger.in_force().is_some()
-            && (!self.needs_directory || self.directory > 0)
+            && (!self.needs_directory || !self.directory.is_none())
             && self.history.current().revision > 0
             && asked
             && !self.ledger.wants(revision, digest);
@@ -203,6 +202,22 @@
         true
     }
 
+    /// Whether a peer is known, or none of the seeds could be reached.
+    ///
+    /// Guards against a process that is ready before the answer to its first greeting has come: it knows
+    /// no peer that it could ask, and would serve callers by the older configuration that it reads from a
+    /// store which came back from a copy.
+    fn has_met_fleet(&self) -> bool {
+        let others = self.seeds.len().saturating_sub(1);
+        self.seeds.is_empty() || self.view.peer_count() > 0 || self.seeds_failed >= others.max(1)
+    }
+
+    /// Nobody answered a greeting.
+    pub(super) fn greeting_failed(&mut self, out: &mut Vec<Command>) {
+        self.seeds_failed = self.seeds_failed.saturating_add(1);
+        out.push(Command::Count(CounterName::ExchangesFailed));
+    }
+
     /// Runs one heartbeat period.
     pub fn heartbeat(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
         let settling = self.is_settling(now);
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -31,6 +31,8 @@
     pub roster_revision: u64,
     /// Revision of the last change of the published upstreams that is known, 0 for none.
     pub directory_revision: u64,
+    /// Times that the store had come back from an older copy by then, as it counts them.
+    pub directory_era: u64,
     /// Time since that was last known to be the last change, in milliseconds.
     pub directory_age_ms: Option<u64>,
     /// Peers in the VM list.
--- a/crates/crocusdale_core/src/membership/exchange_message.rs
+++ b/crates/crocusdale_core/src/membership/exchange_message.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::MemberRecord;
-use crate::identity::InstanceId;
+use crate::identity::{InstanceId, StorePosition};
 use crate::quarantine::CrashRecord;
 
 /// News that an upstream is leaving.
@@ -16,8 +16,8 @@
 /// What a daemon tells of its list of published upstreams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DirectoryNews {
-    /// Revision of the last change that it knows, 0 for none.
-    pub changed: u64,
+    /// Position of the last change that it knows.
+    pub changed: StorePosition,
     /// See [`ExchangeMessage::directory_age`].
     pub age: Option<Duration>,
 }
@@ -39,8 +39,8 @@
     pub leaving: Vec<InstanceId>,
     /// Upstreams that are leaving.
     pub leaving_upstreams: Vec<LeavingUpstream>,
-    /// Revision of the last change of the published upstreams that the sender knows, 0 for none.
-    pub directory: u64,
+    /// Position of the last change of the published upstreams that the sender knows.
+    pub directory: StorePosition,
     /// Time since the sender, or whoever it heard from, began to read the published upstreams and
     /// found that change to be the last one.
     pub directory_age: Option<Duration>,
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -13,6 +13,7 @@
 pub use engine_load::EngineLoad;
 pub use stage_pool::{SlotRequest, StagePool};
 pub use subject_tally::SubjectTally;
+pub(crate) use upstream_directory::RESTORE_GRACE;
 pub use upstream_directory::{DirectoryEntry, PeerDirectory, PeerEntry, UpstreamDirectory};
 pub use upstream_notice::UpstreamNotice;
 pub use upstream_router::{CONNECT_PATIENCE, SlotGrant, UpstreamRouter};
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -4,8 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, StorePosition};
 
+/// Time for which an entry is waited for that a store lacks which came back from an older copy. Its process
+/// writes it again with its next heartbeat, within two seconds at most.
+pub(crate) const RESTORE_GRACE: Duration = Duration::from_millis(2_500);
 /// Time for which it is remembered that a process said that it leaves. It is gone long before.
 const TOLD_LIFE: Duration = Duration::from_secs(600);
 
@@ -47,8 +50,8 @@
 /// A list of published upstreams as another daemon knows it.
 #[derive(Clone, Debug, Default)]
 pub struct PeerDirectory {
-    /// Revision up to which everything has been read.
-    pub revision: u64,
+    /// Position up to which everything has been read.
+    pub position: StorePosition,
     /// The upstreams.
     pub entries: Vec<PeerEntry>,
 }
@@ -56,8 +59,8 @@
 /// An upstream of a [`PeerDirectory`].
 #[derive(Clone, Debug)]
 pub struct PeerEntry {
-    /// Revision of its last change.
-    pub written: u64,
+    /// Position of its last change.
+    pub written: StorePosition,
     /// What the platform publishes, or published.
     pub entry: DirectoryEntry,
     /// Time for which it is still waited for, if the platform has not listed it since it is back.
@@ -66,17 +69,20 @@
 
 /// Upstreams that the platform publishes, as far as this daemon has read or heard.
 ///
-/// Each entry keeps the revision of its last change, so that what a peer tells late never goes
+/// Each entry keeps the position of its last change, so that what a peer tells late never goes
 /// before what was read since.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamDirectory {
-    /// Revision up to which everything has been read.
-    revision: u64,
-    /// Revision of the last change that matters to routing.
-    changed: u64,
-    entries: BTreeMap<String, (u64, DirectoryEntry)>,
-    /// Removed upstreams with the revision of their removal and their last life.
-    removed: BTreeMap<String, (u64, Option<u64>)>,
+    /// Position up to which everything has been read.
+    position: StorePosition,
+    /// Position at which the store was first read in its present era: what was written up to there may
+    /// be older than what was known before.
+    restored_at: StorePosition,
+    /// Position of the last change that matters to routing.
+    changed: StorePosition,
+    entries: BTreeMap<String, (StorePosition, DirectoryEntry)>,
+    /// Removed upstreams with the position of their removal and their last life.
+    removed: BTreeMap<String, (StorePosition, Option<u64>)>,
     /// Upstreams that are missing from the list since it is back, until when they are waited for.
     missing: BTreeMap<String, MonotonicTime>,
     /// Where processes listened that have started again since this was last asked.
@@ -86,22 +92,22 @@
 }
 
 impl UpstreamDirectory {
-    /// Revision up to which everything has been read.
+    /// Position up to which everything has been read.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
-    /// Revision of the last change that matters to routing.
+    /// Position of the last change that matters to routing.
     #[must_use]
-    pub fn changed(&self) -> u64 {
+    pub fn changed(&self) -> StorePosition {
         self.changed
     }
 
     /// Whether the list was ever read or heard.
     #[must_use]
     pub fn is_known(&self) -> bool {
-        self.revision > 0
+        !self.position.is_none()
     }
 
     /// Published upstreams.
@@ -124,35 +130,57 @@
         !std::mem::replace(&mut entry.leaving, true)
     }
 
+    /// Number of upstreams that are missing from the list and waited for.
+    #[must_use]
+    pub fn missing_count(&self) -> usize {
+        self.missing.len()
+    }
+
     /// Whether the upstream named `name` has given notice.
     #[must_use]
     pub fn is_leaving(&self, name: &str) -> bool {
         self.entries().any(|entry| entry.leaving && entry.name() == name)
     }
 
-    /// Takes a whole list, read at `revision`. With `grace`, it is the first one after a time in which
-    /// none could be read, and entries may have lapsed meanwhile: what is missing from it is waited
-    /// for until then. Returns whether anything changed that matters to routing.
+    /// Takes a whole list, read at `position`, with the revision of each entry's last change. With
+    /// `grace`, it is the first one after a time in which none could be read, and entries may have lapsed
+    /// meanwhile, or the first one after the store came back from an older copy, which may lack entries:
+    /// what is missing from it is waited for until then. Returns whether anything changed that matters to
+    /// routing.
     pub fn replace(
         &mut self,
-        revision: u64,
+        position: impl Into<StorePosition>,
         entries: Vec<(u64, DirectoryEntry)>,
         grace: Option<MonotonicTime>,
     ) -> bool {
-        if revision < self.revision {
+        let position: StorePosition = position.into();
+        let placed = |(revision, entry)| (StorePosition { era: position.era, revision }, entry);
+        self.replace_placed(position, entries.into_iter().map(placed).collect(), grace)
+    }
+
+    fn replace_placed(
+        &mut self,
+        position: StorePosition,
+        entries: Vec<(StorePosition, DirectoryEntry)>,
+        grace: Option<MonotonicTime>,
+    ) -> bool {
+        if position < self.position {
             return false;
         }
+        if self.is_known() && position.era > self.position.era {
+            self.restored_at = position;
+        }
         let listed: HashSet<&str> = entries.iter().map(|(_, entry)| entry.id.as_str()).collect();
         let unlisted = self.entries.keys().filter(|id| !listed.contains(id.as_str()));
         let unlisted: Vec<String> = unlisted.cloned().collect();
         let mut changed = false;
         for id in unlisted {
-            changed |= self.lose(&id, revision, grace);
+            changed |= self.lose(&id, position, grace);
         }
         for (written, entry) in entries {
             changed |= self.put(written, entry);
         }
-        self.revision = revision;
+        self.position = position;
         changed
     }
 
@@ -163,6 +191,9 @@
     /// its own. Daemons that rely on its reading sent requests to such an upstream 2.4 s after it
     /// had left. What the peer waits for is waited for here, and no longer than there.
     pub fn merge(&mut self, list: PeerDirectory, now: MonotonicTime) -> bool {
+        // The peer may never have heard of what was read here before the store came back from a copy.
+        let is_restored = self.is_known() && list.position.era > self.position.era;
+        let grace = is_restored.then_some(now + RESTORE_GRACE);
         let lapsing = list.entries.iter();
         let lapsing = lapsing.filter_map(|each| Some((each.entry.id.clone(), each.lapses_in?)));
         let lapsing: Vec<_> = lapsing
@@ -173,9 +204,9 @@
             })
             .collect();
         let entries = list.entries.into_iter().map(|each| (each.written, each.entry)).collect();
-        let revision = list.revision;
-        let changed = self.replace(revision, entries, None);
-        if revision == self.revision {
+        let position = list.position;
+        let changed = self.replace_placed(position, entries, grace);
+        if position == self.position {
             let held = |id: &String| self.entries.contains_key(id);
             let lapsing: Vec<_> = lapsing.into_iter().filter(|(id, _)| held(id)).collect();
             self.missing.extend(lapsing);
@@ -189,8 +220,8 @@
         let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
         for id in &over {
             self.missing.remove(id);
-            let revision = self.revision;
-            self.remove(id, revision);
+            let position = self.position;
+            self.remove(id, position);
         }
         !over.is_empty()
     }
@@ -210,15 +241,18 @@
             entry: entry.clone(),
             lapses_in: self.missing.get(id).map(|until| until.since(now)),
         });
-        PeerDirectory { revision: self.revision, entries: entries.collect() }
+        PeerDirectory { position: self.position, entries: entries.collect() }
     }
 
-    fn put(&mut self, written: u64, entry: DirectoryEntry) -> bool {
+    fn put(&mut self, written: StorePosition, entry: DirectoryEntry) -> bool {
         if self.removed.get(&entry.id).is_some_and(|(removed, _)| *removed > written) {
             return false;
         }
+        if self.is_resurrected(written, &entry) {
+            return false;
+        }
         let known = self.entries.get(&entry.id);
-        if known.is_some_and(|(revision, _)| *revision > written) {
+        if known.is_some_and(|(known, _)| *known > written) {
             return false;
         }
         // What an earlier life wrote may reach the platform behind what a later one wrote.
@@ -246,7 +280,7 @@
     }
 
     /// An upstream is no longer published. One that had given notice is gone for good.
-    fn lose(&mut self, id: &str, revision: u64, grace: Option<MonotonicTime>) -> bool {
+    fn lose(&mut self, id: &str, position: StorePosition, grace: Option<MonotonicTime>) -> bool {
         let leaving = self.entries.get(id).is_some_and(|(_, entry)| entry.leaving);
         match grace.filter(|_| !leaving) {
             Some(until) => {
@@ -256,19 +290,31 @@
                 false
             }
             None if self.missing.contains_key(id) => false,
-            None => self.remove(id, revision),
+            None => self.remove(id, position),
         }
     }
 
-    fn remove(&mut self, id: &str, revision: u64) -> bool {
+    /// Whether an entry is of a process that was gone before the store came back from an older copy,
+    /// and only stands in that copy.
+    ///
+    /// Guards against calls of processes that have left or crashed within the seconds that the store
+    /// lost: it lists them as they were, for as long as their leases last. One that lives after all
+    /// renews its entry, which is written after the copy.
+    fn is_resurrected(&self, written: StorePosition, entry: &DirectoryEntry) -> bool {
+        self.removed.get(&entry.id).is_some_and(|(removed, born)| {
+            removed.era < written.era && written <= self.restored_at && entry.born <= *born
+        })
+    }
+
+    fn remove(&mut self, id: &str, position: StorePosition) -> bool {
         let born = self.entries.get(id).and_then(|(_, entry)| entry.born);
         let last = self.removed.get(id).and_then(|(_, born)| *born);
-        self.removed.insert(id.to_owned(), (revision, born.max(last)));
-        let known = self.entries.get(id).is_some_and(|(written, _)| *written <= revision);
+        self.removed.insert(id.to_owned(), (position, born.max(last)));
+        let known = self.entries.get(id).is_some_and(|(written, _)| *written <= position);
         if known {
             self.entries.remove(id);
             self.missing.remove(id);
-            self.changed = self.changed.max(revision);
+            self.changed = self.changed.max(position);
         }
         known
     }
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -2,7 +2,7 @@
 
 use crocusdale_schema::peer;
 
-use crate::identity::{InstanceId, RequestDigest};
+use crate::identity::{InstanceId, RequestDigest, StorePosition};
 use crate::membership::{
     ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
 };
@@ -150,7 +150,8 @@
             records: message.records.into_iter().map(Into::into).collect(),
             leaving: message.leaving.into_iter().map(Into::into).collect(),
             leaving_upstreams: message.leaving_upstreams.into_iter().map(Into::into).collect(),
-            directory: message.directory,
+            directory: message.directory.revision,
+            directory_era: message.directory.era,
             known_members: message.known_members,
             crash_summary: message.crash_summary,
             crashes: message.crashes.into_iter().map(Into::into).collect(),
@@ -174,7 +175,7 @@
             records: wire.records.into_iter().map(TryInto::try_into).collect::<Result<_, _>>()?,
             leaving: wire.leaving.into_iter().map(Into::into).collect(),
             leaving_upstreams: wire.leaving_upstreams.into_iter().map(Into::into).collect(),
-            directory: wire.directory,
+            directory: StorePosition { era: wire.directory_era, revision: wire.directory },
             known_members: wire.known_members,
             directory_age: wire.directory_age_ms.map(Duration::from_millis),
             crash_summary: wire.crash_summary,
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -3,7 +3,7 @@
 use crocusdale_schema::peer;
 
 use crate::batching::PoolWait;
-use crate::identity::{AttemptId, CallId, MonotonicTime};
+use crate::identity::{AttemptId, CallId, MonotonicTime, StorePosition};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
 use crate::routing::{DirectoryEntry, PeerDirectory, PeerEntry};
 
@@ -138,7 +138,8 @@
 impl From<PeerDirectory> for peer::FetchDirectoryReply {
     fn from(list: PeerDirectory) -> Self {
         let entries = list.entries.into_iter().map(Into::into).collect();
-        Self { revision: list.revision, entries }
+        let StorePosition { era, revision } = list.position;
+        Self { revision, entries, era }
     }
 }
 
@@ -147,7 +148,8 @@
 
     fn try_from(wire: peer::FetchDirectoryReply) -> Result<Self, Self::Error> {
         let entries = wire.entries.into_iter().map(PeerEntry::try_from);
-        Ok(Self { revision: wire.revision, entries: entries.collect::<Result<_, _>>()? })
+        let position = StorePosition { era: wire.era, revision: wire.revision };
+        Ok(Self { position, entries: entries.collect::<Result<_, _>>()? })
     }
 }
 
@@ -160,7 +162,8 @@
             zone: entry.zone,
             slots: entry.slots,
             leaving: entry.leaving,
-            revision: written,
+            revision: written.revision,
+            era: written.era,
             born: entry.born,
             lapses_in_ms: lapses_in.map(short_millis),
         }
@@ -181,7 +184,8 @@
             born: wire.born,
         };
         let lapses_in = wire.lapses_in_ms.map(|millis| Duration::from_millis(u64::from(millis)));
-        Ok(Self { written: wire.revision, entry, lapses_in })
+        let written = StorePosition { era: wire.era, revision: wire.revision };
+        Ok(Self { written, entry, lapses_in })
     }
 }
 
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -33,7 +33,7 @@
             records: Vec::new(),
             leaving: Vec::new(),
             leaving_upstreams: Vec::new(),
-            directory: 0,
+            directory: 0.into(),
             directory_age: None,
             known_members: None,
             crash_summary: 0,
--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -195,7 +195,7 @@
         let Some(age) = dump.directory_age_ms.map(Duration::from_millis) else { continue };
         let due = notices.iter().filter(|(at, _)| *at + age + Duration::from_millis(1) < fleet.now);
         let due = due.map(|(_, revision)| *revision).max().unwrap_or_default();
-        let known = core.published_upstreams(fleet.now).revision;
+        let known = core.published_upstreams(fleet.now).position.revision;
         assert!(known >= due, "{}: {age:?} old, {known} of {due}", dump.instance.vm);
     }
 }
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -206,7 +206,7 @@
         });
         let revision = 1 + self.now.since_start().as_millis() as u64;
         let (entries, configuration) = (entries.collect(), Some(self.configuration.clone()));
-        DaemonEvent::DirectoryRead { revision, entries, configuration }
+        DaemonEvent::DirectoryRead { position: revision.into(), entries, configuration }
     }
 
     pub fn feed(&mut self, event: DaemonEvent) {
--- a/crates/crocusdale_core/tests/support/reader_answer.rs
+++ b/crates/crocusdale_core/tests/support/reader_answer.rs
@@ -35,7 +35,7 @@
         records: Vec::new(),
         leaving: Vec::new(),
         leaving_upstreams: Vec::new(),
-        directory,
+        directory: directory.into(),
         directory_age: Some(Duration::ZERO),
         known_members: None,
         crash_summary: 0,
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -6,7 +6,7 @@
 
 use crocusdale_core::configuration::{DeclarationReader, Declarations};
 use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds, TimerKey};
-use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime};
+use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, RelayOrder};
 use crocusdale_core::retry::RetryLimits;
@@ -62,6 +62,8 @@
     pub records: usize,
     /// Published upstreams, and the revision of the last change.
     pub published: (u64, Vec<(u64, DirectoryEntry)>),
+    /// Times that the store came back from an older copy.
+    pub era: u64,
     /// Readings of what is published.
     pub reads: usize,
     /// Watches of the configuration, each held for [`HOLD`].
@@ -117,6 +119,7 @@
             sequence: 0,
             records: 0,
             published: (1, Vec::new()),
+            era: 0,
             reads: 0,
             cut_off: HashSet::new(),
             turned_away: HashSet::new(),
@@ -182,7 +185,7 @@
     pub fn informed(&self) -> usize {
         let known = |core: &&DaemonCore| {
             let list = core.published_upstreams(self.now);
-            list.entries.iter().any(|each| each.written == self.published.0)
+            list.entries.iter().any(|each| each.written == self.published.0.into())
         };
         self.cores.iter().filter(known).count()
     }
@@ -256,7 +259,11 @@
                     DaemonEvent::DirectoryUnread
                 } else {
                     let configuration = Some((1, DECLARATIONS.to_owned()));
-                    DaemonEvent::DirectoryRead { revision, entries, configuration }
+                    DaemonEvent::DirectoryRead {
+                        position: StorePosition { era: self.era, revision },
+                        entries,
+                        configuration,
+                    }
                 };
                 let delay = self.delay(PLATFORM_TIME, SLOW_PLATFORM_TIME);
                 self.push(self.now + delay, index, Delivery::Event(event));
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -1,14 +1,15 @@
 use std::fmt;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::identity::StorePosition;
+use crocusdale_core::sync::lock;
 use crocusdale_platform::store::{
     StoreChange, StoreChanges, StoreFault, StoreItem, is_configuration, is_upstream, range_path,
-    read_changes, read_configuration, read_page, read_upstream, watch_path,
+    read_changes, read_configuration, read_era, read_page, read_upstream, watch_path,
 };
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
@@ -34,10 +35,11 @@
 pub struct StoreReader {
     store: SocketAddr,
     connections: Arc<ConnectionPool>,
-    /// Revision of the store up to which the configuration is known, 0 before the first reading.
-    position: Arc<AtomicU64>,
-    /// Revision of the configuration's item that the last reading gave on.
-    given_on: Arc<AtomicU64>,
+    /// Position of the store up to which the configuration is known.
+    position: Arc<Mutex<StorePosition>>,
+    /// Position of the configuration's item that the last reading gave on. Under the same revision of
+    /// another era may stand another text.
+    given_on: Arc<Mutex<StorePosition>>,
     /// Published upstreams that can't be read.
     unreadable: Arc<UnreadableItems>,
 }
@@ -59,6 +61,8 @@
     Refused(StatusCode),
     /// The history that a watch asked for is gone.
     HistoryGone,
+    /// The store came back from an older copy between two pages.
+    Restored,
     Unreadable(StoreFault),
 }
 
@@ -68,6 +72,7 @@
             Self::Silent(fault) => formatter.write_str(&fault.cause),
             Self::Refused(status) => write!(formatter, "status {status}"),
             Self::HistoryGone => formatter.write_str("the history is gone"),
+            Self::Restored => formatter.write_str("the store came back from an older copy"),
             Self::Unreadable(fault) => write!(formatter, "unreadable answer: {fault}"),
         }
     }
@@ -75,8 +80,8 @@
 
 /// What one reading found.
 struct WholeRead {
-    /// Revision of the store.
-    revision: u64,
+    /// Position of the store.
+    position: StorePosition,
     items: Vec<StoreItem>,
     unreadable: Vec<StoreFault>,
 }
@@ -135,12 +140,12 @@
     }
 
     fn directory_event(&self, read: WholeRead, engine: &DaemonEngine) -> DaemonEvent {
-        let WholeRead { revision, items, mut unreadable } = read;
+        let WholeRead { position, items, mut unreadable } = read;
         let mut entries = Vec::with_capacity(items.len());
         let mut configuration = None;
         for item in &items {
             if is_configuration(&item.key) {
-                match self.news_of(item) {
+                match self.news_of(item, position.era) {
                     Ok(news) => configuration = news,
                     Err(fault) => unreadable.push(fault),
                 }
@@ -153,23 +158,31 @@
         }
         unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
         self.unreadable.note(&engine.telemetry, unreadable);
-        self.position.fetch_max(revision, Ordering::Relaxed);
-        DaemonEvent::DirectoryRead { revision, entries, configuration }
+        self.read_up_to(position);
+        DaemonEvent::DirectoryRead { position, entries, configuration }
     }
 
     /// The configuration in `item`, if it is another one than the last reading gave on.
-    fn news_of(&self, item: &StoreItem) -> Result<Option<(u64, String)>, StoreFault> {
-        if self.given_on.load(Ordering::Relaxed) == item.revision {
+    fn news_of(&self, item: &StoreItem, era: u64) -> Result<Option<(u64, String)>, StoreFault> {
+        let written = StorePosition { era, revision: item.revision };
+        if *lock(&self.given_on) == written {
             return Ok(None);
         }
         let news = read_configuration(item)?;
-        self.given_on.store(item.revision, Ordering::Relaxed);
+        *lock(&self.given_on) = written;
         Ok(Some(news))
     }
 
+    /// Watches go on from `position`, unless they are beyond it.
+    fn read_up_to(&self, position: StorePosition) {
+        let mut known = lock(&self.position);
+        *known = position.max(*known);
+    }
+
     async fn next_configuration(&self) -> Result<Option<(u64, String)>, ReadFault> {
-        let path = watch_path(self.position.load(Ordering::Relaxed), CONFIGURATION_HOLD);
-        let body = self.get(&path, CONFIGURATION_HOLD + ANSWER_PATIENCE).await?;
+        let from = lock(&self.position).revision;
+        let path = watch_path(from, CONFIGURATION_HOLD);
+        let (era, body) = self.get(&path, CONFIGURATION_HOLD + ANSWER_PATIENCE).await?;
         let read = read_changes(&body).map_err(ReadFault::Unreadable)?;
         let StoreChanges { changes, unreadable, revision } = read;
         if let Some(fault) = unreadable.into_iter().find(|fault| is_configuration(&fault.key)) {
@@ -178,7 +191,7 @@
         let items = written(changes);
         let newest = items.iter().rfind(|item| is_configuration(&item.key));
         let news = newest.map(read_configuration).transpose().map_err(ReadFault::Unreadable)?;
-        self.position.fetch_max(revision, Ordering::Relaxed);
+        self.read_up_to(StorePosition { era, revision });
         Ok(news)
     }
 
@@ -186,13 +199,16 @@
     /// by a watch from the revision of the first page.
     async fn read_whole(&self) -> Result<WholeRead, ReadFault> {
         let (mut items, mut unreadable) = (Vec::new(), Vec::new());
-        let mut first_revision = None;
+        let mut first: Option<StorePosition> = None;
         let mut after: Option<String> = None;
         for _ in 0..PAGES {
             let path = range_path(after.as_deref());
-            let page = read_page(&self.get(&path, ANSWER_PATIENCE).await?);
-            let page = page.map_err(ReadFault::Unreadable)?;
-            first_revision.get_or_insert(page.revision);
+            let (era, body) = self.get(&path, ANSWER_PATIENCE).await?;
+            let page = read_page(&body).map_err(ReadFault::Unreadable)?;
+            let begun = first.get_or_insert(StorePosition { era, revision: page.revision });
+            if begun.era != era {
+                return Err(ReadFault::Restored);
+            }
             items.extend(page.items);
             unreadable.extend(page.unreadable);
             after = page.next;
@@ -200,11 +216,11 @@
                 break;
             }
         }
-        let revision = first_revision.unwrap_or_default();
-        Ok(WholeRead { revision, items, unreadable })
+        Ok(WholeRead { position: first.unwrap_or_default(), items, unreadable })
     }
 
-    async fn get(&self, path: &str, patience: Duration) -> Result<Bytes, ReadFault> {
+    /// Asks the store; returns its era and the body of its answer.
+    async fn get(&self, path: &str, patience: Duration) -> Result<(u64, Bytes), ReadFault> {
         let mut request = Request::new(Full::default());
         *request.uri_mut() = path.parse().unwrap_or_default();
         if let Ok(host) = HeaderValue::from_str(&self.store.to_string()) {
@@ -213,7 +229,7 @@
         let answer = self.connections.call(self.store, request, ANSWER_LIMIT, patience).await;
         let answer = answer.map_err(ReadFault::Silent)?;
         match answer.status() {
-            StatusCode::OK => Ok(answer.into_body()),
+            StatusCode::OK => Ok((read_era(answer.headers()), answer.into_body())),
             StatusCode::GONE => Err(ReadFault::HistoryGone),
             status => Err(ReadFault::Refused(status)),
         }
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -84,10 +84,15 @@
             StateChange::RosterTaken { revision, vms } => {
                 info!(log, "{}", name; "revision" => revision, "vms" => vms);
             }
-            StateChange::DirectoryTaken { revision, upstreams, peer, age_ms } => {
+            StateChange::DirectoryTaken { era, revision, upstreams, peer, age_ms } => {
                 info!(log, "{}", name;
-                    "revision" => revision, "upstreams" => upstreams, "peer" => peer.as_deref(),
-                    "age_ms" => age_ms);
+                    "era" => era, "revision" => revision, "upstreams" => upstreams,
+                    "peer" => peer.as_deref(), "age_ms" => age_ms);
+            }
+            StateChange::StoreRestored { before, after, missing, peer } => {
+                info!(log, "{}", name;
+                    "before" => before.to_string(), "after" => after.to_string(),
+                    "missing" => missing, "peer" => peer.as_deref());
             }
             StateChange::DirectoryAged { age_ms, reader } => {
                 info!(log, "{}", name; "age_ms" => age_ms, "reader" => reader);
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -101,7 +101,8 @@
             Command::ReadDirectory => {
                 let entries = self.published.clone();
                 let configuration = Some((1, self.load.text.clone()));
-                let event = DaemonEvent::DirectoryRead { revision: 1, entries, configuration };
+                let event =
+                    DaemonEvent::DirectoryRead { position: 1.into(), entries, configuration };
                 self.push_core(PLATFORM_TIME, life, event);
             }
             Command::FetchDirectory { vm } => {
