--- a/crates/crocusdale_core/src/quarantine/crash_book.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_book.rs
@@ -19,7 +19,8 @@
 const SUSPICION: Duration = Duration::from_secs(120);
 /// What is added to the time of this process, so that ends of before its start have a time too.
 const EPOCH: Duration = Duration::from_secs(3_600);
-/// Ends that are kept for one request: those of the quarantine and of what ran when it began.
+/// Ends that are kept for one request: those of the quarantine and of what ran when it began. Of more,
+/// all daemons keep the same ones, those with the lowest numbers.
 const ENDS_LIMIT: usize = 8;
 /// Requests that are remembered. All that ran on a few upstreams that ended at one moment; more could
 /// not be told in one message.
@@ -27,8 +28,8 @@
 
 /// Upstreams that ended under requests, as far as this daemon saw or heard.
 ///
-/// Books of two daemons that have the same records have the same summary, and taking a record twice or
-/// in another order changes nothing.
+/// Two daemons that have heard the same, in whatever order and how often, have books with the same summary,
+/// unless it is of more requests than a book holds.
 #[derive(Debug, Default)]
 pub struct CrashBook {
     entries: HashMap<RequestDigest, BookEntry>,
@@ -85,7 +86,10 @@
         if known.is_none() && self.entries.len() >= BOOK_LIMIT {
             self.make_room();
         }
-        self.entries.entry(digest).or_default().ends.push((upstream, at));
+        let ends = &mut self.entries.entry(digest).or_default().ends;
+        ends.push((upstream, at));
+        ends.sort_unstable();
+        ends.truncate(ENDS_LIMIT);
         true
     }
 
@@ -168,7 +172,9 @@
     fn lacks(&self, upstream: u64, at: MonotonicTime) -> bool {
         let is_known = self.ends.iter().any(|(known, _)| *known == upstream);
         let is_innocent = self.cleared.is_some_and(|cleared| at < cleared + INNOCENCE);
-        !is_known && !is_innocent && self.ends.len() < ENDS_LIMIT
+        let has_place =
+            self.ends.len() < ENDS_LIMIT || self.ends.iter().any(|(known, _)| *known > upstream);
+        !is_known && !is_innocent && has_place
     }
 
     /// Time of its quarantine, from the last end.
