--- a/crates/crocusdale_core/tests/crashing_request_test.rs
+++ b/crates/crocusdale_core/tests/crashing_request_test.rs
@@ -37,8 +37,8 @@
 const CRASHES: usize = 3;
 /// Time for which an upstream runs such a request before it crashes.
 const RUN_TIME: Duration = Duration::from_millis(100);
-/// Time for which an upstream that has given notice goes on.
-const NOTICE: Duration = Duration::from_secs(2);
+/// Time for which an upstream that has given notice goes on: shorter than the request has.
+const NOTICE: Duration = Duration::from_millis(1_500);
 /// Pause between two tries of its caller.
 const TRY_PACE: Duration = Duration::from_millis(300);
 /// Time for which its caller goes on.
