--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod command;
 mod configuration_watch;
 mod core_state;
+mod counter_name;
 mod crash_flow;
 mod daemon_core;
 mod daemon_event;
@@ -18,12 +19,17 @@
 mod piece_flow;
 mod reader_choice;
 mod request_flow;
+mod state_change;
 mod state_dump;
+mod timer_key;
 
-pub use command::{Command, CounterName, StateChange, TimerKey};
+pub use command::Command;
 pub use core_state::{DaemonCoreBuilder, PublishedFleet};
+pub use counter_name::CounterName;
 pub use daemon_core::DaemonCore;
 pub use daemon_event::DaemonEvent;
 pub use fleet_state::FleetState;
 pub use news_bounds::NewsBounds;
+pub use state_change::StateChange;
 pub use state_dump::StateDump;
+pub use timer_key::TimerKey;
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -322,13 +322,7 @@
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
     ) {
-        let Some(active) = self.runs.get_mut(&call) else { return };
-        if active.poll.is_some() {
-            self.give_up_claim(call, now, steps);
-            return;
-        }
-        let end = active.run.denied_for(why, now, steps);
-        self.finish_if(call, end, now, steps);
+        self.settle_run(call, now, steps, |run, steps| run.denied_for(why, now, steps));
     }
 
     /// Ends every run.
@@ -438,14 +432,25 @@
         reason: RefusalReason,
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
+    ) {
+        self.settle_run(call, now, steps, |run, steps| Some(run.end(reason, now, steps)));
+    }
+
+    /// Has the run of `call` settled by `settle`, or gives up its key if that is not claimed yet.
+    fn settle_run(
+        &mut self,
+        call: CallId,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+        settle: impl FnOnce(&mut RequestRun, &mut Vec<ShardStep>) -> Option<FinalAnswer>,
     ) {
         let Some(active) = self.runs.get_mut(&call) else { return };
         if active.poll.is_some() {
             self.give_up_claim(call, now, steps);
             return;
         }
-        let end = active.run.end(reason, now, steps);
-        self.finish_run(call, end, now, steps);
+        let end = settle(&mut active.run, steps);
+        self.finish_if(call, end, now, steps);
     }
 
     fn finish_if(
