--- /dev/null
+++ b/crates/crocusdale_core/src/pipeline/claim_steps.rs
@@ -0,0 +1,223 @@
+//! Requests that must not repeat: their keys are claimed at witnesses, and asked for afterwards.
+
+use std::time::Duration;
+
+use super::request_shard::{ActiveRun, InquiryBasis, reply, set_timer};
+use super::{
+    FinalAnswer, FinalOutcome, HolderReply, InquiryStep, KeyInquiry, OutcomeKind, RefusalReason,
+    RegisterCall, RequestPlan, RequestRun, RequestShard, ShardStep,
+};
+use crate::claims::{ClaimVerdict, RegisterReply, WitnessPoll};
+use crate::daemon::{Command, CounterName, TimerKey};
+use crate::identity::{CallId, MonotonicTime, RequestKey};
+use crate::membership::WitnessSet;
+
+/// Time that the witnesses have to answer a claim before the key is given up.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(400);
+/// Time that an inquiry may take, once nobody waits for a run any more.
+const INQUIRY_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Pause before the holder of a key is asked again.
+const HOLDER_PACE: Duration = Duration::from_millis(50);
+
+impl RequestShard {
+    /// Begins a not repeatable request: nothing is dispatched before its key is claimed.
+    pub fn start_claimed(
+        &mut self,
+        call: CallId,
+        plan: RequestPlan,
+        witnesses: WitnessSet,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let key = plan.request.key.clone();
+        steps.push(set_timer(TimerKey::Deadline(call), plan.deadline));
+        steps.push(set_timer(TimerKey::Claim(call), now + CLAIM_PATIENCE));
+        steps.extend(register_calls(call, &key, &witnesses, witnesses.vms().to_vec(), false));
+        let poll = Some(WitnessPoll::new(self.own.clone(), witnesses));
+        let run = RequestRun::new(call, self.own.mark(), plan);
+        let followers = self.take_inquiries(&key);
+        self.keys.begin(key, call);
+        self.runs.insert(call, ActiveRun { run, poll, witnesses: None, followers });
+    }
+
+    /// Finds out what became of `key`, which this daemon will not run; with `refusal`, the caller
+    /// wanted it run and is told so if it never ran anywhere.
+    pub fn inquire(
+        &mut self,
+        call: CallId,
+        key: RequestKey,
+        witnesses: WitnessSet,
+        refusal: Option<Box<FinalOutcome>>,
+        basis: InquiryBasis,
+        now: MonotonicTime,
+    ) -> Vec<ShardStep> {
+        let InquiryBasis { key_life, provable_until } = basis;
+        let mut steps = register_calls(call, &key, &witnesses, witnesses.vms().to_vec(), true);
+        let poll = WitnessPoll::new(self.own.clone(), witnesses);
+        let until = now + INQUIRY_PATIENCE;
+        steps.push(set_timer(TimerKey::Inquiry(call), until));
+        let inquiry =
+            KeyInquiry { key, poll, until, key_life, provable_until, refusal, holder: None };
+        self.inquiries.insert(call, inquiry);
+        self.inquiry_step(call, now, &mut steps);
+        steps
+    }
+
+    /// Takes the reply of a witness, `None` if none came.
+    pub fn register_replied(
+        &mut self,
+        call: CallId,
+        witness: &str,
+        reply: Option<RegisterReply>,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        if let Some(inquiry) = self.inquiries.get_mut(&call) {
+            inquiry.poll.take(witness, reply);
+            self.inquiry_step(call, now, steps);
+            return;
+        }
+        let Some(poll) = self.runs.get_mut(&call).and_then(|active| active.poll.as_mut()) else {
+            return;
+        };
+        poll.take(witness, reply);
+        self.claim_step(call, now, steps);
+    }
+
+    /// Takes the reply of the holder of a key, `None` if it can't be reached.
+    pub fn holder_replied(
+        &mut self,
+        call: CallId,
+        reply: Option<HolderReply>,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let Some(inquiry) = self.inquiries.get_mut(&call) else { return };
+        match inquiry.take_holder(reply) {
+            InquiryStep::Answer(answer) => self.finish_inquiry(call, answer, now, steps),
+            InquiryStep::Wait | InquiryStep::AskHolder(_) => {
+                steps.push(set_timer(TimerKey::Holder(call), now + HOLDER_PACE));
+            }
+        }
+    }
+
+    pub(super) fn claim_step(
+        &mut self,
+        call: CallId,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let Some(active) = self.runs.get_mut(&call) else { return };
+        let Some(poll) = &active.poll else { return };
+        match poll.claim_verdict() {
+            ClaimVerdict::Pending => {}
+            ClaimVerdict::Granted => {
+                active.witnesses = Some(poll.witnesses().clone());
+                active.poll = None;
+                active.run.begin(now, steps);
+            }
+            ClaimVerdict::Impossible => self.give_up_claim(call, now, steps),
+        }
+    }
+
+    /// The key can't be claimed: from here on this process life never runs it, so its own claims
+    /// count as tombstones, and the other registers are buried to prove that nobody will.
+    pub(super) fn give_up_claim(
+        &mut self,
+        call: CallId,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let Some(active) = self.runs.remove(&call) else { return };
+        let Some(mut poll) = active.poll else { return };
+        let key = active.run.plan().request.key.clone();
+        let key_life = active.run.plan().declarations.deployment().key_life;
+        let provable_until = active.run.plan().provable_until;
+        self.keys.end(key.clone(), None, key_life, now);
+        steps.push(ShardStep::GiveBack(active.run.plan().permit.clone()));
+        steps.push(ShardStep::Command(Command::Count(CounterName::ClaimsRefused)));
+        let asked = poll.ask_again();
+        let witnesses = poll.witnesses().clone();
+        let refusal =
+            FinalOutcome::new(OutcomeKind::Refused, &key).reason(RefusalReason::NotClaimed);
+        let refusal =
+            Box::new(refusal.detail("the key could not be claimed").retry(Duration::ZERO, false));
+        let until = now + INQUIRY_PATIENCE;
+        for call in active.followers.into_iter().chain([call]) {
+            steps.push(set_timer(TimerKey::Inquiry(call), until));
+            steps.extend(register_calls(call, &key, &witnesses, asked.clone(), true));
+            let (poll, refusal) = (poll.clone(), Some(refusal.clone()));
+            let inquiry = KeyInquiry {
+                key: key.clone(),
+                poll,
+                until,
+                key_life,
+                provable_until,
+                refusal,
+                holder: None,
+            };
+            self.inquiries.insert(call, inquiry);
+            self.inquiry_step(call, now, steps);
+        }
+    }
+
+    pub(super) fn inquiry_step(
+        &mut self,
+        call: CallId,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        let Some(inquiry) = self.inquiries.get_mut(&call) else { return };
+        match inquiry.next_step(now) {
+            InquiryStep::Wait => {}
+            InquiryStep::AskHolder(holder) => {
+                let key = inquiry.key.clone();
+                steps.push(ShardStep::Command(Command::AskHolder { call, key, holder }));
+            }
+            InquiryStep::Answer(answer) => self.finish_inquiry(call, answer, now, steps),
+        }
+    }
+
+    pub(super) fn finish_inquiry(
+        &mut self,
+        call: CallId,
+        answer: FinalAnswer,
+        now: MonotonicTime,
+        steps: &mut Vec<ShardStep>,
+    ) {
+        if let Some(inquiry) = self.inquiries.remove(&call) {
+            // "Not run" may rest on claims of this process life: they must never be used again.
+            if answer.kind == OutcomeKind::Refused {
+                self.keys.end(inquiry.key, None, inquiry.key_life, now);
+            }
+            steps.push(reply(call, answer));
+        }
+    }
+
+    /// Takes out the inquiries about `key`; their callers will get the outcome of its run.
+    ///
+    /// Guards against an inquiry that meets the claims of a run of this same life. It would count
+    /// them as claims of one who never runs, and say "not run" of what is running.
+    pub(super) fn take_inquiries(&mut self, key: &RequestKey) -> Vec<CallId> {
+        let about = self.inquiries.iter().filter(|(_, inquiry)| inquiry.key == *key);
+        let calls: Vec<CallId> = about.map(|(call, _)| *call).collect();
+        for call in &calls {
+            self.inquiries.remove(call);
+        }
+        calls
+    }
+}
+
+fn register_calls(
+    call: CallId,
+    key: &RequestKey,
+    witnesses: &WitnessSet,
+    asked: Vec<String>,
+    bury: bool,
+) -> Vec<ShardStep> {
+    let to_step = |witness| {
+        let (key, witnesses) = (key.clone(), witnesses.clone());
+        ShardStep::Register(RegisterCall { call, witness, key, witnesses, bury })
+    };
+    asked.into_iter().map(to_step).collect()
+}
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -1,8 +1,10 @@
 //! The life of one request through its stages.
 
 mod attempt;
+mod attempt_ends;
 mod branch_run;
 mod caller_request;
+mod claim_steps;
 mod event_sequence;
 mod final_answer;
 mod forward_head;
