--- a/crates/crocusdale_core/tests/crashing_request_test.rs
+++ b/crates/crocusdale_core/tests/crashing_request_test.rs
@@ -277,8 +277,8 @@
         let mut worst = Duration::ZERO;
         for seed in 0..seeds {
             let mut engines = CrashingEngines::in_zones(size, zones, seed);
-            engines.fleet.questions_are_late = true;
             engines.fleet.tell_by_readers_only();
+            engines.fleet.questions_are_late = true;
             worst = worst.max(engines.time_to_quarantine());
         }
         let sum = worst + CONNECT_PATIENCE;
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -192,10 +192,10 @@
 
     /// From now on only daemons that read the platform for others hear and tell of crashes.
     pub fn tell_by_readers_only(&mut self) {
-        self.only_readers_tell = true;
-        // All daemons read when they start.
+        // All daemons read when they start, and any may when answers are late.
         self.readers.clear();
         self.run(self.now.since_start() + Duration::from_secs(1));
+        self.only_readers_tell = true;
     }
 
     /// Gives a caller's request to a daemon.
@@ -253,7 +253,9 @@
             }
             Command::ReadDirectory => {
                 self.reads += 1;
-                self.readers.insert(index);
+                if !self.only_readers_tell {
+                    self.readers.insert(index);
+                }
                 let (revision, entries) = self.published.clone();
                 let event = if self.turned_away.contains(&index) {
                     DaemonEvent::DirectoryUnread
