Send nothing to the upstreams of an evacuated availability zone

Callers saw their requests run in a zone that the operator had asked to evacuate: nothing read op/evacuate/ZONE. Requests of all kinds, retries, resumed streams and calls for pieces are concerned.

The reading that brings upstreams and configuration brings the requests to evacuate too; they are part of the list, with its positions, era, age and guards, and go to the daemons that read for nobody with it. Upstreams in such a zone are left out where a list is turned into pools, as those that leave are, so that every path that holds for these holds here. What runs there ends as it would.

The bound is the list's: its age is checked at each choice, and the settings' evacuation_ms is one of the three bounds that set it. The sum of the longest times stays below bounds of 1, 2, 3 and 5 s in zone_evacuation_test.

Ruled out: a watch of its own for the requests, which is a second path with another age.

--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_desk.rs
@@ -92,7 +92,7 @@
             let fresh = || BatchPool::new(rules, budget);
             let pool = self.pools.entry(name.to_owned()).or_insert_with(fresh);
             pool.set_rules(rules);
-            pool.set_upstreams(directory.entries().filter(|entry| entry.pool == name), now);
+            pool.set_upstreams(directory.staying().filter(|entry| entry.pool == name), now);
         }
         let declared = |name: &String| {
             declarations.stage(name).is_some_and(|stage| matches!(stage.kind, PoolKind::Batch(_)))
--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -247,6 +247,7 @@
         bounds: NewsBounds {
             notice: millis("notice_ms"),
             configuration: millis("configuration_ms"),
+            evacuation: millis("evacuation_ms"),
             contact: millis("contact_ms"),
         },
     })
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -261,7 +261,11 @@
         let outcomes = self.state.registers.iter().map(|each| lock(each).outcome_count()).sum();
         let keys = self.state.shards.iter().map(|each| lock(each).key_count()).sum();
         let open_calls = self.open_calls();
-        let directory_age = lock(&self.state.directory).age(now);
+        let (directory_age, evacuated_zones) = {
+            let state = lock(&self.state.directory);
+            let zones = state.directory.evacuated_zones().map(str::to_owned).collect();
+            (state.age(now), zones)
+        };
         let fleet = lock(&self.state.fleet);
         let (revision, digest) = fleet.ledger.position();
         let rejected = fleet.ledger.rejected();
@@ -284,6 +288,7 @@
             roster_revision: fleet.history.current().revision,
             directory_revision: fleet.directory.revision,
             directory_era: fleet.directory.era,
+            evacuated_zones,
             directory_age_ms: directory_age
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             peers: fleet.view.peer_count(),
@@ -374,7 +379,7 @@
         *lock(&self.state.last_housekeeping) = now;
         self.check_ready(now);
         self.state.forget_crashes(now);
-        let lost = lock(&self.state.directory).drop_missing(now);
+        let lost = lock(&self.state.directory).drop_missing(now, out);
         if lost {
             self.directory_read(true, now, out);
         }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -89,6 +89,8 @@
         position: StorePosition,
         /// All published upstreams, each with the revision of its last change in that era.
         entries: Vec<(u64, DirectoryEntry)>,
+        /// Evacuated availability zones, each with the revision of that request in that era.
+        evacuations: Vec<(u64, String)>,
         /// The configuration, if it is another one than at the reading before.
         configuration: Option<(u64, String)>,
     },
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -6,6 +6,7 @@
 use crate::membership::ExchangeMessage;
 use crate::routing::{
     CONNECT_PATIENCE, DirectoryEntry, PeerDirectory, RESTORE_GRACE, UpstreamDirectory,
+    ZoneEvacuation,
 };
 
 /// Time in which a platform in order answers a reading: some milliseconds, and for a list of 150
@@ -56,6 +57,29 @@
     fetching: Option<(String, MonotonicTime)>,
 }
 
+/// All that one reading of the platform found.
+#[derive(Debug)]
+pub(super) struct PublishedList {
+    position: StorePosition,
+    entries: Vec<(u64, DirectoryEntry)>,
+    evacuations: Vec<ZoneEvacuation>,
+}
+
+impl PublishedList {
+    /// What was read at `position`; revisions are of its era.
+    pub(super) fn new(
+        position: StorePosition,
+        entries: Vec<(u64, DirectoryEntry)>,
+        evacuations: Vec<(u64, String)>,
+    ) -> Self {
+        let placed = |(revision, zone)| ZoneEvacuation {
+            written: StorePosition { era: position.era, revision },
+            zone,
+        };
+        Self { position, entries, evacuations: evacuations.into_iter().map(placed).collect() }
+    }
+}
+
 /// A reading that has no answer yet.
 #[derive(Debug)]
 struct OpenReading {
@@ -177,11 +201,11 @@
     /// Takes a whole list. Returns whether routing must change.
     pub(super) fn read_whole(
         &mut self,
-        position: StorePosition,
-        entries: Vec<(u64, DirectoryEntry)>,
+        read: PublishedList,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
+        let PublishedList { position, entries, evacuations } = read;
         let age = self.age(now);
         let is_back = self.succeeded(now, out);
         let before = self.directory.position();
@@ -193,7 +217,11 @@
             (_, true) => Some(now + RESTORE_GRACE),
             (false, false) => None,
         };
-        let changed = self.directory.replace(position, entries, grace);
+        let zones = self.evacuated_zones();
+        let restored = is_restored.then_some(now + RESTORE_GRACE);
+        let mut changed = self.directory.replace_evacuations(position, evacuations, restored);
+        changed |= self.directory.replace(position, entries, grace);
+        self.note_evacuations(&zones, None, out);
         self.note_restore(before, None, out);
         self.note(changed, None, age, out);
         changed
@@ -253,16 +281,20 @@
             out.push(Command::Count(CounterName::DirectoryFetchesFailed));
             return false;
         };
-        let before = self.directory.position();
+        let (before, zones) = (self.directory.position(), self.evacuated_zones());
         let changed = self.directory.merge(list, now);
+        self.note_evacuations(&zones, peer.as_deref(), out);
         self.note_restore(before, peer.as_deref(), out);
         self.note(changed, peer, self.age(now), out);
         changed
     }
 
-    /// Drops upstreams that stayed missing. Returns whether there were any.
-    pub(super) fn drop_missing(&mut self, now: MonotonicTime) -> bool {
-        self.directory.drop_missing(now)
+    /// Drops upstreams and evacuations that stayed missing. Returns whether there were any.
+    pub(super) fn drop_missing(&mut self, now: MonotonicTime, out: &mut Vec<Command>) -> bool {
+        let zones = self.evacuated_zones();
+        let dropped = self.directory.drop_missing(now);
+        self.note_evacuations(&zones, None, out);
+        dropped
     }
 
     /// Time since the list was last known to be the latest.
@@ -338,6 +370,23 @@
         std::mem::take(&mut self.away)
     }
 
+    fn evacuated_zones(&self) -> Vec<String> {
+        self.directory.evacuated_zones().map(str::to_owned).collect()
+    }
+
+    /// Tells which availability zones were evacuated or opened since `before`.
+    fn note_evacuations(&self, before: &[String], peer: Option<&str>, out: &mut Vec<Command>) {
+        let after = self.evacuated_zones();
+        for zone in after.iter().filter(|zone| !before.contains(zone)) {
+            let (zone, peer) = (zone.clone(), peer.map(str::to_owned));
+            out.push(Command::Note(StateChange::ZoneEvacuated { zone, peer }));
+        }
+        for zone in before.iter().filter(|zone| !after.contains(zone)) {
+            let (zone, peer) = (zone.clone(), peer.map(str::to_owned));
+            out.push(Command::Note(StateChange::ZoneOpened { zone, peer }));
+        }
+    }
+
     /// Tells of a store that came back from an older copy.
     fn note_restore(&self, before: StorePosition, peer: Option<&str>, out: &mut Vec<Command>) {
         let after = self.directory.position();
@@ -358,7 +407,7 @@
     ) {
         if changed {
             let StorePosition { era, revision } = self.directory.changed();
-            let upstreams = self.directory.entries().filter(|entry| !entry.leaving).count();
+            let upstreams = self.directory.staying().count();
             let age_ms = age.map(millis);
             let taken = StateChange::DirectoryTaken { era, revision, upstreams, peer, age_ms };
             out.push(Command::Note(taken));
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::core_state::RequestBasis;
+use super::directory_state::PublishedList;
 use super::{Command, CounterName, DaemonCore, DaemonEvent};
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{ExchangeMessage, VmRoster};
@@ -29,11 +30,12 @@
                 }
             }
             DaemonEvent::GreetingFailed => lock(&self.state.fleet).greeting_failed(out),
-            DaemonEvent::DirectoryRead { position, entries, configuration } => {
+            DaemonEvent::DirectoryRead { position, entries, evacuations, configuration } => {
                 // First, so that no list says that it is young with an older configuration in force.
                 self.take_configuration(configuration, now, out);
                 let mut directory = lock(&self.state.directory);
-                let changed = directory.read_whole(position, entries, now, out);
+                let read = PublishedList::new(position, entries, evacuations);
+                let changed = directory.read_whole(read, now, out);
                 drop(directory);
                 self.directory_read(changed, now, out);
             }
--- a/crates/crocusdale_core/src/daemon/news_bounds.rs
+++ b/crates/crocusdale_core/src/daemon/news_bounds.rs
@@ -26,6 +26,9 @@
     pub notice: Duration,
     /// Time from the acknowledgement of a configuration to the first request that must be judged by it.
     pub configuration: Duration,
+    /// Time from the request to evacuate an availability zone to the last request that may reach its
+    /// upstreams.
+    pub evacuation: Duration,
     /// Time after which a daemon that reaches the platform again must keep these bounds.
     pub contact: Duration,
 }
@@ -36,6 +39,7 @@
         Self {
             notice: Duration::from_millis(2_000),
             configuration: Duration::from_millis(2_000),
+            evacuation: Duration::from_millis(2_000),
             contact: Duration::from_millis(3_000),
         }
     }
@@ -61,7 +65,7 @@
 
 impl From<NewsBounds> for NewsPace {
     fn from(bounds: NewsBounds) -> Self {
-        let shortest = bounds.notice.min(bounds.configuration);
+        let shortest = bounds.notice.min(bounds.configuration).min(bounds.evacuation);
         let sent = shortest.saturating_sub(CONNECT_PATIENCE + MARGIN);
         let fit_for = shortest.mul_f64(FIT_SHARE).min(sent).max(LEAST_FIT);
         Self {
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -55,6 +55,20 @@
         /// Peer that told it, or `None` for a reading of this daemon.
         peer: Option<String>,
     },
+    /// The upstreams of an availability zone get no new work until the operator takes that back.
+    ZoneEvacuated {
+        /// The zone.
+        zone: String,
+        /// Peer that told it, or `None` for a reading of this daemon.
+        peer: Option<String>,
+    },
+    /// The upstreams of an evacuated availability zone may get work again.
+    ZoneOpened {
+        /// The zone.
+        zone: String,
+        /// Peer that told it, or `None` for a reading of this daemon.
+        peer: Option<String>,
+    },
     /// This daemon reads the published upstreams itself although another one should, because it has
     /// not heard of a reading for too long.
     DirectoryAged {
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -33,6 +33,8 @@
     pub directory_revision: u64,
     /// Times that the store had come back from an older copy by then, as it counts them.
     pub directory_era: u64,
+    /// Availability zones whose upstreams get no new work.
+    pub evacuated_zones: Vec<String>,
     /// Time since that was last known to be the last change, in milliseconds.
     pub directory_age_ms: Option<u64>,
     /// Peers in the VM list.
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod upstream_notice;
 mod upstream_router;
 mod upstream_state;
+mod zone_evacuations;
 
 pub use engine_load::EngineLoad;
 pub use stage_pool::{SlotRequest, StagePool};
@@ -18,3 +19,4 @@
 pub use upstream_notice::UpstreamNotice;
 pub use upstream_router::{CONNECT_PATIENCE, SlotGrant, UpstreamRouter};
 pub use upstream_state::{AttemptReport, UpstreamState, UpstreamSummary};
+pub use zone_evacuations::ZoneEvacuation;
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::zone_evacuations::{ZoneEvacuation, ZoneEvacuations};
 use crate::identity::{MonotonicTime, StorePosition};
 
 /// Time for which an entry is waited for that a store lacks which came back from an older copy. Its process
@@ -54,6 +55,8 @@
     pub position: StorePosition,
     /// The upstreams.
     pub entries: Vec<PeerEntry>,
+    /// The evacuated availability zones.
+    pub evacuations: Vec<ZoneEvacuation>,
 }
 
 /// An upstream of a [`PeerDirectory`].
@@ -89,6 +92,7 @@
     restarted: Vec<SocketAddr>,
     /// Names of processes that said themselves, or to a peer, that they leave, with the time of the news.
     told_leaving: HashMap<String, MonotonicTime>,
+    evacuations: ZoneEvacuations,
 }
 
 impl UpstreamDirectory {
@@ -115,6 +119,37 @@
         self.entries.values().map(|(_, entry)| entry)
     }
 
+    /// Published upstreams that may get new work: those that neither leave nor stand in an evacuated
+    /// availability zone.
+    pub fn staying(&self) -> impl Iterator<Item = &DirectoryEntry> {
+        self.entries().filter(|entry| !entry.leaving && !self.evacuations.contains(&entry.zone))
+    }
+
+    /// Names of the evacuated availability zones, in order.
+    pub fn evacuated_zones(&self) -> impl Iterator<Item = &str> {
+        self.evacuations.names()
+    }
+
+    /// Takes the evacuated availability zones that a reading at `position` names, before its upstreams.
+    /// With `grace`, it is the first one after the store came back from an older copy, and a zone that it
+    /// lacks stays evacuated until then. Returns whether that matters to routing.
+    pub fn replace_evacuations(
+        &mut self,
+        position: impl Into<StorePosition>,
+        listed: Vec<ZoneEvacuation>,
+        grace: Option<MonotonicTime>,
+    ) -> bool {
+        let position = position.into();
+        if position < self.position {
+            return false;
+        }
+        let changed = self.evacuations.replace(listed, grace);
+        if changed {
+            self.changed = self.changed.max(position);
+        }
+        changed
+    }
+
     /// Takes the news that the process named `name` leaves, from itself or a peer. Returns whether that
     /// matters to routing.
     ///
@@ -205,7 +240,8 @@
             .collect();
         let entries = list.entries.into_iter().map(|each| (each.written, each.entry)).collect();
         let position = list.position;
-        let changed = self.replace_placed(position, entries, grace);
+        let mut changed = self.replace_evacuations(position, list.evacuations, grace);
+        changed |= self.replace_placed(position, entries, grace);
         if position == self.position {
             let held = |id: &String| self.entries.contains_key(id);
             let lapsing: Vec<_> = lapsing.into_iter().filter(|(id, _)| held(id)).collect();
@@ -214,7 +250,7 @@
         changed
     }
 
-    /// Drops upstreams that were waited for long enough. Returns whether there were any.
+    /// Drops upstreams and evacuations that were waited for long enough. Returns whether there were any.
     pub fn drop_missing(&mut self, now: MonotonicTime) -> bool {
         let over = self.missing.iter().filter(|(_, until)| now >= **until);
         let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
@@ -223,7 +259,11 @@
             let position = self.position;
             self.remove(id, position);
         }
-        !over.is_empty()
+        let opened = self.evacuations.drop_lapsed(now);
+        if opened {
+            self.changed = self.changed.max(self.position);
+        }
+        opened || !over.is_empty()
     }
 
     /// Where processes listened that have started again since the last call: connections that are
@@ -241,7 +281,8 @@
             entry: entry.clone(),
             lapses_in: self.missing.get(id).map(|until| until.since(now)),
         });
-        PeerDirectory { position: self.position, entries: entries.collect() }
+        let evacuations = self.evacuations.snapshot();
+        PeerDirectory { position: self.position, entries: entries.collect(), evacuations }
     }
 
     fn put(&mut self, written: StorePosition, entry: DirectoryEntry) -> bool {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -430,8 +430,8 @@
     }
 }
 
-/// Rules of the published upstreams of the pool `stage`, without those that are leaving: they get
-/// no new work, and what they work on is not touched.
+/// Rules of the published upstreams of the pool `stage` that may get new work. What the others work on
+/// is not touched.
 fn published<'a>(
     stage: &'a str,
     rules: &'a StageRules,
@@ -442,7 +442,7 @@
         PoolKind::Batch(_) => UpstreamKind::StagePool,
         PoolKind::Engine(_) => UpstreamKind::ModelEngine,
     };
-    let staying = directory.entries().filter(move |entry| entry.pool == stage && !entry.leaving);
+    let staying = directory.staying().filter(move |entry| entry.pool == stage);
     staying.map(move |entry| UpstreamRules {
         name: entry.name(),
         process: entry.id.clone(),
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -5,7 +5,7 @@
 use crate::batching::PoolWait;
 use crate::identity::{AttemptId, CallId, MonotonicTime, StorePosition};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
-use crate::routing::{DirectoryEntry, PeerDirectory, PeerEntry};
+use crate::routing::{DirectoryEntry, PeerDirectory, PeerEntry, ZoneEvacuation};
 
 impl From<AttemptId> for peer::Attempt {
     fn from(attempt: AttemptId) -> Self {
@@ -138,8 +138,9 @@
 impl From<PeerDirectory> for peer::FetchDirectoryReply {
     fn from(list: PeerDirectory) -> Self {
         let entries = list.entries.into_iter().map(Into::into).collect();
+        let evacuations = list.evacuations.into_iter().map(Into::into).collect();
         let StorePosition { era, revision } = list.position;
-        Self { revision, entries, era }
+        Self { revision, entries, era, evacuations }
     }
 }
 
@@ -149,7 +150,21 @@
     fn try_from(wire: peer::FetchDirectoryReply) -> Result<Self, Self::Error> {
         let entries = wire.entries.into_iter().map(PeerEntry::try_from);
         let position = StorePosition { era: wire.era, revision: wire.revision };
-        Ok(Self { position, entries: entries.collect::<Result<_, _>>()? })
+        let evacuations = wire.evacuations.into_iter().map(Into::into).collect();
+        Ok(Self { position, entries: entries.collect::<Result<_, _>>()?, evacuations })
+    }
+}
+
+impl From<ZoneEvacuation> for peer::ZoneEvacuation {
+    fn from(ZoneEvacuation { written, zone }: ZoneEvacuation) -> Self {
+        Self { zone, revision: written.revision, era: written.era }
+    }
+}
+
+impl From<peer::ZoneEvacuation> for ZoneEvacuation {
+    fn from(wire: peer::ZoneEvacuation) -> Self {
+        let written = StorePosition { era: wire.era, revision: wire.revision };
+        Self { written, zone: wire.zone }
     }
 }
 
--- a/crates/crocusdale_core/tests/configuration_age_test.rs
+++ b/crates/crocusdale_core/tests/configuration_age_test.rs
@@ -69,7 +69,12 @@
     for bound in CONFIGURATION_BOUNDS_MS.map(Duration::from_millis) {
         let worst = worst_time(NewsBounds { configuration: bound, ..NewsBounds::default() });
         assert!(worst < bound, "let in {worst:?} after the key was taken away, {bound:?} allowed");
-        let notice = NewsBounds { notice: bound, configuration: bound * 2, contact: bound * 2 };
+        let notice = NewsBounds {
+            notice: bound,
+            configuration: bound * 2,
+            evacuation: bound * 2,
+            contact: bound * 2,
+        };
         assert!(worst_time(notice) < bound, "the other bound is the shorter one");
     }
 }
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -108,6 +108,8 @@
     pub answers: Vec<(CallId, FinalAnswer)>,
     /// When readings of the published upstreams were begun that the test has not answered.
     pub readings: Vec<MonotonicTime>,
+    /// Evacuated availability zones that the platform publishes.
+    pub evacuated: Vec<String>,
     /// Deadline of the requests to come.
     pub deadline: Duration,
     /// Revision and text of the configuration that the platform publishes.
@@ -154,6 +156,7 @@
             cancelled: Vec::new(),
             answers: Vec::new(),
             readings: Vec::new(),
+            evacuated: Vec::new(),
             deadline: Duration::from_secs(2),
             configuration: (1, "first".to_owned()),
         };
@@ -206,7 +209,13 @@
         });
         let revision = 1 + self.now.since_start().as_millis() as u64;
         let (entries, configuration) = (entries.collect(), Some(self.configuration.clone()));
-        DaemonEvent::DirectoryRead { position: revision.into(), entries, configuration }
+        let evacuations = self.evacuated.iter().map(|zone| (revision, zone.clone())).collect();
+        DaemonEvent::DirectoryRead {
+            position: revision.into(),
+            entries,
+            evacuations,
+            configuration,
+        }
     }
 
     pub fn feed(&mut self, event: DaemonEvent) {
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -62,6 +62,8 @@
     pub records: usize,
     /// Published upstreams, and the revision of the last change.
     pub published: (u64, Vec<(u64, DirectoryEntry)>),
+    /// Evacuated availability zones that the platform publishes, with the revisions of their requests.
+    pub evacuations: Vec<(u64, String)>,
     /// Times that the store came back from an older copy.
     pub era: u64,
     /// Readings of what is published.
@@ -119,6 +121,7 @@
             sequence: 0,
             records: 0,
             published: (1, Vec::new()),
+            evacuations: Vec::new(),
             era: 0,
             reads: 0,
             cut_off: HashSet::new(),
@@ -264,6 +267,7 @@
                     DaemonEvent::DirectoryRead {
                         position: StorePosition { era: self.era, revision },
                         entries,
+                        evacuations: self.evacuations.clone(),
                         configuration,
                     }
                 };
--- a/crates/crocusdale_core/tests/upstream_news_test.rs
+++ b/crates/crocusdale_core/tests/upstream_news_test.rs
@@ -50,7 +50,8 @@
 #[test]
 fn large_fleet_makes_a_third_of_the_calls() {
     let bound = Duration::from_secs(4);
-    let bounds = NewsBounds { notice: bound, configuration: bound, contact: bound };
+    let bounds =
+        NewsBounds { notice: bound, configuration: bound, evacuation: bound, contact: bound };
     let mut fleet = VirtualFleet::in_zones(195, 5, bounds);
     fleet.published = (1, vec![(1, entry(false))]);
     fleet.run(Duration::from_secs(10));
--- /dev/null
+++ b/crates/crocusdale_core/tests/zone_evacuation_test.rs
@@ -0,0 +1,174 @@
+//! Availability zones that the operator evacuates.
+
+#[path = "support/forward_daemon.rs"]
+#[allow(dead_code, reason = "no test file uses all of it")]
+mod forward_daemon;
+#[path = "support/reader_answer.rs"]
+mod reader_answer;
+mod support;
+
+use std::time::Duration;
+
+use crocusdale_core::daemon::NewsBounds;
+use crocusdale_core::identity::{MonotonicTime, StorePosition};
+use crocusdale_core::pipeline::{AttemptEvent, RunProof};
+use crocusdale_core::routing::{DirectoryEntry, UpstreamDirectory, ZoneEvacuation};
+
+use forward_daemon::Daemon;
+use reader_answer::answer_of_reader;
+use support::virtual_fleet::VirtualFleet;
+
+/// Longest answer of a platform that is in order.
+const READING: Duration = Duration::from_millis(390);
+/// Longest answer of a peer, after which it counts as lost.
+const ANSWER: Duration = Duration::from_millis(790);
+
+fn entry(id: &str, zone: &str) -> DirectoryEntry {
+    DirectoryEntry {
+        id: id.to_owned(),
+        born: None,
+        pool: "reader".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: zone.to_owned(),
+        slots: 8,
+        leaving: false,
+    }
+}
+
+fn at(era: u64, revision: u64) -> StorePosition {
+    StorePosition { era, revision }
+}
+
+fn evacuation(written: StorePosition, zone: &str) -> ZoneEvacuation {
+    ZoneEvacuation { written, zone: zone.to_owned() }
+}
+
+fn staying(directory: &UpstreamDirectory) -> Vec<&str> {
+    directory.staying().map(|entry| entry.id.as_str()).collect()
+}
+
+/// Upstreams `a1` in zone a and `b1` in zone b, of which the latter is evacuated.
+fn evacuated() -> UpstreamDirectory {
+    let mut directory = UpstreamDirectory::default();
+    assert!(directory.replace_evacuations(at(1, 10), vec![evacuation(at(1, 9), "b")], None));
+    directory.replace(at(1, 10), vec![(3, entry("a1", "a")), (4, entry("b1", "b"))], None);
+    directory
+}
+
+/// Guards against requests to the upstreams of an evacuated zone, and for pools of every kind.
+#[test]
+fn no_pool_calls_an_evacuated_zone() {
+    let mut daemon = Daemon::new();
+    daemon.deadline = Duration::from_secs(20);
+    daemon.evacuated = vec!["a".to_owned()];
+    daemon.publish(&["n1", "n2"], &[]);
+    for path in ["/ask/1", "/shred/1", "/tell/1", "/digest/1"] {
+        daemon.submit(path);
+        daemon.advance(200);
+    }
+    assert!(daemon.relays.is_empty() && daemon.batches.is_empty(), "sent to an evacuated zone");
+    daemon.evacuated.clear();
+    daemon.publish(&["n1", "n2"], &[]);
+    daemon.submit("/ask/2");
+    daemon.submit("/digest/2");
+    daemon.advance(300);
+    assert!(!daemon.relays.is_empty() && !daemon.batches.is_empty(), "the zone is open again");
+}
+
+/// Guards against an evacuation that takes effect later than its bound: every part takes its longest time.
+#[test]
+fn longest_times_of_all_parts_add_up_to_less_than_the_bound() {
+    for bound in [1, 2, 3, 5].map(Duration::from_secs) {
+        let worst = (0..50).map(|offset| last_request(bound, 10 * offset)).max();
+        let worst = worst.unwrap_or_default();
+        assert!(worst > bound / 4, "the evacuation came too early to be missed: {worst:?}");
+        assert!(worst < bound, "written {worst:?} after the request to evacuate, of {bound:?}");
+    }
+}
+
+/// Time from the request to evacuate until the last request may be written, if that came `offset`
+/// milliseconds into the pause of a reader that falls silent with its answer.
+fn last_request(bound: Duration, offset: u64) -> Duration {
+    let slow = Duration::from_secs(60);
+    let bounds = NewsBounds {
+        notice: slow,
+        configuration: slow,
+        evacuation: bound,
+        contact: Duration::from_secs(3),
+    };
+    let mut daemon = Daemon::with_bounds(bounds);
+    daemon.publish(&["n1", "n2"], &[]);
+    let known = daemon.core.dump(daemon.now).directory_revision;
+    daemon.feed(answer_of_reader((1, known), daemon.now));
+    daemon.advance(offset);
+    let evacuated_at = daemon.now;
+    daemon.evacuated = vec!["a".to_owned()];
+    let answer = ANSWER.min(bound / 4);
+    daemon.advance(answer.as_millis() as u64);
+    daemon.feed(answer_of_reader((1, known), evacuated_at));
+    let mut last = evacuated_at;
+    while daemon.now < evacuated_at + bound * 2 {
+        daemon.advance(10);
+        let answered = daemon.readings.first().is_some_and(|began| daemon.now >= *began + READING);
+        if answered {
+            daemon.publish(&["n1", "n2"], &[]);
+        }
+        daemon.submit("/ask/it");
+        for relay in std::mem::take(&mut daemon.relays) {
+            last = last.max(relay.write_by);
+            daemon.headed(relay.attempt, 200, RunProof::Ran);
+            daemon.attempt(relay.attempt, AttemptEvent::Passed);
+        }
+    }
+    last.since(evacuated_at)
+}
+
+/// Guards against a reading of before the request that opens the zone again.
+#[test]
+fn older_reading_does_not_open_a_zone() {
+    let mut directory = evacuated();
+    assert!(!directory.replace_evacuations(at(1, 8), Vec::new(), None));
+    assert_eq!(staying(&directory), ["a1"]);
+    assert!(directory.replace_evacuations(at(1, 12), Vec::new(), None));
+    assert_eq!(staying(&directory), ["a1", "b1"]);
+    assert_eq!(directory.changed(), at(1, 12), "peers hear of it");
+}
+
+/// Guards against a zone that opens because the store came back from a copy of before its evacuation.
+#[test]
+fn restored_store_that_lacks_an_evacuation_is_waited_for() {
+    let mut directory = evacuated();
+    let grace = MonotonicTime::from_millis(5_000);
+    directory.replace_evacuations(at(2, 5), Vec::new(), Some(grace));
+    directory.replace_evacuations(at(2, 6), Vec::new(), None);
+    assert_eq!(staying(&directory), ["a1"], "the operator writes it again");
+    assert!(!directory.drop_missing(MonotonicTime::from_millis(4_999)));
+    assert!(directory.drop_missing(grace), "it never came");
+    assert_eq!(staying(&directory), ["a1", "b1"]);
+    directory.replace_evacuations(at(3, 5), vec![evacuation(at(3, 4), "b")], Some(grace));
+    assert!(!directory.drop_missing(grace), "it was written again");
+    assert_eq!(staying(&directory), ["a1"]);
+}
+
+/// Guards against daemons that read for nobody and never hear of an evacuation, or of its end.
+#[test]
+fn daemons_learn_of_an_evacuation_from_their_readers() {
+    let mut fleet = VirtualFleet::new(74);
+    fleet.published = (2, vec![(2, entry("b1", "b"))]);
+    fleet.run(Duration::from_secs(4));
+    for (step, evacuated) in [true, false].into_iter().enumerate() {
+        let revision = 3 + step as u64;
+        fleet.published.0 = revision;
+        fleet.evacuations = if evacuated { vec![(3, "b".to_owned())] } else { Vec::new() };
+        fleet.run(Duration::from_secs(7 + 3 * step as u64));
+        for core in &fleet.cores {
+            let zones = core.dump(fleet.now).evacuated_zones;
+            assert_eq!(
+                zones.contains(&"b".to_owned()),
+                evacuated,
+                "{}",
+                core.dump(fleet.now).instance.vm
+            );
+        }
+    }
+}
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -8,8 +8,9 @@
 use crocusdale_core::identity::StorePosition;
 use crocusdale_core::sync::lock;
 use crocusdale_platform::store::{
-    StoreChange, StoreChanges, StoreFault, StoreItem, is_configuration, is_upstream, range_path,
-    read_changes, read_configuration, read_era, read_page, read_upstream, watch_path,
+    StoreChange, StoreChanges, StoreFault, StoreItem, evacuated_zone, is_configuration,
+    is_upstream, range_path, read_changes, read_configuration, read_era, read_page, read_upstream,
+    watch_path,
 };
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
@@ -142,9 +143,12 @@
     fn directory_event(&self, read: WholeRead, engine: &DaemonEngine) -> DaemonEvent {
         let WholeRead { position, items, mut unreadable } = read;
         let mut entries = Vec::with_capacity(items.len());
+        let mut evacuations = Vec::new();
         let mut configuration = None;
         for item in &items {
-            if is_configuration(&item.key) {
+            if let Some(zone) = evacuated_zone(&item.key) {
+                evacuations.push((item.revision, zone.to_owned()));
+            } else if is_configuration(&item.key) {
                 match self.news_of(item, position.era) {
                     Ok(news) => configuration = news,
                     Err(fault) => unreadable.push(fault),
@@ -156,10 +160,13 @@
                 }
             }
         }
+        // Whatever it holds, the item stands for its zone.
+        let unread = unreadable.iter().filter_map(|fault| evacuated_zone(&fault.key));
+        evacuations.extend(unread.map(|zone| (position.revision, zone.to_owned())));
         unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
         self.unreadable.note(&engine.telemetry, unreadable);
         self.read_up_to(position);
-        DaemonEvent::DirectoryRead { position, entries, configuration }
+        DaemonEvent::DirectoryRead { position, entries, evacuations, configuration }
     }
 
     /// The configuration in `item`, if it is another one than the last reading gave on.
--- a/crates/crocusdaled/src/telemetry/metric_set.rs
+++ b/crates/crocusdaled/src/telemetry/metric_set.rs
@@ -32,6 +32,7 @@
     roster_revision: IntGauge,
     directory_revision: IntGauge,
     directory_age: IntGauge,
+    evacuated_zones: IntGauge,
     peers: IntGauge,
     running: IntGauge,
     registers: IntGauge,
@@ -130,6 +131,11 @@
                 "directory_age_milliseconds",
                 "Time since that was known to be the last change, -1 if it never was",
             ),
+            evacuated_zones: gauge(
+                registry,
+                "evacuated_zones",
+                "Availability zones whose upstreams get no new work",
+            ),
             peers: gauge(registry, "peers", "Daemons in the VM list, without this one"),
             running: gauge(registry, "running", "Requests that run"),
             registers: gauge(registry, "registers", "Registers kept as a witness"),
@@ -145,6 +151,7 @@
         self.roster_revision.set(whole(dump.roster_revision));
         self.directory_revision.set(whole(dump.directory_revision));
         self.directory_age.set(dump.directory_age_ms.map_or(-1, whole));
+        self.evacuated_zones.set(whole(dump.evacuated_zones.len() as u64));
         self.peers.set(whole(dump.peers as u64));
         self.running.set(whole(dump.running as u64));
         self.registers.set(whole(dump.registers as u64));
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -94,6 +94,9 @@
                     "before" => before.to_string(), "after" => after.to_string(),
                     "missing" => missing, "peer" => peer.as_deref());
             }
+            StateChange::ZoneEvacuated { zone, peer } | StateChange::ZoneOpened { zone, peer } => {
+                info!(log, "{}", name; "zone" => zone, "peer" => peer.as_deref());
+            }
             StateChange::DirectoryAged { age_ms, reader } => {
                 info!(log, "{}", name; "age_ms" => age_ms, "reader" => reader);
             }
--- a/crates/crocusdaled/tests/zone_evacuation_test.rs
+++ b/crates/crocusdaled/tests/zone_evacuation_test.rs
@@ -23,18 +23,22 @@
     Ok(fleet)
 }
 
-/// Sends an idempotent request, an at-most-once request and a stream with pieces to every daemon.
+/// Sends idempotent requests, at-most-once requests and streams with pieces to every daemon at one time.
 async fn send_all(fleet: &PublishedFleet) {
+    let mut calls = tokio::task::JoinSet::new();
     for daemon in &fleet.daemons {
-        for path in ["/ask/7", "/shred/7", "/digest/7"] {
+        for path in ["/ask/7", "/shred/7", "/digest/7", "/digest/8"] {
+            let prompt = rand::random::<u32>();
             let request = IngressRequest::new(path, &format!("{:x}", rand::random::<u64>()))
                 .field("x-pieces", "3")
                 .field("x-piece-key", "7c1e")
                 .field("x-token-usage", "1000,50")
-                .field("x-prefix-hash", "5c1e07a2:900,e4402b7d:100");
-            let _ = IngressCaller::once(daemon.caller, &request).await;
+                .field("x-prefix-hash", &format!("5c1e07a2:900,{prompt:08x}:100"));
+            let caller = daemon.caller;
+            calls.spawn(async move { IngressCaller::once(caller, &request).await.is_ok() });
         }
     }
+    calls.join_all().await;
 }
 
 /// Requests, streams and calls for pieces that upstreams in zone `b` have seen.
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -101,8 +101,12 @@
             Command::ReadDirectory => {
                 let entries = self.published.clone();
                 let configuration = Some((1, self.load.text.clone()));
-                let event =
-                    DaemonEvent::DirectoryRead { position: 1.into(), entries, configuration };
+                let event = DaemonEvent::DirectoryRead {
+                    position: 1.into(),
+                    entries,
+                    evacuations: Vec::new(),
+                    configuration,
+                };
                 self.push_core(PLATFORM_TIME, life, event);
             }
             Command::FetchDirectory { vm } => {
