Limit the requests of upstreams that have just started

Callers whose request was the next choice of every daemon saw it end with the engine that had just started and crashed under the herd: what it publishes of its cold start and of the rate that it takes meanwhile was dropped.

An upstream of a pool with cold starts may be cold while it says so, for as long as a cold start lasts after it came among the upstreams of a known pool, or failed (it may have started again under its id and address). What it may get then, coldPerS x coldOvershoot + coldSlack in any second, is shared out without a word between daemons: equal parts while there are fewer daemons than requests, else one request each for that many daemons by rendezvous hashing.

Why it holds: a choice is written within 0.3 s or not at all, and a daemon chooses no more than its share in 1.3 s; shares come to the bound at most, as knowing more daemons only lowers one, daemons that can't be reached are remembered for 10 minutes, and a daemon has no share in its first 3 s, until others know it and it them.

Ruled out: such shares at all times and for all upstreams. They would hold before anybody hears that an upstream turned cold, but cap a warm one at its cold rate. Open: an upstream that turns cold without a start, a failure or an evacuation, until its entry is read.

--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -8,8 +8,8 @@
 use crate::orders::EngineOrder;
 
 use super::{
-    CallerLimits, ConfigurationError, ConfigurationErrorKind, ForwardRules, LabelSelector,
-    LabelSet, PoolKind, RouteTable, StagePlan,
+    CallerLimits, ColdRules, ConfigurationError, ConfigurationErrorKind, ForwardRules,
+    LabelSelector, LabelSet, PoolKind, RouteTable, StagePlan,
 };
 
 /// Priority level of a request that no priority matches.
@@ -138,6 +138,8 @@
     pub kind: PoolKind,
     /// Connections that one upstream accepts, of all daemons together.
     pub connections: Option<u32>,
+    /// How its upstreams start, if they are cold at first.
+    pub cold: Option<ColdRules>,
 }
 
 impl StageRules {
@@ -153,8 +155,16 @@
             cost: 0.0,
             kind,
             connections,
+            cold: None,
         }
     }
+
+    /// Sets how its upstreams start.
+    #[must_use]
+    pub fn cold(mut self, rules: Option<ColdRules>) -> Self {
+        self.cold = rules;
+        self
+    }
 }
 
 /// One priority.
@@ -407,6 +417,7 @@
             cost: section.get("cost").unwrap_or_default(),
             kind: PoolKind::Plain,
             connections: None,
+            cold: None,
         };
         stages.insert(section.name.clone(), stage);
     }
--- a/crates/crocusdale_core/src/configuration/forward_rules.rs
+++ b/crates/crocusdale_core/src/configuration/forward_rules.rs
@@ -96,6 +96,15 @@
     pub token_memory: u64,
 }
 
+/// How the upstreams of a pool start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdRules {
+    /// Time for which an upstream is cold after its start.
+    pub lasts: Duration,
+    /// Requests a second that it takes meanwhile, of all daemons together.
+    pub requests_per_s: f64,
+}
+
 /// How the upstreams of a pool take work.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum PoolKind {
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -22,7 +22,7 @@
 };
 pub use declarations_builder::DeclarationsBuilder;
 pub use forward_rules::{
-    BatchRules, EngineRules, ForwardRules, PoolKind, RepeatRule, WeightedPool,
+    BatchRules, ColdRules, EngineRules, ForwardRules, PoolKind, RepeatRule, WeightedPool,
 };
 pub use label_selector::LabelSelector;
 pub use label_set::LabelSet;
--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -7,6 +7,7 @@
 use super::{ConfigurationError, ConfigurationErrorKind};
 use crate::daemon::NewsBounds;
 use crate::retry::RetryLimits;
+use crate::routing::ColdLimits;
 
 /// Settings of one process.
 #[derive(Clone, Debug)]
@@ -68,6 +69,8 @@
     pub grace: Duration,
     /// How many retries all daemons may make together at one pool.
     pub retries: RetryLimits,
+    /// How far cold upstreams may be pressed.
+    pub cold_limits: ColdLimits,
     /// How late news of the platform may take effect.
     pub bounds: NewsBounds,
 }
@@ -244,6 +247,10 @@
             reserve: number("retry_reserve"),
             window: Duration::from_secs_f64(number("retry_window_s")),
         },
+        cold_limits: ColdLimits {
+            overshoot: number("cold_overshoot"),
+            slack: number("cold_slack"),
+        },
         bounds: NewsBounds {
             notice: millis("notice_ms"),
             configuration: millis("configuration_ms"),
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -17,7 +17,7 @@
 use crate::pipeline::RequestShard;
 use crate::quarantine::CrashWatch;
 use crate::retry::RetryLimits;
-use crate::routing::UpstreamRouter;
+use crate::routing::{ColdLimits, UpstreamRouter};
 use crate::sync::lock;
 use crate::tickets::TicketBook;
 
@@ -111,6 +111,8 @@
     pub retries: RetryLimits,
     /// Time between the wish that a process ends and the moment at which it is killed.
     pub grace: Duration,
+    /// How far cold upstreams may be pressed.
+    pub cold_limits: ColdLimits,
     /// How late news of the platform may take effect.
     pub bounds: NewsBounds,
 }
@@ -180,6 +182,7 @@
             fleet.set_roster_period(period);
         }
         let retries = self.published.as_ref().map(|each| each.retries).unwrap_or_default();
+        let cold_limits = self.published.as_ref().map(|each| each.cold_limits).unwrap_or_default();
         let mut desk = BatchDesk::default();
         desk.set_retries(retries);
         let grace = self.published.as_ref().map(|each| each.grace);
@@ -198,6 +201,7 @@
             key_life: fleet.key_life(),
         };
         let router = UpstreamRouter::new(&self.zone, self.seed.wrapping_add(2)).retries(retries);
+        let router = router.cold_limits(cold_limits);
         let incarnation = self.own.incarnation;
         DaemonCore::from_state(CoreState {
             shards: (0..SHARDS).map(|_| Mutex::new(RequestShard::new(self.own.clone()))).collect(),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -292,6 +292,7 @@
             directory_age_ms: directory_age
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             peers: fleet.view.peer_count(),
+            sharing_daemons: router.sharing_daemons(),
             members,
             leaving_members,
             running,
@@ -337,7 +338,7 @@
                 out.push(Command::Note(StateChange::Drained));
                 out.push(Command::Exit);
             }
-            TimerKey::Heartbeat => lock(&self.state.fleet).heartbeat(now, out),
+            TimerKey::Heartbeat => self.heartbeat(now, out),
             TimerKey::Configuration => lock(&self.state.fleet).decide_watch(now, out),
             TimerKey::Housekeeping => self.housekeeping(now, out),
             TimerKey::Orders => lock(&self.state.fleet).look_at_engines(now, out),
@@ -375,6 +376,17 @@
         lock(&self.state.directory).directory.snapshot(now)
     }
 
+    fn heartbeat(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let share = {
+            let mut fleet = lock(&self.state.fleet);
+            fleet.heartbeat(now, out);
+            fleet.changed_share(now)
+        };
+        if let Some(share) = share {
+            self.state.router().set_rate_share(share);
+        }
+    }
+
     fn housekeeping(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         *lock(&self.state.last_housekeeping) = now;
         self.check_ready(now);
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -6,7 +6,7 @@
 use crate::membership::{ExchangeMessage, VmRoster};
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
-use crate::routing::{DirectoryEntry, PeerDirectory, UpstreamNotice};
+use crate::routing::{ColdUpstream, DirectoryEntry, PeerDirectory, UpstreamNotice};
 
 use super::TimerKey;
 
@@ -91,6 +91,8 @@
         entries: Vec<(u64, DirectoryEntry)>,
         /// Evacuated availability zones, each with the revision of that request in that era.
         evacuations: Vec<(u64, String)>,
+        /// Published upstreams that are cold.
+        cold: Vec<ColdUpstream>,
         /// The configuration, if it is another one than at the reading before.
         configuration: Option<(u64, String)>,
     },
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -5,8 +5,8 @@
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::ExchangeMessage;
 use crate::routing::{
-    CONNECT_PATIENCE, DirectoryEntry, PeerDirectory, RESTORE_GRACE, UpstreamDirectory,
-    ZoneEvacuation,
+    CONNECT_PATIENCE, ColdUpstream, DirectoryEntry, PeerDirectory, RESTORE_GRACE,
+    UpstreamDirectory, ZoneEvacuation,
 };
 
 /// Time in which a platform in order answers a reading: some milliseconds, and for a list of 150
@@ -63,6 +63,7 @@
     position: StorePosition,
     entries: Vec<(u64, DirectoryEntry)>,
     evacuations: Vec<ZoneEvacuation>,
+    cold: Vec<ColdUpstream>,
 }
 
 impl PublishedList {
@@ -76,7 +77,14 @@
             written: StorePosition { era: position.era, revision },
             zone,
         };
-        Self { position, entries, evacuations: evacuations.into_iter().map(placed).collect() }
+        let evacuations = evacuations.into_iter().map(placed).collect();
+        Self { position, entries, evacuations, cold: Vec::new() }
+    }
+
+    /// Sets the upstreams that are cold.
+    pub(super) fn cold(mut self, cold: Vec<ColdUpstream>) -> Self {
+        self.cold = cold;
+        self
     }
 }
 
@@ -205,7 +213,7 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
-        let PublishedList { position, entries, evacuations } = read;
+        let PublishedList { position, entries, evacuations, cold } = read;
         let age = self.age(now);
         let is_back = self.succeeded(now, out);
         let before = self.directory.position();
@@ -221,6 +229,11 @@
         let restored = is_restored.then_some(now + RESTORE_GRACE);
         let mut changed = self.directory.replace_evacuations(position, evacuations, restored);
         changed |= self.directory.replace(position, entries, grace);
+        let told = cold.clone();
+        if self.directory.note_cold(cold, now) {
+            changed = true;
+            self.note_cold_starts(told, now, out);
+        }
         self.note_evacuations(&zones, None, out);
         self.note_restore(before, None, out);
         self.note(changed, None, age, out);
@@ -387,6 +400,20 @@
         }
     }
 
+    /// Tells which upstreams are cold.
+    fn note_cold_starts(
+        &self,
+        cold: Vec<ColdUpstream>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        for ColdUpstream { name: upstream, .. } in cold {
+            let until = self.directory.cold_until(&upstream);
+            let left_ms = until.map_or(0, |until| millis(until.since(now)));
+            out.push(Command::Note(StateChange::UpstreamCold { upstream, left_ms }));
+        }
+    }
+
     /// Tells of a store that came back from an older copy.
     fn note_restore(&self, before: StorePosition, peer: Option<&str>, out: &mut Vec<Command>) {
         let after = self.directory.position();
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -30,11 +30,11 @@
                 }
             }
             DaemonEvent::GreetingFailed => lock(&self.state.fleet).greeting_failed(out),
-            DaemonEvent::DirectoryRead { position, entries, evacuations, configuration } => {
+            DaemonEvent::DirectoryRead { position, entries, evacuations, cold, configuration } => {
                 // First, so that no list says that it is young with an older configuration in force.
                 self.take_configuration(configuration, now, out);
                 let mut directory = lock(&self.state.directory);
-                let read = PublishedList::new(position, entries, evacuations);
+                let read = PublishedList::new(position, entries, evacuations).cold(cold);
                 let changed = directory.read_whole(read, now, out);
                 drop(directory);
                 self.directory_read(changed, now, out);
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -9,10 +9,11 @@
 use crate::configuration::{ConfigurationLedger, DeclarationReader, LedgerVerdict};
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{
-    DirectoryNews, ExchangeMessage, MemberStatus, MemberView, RosterHistory, VmRoster,
+    DirectoryNews, ExchangeMessage, KnownDaemons, MemberStatus, MemberView, RosterHistory, VmRoster,
 };
 use crate::orders::{EngineOrder, OrderKeeper, OrderStep};
 use crate::quarantine::CrashRecord;
+use crate::routing::RateShare;
 
 /// Peers that are told at once of a new revision.
 const EAGER_PARTNERS: usize = 4;
@@ -76,6 +77,9 @@
     seeds: Vec<SocketAddr>,
     next_seed: usize,
     seeds_failed: usize,
+    known: KnownDaemons,
+    /// Whether the last share of cold upstreams' requests was withheld, if there was one.
+    share_withheld: Option<bool>,
     random: SmallRng,
 }
 
@@ -104,6 +108,8 @@
             seeds: Vec::new(),
             next_seed: 0,
             seeds_failed: 0,
+            known: KnownDaemons::default(),
+            share_withheld: None,
             random: SmallRng::seed_from_u64(seed),
         }
     }
@@ -229,6 +235,17 @@
         out.push(Command::SetTimer { timer: TimerKey::Heartbeat, at: now + pause });
     }
 
+    /// This daemon's share of the requests of cold upstreams, if it is another one than was told last.
+    pub(super) fn changed_share(&mut self, now: MonotonicTime) -> Option<RateShare> {
+        let names = self.view.records().map(|record| record.instance.vm.as_str());
+        let changed = self.known.note(names, now);
+        let withheld = self.is_settling(now);
+        let is_news = changed || self.share_withheld != Some(withheld);
+        self.share_withheld = Some(withheld);
+        let own = &self.view.own().instance.vm;
+        is_news.then(|| RateShare::new(own, self.known.names()).withheld(withheld))
+    }
+
     /// Whether this daemon still has to learn who its peers are, for lack of a VM list.
     ///
     /// Guards against the time after a start of the whole fleet. Each daemon is ready at once and
--- a/crates/crocusdale_core/src/daemon/notice_flow.rs
+++ b/crates/crocusdale_core/src/daemon/notice_flow.rs
@@ -78,7 +78,7 @@
         out: &mut Vec<Command>,
     ) {
         let directory = lock(&self.directory).directory.clone();
-        let router = self.router().reconfigured(declarations, &directory);
+        let router = self.router().reconfigured(declarations, &directory, now);
         router.take_roster(self.basis().history.current());
         self.set_router(router);
         let (mut steps, mut desk_steps) = (Vec::new(), Vec::new());
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -131,6 +131,13 @@
         /// Milliseconds for which it wants nothing more from this daemon.
         stay_away_ms: u64,
     },
+    /// An upstream has started of late, and gets few requests.
+    UpstreamCold {
+        /// The upstream.
+        upstream: String,
+        /// Milliseconds for which it stays cold at most.
+        left_ms: u64,
+    },
     /// An upstream is leaving.
     UpstreamLeaving {
         /// The upstream.
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -39,6 +39,8 @@
     pub directory_age_ms: Option<u64>,
     /// Peers in the VM list.
     pub peers: usize,
+    /// Daemons, this one among them, that share what cold upstreams take.
+    pub sharing_daemons: usize,
     /// What is believed of the peers.
     pub members: Vec<MemberRecord>,
     /// Peers known to drain.
--- a/crates/crocusdale_core/src/membership/mod.rs
+++ b/crates/crocusdale_core/src/membership/mod.rs
@@ -2,6 +2,7 @@
 
 mod address_order;
 mod exchange_message;
+mod known_daemons;
 mod member_gossip;
 mod member_record;
 mod member_view;
@@ -11,6 +12,7 @@
 
 pub use address_order::{AddressAnswer, AddressOrder};
 pub use exchange_message::{DirectoryNews, ExchangeMessage, LeavingUpstream};
+pub use known_daemons::KnownDaemons;
 pub use member_record::{MemberCapacity, MemberPlace, MemberRecord, MemberStatus};
 pub use member_view::{MemberView, MemberViewBuilder};
 pub use roster_history::RosterHistory;
--- a/crates/crocusdale_core/src/routing/engine_choice.rs
+++ b/crates/crocusdale_core/src/routing/engine_choice.rs
@@ -152,7 +152,7 @@
         let usable = |healthy| {
             let positions = all.iter().copied();
             let open = move |position: &usize| {
-                self.cost_if_usable(*position, request, healthy, now).is_some()
+                self.cost_if_usable(routed, *position, request, healthy, now).is_some()
             };
             positions.filter(open).filter_map(candidate).collect::<Vec<_>>()
         };
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -1,7 +1,10 @@
 //! Which upstream gets an attempt.
 
+mod cold_limit;
+mod cold_upstreams;
 mod engine_choice;
 mod engine_load;
+mod rate_share;
 mod stage_pool;
 mod subject_tally;
 mod upstream_choice;
@@ -11,7 +14,10 @@
 mod upstream_state;
 mod zone_evacuations;
 
+pub use cold_limit::{ColdLimits, SHARE_WINDOW};
+pub use cold_upstreams::ColdUpstream;
 pub use engine_load::EngineLoad;
+pub use rate_share::RateShare;
 pub use stage_pool::{SlotRequest, StagePool};
 pub use subject_tally::SubjectTally;
 pub(crate) use upstream_directory::RESTORE_GRACE;
--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -29,8 +29,8 @@
         if let (Some(rules), Some(demand)) = (&routed.engine, &request.demand) {
             return self.choose_engine(routed, rules, demand, request, now);
         }
-        let healthy = |position: usize| self.cost_if_usable(position, request, true, now);
-        let any = |position: usize| self.cost_if_usable(position, request, false, now);
+        let healthy = |position: usize| self.cost_if_usable(routed, position, request, true, now);
+        let any = |position: usize| self.cost_if_usable(routed, position, request, false, now);
         self.best_of(&self.sample(&routed.near), healthy)
             .or_else(|| self.best_of(&routed.near, healthy))
             .or_else(|| self.best_of(&self.sample(&routed.far), healthy))
@@ -75,6 +75,7 @@
     /// against it.
     pub(super) fn cost_if_usable(
         &self,
+        routed: &RoutedPool,
         position: usize,
         request: &SlotRequest,
         healthy: bool,
@@ -84,6 +85,9 @@
         if request.tried.contains(&upstream.rules.name) {
             return None;
         }
+        if !self.is_within_share(routed, position, now) {
+            return None;
+        }
         let state = lock(&upstream.state);
         let doubted = healthy && (state.is_ejected(now) || state.is_full(now));
         let wanted = !state.is_leaving() && state.away_for(now).is_zero();
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::cold_upstreams::{ColdUpstream, ColdUpstreams};
 use super::zone_evacuations::{ZoneEvacuation, ZoneEvacuations};
 use crate::identity::{MonotonicTime, StorePosition};
 
@@ -57,6 +58,8 @@
     pub entries: Vec<PeerEntry>,
     /// The evacuated availability zones.
     pub evacuations: Vec<ZoneEvacuation>,
+    /// The upstreams that are cold.
+    pub cold: Vec<ColdUpstream>,
 }
 
 /// An upstream of a [`PeerDirectory`].
@@ -93,6 +96,7 @@
     /// Names of processes that said themselves, or to a peer, that they leave, with the time of the news.
     told_leaving: HashMap<String, MonotonicTime>,
     evacuations: ZoneEvacuations,
+    cold: ColdUpstreams,
 }
 
 impl UpstreamDirectory {
@@ -130,6 +134,24 @@
         self.evacuations.names()
     }
 
+    /// Takes the upstreams that are cold, as published by `now`. Returns whether that matters to routing.
+    pub fn note_cold(&mut self, cold: Vec<ColdUpstream>, now: MonotonicTime) -> bool {
+        let mut is_news = false;
+        for each in cold {
+            is_news |= self.cold.note(each, now);
+        }
+        if is_news {
+            self.changed = self.changed.max(self.position);
+        }
+        is_news
+    }
+
+    /// End of the cold start of the upstream named `name`, if it is known to be cold.
+    #[must_use]
+    pub fn cold_until(&self, name: &str) -> Option<MonotonicTime> {
+        self.cold.end(name)
+    }
+
     /// Takes the evacuated availability zones that a reading at `position` names, before its upstreams.
     /// With `grace`, it is the first one after the store came back from an older copy, and a zone that it
     /// lacks stays evacuated until then. Returns whether that matters to routing.
@@ -239,13 +261,14 @@
             })
             .collect();
         let entries = list.entries.into_iter().map(|each| (each.written, each.entry)).collect();
-        let position = list.position;
+        let (position, cold) = (list.position, list.cold);
         let mut changed = self.replace_evacuations(position, list.evacuations, grace);
         changed |= self.replace_placed(position, entries, grace);
         if position == self.position {
             let held = |id: &String| self.entries.contains_key(id);
             let lapsing: Vec<_> = lapsing.into_iter().filter(|(id, _)| held(id)).collect();
             self.missing.extend(lapsing);
+            changed |= self.note_cold(cold, now);
         }
         changed
     }
@@ -282,7 +305,8 @@
             lapses_in: self.missing.get(id).map(|until| until.since(now)),
         });
         let evacuations = self.evacuations.snapshot();
-        PeerDirectory { position: self.position, entries: entries.collect(), evacuations }
+        let cold = self.cold.snapshot(now);
+        PeerDirectory { position: self.position, entries: entries.collect(), evacuations, cold }
     }
 
     fn put(&mut self, written: StorePosition, entry: DirectoryEntry) -> bool {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -8,11 +8,11 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{
-    AttemptReport, EngineLoad, SlotRequest, StagePool, UpstreamDirectory, UpstreamState,
-    UpstreamSummary,
+    AttemptReport, ColdLimits, EngineLoad, RateShare, SlotRequest, StagePool, UpstreamDirectory,
+    UpstreamState, UpstreamSummary,
 };
 use crate::configuration::{
-    Declarations, EngineRules, LabelSet, PoolKind, RoutingPolicy, StagePlan, StageRules,
+    ColdRules, Declarations, EngineRules, LabelSet, PoolKind, RoutingPolicy, StagePlan, StageRules,
     UpstreamKind, UpstreamRules,
 };
 use crate::identity::{CallId, MonotonicTime};
@@ -41,6 +41,9 @@
     /// Sets this daemon apart from the others where each should begin with another engine.
     pub(super) spread: usize,
     retries: RetryLimits,
+    pub(super) cold_limits: ColdLimits,
+    /// This daemon's share of the requests of cold upstreams.
+    pub(super) share: Mutex<RateShare>,
     pub(super) turn: AtomicUsize,
     /// Whether no upstream may be chosen, because it is not known which ones stay.
     held: AtomicBool,
@@ -61,6 +64,8 @@
     pub(super) near: Vec<usize>,
     pub(super) far: Vec<usize>,
     pub(super) engine: Option<EngineRules>,
+    /// How its upstreams start, if they are cold at first.
+    pub(super) cold: Option<ColdRules>,
     /// Connections that one upstream takes from all daemons, if it is declared.
     connections: Option<u32>,
     pub(super) pool: Arc<Mutex<StagePool>>,
@@ -83,6 +88,13 @@
     pub kept_connections: usize,
 }
 
+impl RoutedPool {
+    /// Whether it has any upstream.
+    fn has_upstreams(&self) -> bool {
+        !self.near.is_empty() || !self.far.is_empty()
+    }
+}
+
 impl UpstreamRouter {
     /// A router without upstreams, for a daemon in `zone`.
     #[must_use]
@@ -96,6 +108,8 @@
             policy: RoutingPolicy::default(),
             daemons: AtomicUsize::new(1),
             retries: RetryLimits::default(),
+            cold_limits: ColdLimits::default(),
+            share: Mutex::default(),
             turn: AtomicUsize::new(0),
             held: AtomicBool::new(false),
             upstreams: Vec::new(),
@@ -111,6 +125,13 @@
         self
     }
 
+    /// Sets how far cold upstreams may be pressed.
+    #[must_use]
+    pub fn cold_limits(mut self, limits: ColdLimits) -> Self {
+        self.cold_limits = limits;
+        self
+    }
+
     /// Sets how many daemons give the same upstreams work, this one among them.
     pub fn set_daemons(&self, daemons: usize) {
         let daemons = daemons.max(1);
@@ -132,12 +153,19 @@
         self.held.load(Ordering::Relaxed)
     }
 
-    /// A router for `declarations` and the upstreams of `directory`, which keeps what `self` knows
-    /// of upstreams and pools that stay.
+    /// A router for `declarations` and the upstreams of `directory` at `now`, which keeps what `self`
+    /// knows of upstreams and pools that stay.
     #[must_use]
-    pub fn reconfigured(&self, declarations: &Declarations, directory: &UpstreamDirectory) -> Self {
+    pub fn reconfigured(
+        &self,
+        declarations: &Declarations,
+        directory: &UpstreamDirectory,
+        now: MonotonicTime,
+    ) -> Self {
         let seed = lock(&self.random).random();
-        let mut router = Self::new(&self.zone, seed).retries(self.retries);
+        let router = Self::new(&self.zone, seed).retries(self.retries);
+        let mut router = router.cold_limits(self.cold_limits);
+        *lock(&router.share) = lock(&self.share).clone();
         router.spread = self.spread;
         router.policy = declarations.deployment().policy;
         router.daemons = AtomicUsize::new(self.daemons.load(Ordering::Relaxed));
@@ -147,9 +175,19 @@
         }
         for (stage, rules) in declarations.stages() {
             let mut pool = rules.pool.clone();
+            let was_known = self.pools.get(stage).is_some_and(RoutedPool::has_upstreams);
             for rules in published(stage, rules, directory) {
                 pool.push(router.upstreams.len());
-                router.add_upstream(&rules, self.known_state(&rules));
+                let known = self.known_state(&rules);
+                let is_new = was_known && known.is_none();
+                router.add_upstream(&rules, known);
+                if let Some(added) = router.upstreams.last() {
+                    let mut state = lock(&added.state);
+                    state.set_cold_until(directory.cold_until(&rules.name));
+                    if is_new {
+                        state.set_added(now);
+                    }
+                }
             }
             self.add_pool(&mut router, stage, rules, &pool);
         }
@@ -181,7 +219,14 @@
         let pool = known.unwrap_or_else(fresh);
         router.pools.insert(
             stage.to_owned(),
-            RoutedPool { near, far, engine, connections: rules.connections, pool },
+            RoutedPool {
+                near,
+                far,
+                engine,
+                cold: rules.cold,
+                connections: rules.connections,
+                pool,
+            },
         );
     }
 
@@ -373,6 +418,9 @@
         let fastest = {
             let mut state = lock(&upstream.state);
             state.begin();
+            if let Some(routed) = self.pools.get(&request.stage) {
+                Self::count_send(routed, &mut state, now);
+            }
             match (&mut state.engine, &request.demand) {
                 (Some(engine), Some(demand)) => {
                     engine.begin(request.call, demand, now);
@@ -414,7 +462,7 @@
     ) {
         let upstream = &self.upstreams[position];
         loop {
-            let usable = {
+            let usable = self.is_within_share(routed, position, now) && {
                 let state = lock(&upstream.state);
                 state.has_room()
                     && !state.is_leaving()
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -1,9 +1,10 @@
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Serialize;
 
 use super::EngineLoad;
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, stable_hash};
 
 /// Failures in a row after which an upstream is ejected.
 const EJECTION_FAILURES: u32 = 3;
@@ -63,6 +64,13 @@
     full_until: Option<MonotonicTime>,
     /// Time until which it wants nothing from this daemon, by its own word.
     away_until: Option<MonotonicTime>,
+    /// When it may have started, for all that is known here: it came among the upstreams of a pool that was
+    /// known before, or failed.
+    may_have_started: Option<MonotonicTime>,
+    /// End of its cold start, by its own word.
+    cold_until: Option<MonotonicTime>,
+    /// Requests of late that it was chosen for, if its pool has cold starts.
+    sends: VecDeque<MonotonicTime>,
     /// What is known of its prompt memory, if it is a model engine.
     pub(super) engine: Option<EngineLoad>,
 }
@@ -78,6 +86,8 @@
     pub leaving: bool,
     /// Whether it gets no new work because it failed.
     pub ejected: bool,
+    /// Whether it is cold, and gets few requests.
+    pub cold: bool,
     /// Learned time of an answer, in milliseconds.
     pub learned_ms: Option<f64>,
 }
@@ -100,6 +110,9 @@
             leaving_life: None,
             full_until: None,
             away_until: None,
+            may_have_started: None,
+            cold_until: None,
+            sends: VecDeque::new(),
             engine: None,
         }
     }
@@ -175,6 +188,44 @@
         self.away_until.map_or(Duration::ZERO, |until| until.since(now))
     }
 
+    /// It came among the upstreams of a pool at `now`, and the pool was known before.
+    pub fn set_added(&mut self, now: MonotonicTime) {
+        self.may_have_started = Some(now);
+    }
+
+    /// Sets the end of its cold start, if it told one.
+    pub fn set_cold_until(&mut self, until: Option<MonotonicTime>) {
+        self.cold_until = until;
+    }
+
+    /// Whether it is cold, or may be, if a cold start lasts for `lasts`. That it has started may be published
+    /// later than it is seen, and a process that starts again may have its id and address of before.
+    #[must_use]
+    pub fn may_be_cold(&self, lasts: Duration, now: MonotonicTime) -> bool {
+        let is_new = self.may_have_started.is_some_and(|at| now.since(at) < lasts);
+        is_new || self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Hash of its name.
+    #[must_use]
+    pub fn hash(&self) -> u64 {
+        stable_hash(&[&self.name])
+    }
+
+    /// Counts a request that it was chosen for, among those of the last `window`.
+    pub fn note_send(&mut self, now: MonotonicTime, window: Duration) {
+        while self.sends.front().is_some_and(|sent| now.since(*sent) > window) {
+            self.sends.pop_front();
+        }
+        self.sends.push_back(now);
+    }
+
+    /// Requests that it was chosen for within the last `window`.
+    #[must_use]
+    pub fn sent_since(&self, now: MonotonicTime, window: Duration) -> usize {
+        self.sends.iter().rev().take_while(|sent| now.since(**sent) <= window).count()
+    }
+
     /// Attempts that this daemon has open there.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -228,6 +279,7 @@
             in_flight: self.in_flight,
             leaving: self.is_leaving(),
             ejected: self.is_ejected(now),
+            cold: self.cold_until.is_some_and(|until| now < until),
             learned_ms: self.learned.map(|learned| learned.as_secs_f64() * 1e3),
         }
     }
@@ -260,6 +312,7 @@
     /// Guards against an upstream that fails fast: it always has room and would attract the work
     /// of its whole pool.
     fn fail(&mut self, now: MonotonicTime) {
+        self.may_have_started = Some(now);
         self.adapt(true);
         self.failures += 1;
         if self.failures >= EJECTION_FAILURES {
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -5,7 +5,7 @@
 use crate::batching::PoolWait;
 use crate::identity::{AttemptId, CallId, MonotonicTime, StorePosition};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
-use crate::routing::{DirectoryEntry, PeerDirectory, PeerEntry, ZoneEvacuation};
+use crate::routing::{ColdUpstream, DirectoryEntry, PeerDirectory, PeerEntry, ZoneEvacuation};
 
 impl From<AttemptId> for peer::Attempt {
     fn from(attempt: AttemptId) -> Self {
@@ -140,7 +140,8 @@
         let entries = list.entries.into_iter().map(Into::into).collect();
         let evacuations = list.evacuations.into_iter().map(Into::into).collect();
         let StorePosition { era, revision } = list.position;
-        Self { revision, entries, era, evacuations }
+        let cold = list.cold.into_iter().map(Into::into).collect();
+        Self { revision, entries, era, evacuations, cold }
     }
 }
 
@@ -151,7 +152,20 @@
         let entries = wire.entries.into_iter().map(PeerEntry::try_from);
         let position = StorePosition { era: wire.era, revision: wire.revision };
         let evacuations = wire.evacuations.into_iter().map(Into::into).collect();
-        Ok(Self { position, entries: entries.collect::<Result<_, _>>()?, evacuations })
+        let cold = wire.cold.into_iter().map(Into::into).collect();
+        Ok(Self { position, entries: entries.collect::<Result<_, _>>()?, evacuations, cold })
+    }
+}
+
+impl From<ColdUpstream> for peer::ColdUpstream {
+    fn from(ColdUpstream { name, left }: ColdUpstream) -> Self {
+        Self { name, left_ms: short_millis(left) }
+    }
+}
+
+impl From<peer::ColdUpstream> for ColdUpstream {
+    fn from(wire: peer::ColdUpstream) -> Self {
+        Self { name: wire.name, left: Duration::from_millis(u64::from(wire.left_ms)) }
     }
 }
 
--- a/crates/crocusdale_core/tests/connection_share_test.rs
+++ b/crates/crocusdale_core/tests/connection_share_test.rs
@@ -22,7 +22,11 @@
     };
     let mut directory = UpstreamDirectory::default();
     directory.replace(1, vec![(1, entry)], None);
-    let router = UpstreamRouter::new("a", 1).reconfigured(&declarations, &directory);
+    let router = UpstreamRouter::new("a", 1).reconfigured(
+        &declarations,
+        &directory,
+        MonotonicTime::from_millis(0),
+    );
     router.set_daemons(daemons);
     let request = SlotRequest {
         call: CallId(1),
--- a/crates/crocusdale_core/tests/engine_choice_test.rs
+++ b/crates/crocusdale_core/tests/engine_choice_test.rs
@@ -56,7 +56,7 @@
             .map(|index| {
                 let router = UpstreamRouter::new("a", index as u64);
                 router.set_daemons(self.daemons);
-                router.reconfigured(&declarations, &directory)
+                router.reconfigured(&declarations, &directory, MonotonicTime::from_millis(0))
             })
             .collect();
         let mut random = SmallRng::seed_from_u64(seed);
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -20,7 +20,7 @@
     PromptPart, RefusalReason, RelayOrder, RequestContent, ResultHandle, RunProof,
 };
 use crocusdale_core::retry::RetryLimits;
-use crocusdale_core::routing::DirectoryEntry;
+use crocusdale_core::routing::{ColdLimits, ColdUpstream, DirectoryEntry};
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
 
 pub const HOST: &str = "mail.example";
@@ -110,6 +110,8 @@
     pub readings: Vec<MonotonicTime>,
     /// Evacuated availability zones that the platform publishes.
     pub evacuated: Vec<String>,
+    /// Upstreams that are cold, as the platform publishes them.
+    pub cold: Vec<ColdUpstream>,
     /// Deadline of the requests to come.
     pub deadline: Duration,
     /// Revision and text of the configuration that the platform publishes.
@@ -140,6 +142,7 @@
             reader: read,
             retries: RetryLimits::default(),
             grace: Duration::from_secs(8),
+            cold_limits: ColdLimits::default(),
             bounds,
         };
         let own = InstanceId::new(vm, 7);
@@ -157,6 +160,7 @@
             answers: Vec::new(),
             readings: Vec::new(),
             evacuated: Vec::new(),
+            cold: Vec::new(),
             deadline: Duration::from_secs(2),
             configuration: (1, "first".to_owned()),
         };
@@ -214,6 +218,7 @@
             position: revision.into(),
             entries,
             evacuations,
+            cold: self.cold.clone(),
             configuration,
         }
     }
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -10,7 +10,7 @@
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, RelayOrder};
 use crocusdale_core::retry::RetryLimits;
-use crocusdale_core::routing::DirectoryEntry;
+use crocusdale_core::routing::{ColdLimits, DirectoryEntry};
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
 
 use rand::Rng as _;
@@ -268,6 +268,7 @@
                         position: StorePosition { era: self.era, revision },
                         entries,
                         evacuations: self.evacuations.clone(),
+                        cold: Vec::new(),
                         configuration,
                     }
                 };
@@ -347,6 +348,7 @@
         reader,
         retries: RetryLimits::default(),
         grace: Duration::from_secs(8),
+        cold_limits: ColdLimits::default(),
         bounds,
     };
     let own = InstanceId::new(vm_name(index), life);
--- a/crates/crocusdale_core/tests/upstream_lives_test.rs
+++ b/crates/crocusdale_core/tests/upstream_lives_test.rs
@@ -117,7 +117,11 @@
     let declarations = declarations.stage(batch_bench::POOL, stage).build();
     let mut directory = UpstreamDirectory::default();
     directory.replace(5, vec![(4, born("u1", 1_000))], None);
-    let router = UpstreamRouter::new("a", 1).reconfigured(&declarations, &directory);
+    let router = UpstreamRouter::new("a", 1).reconfigured(
+        &declarations,
+        &directory,
+        MonotonicTime::from_millis(0),
+    );
     let request = |call| SlotRequest {
         call: CallId(call),
         branch: 0,
@@ -134,7 +138,7 @@
     }
     let open = router.acquire(request(4), now).expect("hope").expect("ejection closes no pool");
     directory.replace(9, vec![(8, born("u1", 2_000))], None);
-    let router = router.reconfigured(&declarations, &directory);
+    let router = router.reconfigured(&declarations, &directory, MonotonicTime::from_millis(0));
     router.release(&open.upstream, CallId(4), AttemptReport::Failed, now);
     let summary = router.summaries(now).remove(0);
     assert_eq!(
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -177,6 +177,7 @@
         reader: read_declarations,
         retries: published.retries,
         grace: published.grace,
+        cold_limits: published.cold_limits,
         bounds: published.bounds,
     }
 }
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -143,7 +143,7 @@
     fn directory_event(&self, read: WholeRead, engine: &DaemonEngine) -> DaemonEvent {
         let WholeRead { position, items, mut unreadable } = read;
         let mut entries = Vec::with_capacity(items.len());
-        let mut evacuations = Vec::new();
+        let (mut evacuations, mut cold) = (Vec::new(), Vec::new());
         let mut configuration = None;
         for item in &items {
             if let Some(zone) = evacuated_zone(&item.key) {
@@ -155,7 +155,10 @@
                 }
             } else if is_upstream(&item.key) {
                 match read_upstream(item) {
-                    Ok(entry) => entries.push((item.revision, entry)),
+                    Ok(upstream) => {
+                        cold.extend(upstream.cold());
+                        entries.push((item.revision, upstream.entry));
+                    }
                     Err(fault) => unreadable.push(fault),
                 }
             }
@@ -166,7 +169,7 @@
         unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
         self.unreadable.note(&engine.telemetry, unreadable);
         self.read_up_to(position);
-        DaemonEvent::DirectoryRead { position, entries, evacuations, configuration }
+        DaemonEvent::DirectoryRead { position, entries, evacuations, cold, configuration }
     }
 
     /// The configuration in `item`, if it is another one than the last reading gave on.
--- a/crates/crocusdaled/src/telemetry/metric_set.rs
+++ b/crates/crocusdaled/src/telemetry/metric_set.rs
@@ -33,6 +33,7 @@
     directory_revision: IntGauge,
     directory_age: IntGauge,
     evacuated_zones: IntGauge,
+    cold_upstreams: IntGauge,
     peers: IntGauge,
     running: IntGauge,
     registers: IntGauge,
@@ -136,6 +137,11 @@
                 "evacuated_zones",
                 "Availability zones whose upstreams get no new work",
             ),
+            cold_upstreams: gauge(
+                registry,
+                "cold_upstreams",
+                "Upstreams that have started of late and get few requests",
+            ),
             peers: gauge(registry, "peers", "Daemons in the VM list, without this one"),
             running: gauge(registry, "running", "Requests that run"),
             registers: gauge(registry, "registers", "Registers kept as a witness"),
@@ -152,6 +158,8 @@
         self.directory_revision.set(whole(dump.directory_revision));
         self.directory_age.set(dump.directory_age_ms.map_or(-1, whole));
         self.evacuated_zones.set(whole(dump.evacuated_zones.len() as u64));
+        let cold = dump.upstreams.iter().filter(|upstream| upstream.cold).count();
+        self.cold_upstreams.set(whole(cold as u64));
         self.peers.set(whole(dump.peers as u64));
         self.running.set(whole(dump.running as u64));
         self.registers.set(whole(dump.registers as u64));
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -125,6 +125,9 @@
             StateChange::UpstreamAway { upstream, stay_away_ms } => {
                 info!(log, "{}", name; "upstream" => upstream, "stay_away_ms" => stay_away_ms);
             }
+            StateChange::UpstreamCold { upstream, left_ms } => {
+                info!(log, "{}", name; "upstream" => upstream, "left_ms" => left_ms);
+            }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
             }
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -105,6 +105,7 @@
                     position: 1.into(),
                     entries,
                     evacuations: Vec::new(),
+                    cold: Vec::new(),
                     configuration,
                 };
                 self.push_core(PLATFORM_TIME, life, event);
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -15,7 +15,7 @@
     AttemptEvent, CallerRequest, FinalAnswer, ForwardHead, OutcomeKind, RelayOrder, RequestContent,
 };
 use crocusdale_core::retry::RetryLimits;
-use crocusdale_core::routing::DirectoryEntry;
+use crocusdale_core::routing::{ColdLimits, DirectoryEntry};
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, PublishedFleet};
 use rand::{Rng as _, SeedableRng as _};
 
@@ -254,6 +254,7 @@
             reader: read_load,
             retries: RetryLimits::default(),
             grace: Duration::from_secs(8),
+            cold_limits: ColdLimits::default(),
             bounds: NewsBounds::default(),
         };
         let own = InstanceId::new(vm_name(daemon), life);
