Tell daemons what changed among the upstreams, and miss no change behind a later one

A daemon now asks for what changed since the position up to which it knows everything; the whole list is told to one that knows nothing, knows another era, or waits for entries.

A list whose last page holds a change of revision 1,008 counted as known up to there, so that a notice of 1,005 on its first page, read before it, never was newer. Everything is known up to the position of the first page only, and that is what a peer's last change is compared with now, when a list is fetched and when its age is taken. A test fails with both taken out; either one alone mends it.

--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -3,7 +3,7 @@
 
 use super::{CounterName, StateChange, TimerKey};
 use crate::batching::{BatchId, BatchOrder, PoolWait};
-use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
+use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{ExchangeMessage, WitnessSet};
 use crate::orders::EngineOrder;
 use crate::pipeline::{
@@ -131,6 +131,8 @@
     },
     /// Fetch the published upstreams that a peer knows.
     FetchDirectory {
+        /// Position up to which the peer need not tell anything.
+        known: StorePosition,
         /// The peer.
         vm: String,
     },
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -8,7 +8,7 @@
 use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
 use crate::claims::RegisterReply;
 use crate::configuration::CallerLimits;
-use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey};
+use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, WitnessSet};
 use crate::pipeline::{HolderReply, RefusalReason};
 use crate::routing::PeerDirectory;
@@ -376,6 +376,12 @@
         lock(&self.state.directory).directory.snapshot(now)
     }
 
+    /// Published upstreams that a peer lacks that knows everything up to `known`.
+    #[must_use]
+    pub fn published_since(&self, known: StorePosition, now: MonotonicTime) -> PeerDirectory {
+        lock(&self.state.directory).directory.changes_since(known, now)
+    }
+
     fn heartbeat(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let share = {
             let mut fleet = lock(&self.state.fleet);
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -188,7 +188,7 @@
         sent: MonotonicTime,
     ) -> Option<MonotonicTime> {
         let age = message.directory_age?;
-        if message.directory > self.directory.changed() || message.revision > revision {
+        if message.directory > self.directory.position() || message.revision > revision {
             return None;
         }
         let current = MonotonicTime::from_start(sent.since_start().checked_sub(age)?);
@@ -264,7 +264,10 @@
         self.set_look(now + pause.min(BACK_OFF.1), out);
     }
 
-    /// Asks `vm`, which knows of a later change, for its list, if this daemon can't read.
+    /// Asks `vm`, which knows of a later change, for what is not known here.
+    ///
+    /// Guards against a change that is missed for good: pages of a list are no snapshot, so that the last
+    /// change of a list may be later than one that it lacks. Everything is known up to its position only.
     pub(super) fn heard_of(
         &mut self,
         vm: &str,
@@ -272,13 +275,14 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
-        let newer = changed > self.directory.changed();
+        let newer = changed > self.directory.position();
         let fetching = self.fetching.as_ref();
         let fetching = fetching.is_some_and(|(_, since)| now.since(*since) < FETCH_PATIENCE);
         if newer && !fetching {
             self.fetching = Some((vm.to_owned(), now));
             out.push(Command::Count(CounterName::DirectoryFetches));
-            out.push(Command::FetchDirectory { vm: vm.to_owned() });
+            let (vm, known) = (vm.to_owned(), self.directory.known_to_peers());
+            out.push(Command::FetchDirectory { known, vm });
         }
     }
 
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -21,7 +21,9 @@
 pub use stage_pool::{SlotRequest, StagePool};
 pub use subject_tally::SubjectTally;
 pub(crate) use upstream_directory::RESTORE_GRACE;
-pub use upstream_directory::{DirectoryEntry, PeerDirectory, PeerEntry, UpstreamDirectory};
+pub use upstream_directory::{
+    DirectoryEntry, PeerDirectory, PeerEntry, PeerRemoval, UpstreamDirectory,
+};
 pub use upstream_notice::UpstreamNotice;
 pub use upstream_router::{CONNECT_PATIENCE, SlotGrant, UpstreamRouter};
 pub use upstream_state::{AttemptReport, UpstreamState, UpstreamSummary};
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -54,8 +54,10 @@
 pub struct PeerDirectory {
     /// Position up to which everything has been read.
     pub position: StorePosition,
-    /// The upstreams.
+    /// The upstreams, or those of them that changed.
     pub entries: Vec<PeerEntry>,
+    /// Upstreams that are gone, if only changes are told; `None` if all upstreams are.
+    pub removed: Option<Vec<PeerRemoval>>,
     /// The evacuated availability zones.
     pub evacuations: Vec<ZoneEvacuation>,
     /// The upstreams that are cold.
@@ -73,6 +75,25 @@
     pub lapses_in: Option<Duration>,
 }
 
+/// An upstream that is no longer published.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerRemoval {
+    /// Position of a list that lacks it.
+    pub position: StorePosition,
+    /// Identity of the process.
+    pub id: String,
+}
+
+/// A published upstream as it was last read or heard of.
+#[derive(Clone, Debug)]
+struct ListedUpstream {
+    /// Position of its last change, its heartbeats included.
+    written: StorePosition,
+    /// Position of its last change that matters to routing.
+    changed: StorePosition,
+    entry: DirectoryEntry,
+}
+
 /// Upstreams that the platform publishes, as far as this daemon has read or heard.
 ///
 /// Each entry keeps the position of its last change, so that what a peer tells late never goes
@@ -84,9 +105,11 @@
     /// Position at which the store was first read in its present era: what was written up to there may
     /// be older than what was known before.
     restored_at: StorePosition,
+    /// Position of the first list, or of the first one in the present era: what changed since is known.
+    complete_since: StorePosition,
     /// Position of the last change that matters to routing.
     changed: StorePosition,
-    entries: BTreeMap<String, (StorePosition, DirectoryEntry)>,
+    entries: BTreeMap<String, ListedUpstream>,
     /// Removed upstreams with the position of their removal and their last life.
     removed: BTreeMap<String, (StorePosition, Option<u64>)>,
     /// Upstreams that are missing from the list since it is back, until when they are waited for.
@@ -120,7 +143,7 @@
 
     /// Published upstreams.
     pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
-        self.entries.values().map(|(_, entry)| entry)
+        self.entries.values().map(|listed| &listed.entry)
     }
 
     /// Published upstreams that may get new work: those that neither leave nor stand in an evacuated
@@ -182,7 +205,7 @@
     pub fn note_leaving(&mut self, name: &str, now: MonotonicTime) -> bool {
         self.told_leaving.retain(|_, told| now.since(*told) < TOLD_LIFE);
         self.told_leaving.insert(name.to_owned(), now);
-        let mut entries = self.entries.values_mut().map(|(_, entry)| entry);
+        let mut entries = self.entries.values_mut().map(|listed| &mut listed.entry);
         let Some(entry) = entries.find(|entry| entry.name() == name) else { return false };
         !std::mem::replace(&mut entry.leaving, true)
     }
@@ -227,6 +250,9 @@
         if self.is_known() && position.era > self.position.era {
             self.restored_at = position;
         }
+        if position.era > self.complete_since.era || self.complete_since.is_none() {
+            self.complete_since = position;
+        }
         let listed: HashSet<&str> = entries.iter().map(|(_, entry)| entry.id.as_str()).collect();
         let unlisted = self.entries.keys().filter(|id| !listed.contains(id.as_str()));
         let unlisted: Vec<String> = unlisted.cloned().collect();
@@ -248,6 +274,9 @@
     /// its own. Daemons that rely on its reading sent requests to such an upstream 2.4 s after it
     /// had left. What the peer waits for is waited for here, and no longer than there.
     pub fn merge(&mut self, list: PeerDirectory, now: MonotonicTime) -> bool {
+        if list.position < self.position {
+            return false;
+        }
         // The peer may never have heard of what was read here before the store came back from a copy.
         let is_restored = self.is_known() && list.position.era > self.position.era;
         let grace = is_restored.then_some(now + RESTORE_GRACE);
@@ -263,7 +292,10 @@
         let entries = list.entries.into_iter().map(|each| (each.written, each.entry)).collect();
         let (position, cold) = (list.position, list.cold);
         let mut changed = self.replace_evacuations(position, list.evacuations, grace);
-        changed |= self.replace_placed(position, entries, grace);
+        changed |= match list.removed {
+            None => self.replace_placed(position, entries, grace),
+            Some(removed) => self.take_changes(position, entries, removed),
+        };
         if position == self.position {
             let held = |id: &String| self.entries.contains_key(id);
             let lapsing: Vec<_> = lapsing.into_iter().filter(|(id, _)| held(id)).collect();
@@ -273,6 +305,24 @@
         changed
     }
 
+    /// Takes what changed since the position up to which everything is known here.
+    fn take_changes(
+        &mut self,
+        position: StorePosition,
+        entries: Vec<(StorePosition, DirectoryEntry)>,
+        removed: Vec<PeerRemoval>,
+    ) -> bool {
+        let mut changed = false;
+        for removal in removed {
+            changed |= self.remove(&removal.id, removal.position);
+        }
+        for (written, entry) in entries {
+            changed |= self.put(written, entry);
+        }
+        self.position = position;
+        changed
+    }
+
     /// Drops upstreams and evacuations that were waited for long enough. Returns whether there were any.
     pub fn drop_missing(&mut self, now: MonotonicTime) -> bool {
         let over = self.missing.iter().filter(|(_, until)| now >= **until);
@@ -299,14 +349,53 @@
     /// All that is known, for a peer that lacks it.
     #[must_use]
     pub fn snapshot(&self, now: MonotonicTime) -> PeerDirectory {
-        let entries = self.entries.iter().map(|(id, (written, entry))| PeerEntry {
-            written: *written,
-            entry: entry.clone(),
+        let entries = self.entries.iter().map(|(id, listed)| self.told(id, listed, now)).collect();
+        PeerDirectory {
+            position: self.position,
+            entries,
+            removed: None,
+            evacuations: self.evacuations.snapshot(),
+            cold: self.cold.snapshot(now),
+        }
+    }
+
+    /// What a peer lacks that knows everything up to `known`.
+    ///
+    /// Guards against fleets whose links are full of lists: each daemon fetches the list whenever one
+    /// upstream of thousands has changed.
+    #[must_use]
+    pub fn changes_since(&self, known: StorePosition, now: MonotonicTime) -> PeerDirectory {
+        if known < self.complete_since || known.era != self.position.era {
+            return self.snapshot(now);
+        }
+        let entries = self.entries.iter();
+        let news =
+            entries.filter(|(id, each)| each.changed > known || self.missing.contains_key(*id));
+        let removed = self.removed.iter().filter(|(_, (position, _))| *position > known);
+        let removed =
+            removed.map(|(id, (position, _))| PeerRemoval { position: *position, id: id.clone() });
+        PeerDirectory {
+            position: self.position,
+            entries: news.map(|(id, listed)| self.told(id, listed, now)).collect(),
+            removed: Some(removed.collect()),
+            evacuations: self.evacuations.snapshot(),
+            cold: self.cold.snapshot(now),
+        }
+    }
+
+    /// Position up to which a peer need not tell anything: none while entries are waited for, which a
+    /// peer may know to be back without a change that it would tell.
+    #[must_use]
+    pub fn known_to_peers(&self) -> StorePosition {
+        if self.missing.is_empty() { self.position } else { StorePosition::default() }
+    }
+
+    fn told(&self, id: &str, listed: &ListedUpstream, now: MonotonicTime) -> PeerEntry {
+        PeerEntry {
+            written: listed.written,
+            entry: listed.entry.clone(),
             lapses_in: self.missing.get(id).map(|until| until.since(now)),
-        });
-        let evacuations = self.evacuations.snapshot();
-        let cold = self.cold.snapshot(now);
-        PeerDirectory { position: self.position, entries: entries.collect(), evacuations, cold }
+        }
     }
 
     fn put(&mut self, written: StorePosition, entry: DirectoryEntry) -> bool {
@@ -317,36 +406,40 @@
             return false;
         }
         let known = self.entries.get(&entry.id);
-        if known.is_some_and(|(known, _)| *known > written) {
+        if known.is_some_and(|known| known.written > written) {
             return false;
         }
         // What an earlier life wrote may reach the platform behind what a later one wrote.
-        let last_life = known.map(|(_, known)| known.born);
+        let last_life = known.map(|known| known.entry.born);
         let last_life = last_life.max(self.removed.get(&entry.id).map(|(_, born)| *born));
         if last_life.is_some_and(|last| entry.born < last) {
             return false;
         }
         self.missing.remove(&entry.id);
         let known = self.entries.get(&entry.id);
-        if let Some((_, ended)) = known.filter(|(_, known)| known.born < entry.born) {
-            self.restarted.push(ended.address);
+        if let Some(ended) = known.filter(|known| known.entry.born < entry.born) {
+            self.restarted.push(ended.entry.address);
         }
         // A process that leaves never stays after all: news from before its notice came late.
-        let leaves = known.is_some_and(|(_, known)| known.leaving && known.born == entry.born);
+        let leaves =
+            known.is_some_and(|known| known.entry.leaving && known.entry.born == entry.born);
         let leaves = leaves || self.told_leaving.contains_key(&entry.name());
         let late = leaves && !entry.leaving;
-        let changed = !late && known.is_none_or(|(_, known)| *known != entry);
+        let changed = !late && known.is_none_or(|known| known.entry != entry);
+        let last_change = known.map_or(written, |known| known.changed);
         if changed {
             self.changed = self.changed.max(written);
         }
         let entry = DirectoryEntry { leaving: entry.leaving || leaves, ..entry };
-        self.entries.insert(entry.id.clone(), (written, entry));
+        let last_change = if changed { written } else { last_change };
+        let listed = ListedUpstream { written, changed: last_change, entry };
+        self.entries.insert(listed.entry.id.clone(), listed);
         changed
     }
 
     /// An upstream is no longer published. One that had given notice is gone for good.
     fn lose(&mut self, id: &str, position: StorePosition, grace: Option<MonotonicTime>) -> bool {
-        let leaving = self.entries.get(id).is_some_and(|(_, entry)| entry.leaving);
+        let leaving = self.entries.get(id).is_some_and(|listed| listed.entry.leaving);
         match grace.filter(|_| !leaving) {
             Some(until) => {
                 if self.entries.contains_key(id) {
@@ -372,10 +465,10 @@
     }
 
     fn remove(&mut self, id: &str, position: StorePosition) -> bool {
-        let born = self.entries.get(id).and_then(|(_, entry)| entry.born);
+        let born = self.entries.get(id).and_then(|listed| listed.entry.born);
         let last = self.removed.get(id).and_then(|(_, born)| *born);
         self.removed.insert(id.to_owned(), (position, born.max(last)));
-        let known = self.entries.get(id).is_some_and(|(written, _)| *written <= position);
+        let known = self.entries.get(id).is_some_and(|listed| listed.written <= position);
         if known {
             self.entries.remove(id);
             self.missing.remove(id);
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -5,7 +5,9 @@
 use crate::batching::PoolWait;
 use crate::identity::{AttemptId, CallId, MonotonicTime, StorePosition};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
-use crate::routing::{ColdUpstream, DirectoryEntry, PeerDirectory, PeerEntry, ZoneEvacuation};
+use crate::routing::{
+    ColdUpstream, DirectoryEntry, PeerDirectory, PeerEntry, PeerRemoval, ZoneEvacuation,
+};
 
 impl From<AttemptId> for peer::Attempt {
     fn from(attempt: AttemptId) -> Self {
@@ -141,7 +143,9 @@
         let evacuations = list.evacuations.into_iter().map(Into::into).collect();
         let StorePosition { era, revision } = list.position;
         let cold = list.cold.into_iter().map(Into::into).collect();
-        Self { revision, entries, era, evacuations, cold }
+        let only_changes = list.removed.is_some();
+        let removed = list.removed.unwrap_or_default().into_iter().map(Into::into).collect();
+        Self { revision, entries, era, evacuations, cold, only_changes, removed }
     }
 }
 
@@ -153,7 +157,23 @@
         let position = StorePosition { era: wire.era, revision: wire.revision };
         let evacuations = wire.evacuations.into_iter().map(Into::into).collect();
         let cold = wire.cold.into_iter().map(Into::into).collect();
-        Ok(Self { position, entries: entries.collect::<Result<_, _>>()?, evacuations, cold })
+        let removed = wire.removed.into_iter().map(Into::into).collect();
+        let removed = wire.only_changes.then_some(removed);
+        let entries = entries.collect::<Result<_, _>>()?;
+        Ok(Self { position, entries, removed, evacuations, cold })
+    }
+}
+
+impl From<PeerRemoval> for peer::RemovedUpstream {
+    fn from(PeerRemoval { position, id }: PeerRemoval) -> Self {
+        Self { id, revision: position.revision, era: position.era }
+    }
+}
+
+impl From<peer::RemovedUpstream> for PeerRemoval {
+    fn from(wire: peer::RemovedUpstream) -> Self {
+        let position = StorePosition { era: wire.era, revision: wire.revision };
+        Self { position, id: wire.id }
     }
 }
 
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -84,6 +84,8 @@
     readers: HashSet<usize>,
     /// Upstreams that take no connections any more.
     pub ended: HashSet<String>,
+    /// Entries of upstreams that daemons have told each other.
+    pub told_entries: u64,
     /// Requests that were passed to upstreams, by which daemon and when.
     pub relays: Vec<(usize, MonotonicTime, RelayOrder)>,
     /// Final answers, and the daemons that gave them.
@@ -131,6 +133,7 @@
             only_readers_tell: false,
             readers: HashSet::new(),
             ended: HashSet::new(),
+            told_entries: 0,
             relays: Vec::new(),
             answers: Vec::new(),
         };
@@ -280,10 +283,12 @@
                 let event = DaemonEvent::ConfigurationWatched(None);
                 self.push(self.now + HOLD, index, Delivery::Event(event));
             }
-            Command::FetchDirectory { vm } => {
+            Command::FetchDirectory { vm, known } => {
                 let to = vm_index(&vm);
                 let reached = self.reaches(index, to);
-                let list = reached.then(|| self.cores[to].published_upstreams(self.now));
+                let list = reached.then(|| self.cores[to].published_since(known, self.now));
+                let told = list.as_ref().map_or(0, |list| list.entries.len());
+                self.told_entries += told as u64;
                 let event = Delivery::Event(DaemonEvent::DirectoryFetched(list));
                 self.push(self.now + ONE_WAY * 2, index, event);
             }
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crocusdale_core::daemon::{Command, CounterName, DaemonEvent};
+use crocusdale_core::identity::StorePosition;
 use crocusdale_core::membership::ExchangeMessage;
 use crocusdale_core::routing::PeerDirectory;
 use crocusdale_core::sync::lock;
@@ -67,7 +68,7 @@
             match command {
                 Command::Exchange { vm, message } => exchange(&engine, vm, *message).await,
                 Command::Greet { address, message } => greet(&engine, address, *message).await,
-                Command::FetchDirectory { vm } => fetch_directory(&engine, &vm).await,
+                Command::FetchDirectory { vm, known } => fetch_directory(&engine, &vm, known).await,
                 Command::FetchConfiguration { vm, known } => fetch(&engine, &vm, known).await,
                 Command::RecordOutcome { .. } => record(&engine, command).await,
                 Command::AskHolder { .. } => ask_holder(&engine, command).await,
@@ -132,9 +133,10 @@
     });
 }
 
-async fn fetch_directory(engine: &Arc<DaemonEngine>, vm: &str) {
+async fn fetch_directory(engine: &Arc<DaemonEngine>, vm: &str, known: StorePosition) {
+    let request = FetchDirectoryRequest { revision: known.revision, era: known.era };
     let reply = call(engine, vm, FETCH_PATIENCE, |mut client| async move {
-        client.fetch_directory(FetchDirectoryRequest {}).await
+        client.fetch_directory(request).await
     });
     let list = reply.await.ok().filter(|reply| reply.revision > 0).and_then(|reply| {
         let unreadable = |fault: &std::net::AddrParseError| {
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -3,7 +3,7 @@
 
 use crocusdale_core::claims::RegisterReply as CoreReply;
 use crocusdale_core::daemon::DaemonEvent;
-use crocusdale_core::identity::{InstanceId, RequestKey};
+use crocusdale_core::identity::{InstanceId, RequestKey, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage as CoreMessage, WitnessSet};
 use crocusdale_core::pipeline::{PieceOrder, ResultHandle};
 use crocusdale_core::wire::pieces_reply;
@@ -109,9 +109,11 @@
 
     async fn fetch_directory(
         &self,
-        _: Request<FetchDirectoryRequest>,
+        request: Request<FetchDirectoryRequest>,
     ) -> Result<Response<FetchDirectoryReply>, Status> {
-        let list = self.engine.core.published_upstreams(self.engine.now());
+        let FetchDirectoryRequest { revision, era } = request.into_inner();
+        let known = StorePosition { era, revision };
+        let list = self.engine.core.published_since(known, self.engine.now());
         Ok(Response::new(list.into()))
     }
 
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -110,9 +110,9 @@
                 };
                 self.push_core(PLATFORM_TIME, life, event);
             }
-            Command::FetchDirectory { vm } => {
+            Command::FetchDirectory { vm, known } => {
                 let core = self.daemons[daemon_index(&vm)].core.as_ref();
-                let list = core.map(|core| core.published_upstreams(self.now));
+                let list = core.map(|core| core.published_since(known, self.now));
                 self.push_core(HOP * 2, life, DaemonEvent::DirectoryFetched(list));
             }
             Command::WatchConfiguration { known: 0 } => {
