Have VMs with large links read the list for others

Readers were chosen by rank alone, so that a VM with ten megabits a second could read a list of thousands of upstreams, a megabyte and more, several times a second, for itself and for 23 others. A reading that takes longer than 0.4 s counts as silence of the platform, and requests go on by an old list then. As dispatchers are, readers are chosen among VMs with half of the capacity of the largest or more, as long as there are any. A test was red before.

--- a/crates/crocusdale_core/src/daemon/reader_choice.rs
+++ b/crates/crocusdale_core/src/daemon/reader_choice.rs
@@ -50,7 +50,8 @@
         readers.into_iter().map(str::to_owned).collect()
     }
 
-    /// Usable daemons of this daemon's zone, itself included, ranked for `duty`.
+    /// Usable daemons of this daemon's zone, itself included, ranked for `duty`. VMs with half of the
+    /// capacity of the largest one come first: a list of thousands of upstreams fills a small link.
     fn zone_ranks(&self, duty: &str) -> Vec<&str> {
         self.ranks_in(&self.zone, duty)
     }
@@ -68,7 +69,12 @@
         let own_too = (zone == self.zone).then_some(own);
         let all = others.map(|vm| vm.name.as_str()).chain(own_too);
         let mut ranked: Vec<&str> = all.filter(|vm| usable(vm)).collect();
-        ranked.sort_by_cached_key(|vm| std::cmp::Reverse(stable_hash(&[duty, vm])));
+        let largest = ranked.iter().filter_map(|vm| self.view.capacity(vm)).max();
+        let carries = |vm: &str| {
+            let capacity = self.view.capacity(vm).zip(largest);
+            capacity.is_none_or(|(capacity, largest)| capacity.carries(largest))
+        };
+        ranked.sort_by_cached_key(|vm| (!carries(vm), std::cmp::Reverse(stable_hash(&[duty, vm]))));
         ranked
     }
 }
--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -23,7 +23,7 @@
 use rand::rngs::SmallRng;
 
 use forward_daemon::Daemon;
-use reader_answer::answer_of_reader;
+use reader_answer::{answer_of_reader, answer_over_link};
 use support::virtual_fleet::VirtualFleet;
 
 /// Time from a notice until the upstream must get nothing more: the shortest that the users state.
@@ -291,3 +291,19 @@
         leaving: false,
     }
 }
+
+/// Guards against a reader whose small link is filled by the list, so that its readings count as silence
+/// of the platform, and notices as unknown.
+#[test]
+fn daemon_with_a_small_link_reads_for_nobody() {
+    for (link_mbps, reads) in [(1_000.0, false), (10.0, true)] {
+        let mut daemon = Daemon::new();
+        daemon.publish(&["n1", "n2"], &[]);
+        let known = daemon.core.dump(daemon.now).directory_revision;
+        for _ in 0..3 {
+            daemon.feed(answer_over_link((1, known), daemon.now, link_mbps));
+            daemon.advance(300);
+        }
+        assert_eq!(!daemon.readings.is_empty(), reads, "a peer with {link_mbps} Mbit/s");
+    }
+}
