Wait for a reading of a large list as long as it takes

A reading that was not answered within 0.4 s counted as an outage, and requests went on by an old list. On a link of ten megabits a list of 1,000 upstreams alone takes 0.32 s, of 3,000 one second. The time follows from the length of the list that is known. A test was red before: a request was sent by a list of 3.5 s.

--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -9,10 +9,12 @@
     UpstreamDirectory, ZoneEvacuation,
 };
 
-/// Time in which a platform in order answers a reading: some milliseconds, and for a list of 150
-/// upstreams 50 ms on a link of ten megabits. One that takes longer is slow or away, or the path to
-/// it is; no bound is due then, and callers must not wait for it.
+/// Time in which a platform in order answers a reading, without the time that the list takes on the link.
+/// One that takes longer is slow or away, or the path to it is; no bound is due then, and callers must
+/// not wait for it.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Time that an upstream of the list takes on a link of ten megabits a second: about 400 bytes.
+const ENTRY_TIME: Duration = Duration::from_micros(320);
 /// Time for which a failed reading says that the platform, or the path to it, is out of order. The next
 /// one ends 1.9 s later at the latest: the longest pause, and the patience of a reading.
 const FAILURE_LIFE: Duration = Duration::from_millis(2_500);
@@ -141,7 +143,7 @@
     /// Whether the list is too old to choose by. If so, it is being read.
     ///
     /// It is fit again with an answer, from the platform or from a peer, and whatever its age once a
-    /// reading has failed or stays unanswered for longer than [`ANSWER_TIME`].
+    /// reading has failed or stays unanswered for longer than a platform in order needs.
     pub(super) fn is_overdue(&mut self, now: MonotonicTime, out: &mut Vec<Command>) -> bool {
         let old =
             self.directory.is_known() && self.age(now).is_some_and(|age| age >= self.pace.fit_for);
@@ -162,12 +164,13 @@
     /// This process was paused for `pause` until now: an answer that was due meanwhile may lie unread.
     /// Once for each reading, as a process that stutters must see an outage too.
     pub(super) fn woke(&mut self, pause: Duration, now: MonotonicTime) {
+        let answer_time = self.answer_time();
         if let Some(reading) = &mut self.reading
             && !reading.slept
         {
             reading.slept = true;
             if reading.answer_due + pause > now {
-                reading.answer_due = now + ANSWER_TIME;
+                reading.answer_due = now + answer_time;
             }
         }
     }
@@ -331,13 +334,19 @@
         })
     }
 
+    /// Time in which a platform in order has answered a reading.
+    fn answer_time(&self) -> Duration {
+        let entries = u32::try_from(self.directory.entries().count()).unwrap_or(u32::MAX);
+        ANSWER_TIME + ENTRY_TIME.saturating_mul(entries)
+    }
+
     fn begin_reading(
         &mut self,
         reader: Option<String>,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
-        let answer_due = now + ANSWER_TIME;
+        let answer_due = now + self.answer_time();
         self.reading = Some(OpenReading { began: now, answer_due, slept: false });
         out.push(Command::SetTimer { timer: TimerKey::DirectoryAnswer, at: answer_due });
         out.push(Command::Count(CounterName::DirectoryReads));
--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -307,3 +307,21 @@
         assert_eq!(!daemon.readings.is_empty(), reads, "a peer with {link_mbps} Mbit/s");
     }
 }
+
+/// Guards against requests by an old list whose next reading only takes its time: thousands of upstreams
+/// on a link of ten megabits.
+#[test]
+fn reading_of_a_large_list_is_waited_for() {
+    let mut daemon = Daemon::new();
+    let plain: Vec<String> = (0..1_000).map(|each| format!("n{each}")).collect();
+    let all: Vec<&str> = plain.iter().map(String::as_str).collect();
+    daemon.publish(&all, &[]);
+    daemon.advance(100);
+    daemon.now = daemon.now + Duration::from_secs(3);
+    daemon.submit("/ask/it");
+    daemon.advance(600);
+    assert!(daemon.relays.is_empty(), "sent by a list that is 3.5 s old");
+    daemon.publish(&["n0"], &[]);
+    let called: Vec<&str> = daemon.relays.iter().map(|relay| relay.upstream.as_str()).collect();
+    assert_eq!(called, ["n0"]);
+}
