Name no daemons to callers that have ended with many others

With 40 of 74 daemons gone at one moment, some of the rest named up to three of them for more than 7 s, beside running ones: callers lost a second or more with each. A message carried 12 records, half of the partners were silent, and the news of each dead daemon waited its turn.

For 5 s every message carries all members in doubt, 128 at most, and for 2.5 s after a silence a daemon asks two partners in a period. Asking three to five partners alone did not do: one or two daemons of 300 still named dead ones.

--- a/crates/crocusdale_core/src/membership/member_gossip.rs
+++ b/crates/crocusdale_core/src/membership/member_gossip.rs
@@ -1,5 +1,7 @@
 //! What a daemon tells its peers of the fleet.
 
+use std::time::Duration;
+
 use rand::seq::IndexedRandom as _;
 
 use super::member_view::PeerState;
@@ -8,6 +10,10 @@
 
 /// Records that one message carries at most.
 const RECORDS_LIMIT: usize = 12;
+/// Time for which every message carries that a member is in doubt, and the most such records of one.
+/// Meanwhile it reaches everybody, however many members have ended with it.
+const DOUBT_NEWS: Duration = Duration::from_secs(5);
+const DOUBTS_LIMIT: usize = 128;
 /// Records that the answer to a member that asks for all carries at most, about 100 bytes each: a
 /// fleet of the size that the users aim at, in 50 KB.
 const WELCOME_LIMIT: usize = 512;
@@ -27,6 +33,7 @@
         let mut records = Vec::new();
         records.extend(self.objection(partner).cloned());
         records.extend(self.spend_records(partner, RECORDS_LIMIT - records.len()));
+        records.extend(self.recent_doubts(partner, &records));
         let vms: Vec<&String> = self.peers.keys().collect();
         for vm in vms.choose_multiple(&mut self.random, REPAIR_RECORDS) {
             let record = self.peers[*vm].record.as_ref();
@@ -73,6 +80,21 @@
         message
     }
 
+    /// Members other than `partner` and those in `told` that are in doubt since a short time ago.
+    ///
+    /// Guards against callers that are sent to ended daemons for long after many have ended at one time:
+    /// the news of each would wait for room in a message.
+    fn recent_doubts(&mut self, partner: &str, told: &[MemberRecord]) -> Vec<MemberRecord> {
+        let now = self.last_tick.unwrap_or_default();
+        let recent = self.peers.values().filter(|peer| now.since(peer.since) < DOUBT_NEWS);
+        let records = recent.filter_map(|peer| peer.record.as_ref());
+        let doubts = records.filter(|record| record.is_doubt());
+        let doubts: Vec<&MemberRecord> = doubts
+            .filter(|record| record.instance.vm != partner && !told.contains(record))
+            .collect();
+        doubts.choose_multiple(&mut self.random, DOUBTS_LIMIT).copied().cloned().collect()
+    }
+
     /// What `partner` must hear of itself, or it can't refute it: that it is suspected, or that an
     /// earlier life of its VM is taken for the later one.
     fn objection(&self, partner: &str) -> Option<&MemberRecord> {
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -11,8 +11,10 @@
 };
 use crate::identity::{InstanceId, MonotonicTime};
 
-/// Partners of one period.
-const PARTNERS: usize = 1;
+/// Partners of one period, and those of one shortly after a partner was silent.
+const PARTNERS: (usize, usize) = (1, 2);
+/// Time after the silence of a partner for which more partners are asked.
+const ALARM: Duration = Duration::from_millis(2_500);
 /// Messages that carry each piece of news, times the logarithm of the fleet's size.
 const SPREAD_FACTOR: u32 = 3;
 /// Time after which an unreachable member that no VM list names is forgotten. A VM that was off for
@@ -41,6 +43,8 @@
     pub(super) rounds: u64,
     pub(super) order: Vec<String>,
     pub(super) last_tick: Option<MonotonicTime>,
+    /// When a partner that was believed to live was last silent.
+    pub(super) last_silence: Option<MonotonicTime>,
     pub(super) random: SmallRng,
 }
 
@@ -129,6 +133,7 @@
             rounds: 0,
             order: Vec::new(),
             last_tick: None,
+            last_silence: None,
             random: SmallRng::seed_from_u64(self.seed),
         }
     }
@@ -181,6 +186,9 @@
     ///
     /// After a pause of this process the silence of others proves nothing, so suspicions begin
     /// again rather than end.
+    ///
+    /// Guards against callers that are sent to ended daemons for long after many have ended at one time:
+    /// half of the partners are silent then, and news of the others spread at half the pace.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<String> {
         let paused = self.last_tick.is_some_and(|last| now.since(last) > self.period * 3);
         self.last_tick = Some(now);
@@ -188,7 +196,8 @@
         for peer in self.peers.values_mut() {
             peer.age(now, self.suspicion, paused);
         }
-        self.choose_partners(PARTNERS)
+        let alarmed = self.last_silence.is_some_and(|silence| now.since(silence) < ALARM);
+        self.choose_partners(if alarmed { PARTNERS.1 } else { PARTNERS.0 })
     }
 
     /// Chooses `count` random reachable partners, to spread news at once.
@@ -234,6 +243,7 @@
                 record.status = MemberStatus::Suspect;
                 peer.since = now;
                 peer.gossip = spread;
+                self.last_silence = Some(now);
             }
             _ => {}
         }
