Keep requests in the regions that their route and workspace allow

A route's or a workspace's allowedRegions was dropped: requests went to upstreams of any region, and callers were told of daemons of all regions. Regions of zones come from the settings. An upstream whose region is no home, or is not known, is not chosen, at first, after a wait or for a retry; where none is left, the request is refused at once. Where both have homes, both bind. Callers are told of the daemons of their own region as long as there is one. A request's body is never sent from daemon to daemon. Pieces bear no bodies, and the rule doesn't name them; their pools are not restricted.

--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -8,7 +8,7 @@
 use crate::orders::EngineOrder;
 
 use super::{
-    CallerLimits, ColdRules, ConfigurationError, ConfigurationErrorKind, ForwardRules,
+    CallerLimits, ColdRules, ConfigurationError, ConfigurationErrorKind, ForwardRules, HomeRegions,
     LabelSelector, LabelSet, PoolKind, RouteTable, StagePlan,
 };
 
@@ -104,6 +104,8 @@
     pub concurrency: u32,
     /// Priority level of its forwarded requests, which goes before that of the pipeline.
     pub level: Option<u8>,
+    /// Regions in which its forwarded requests may be worked on.
+    pub homes: HomeRegions,
 }
 
 /// One pipeline.
@@ -453,6 +455,7 @@
         labels: section.labels("labels"),
         concurrency: section.get("concurrency").unwrap_or(1),
         level: None,
+        homes: HomeRegions::default(),
     };
     (section.name.clone(), rules)
 }
--- a/crates/crocusdale_core/src/configuration/forward_rules.rs
+++ b/crates/crocusdale_core/src/configuration/forward_rules.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::HomeRegions;
+
 /// What holds for a pipeline that ends in a forwarded request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardRules {
@@ -17,6 +19,8 @@
     pub pools: Vec<WeightedPool>,
     /// Whether a request needs no access key.
     pub public: bool,
+    /// Regions in which it may be worked on.
+    pub homes: HomeRegions,
 }
 
 /// What may be repeated of a forwarded request.
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -6,6 +6,7 @@
 mod declarations;
 mod declarations_builder;
 mod forward_rules;
+mod home_regions;
 mod label_selector;
 mod label_set;
 mod process_settings;
@@ -24,6 +25,7 @@
 pub use forward_rules::{
     BatchRules, ColdRules, EngineRules, ForwardRules, PoolKind, RepeatRule, WeightedPool,
 };
+pub use home_regions::{HomeRegions, RegionMap};
 pub use label_selector::LabelSelector;
 pub use label_set::LabelSet;
 pub use process_settings::{
--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -4,7 +4,7 @@
 use crocusdale_schema::sections::SETTINGS;
 
 use super::section_reader::{CheckedSection, ErrorCollector, parse_addresses, read_sections};
-use super::{ConfigurationError, ConfigurationErrorKind};
+use super::{ConfigurationError, ConfigurationErrorKind, RegionMap};
 use crate::daemon::NewsBounds;
 use crate::retry::RetryLimits;
 use crate::routing::ColdLimits;
@@ -16,6 +16,8 @@
     pub vm: String,
     /// Availability zone of the VM.
     pub zone: String,
+    /// Regions of the availability zones.
+    pub regions: RegionMap,
     /// Worker threads.
     pub threads: usize,
     /// Part of a processor core that the process may use.
@@ -160,6 +162,7 @@
         Self {
             vm: section("daemon").owned("name"),
             zone: section("daemon").owned("zone"),
+            regions: section("daemon").labels("regions").into(),
             threads: number("daemon", "threads"),
             cpu_share: ratio("daemon", "cpu_share"),
             link_mbps: ratio("daemon", "link_mbps"),
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -11,7 +11,7 @@
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
 use crate::batching::{BatchDesk, PoolWaits};
 use crate::claims::RegisterShard;
-use crate::configuration::{DeclarationReader, Declarations, MembershipSettings};
+use crate::configuration::{DeclarationReader, Declarations, MembershipSettings, RegionMap};
 use crate::identity::{InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{MemberPlace, MemberViewBuilder, RosterHistory};
 use crate::pipeline::RequestShard;
@@ -34,6 +34,8 @@
 pub(super) struct CoreState {
     pub(super) own: InstanceId,
     pub(super) zone: String,
+    /// Regions of the availability zones.
+    pub(super) regions: RegionMap,
     pub(super) started: MonotonicTime,
     pub(super) shards: Vec<Mutex<RequestShard>>,
     pub(super) registers: Vec<Mutex<RegisterShard>>,
@@ -103,6 +105,8 @@
 pub struct PublishedFleet {
     /// Where this daemon is.
     pub place: MemberPlace,
+    /// Regions of the availability zones.
+    pub regions: RegionMap,
     /// Addresses at which daemons may listen for others; they may be stale.
     pub seeds: Vec<SocketAddr>,
     /// What reads configurations.
@@ -183,6 +187,7 @@
         }
         let retries = self.published.as_ref().map(|each| each.retries).unwrap_or_default();
         let cold_limits = self.published.as_ref().map(|each| each.cold_limits).unwrap_or_default();
+        let regions = self.published.as_ref().map(|each| each.regions.clone()).unwrap_or_default();
         let mut desk = BatchDesk::default();
         desk.set_retries(retries);
         let grace = self.published.as_ref().map(|each| each.grace);
@@ -201,13 +206,14 @@
             key_life: fleet.key_life(),
         };
         let router = UpstreamRouter::new(&self.zone, self.seed.wrapping_add(2)).retries(retries);
-        let router = router.cold_limits(cold_limits);
+        let router = router.cold_limits(cold_limits).regions(regions.clone());
         let incarnation = self.own.incarnation;
         DaemonCore::from_state(CoreState {
             shards: (0..SHARDS).map(|_| Mutex::new(RequestShard::new(self.own.clone()))).collect(),
             registers: (0..SHARDS).map(|_| Mutex::default()).collect(),
             own: self.own,
             zone: self.zone,
+            regions,
             started: now,
             gate: Mutex::new(AdmissionGate::new(self.requests)),
             fleet: Mutex::new(fleet),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -243,6 +243,7 @@
         let hold = fleet.ledger.in_force();
         let hold = hold.map_or(Duration::ZERO, |each| each.declarations.deployment().address_hold);
         let order = AddressOrder::new(fleet.history.current(), &fleet.view, hold);
+        let order = order.regions(&self.state.regions);
         order.answer(caller, zone.unwrap_or(&self.state.zone))
     }
 
--- a/crates/crocusdale_core/src/membership/address_order.rs
+++ b/crates/crocusdale_core/src/membership/address_order.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::{MemberStatus, MemberView, VmRoster, VmState};
+use crate::configuration::RegionMap;
 use crate::identity::stable_hash;
 
 /// Addresses that a caller may use, in the order in which it should try them.
@@ -21,18 +22,27 @@
     roster: &'a VmRoster,
     view: &'a MemberView,
     hold: Duration,
+    regions: RegionMap,
 }
 
 impl<'a> AddressOrder<'a> {
     /// Orders the daemons of `roster` as `view` sees them.
     #[must_use]
     pub fn new(roster: &'a VmRoster, view: &'a MemberView, hold: Duration) -> Self {
-        Self { roster, view, hold }
+        Self { roster, view, hold, regions: RegionMap::default() }
+    }
+
+    /// Sets the regions of the availability zones.
+    #[must_use]
+    pub fn regions(mut self, regions: &RegionMap) -> Self {
+        self.regions = regions.clone();
+        self
     }
 
     /// Answers the caller `caller` in `zone`: reachable before suspected, own zone before others,
     /// and within those in an order that differs from caller to caller, so that callers spread
-    /// over the daemons without anyone keeping count. Leaving daemons are left out.
+    /// over the daemons without anyone keeping count. Leaving daemons are left out, and those of other
+    /// regions as long as there is one in the caller's.
     ///
     /// Guards against an answer without any address, which leaves its caller with nowhere to go: a
     /// daemon that drains on a starved VM takes all others for unreachable. It names them then,
@@ -62,10 +72,15 @@
             .filter_map(|vm| {
                 let status = self.view.status(&vm.name).filter(|status| usable(*status))?;
                 let weight = stable_hash(&[caller, &vm.name]);
-                Some((status, vm.zone != zone, weight, vm.caller?))
+                let far = self.regions.region(&vm.zone) != self.regions.region(zone);
+                Some((far, status, vm.zone != zone, weight, vm.caller?))
             })
             .collect();
         ranked.sort_unstable();
+        let near = ranked.iter().filter(|(far, ..)| !far).count();
+        if near > 0 {
+            ranked.truncate(near);
+        }
         ranked.into_iter().map(|(.., address)| address).collect()
     }
 }
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -63,6 +63,7 @@
             tried: Vec::new(),
             demand,
             digest: self.plan.digest,
+            homes: self.plan.homes.clone(),
         })
     }
 
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -4,8 +4,8 @@
 use super::{CallerRequest, FinalOutcome, ForwardHead, OutcomeKind, RefusalReason, RequestContent};
 use crate::admission::AdmissionPermit;
 use crate::configuration::{
-    Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind, StageRules, StepWork,
-    WeightedPool, WorkspaceRules,
+    Declarations, ForwardRules, HomeRegions, LabelSet, PipelineRules, PlanStep, PoolKind,
+    StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 use crate::identity::{MonotonicTime, RequestDigest, RequestKey};
 
@@ -46,6 +46,8 @@
     pub is_flood: bool,
     /// Its place under the limits.
     pub permit: AdmissionPermit,
+    /// Regions in which it may be worked on.
+    pub homes: HomeRegions,
     /// Time that each step should take beyond [`Self::step_time`], as the pools were loaded when the
     /// request began.
     pub delays: Vec<Duration>,
@@ -103,6 +105,7 @@
             claimed: !repeatable,
             is_flood: false,
             permit: AdmissionPermit::default(),
+            homes: HomeRegions::default(),
             delays: Vec::new(),
             declarations: Arc::clone(declarations),
             labels,
@@ -136,6 +139,8 @@
         let wait = request.deadline.min(forward.timeout).min(LONGEST_DEADLINE);
         let level = rules.and_then(|rules| rules.level).unwrap_or(forward.level);
         let labels = rules.map(|rules: &WorkspaceRules| rules.labels.clone()).unwrap_or_default();
+        let homes = rules.map(|rules| rules.homes.clone()).unwrap_or_default();
+        let homes = forward.homes.and(&homes);
         let objective = now + forward.objective;
         let repeatable = pipeline.repeatable;
         let mut pipeline = pipeline.clone();
@@ -153,6 +158,7 @@
             claimed: false,
             is_flood: false,
             permit: AdmissionPermit::default(),
+            homes,
             delays: Vec::new(),
             declarations: Arc::clone(declarations),
             labels,
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -333,6 +333,7 @@
             tried: branch.tried.clone(),
             demand: demand.filter(|_| branch.work == StepWork::Forward),
             digest: self.plan.digest,
+            homes: self.plan.homes.clone(),
         }
     }
 
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::SubjectTally;
+use crate::configuration::HomeRegions;
 use crate::identity::{CallId, MonotonicTime, RequestDigest};
 use crate::pipeline::EngineDemand;
 use crate::retry::RetryBudget;
@@ -32,6 +33,8 @@
     pub demand: Option<Arc<EngineDemand>>,
     /// What the request has in common with its repeats.
     pub digest: RequestDigest,
+    /// Regions in which it may be worked on.
+    pub homes: HomeRegions,
 }
 
 /// What waits for one pool, most urgent first.
@@ -86,10 +89,13 @@
         self.learned.unwrap_or_default() + wait
     }
 
-    /// Takes out the most urgent attempt that has not tried `upstream`.
-    pub fn next_for(&mut self, upstream: &str) -> Option<SlotRequest> {
+    /// Takes out the most urgent attempt that has not tried `upstream`, and may be worked on in its
+    /// `region`.
+    pub fn next_for(&mut self, upstream: &str, region: Option<&str>) -> Option<SlotRequest> {
         let mut urgent = self.waiting.iter();
-        let rank = urgent.find(|(_, request)| request.tried.iter().all(|tried| tried != upstream));
+        let rank = urgent.find(|(_, request)| {
+            request.tried.iter().all(|tried| tried != upstream) && request.homes.allow(region)
+        });
         let rank = *rank?.0;
         self.waiting.remove(&rank)
     }
--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -24,7 +24,7 @@
         now: MonotonicTime,
     ) -> Option<usize> {
         if self.policy == RoutingPolicy::Baseline {
-            return self.next_in_turn(routed, now);
+            return self.next_in_turn(routed, request, now);
         }
         if let (Some(rules), Some(demand)) = (&routed.engine, &request.demand) {
             return self.choose_engine(routed, rules, demand, request, now);
@@ -47,13 +47,19 @@
     }
 
     /// The next upstream of the pool that isn't leaving, whatever is known of it.
-    fn next_in_turn(&self, routed: &RoutedPool, now: MonotonicTime) -> Option<usize> {
+    fn next_in_turn(
+        &self,
+        routed: &RoutedPool,
+        request: &SlotRequest,
+        now: MonotonicTime,
+    ) -> Option<usize> {
         let all: Vec<usize> = routed.near.iter().chain(&routed.far).copied().collect();
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
         let mut from_turn = all.iter().cycle().skip(turn % all.len().max(1)).take(all.len());
         let usable = |position: &&usize| {
             let state = lock(&self.upstreams[**position].state);
-            !state.is_leaving() && state.away_for(now).is_zero()
+            let allowed = request.homes.allow(self.region_of(**position));
+            allowed && !state.is_leaving() && state.away_for(now).is_zero()
         };
         from_turn.find(usable).copied()
     }
@@ -85,6 +91,9 @@
         if request.tried.contains(&upstream.rules.name) {
             return None;
         }
+        if !request.homes.allow(self.region_of(position)) {
+            return None;
+        }
         if !self.is_within_share(routed, position, now) {
             return None;
         }
@@ -117,7 +126,8 @@
             let upstream = &self.upstreams[*position];
             let state = lock(&upstream.state);
             let tried = request.tried.contains(&upstream.rules.name);
-            (!tried && !state.is_leaving()).then(|| state.away_for(now))
+            let allowed = request.homes.allow(self.region_of(*position));
+            (allowed && !tried && !state.is_leaving()).then(|| state.away_for(now))
         };
         routed.near.iter().chain(&routed.far).filter_map(away).min()
     }
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -12,8 +12,8 @@
     UpstreamState, UpstreamSummary,
 };
 use crate::configuration::{
-    ColdRules, Declarations, EngineRules, LabelSet, PoolKind, RoutingPolicy, StagePlan, StageRules,
-    UpstreamKind, UpstreamRules,
+    ColdRules, Declarations, EngineRules, LabelSet, PoolKind, RegionMap, RoutingPolicy, StagePlan,
+    StageRules, UpstreamKind, UpstreamRules,
 };
 use crate::identity::{CallId, MonotonicTime};
 use crate::membership::{LeavingUpstream, VmRoster};
@@ -42,6 +42,7 @@
     pub(super) spread: usize,
     retries: RetryLimits,
     pub(super) cold_limits: ColdLimits,
+    regions: RegionMap,
     /// This daemon's share of the requests of cold upstreams.
     pub(super) share: Mutex<RateShare>,
     pub(super) turn: AtomicUsize,
@@ -109,6 +110,7 @@
             daemons: AtomicUsize::new(1),
             retries: RetryLimits::default(),
             cold_limits: ColdLimits::default(),
+            regions: RegionMap::default(),
             share: Mutex::default(),
             turn: AtomicUsize::new(0),
             held: AtomicBool::new(false),
@@ -125,6 +127,13 @@
         self
     }
 
+    /// Sets the regions of the availability zones.
+    #[must_use]
+    pub fn regions(mut self, regions: RegionMap) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Sets how far cold upstreams may be pressed.
     #[must_use]
     pub fn cold_limits(mut self, limits: ColdLimits) -> Self {
@@ -164,7 +173,7 @@
     ) -> Self {
         let seed = lock(&self.random).random();
         let router = Self::new(&self.zone, seed).retries(self.retries);
-        let mut router = router.cold_limits(self.cold_limits);
+        let mut router = router.cold_limits(self.cold_limits).regions(self.regions.clone());
         *lock(&router.share) = lock(&self.share).clone();
         router.spread = self.spread;
         router.policy = declarations.deployment().policy;
@@ -413,6 +422,11 @@
         self.positions.get(name).map(|position| &self.upstreams[*position])
     }
 
+    /// Region of the upstream at `position`, if it is known.
+    pub(super) fn region_of(&self, position: usize) -> Option<&str> {
+        self.regions.region(&self.upstreams[position].rules.zone)
+    }
+
     fn grant(&self, position: usize, request: SlotRequest, now: MonotonicTime) -> SlotGrant {
         let upstream = &self.upstreams[position];
         let fastest = {
@@ -470,8 +484,12 @@
                     && !state.is_ejected(now)
                     && !state.is_full(now)
             };
-            let next =
-                if usable { lock(&routed.pool).next_for(&upstream.rules.name) } else { None };
+            let region = self.region_of(position);
+            let next = if usable {
+                lock(&routed.pool).next_for(&upstream.rules.name, region)
+            } else {
+                None
+            };
             let Some(request) = next else { break };
             grants.push(self.grant(position, request, now));
         }
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use crocusdale_core::configuration::{LabelSet, RegionMap};
 use crocusdale_core::identity::{InstanceId, MonotonicTime};
 use crocusdale_core::membership::{
     AddressOrder, ExchangeMessage, MemberRecord, MemberStatus, MemberView, MemberViewBuilder,
@@ -77,3 +78,23 @@
     let view = view(MemberStatus::Unreachable);
     assert_eq!(answer(&view, "caller", "z0").len(), 1);
 }
+
+/// Guards against callers that are sent to daemons of another region while their own has some.
+#[test]
+fn daemons_of_the_callers_region_alone_are_named_while_there_are_any() {
+    let regions = LabelSet::parse("z0=lakes, z1=lakes, z2=coast").expect("labels");
+    let regions = RegionMap::from(regions);
+    let answer = |view: &MemberView, roster: &VmRoster, zone: &str| {
+        let order = AddressOrder::new(roster, view, Duration::ZERO).regions(&regions);
+        order.answer("caller", zone).addresses
+    };
+    let (view, all) = (view(MemberStatus::Alive), roster());
+    let caller = |index| entry(index).caller.expect("it serves callers");
+    let mut coast = answer(&view, &all, "z2");
+    coast.sort_unstable();
+    assert_eq!(coast, [caller(2), caller(5)]);
+    assert_eq!(answer(&view, &all, "z0").len(), 4);
+    let lakes =
+        VmRoster { revision: 2, vms: all.vms.into_iter().filter(|vm| vm.zone != "z2").collect() };
+    assert_eq!(answer(&view, &lakes, "z2").len(), 4, "none of its own is left");
+}
--- a/crates/crocusdale_core/tests/cold_upstream_test.rs
+++ b/crates/crocusdale_core/tests/cold_upstream_test.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::{
-    ColdRules, Declarations, DeclarationsBuilder, EngineRules, PoolKind, StageRules,
+    ColdRules, Declarations, DeclarationsBuilder, EngineRules, HomeRegions, PoolKind, StageRules,
 };
 use crocusdale_core::identity::{CallId, MonotonicTime, RequestDigest};
 use crocusdale_core::membership::KnownDaemons;
@@ -73,6 +73,7 @@
         tried: Vec::new(),
         demand: None,
         digest: RequestDigest::of(&[b"request"]),
+        homes: HomeRegions::default(),
     }
 }
 
--- a/crates/crocusdale_core/tests/engine_choice_test.rs
+++ b/crates/crocusdale_core/tests/engine_choice_test.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::{
-    Declarations, DeclarationsBuilder, EngineRules, PoolKind, StageRules,
+    Declarations, DeclarationsBuilder, EngineRules, HomeRegions, PoolKind, StageRules,
 };
 use crocusdale_core::identity::{CallId, MonotonicTime};
 use crocusdale_core::pipeline::{EngineDemand, PromptPart};
@@ -153,6 +153,7 @@
         tried: Vec::new(),
         demand: Some(Arc::new(demand)),
         digest: Default::default(),
+        homes: HomeRegions::default(),
     }
 }
 
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -7,8 +7,8 @@
 use crocusdale_core::batching::{BatchOrder, BatchOutcome, ItemOutcome};
 use crocusdale_core::configuration::{
     BatchRules, ConfigurationError, Declarations, DeclarationsBuilder, EngineRules, ForwardRules,
-    LabelSelector, LabelSet, PipelineRules, PlanStep, PoolKind, RepeatRule, StagePlan, StageRules,
-    StepWork, WeightedPool, WorkspaceRules,
+    HomeRegions, LabelSelector, LabelSet, PipelineRules, PlanStep, PoolKind, RegionMap, RepeatRule,
+    StagePlan, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds, TimerKey};
 use crocusdale_core::identity::{
@@ -53,8 +53,12 @@
         vec![scan, batched("rank", vec![0], 1_000), forward("reader", vec![1])]
     };
     let key = if text == WITHOUT_KEYS { "another key" } else { KEY };
-    let workspace =
-        WorkspaceRules { labels: LabelSet::default(), concurrency: u32::MAX, level: None };
+    let workspace = WorkspaceRules {
+        labels: LabelSet::default(),
+        concurrency: u32::MAX,
+        level: None,
+        homes: HomeRegions::default(),
+    };
     Ok(DeclarationsBuilder::new("test", Duration::from_secs(1))
         .stage("notify", stage(PoolKind::Plain))
         .stage("scan", stage(PoolKind::Batch(batch)))
@@ -89,6 +93,7 @@
             attempts: 2,
             pools: vec![WeightedPool { pool, weight: 1 }],
             public: false,
+            homes: HomeRegions::default(),
         }),
     }
 }
@@ -138,6 +143,7 @@
                 peer: address,
                 capacity: MemberCapacity::new(1.0, 1_000.0),
             },
+            regions: RegionMap::default(),
             seeds: Vec::new(),
             reader: read,
             retries: RetryLimits::default(),
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crocusdale_core::configuration::{DeclarationReader, Declarations};
+use crocusdale_core::configuration::{DeclarationReader, Declarations, RegionMap};
 use crocusdale_core::daemon::{Command, DaemonEvent, NewsBounds, TimerKey};
 use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
@@ -349,6 +349,7 @@
     };
     let published = PublishedFleet {
         place,
+        regions: RegionMap::default(),
         seeds: (0..SEEDS).map(peer_address).collect(),
         reader,
         retries: RetryLimits::default(),
--- a/crates/crocusdale_core/tests/upstream_lives_test.rs
+++ b/crates/crocusdale_core/tests/upstream_lives_test.rs
@@ -8,7 +8,7 @@
 
 use batch_bench::{Bench, declarations, entry, made};
 use crocusdale_core::batching::BatchOutcome;
-use crocusdale_core::configuration::{DeclarationsBuilder, PoolKind, StageRules};
+use crocusdale_core::configuration::{DeclarationsBuilder, HomeRegions, PoolKind, StageRules};
 use crocusdale_core::identity::{CallId, MonotonicTime};
 use crocusdale_core::pipeline::PieceFault;
 use crocusdale_core::routing::{
@@ -131,6 +131,7 @@
         tried: Vec::new(),
         demand: None,
         digest: Default::default(),
+        homes: HomeRegions::default(),
     };
     for call in 1..=3 {
         let grant = router.acquire(request(call), now).expect("hope").expect("a place");
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -173,6 +173,7 @@
     };
     PublishedFleet {
         place,
+        regions: settings.regions.clone(),
         seeds: published.seeds.clone(),
         reader: read_declarations,
         retries: published.retries,
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crocusdale_core::batching::BatchOrder;
-use crocusdale_core::configuration::{ConfigurationError, Declarations};
+use crocusdale_core::configuration::{ConfigurationError, Declarations, RegionMap};
 use crocusdale_core::daemon::{DaemonEvent, NewsBounds, TimerKey};
 use crocusdale_core::identity::{
     AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey,
@@ -250,6 +250,7 @@
         };
         let published = PublishedFleet {
             place,
+            regions: RegionMap::default(),
             seeds: (0..seeds).map(peer_address).collect(),
             reader: read_load,
             retries: RetryLimits::default(),
--- a/crates/stand_ins/src/fleet_model/model_load.rs
+++ b/crates/stand_ins/src/fleet_model/model_load.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::{
-    BatchRules, Declarations, DeclarationsBuilder, EngineRules, ForwardRules, LabelSelector,
-    LabelSet, PipelineRules, PlanStep, PoolKind, RepeatRule, RoutingPolicy, StagePlan, StageRules,
-    StepWork, WeightedPool, WorkspaceRules,
+    BatchRules, Declarations, DeclarationsBuilder, EngineRules, ForwardRules, HomeRegions,
+    LabelSelector, LabelSet, PipelineRules, PlanStep, PoolKind, RepeatRule, RoutingPolicy,
+    StagePlan, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 
 /// Host that all requests of the model name.
@@ -224,8 +224,12 @@
             builder = builder.stage(&engines.name, StageRules::published(kind, None));
         }
         for workspace in 0..self.workspaces {
-            let rules =
-                WorkspaceRules { labels: LabelSet::default(), concurrency: u32::MAX, level: None };
+            let rules = WorkspaceRules {
+                labels: LabelSet::default(),
+                concurrency: u32::MAX,
+                level: None,
+                homes: HomeRegions::default(),
+            };
             let name = workspace_name(workspace);
             builder = builder.workspace(&name, rules, [name.clone()]);
         }
@@ -267,6 +271,7 @@
                 attempts: 2,
                 pools: vec![WeightedPool { pool: engines.to_owned(), weight: 1 }],
                 public: false,
+                homes: HomeRegions::default(),
             }),
         }
     }
