Read the list at a steady pace, however long a reading takes

The pause between two readings began with the end of one, while a list is as old as the beginning of its reading. The pause counts from the beginning now.

--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -392,7 +392,9 @@
         self.failing_since = None;
         self.last_read = Some(now);
         self.current = self.current.max(began);
-        self.set_look(now + self.pace.read_pause, out);
+        // From its beginning, as the age of the list is: one of thousands of upstreams takes its time.
+        let next = began.unwrap_or(now) + self.pace.read_pause;
+        self.set_look(next.max(now), out);
         std::mem::take(&mut self.away)
     }
 
