--- a/crates/crocusctl/src/commands/status_command.rs
+++ b/crates/crocusctl/src/commands/status_command.rs
@@ -14,7 +14,8 @@
        crocusctl status --operator ADDRESS...
 
 Shows all daemons in one table: revision in force, peers that they see alive, whether they are
-ready or leaving, and their load.
+ready or leaving, their load, upstreams that they know to be cold, and availability zones that they
+know to be evacuated.
 
 Options:
   --vm-list ADDRESS   take the daemons from the platform's VM list
@@ -38,7 +39,7 @@
     }
     anyhow::ensure!(!daemons.is_empty(), "no daemon; see --help");
     out_line!(
-        "{:<18} {:>8} {:<16} {:>5} {:>5} {:<8} {:>7} {:>7}",
+        "{:<18} {:>8} {:<16} {:>5} {:>5} {:<8} {:>7} {:>7} {:>5} {}",
         "vm",
         "revision",
         "digest",
@@ -46,7 +47,9 @@
         "alive",
         "state",
         "running",
-        "waiting"
+        "waiting",
+        "cold",
+        "evacuated"
     );
     let mut positions = Vec::new();
     for (name, address) in &daemons {
@@ -69,6 +72,10 @@
     let alive = members.iter().filter(|member| member["status"] == "alive").count();
     let waiting = state["waiting"].as_array().map(Vec::as_slice).unwrap_or_default();
     let waiting: u64 = waiting.iter().filter_map(|pair| pair[1].as_u64()).sum();
+    let upstreams = state["upstreams"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let cold = upstreams.iter().filter(|upstream| upstream["cold"] == true).count();
+    let zones = state["evacuated_zones"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let evacuated = zones.iter().filter_map(Value::as_str).collect::<Vec<_>>().join(",");
     let word = match (state["leaving"].as_bool(), state["ready"].as_bool()) {
         (Some(true), _) => "leaving",
         (_, Some(true)) => "ready",
@@ -77,7 +84,8 @@
     let revision = state["revision"].as_u64().unwrap_or_default();
     let digest = state["digest"].as_str().unwrap_or_default().to_owned();
     out_line!(
-        "{name:<18} {revision:>8} {digest:<16} {:>5} {alive:>5} {word:<8} {:>7} {waiting:>7}",
+        "{name:<18} {revision:>8} {digest:<16} {:>5} {alive:>5} {word:<8} {:>7} {waiting:>7} {cold:>5} \
+         {evacuated}",
         state["peers"],
         state["running"],
     );
