--- a/crates/crocusdale_core/src/admission/entry_backlog.rs
+++ b/crates/crocusdale_core/src/admission/entry_backlog.rs
@@ -25,7 +25,7 @@
     /// It can only be late, and would be in the way of others.
     Late,
     /// It can't be answered before its deadline.
-    Hopeless,
+    Unservable,
 }
 
 impl EntryBacklog {
@@ -52,7 +52,7 @@
         for (rank, plan) in &self.waiting {
             let verdict = judge(plan);
             let taken = match verdict {
-                EntryVerdict::InTime | EntryVerdict::Hopeless => true,
+                EntryVerdict::InTime | EntryVerdict::Unservable => true,
                 EntryVerdict::LateWithRoom if late_left > 0 => {
                     late_left -= 1;
                     true
--- a/crates/crocusdale_core/src/batching/batch_desk.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -15,7 +15,7 @@
 
 /// The batched pools that this daemon dispatches, or would if it were asked to.
 #[derive(Debug, Default)]
-pub struct BatchDesk {
+pub struct BatchDispatcher {
     pools: HashMap<String, BatchPool>,
     /// Pool of each open call.
     calls: HashMap<BatchId, String>,
@@ -27,7 +27,7 @@
 
 /// What a desk wants done.
 #[derive(Debug)]
-pub enum DeskStep {
+pub enum DispatchStep {
     /// Call an upstream.
     Call(BatchOrder),
     /// Give up a call, and close its connection.
@@ -59,7 +59,7 @@
     },
 }
 
-impl DeskStep {
+impl DispatchStep {
     /// Tells that pieces have no results.
     #[must_use]
     pub fn fail(attempt: AttemptId, pool: &str, fault: PieceFault) -> Self {
@@ -67,7 +67,7 @@
     }
 }
 
-impl BatchDesk {
+impl BatchDispatcher {
     /// Sets how many retries the daemons may make together.
     pub fn set_retries(&mut self, limits: RetryLimits) {
         self.retries = limits;
@@ -84,7 +84,7 @@
         declarations: &Declarations,
         directory: &UpstreamDirectory,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         for (name, stage) in declarations.stages() {
             let PoolKind::Batch(rules) = stage.kind else { continue };
@@ -102,10 +102,10 @@
     }
 
     /// Takes the pieces of a step.
-    pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let name = order.pool.clone();
         let Some(pool) = self.pools.get_mut(&name) else {
-            steps.push(DeskStep::fail(order.attempt, &name, PieceFault::NoUpstream));
+            steps.push(DispatchStep::fail(order.attempt, &name, PieceFault::NoUpstream));
             return;
         };
         pool.offer(order, now, steps);
@@ -127,7 +127,7 @@
     }
 
     /// Has unwanted results given up, and forms calls that take their room.
-    pub fn turn_unwanted(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    pub fn turn_unwanted(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in names {
             if let Some(pool) = self.pools.get_mut(&name) {
@@ -146,7 +146,7 @@
         batch: BatchId,
         outcome: BatchOutcome,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         let Some(name) = self.calls.remove(&batch) else { return };
         if let Some(pool) = self.pools.get_mut(&name) {
@@ -161,7 +161,7 @@
         upstream: &str,
         free: Option<u64>,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         let with_it = self.pools.iter_mut().filter(|(_, pool)| pool.has_upstream(upstream));
         let names: Vec<String> = with_it
@@ -190,14 +190,14 @@
     }
 
     /// Hands over what waits in `pool`, which another daemon dispatches now.
-    pub fn hand_over(&mut self, pool: &str, steps: &mut Vec<DeskStep>) {
+    pub fn hand_over(&mut self, pool: &str, steps: &mut Vec<DispatchStep>) {
         if let Some(pool) = self.pools.get_mut(pool) {
             pool.hand_over(steps);
         }
     }
 
     /// Lets time pass for all pools.
-    pub fn turn(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    pub fn turn(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in names {
             self.turn_pool(&name, now, steps);
@@ -225,7 +225,7 @@
         self.pools.values().all(BatchPool::is_idle)
     }
 
-    fn turn_pool(&mut self, name: &str, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    fn turn_pool(&mut self, name: &str, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let Some(pool) = self.pools.get_mut(name) else { return };
         let (next, calls) = (&mut self.next, &mut self.calls);
         let mut number = || {
@@ -240,7 +240,7 @@
             pool.turn(&mut number, now, steps);
         }
         for step in &steps[before..] {
-            if let DeskStep::Cancel(batch) = step {
+            if let DispatchStep::Cancel(batch) = step {
                 self.calls.remove(batch);
             }
         }
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -3,7 +3,7 @@
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
 use super::pool_forecast::InflowMeter;
-use super::{BatchId, BatchOutcome, DeskStep, ItemOutcome, PoolWait};
+use super::{BatchId, BatchOutcome, DispatchStep, ItemOutcome, PoolWait};
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
@@ -35,12 +35,12 @@
     /// Last reckoning of how long new pieces would wait, and when it was made.
     pub(super) last_wait: Option<(PoolWait, MonotonicTime)>,
     /// Since when the pool has had no room for late requests.
-    pub(super) crowded_since: Option<MonotonicTime>,
+    pub(super) overloaded_since: Option<MonotonicTime>,
     /// When pieces of the job that was given up last should have ended: nobody who is refused finds
     /// room before.
     pub(super) full_until: Option<MonotonicTime>,
     /// When jobs that wait in vain were last looked for.
-    pub(super) last_hopeless: Option<MonotonicTime>,
+    pub(super) last_shed: Option<MonotonicTime>,
     /// Pieces that a usual call holds, of late.
     pub(super) usual_pieces: f64,
     /// Work that came in and could be in time.
@@ -76,9 +76,9 @@
             fetching: VecDeque::new(),
             last_work: None,
             last_wait: None,
-            crowded_since: None,
+            overloaded_since: None,
             full_until: None,
-            last_hopeless: None,
+            last_shed: None,
             usual_pieces: 1.0,
             inflow: InflowMeter::default(),
         }
@@ -108,25 +108,25 @@
     }
 
     /// Takes the pieces of a step.
-    pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let attempt = order.attempt;
         self.begin_work(order.repeated, now);
         if order.pieces == 0 {
             let pool = order.pool;
-            steps.push(DeskStep::Settle { attempt, pool, outcome: Ok(Vec::new()) });
+            steps.push(DispatchStep::Settle { attempt, pool, outcome: Ok(Vec::new()) });
             return;
         }
         // Pieces that another dispatcher may have had made count as retries at the pool.
         if order.repeated {
             if !(0..order.pieces).all(|_| self.budget.spend(now)) {
-                steps.push(DeskStep::fail(attempt, &order.pool, PieceFault::Failed));
+                steps.push(DispatchStep::fail(attempt, &order.pool, PieceFault::Failed));
                 return;
             }
         } else {
             self.budget.earn(now);
         }
         if !self.workers.values().any(|worker| worker.staying) {
-            steps.push(DeskStep::fail(attempt, &order.pool, PieceFault::NoUpstream));
+            steps.push(DispatchStep::fail(attempt, &order.pool, PieceFault::NoUpstream));
             return;
         }
         let job = BatchJob::new(order);
@@ -188,7 +188,7 @@
         batch: BatchId,
         outcome: BatchOutcome,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         let Some(open) = self.open.remove(&batch) else {
             self.release(made_by(outcome));
@@ -236,7 +236,7 @@
         &mut self,
         next: &mut impl FnMut() -> BatchId,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         self.give_up(now, steps);
         for worker in self.workers.values_mut() {
@@ -249,33 +249,33 @@
     }
 
     /// Gives up calls that are lost, and pieces that nobody can have made in time.
-    pub fn give_up(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    pub fn give_up(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         self.give_up_lost(now, steps);
         self.give_up_late(now, steps);
-        self.give_up_hopeless(now, steps);
+        self.shed_unservable(now, steps);
     }
 
-    fn ask_for_room(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    fn ask_for_room(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let wanting =
             self.workers.iter_mut().filter(|(_, worker)| worker.staying && !worker.is_away(now));
         for (upstream, worker) in wanting {
             if worker.room.must_ask(now) {
                 let (upstream, address) = (upstream.clone(), worker.address);
-                steps.push(DeskStep::AskRoom { upstream, address });
+                steps.push(DispatchStep::AskRoom { upstream, address });
             }
         }
     }
 
-    fn give_up_lost(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    fn give_up_lost(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let lost = self.open.iter().filter(|(_, open)| now >= open.lost_at);
         let lost: Vec<BatchId> = lost.map(|(batch, _)| *batch).collect();
         for batch in lost {
-            steps.push(DeskStep::Cancel(batch));
+            steps.push(DispatchStep::Cancel(batch));
             self.answered(batch, BatchOutcome::Broken, now, steps);
         }
     }
 
-    fn give_up_late(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    fn give_up_late(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         let shortest = self.rules.expected(1);
         let late = self.queue.keys().filter(|(_, attempt)| {
             self.jobs.get(attempt).is_none_or(|job| now + shortest > job.order.expires)
@@ -293,7 +293,7 @@
         upstream: &str,
         zone: &str,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         match outcome {
             ItemOutcome::Made(handle) => {
@@ -309,7 +309,7 @@
             ItemOutcome::Failed => self.put_back(attempt, piece, now, steps),
             ItemOutcome::NoRoom => {
                 if let Some(worker) = self.workers.get_mut(upstream) {
-                    worker.crowded(now);
+                    worker.overloaded(now);
                 }
                 self.put_back(attempt, piece, now, steps);
             }
@@ -321,7 +321,7 @@
         attempt: AttemptId,
         piece: u32,
         result: PlacedResult,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         let job = self.jobs.get_mut(&attempt);
         let place = job.and_then(|job| job.results.get_mut(piece as usize));
@@ -339,7 +339,7 @@
             self.queue.remove(&(job.rank(), attempt));
             let results = job.results.into_iter().flatten().collect();
             let pool = job.order.pool;
-            steps.push(DeskStep::Settle { attempt, pool, outcome: Ok(results) });
+            steps.push(DispatchStep::Settle { attempt, pool, outcome: Ok(results) });
         }
     }
 
@@ -349,7 +349,7 @@
         attempt: AttemptId,
         piece: u32,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         if !self.jobs.contains_key(&attempt) {
             return;
@@ -368,10 +368,10 @@
         &mut self,
         attempt: AttemptId,
         fault: PieceFault,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         if let Some(job) = self.jobs.get(&attempt) {
-            steps.push(DeskStep::fail(attempt, &job.order.pool, fault));
+            steps.push(DispatchStep::fail(attempt, &job.order.pool, fault));
             self.withdraw(attempt);
         }
     }
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -183,7 +183,7 @@
     }
 
     /// Its memory for results is full, against what was counted.
-    pub(super) fn crowded(&mut self, now: MonotonicTime) {
+    pub(super) fn overloaded(&mut self, now: MonotonicTime) {
         self.pause(FULL_PAUSE, now);
     }
 
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -6,7 +6,7 @@
 use super::batch_job::BatchJob;
 use super::batch_pool::OpenBatch;
 use super::batch_worker::BatchWorker;
-use super::{BatchId, BatchItem, BatchOrder, BatchPool, DeskStep};
+use super::{BatchId, BatchItem, BatchOrder, BatchPool, DispatchStep};
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::routing::CONNECT_PATIENCE;
@@ -20,10 +20,10 @@
 
 /// Jobs in the order in which they are served, for one turn.
 #[derive(Debug)]
-struct JobLine {
+struct JobOrder {
     order: Vec<AttemptId>,
     /// Whether more waits than all upstreams can take at once.
-    crowded: bool,
+    overloaded: bool,
 }
 
 impl BatchPool {
@@ -33,19 +33,20 @@
         &mut self,
         next: &mut impl FnMut() -> BatchId,
         now: MonotonicTime,
-        steps: &mut Vec<DeskStep>,
+        steps: &mut Vec<DispatchStep>,
     ) {
         if self.queue.is_empty() || self.free_upstreams(now).is_empty() {
             return;
         }
         // While more waits than all upstreams can take at once, a call that is not full is lost.
         let at_once = self.rules.pieces.max(1) as usize * self.workers.len();
-        let line = JobLine { order: self.order_of_jobs(now), crowded: self.waiting() > at_once };
+        let line =
+            JobOrder { order: self.order_of_jobs(now), overloaded: self.waiting() > at_once };
         loop {
             let free = self.free_upstreams(now);
             let call = free.iter().find_map(|upstream| self.call_of(upstream, &line, next, now));
             let Some(call) = call else { return };
-            steps.push(DeskStep::Call(call));
+            steps.push(DispatchStep::Call(call));
         }
     }
 
@@ -53,7 +54,7 @@
     fn call_of(
         &mut self,
         upstream: &str,
-        line: &JobLine,
+        line: &JobOrder,
         next: &mut impl FnMut() -> BatchId,
         now: MonotonicTime,
     ) -> Option<BatchOrder> {
@@ -134,7 +135,7 @@
     /// inputs or results are of another zone goes there, if it still is in time there.
     fn fill(
         &mut self,
-        line: &JobLine,
+        line: &JobOrder,
         upstream: &str,
         now: MonotonicTime,
     ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>, u64) {
@@ -158,7 +159,7 @@
             });
             let fitting = room.saturating_sub(bytes) / job.order.result_bytes.max(1);
             let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(limit - items.len());
-            let whole = job.waiting.len() <= fitting || items.is_empty() || line.crowded;
+            let whole = job.waiting.len() <= fitting || items.is_empty() || line.overloaded;
             if fitting == 0 || !whole || elsewhere {
                 continue;
             }
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -8,7 +8,7 @@
 //! next in rank, and a piece may be made twice.
 
 mod batch_call;
-mod batch_desk;
+mod batch_dispatcher;
 mod batch_job;
 mod batch_pool;
 mod batch_worker;
@@ -21,7 +21,7 @@
 mod room_account;
 
 pub use batch_call::{BatchId, BatchItem, BatchOrder, BatchOutcome, ItemOutcome};
-pub use batch_desk::{BatchDesk, DeskStep};
+pub use batch_dispatcher::{BatchDispatcher, DispatchStep};
 pub use batch_pool::BatchPool;
 pub use dispatcher_choice::DispatcherChoice;
 pub use pool_waits::{PoolWait, PoolWaits};
--- a/crates/crocusdale_core/src/batching/pool_changes.rs
+++ b/crates/crocusdale_core/src/batching/pool_changes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::batch_worker::BatchWorker;
-use super::{BatchPool, DeskStep};
+use super::{BatchPool, DispatchStep};
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::PieceFault;
 use crate::routing::DirectoryEntry;
@@ -46,16 +46,16 @@
 
     /// This process was paused for `pause` until now. What the calls that were open then take says
     /// nothing of their upstreams, and their answers may lie unread: they are not lost before they
-    /// have had as much time as without the pause. How crowded the pool was is to be seen anew.
+    /// have had as much time as without the pause. How overloaded the pool was is to be seen anew.
     pub fn woke(&mut self, pause: Duration, now: MonotonicTime) {
         for open in self.open.values_mut() {
             open.since = None;
             open.lost_at = open.lost_at + pause;
         }
-        self.crowded_since = None;
+        self.overloaded_since = None;
         self.full_until = None;
         self.last_wait = None;
-        self.last_hopeless = Some(now);
+        self.last_shed = Some(now);
     }
 
     /// Another daemon dispatches the pool now: hands over what was in no call yet.
@@ -63,7 +63,7 @@
     /// Guards against two queues before the same upstreams: each of the two dispatchers sends its own
     /// small calls, and these stand behind each other's where nobody sees them. With this, a rolling
     /// restart of the whole fleet leaves nothing behind in processes that are about to end.
-    pub fn hand_over(&mut self, steps: &mut Vec<DeskStep>) {
+    pub fn hand_over(&mut self, steps: &mut Vec<DispatchStep>) {
         let untouched = self.jobs.iter().filter(|(_, job)| job.is_untouched());
         let mut untouched: Vec<AttemptId> = untouched.map(|(attempt, _)| *attempt).collect();
         untouched.sort_unstable();
--- a/crates/crocusdale_core/src/batching/pool_forecast.rs
+++ b/crates/crocusdale_core/src/batching/pool_forecast.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::batch_worker::BatchWorker;
-use super::{BatchPool, DeskStep, PoolWait};
+use super::{BatchPool, DispatchStep, PoolWait};
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::PieceFault;
@@ -13,7 +13,7 @@
 /// asks for it several times.
 const WAIT_LIFE: Duration = Duration::from_millis(10);
 /// Pause between two looks for jobs that wait in vain: a tenth of the time of a usual call.
-const HOPELESS_PACE: Duration = Duration::from_millis(20);
+const SHED_INTERVAL: Duration = Duration::from_millis(20);
 /// Time constant with which arrivals are averaged. Some times as long as a call, so that a few
 /// requests that come together do not count as a burst; short against the seconds of a burst.
 const INFLOW_TIME: Duration = Duration::from_millis(1_500);
@@ -49,14 +49,14 @@
 
 /// Time that late work takes behind what can be in time.
 #[derive(Clone, Copy, Debug)]
-struct LateTurn {
+struct LateQueue {
     /// Time until the first upstream is free.
     first: Duration,
     /// Upstreams, as far as what comes in leaves them to late jobs.
     share: f64,
 }
 
-impl LateTurn {
+impl LateQueue {
     fn wait(&self, work: Duration) -> Duration {
         self.first + work.div_f64(self.share)
     }
@@ -72,12 +72,12 @@
             return wait.after(now.since(*at));
         }
         let mut wait = self.reckon_wait(now);
-        self.crowded_since = wait.is_crowded().then(|| self.crowded_since.unwrap_or(now));
-        wait.crowded = self.crowded_since.map_or(Duration::ZERO, |since| now.since(since));
+        self.overloaded_since = wait.is_overloaded().then(|| self.overloaded_since.unwrap_or(now));
+        wait.overloaded = self.overloaded_since.map_or(Duration::ZERO, |since| now.since(since));
         // Once the crowd is over, nobody need stay away for what was reckoned in it.
-        self.full_until = self.full_until.filter(|_| wait.is_crowded());
+        self.full_until = self.full_until.filter(|_| wait.is_overloaded());
         let full = self.full_until.map_or(Duration::ZERO, |until| until.since(now));
-        wait.crowded = wait.crowded.max(full);
+        wait.overloaded = wait.overloaded.max(full);
         self.last_wait = Some((wait.clone(), now));
         wait
     }
@@ -95,34 +95,34 @@
     /// behind all others were refused at the end of their time, when there was none left to come
     /// back in. In a model of a flood, requests were held for 6.7 s of 6.8 s, and of 333 callers
     /// that came back none was served.
-    pub(super) fn give_up_hopeless(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
-        if self.last_hopeless.is_some_and(|at| now.since(at) < HOPELESS_PACE) {
+    pub(super) fn shed_unservable(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
+        if self.last_shed.is_some_and(|at| now.since(at) < SHED_INTERVAL) {
             return;
         }
-        self.last_hopeless = Some(now);
-        let Some(turn) = self.late_turn(now) else { return };
+        self.last_shed = Some(now);
+        let Some(turn) = self.late_queue(now) else { return };
         let shortest = self.rules.expected(1);
         let mut ahead = Duration::ZERO;
-        let mut hopeless: Vec<AttemptId> = Vec::new();
+        let mut unservable: Vec<AttemptId> = Vec::new();
         for attempt in self.order_of_jobs(now) {
             let Some(job) = self.jobs.get(&attempt) else { continue };
             let work = work_of(&self.rules, job.waiting.len());
             let end = now + turn.wait(ahead) + shortest;
             if !job.is_ahead(now + shortest) && end > job.order.expires {
-                hopeless.push(attempt);
+                unservable.push(attempt);
                 self.full_until = Some(end);
                 self.last_wait = None;
             } else {
                 ahead += work;
             }
         }
-        for attempt in hopeless {
+        for attempt in unservable {
             self.fail(attempt, PieceFault::Late, steps);
         }
     }
 
     fn reckon_wait(&self, now: MonotonicTime) -> PoolWait {
-        let Some(turn) = self.late_turn(now) else { return PoolWait::default() };
+        let Some(turn) = self.late_queue(now) else { return PoolWait::default() };
         let shortest = self.rules.expected(1);
         let (mut ahead, mut late) = (0, BTreeMap::<u8, usize>::new());
         for job in self.jobs.values() {
@@ -140,14 +140,14 @@
             turn.wait(work_of(&self.rules, ahead + before))
         });
         let call = self.usual_call();
-        PoolWait { in_time, late: waits.collect(), crowded: Duration::ZERO, call }
+        PoolWait { in_time, late: waits.collect(), overloaded: Duration::ZERO, call }
     }
 
-    fn late_turn(&self, now: MonotonicTime) -> Option<LateTurn> {
+    fn late_queue(&self, now: MonotonicTime) -> Option<LateQueue> {
         let first = self.staying().map(|worker| worker.free_in(&self.rules, now)).min()?;
         let upstreams = self.staying().count() as f64;
         let free = 1.0 - self.inflow.rate(now) / upstreams;
-        Some(LateTurn { first, share: upstreams * free.max(LEAST_SHARE) })
+        Some(LateQueue { first, share: upstreams * free.max(LEAST_SHARE) })
     }
 
     fn staying(&self) -> impl Iterator<Item = &BatchWorker> {
--- a/crates/crocusdale_core/src/batching/pool_waits.rs
+++ b/crates/crocusdale_core/src/batching/pool_waits.rs
@@ -6,8 +6,8 @@
 /// Wait of a pool below which late requests may begin: less than half a call.
 const ROOM_WAIT: Duration = Duration::from_millis(120);
 
-/// Wait of late pieces above which a pool is crowded: longer than a call and its fellow pieces.
-const CROWDED_WAIT: Duration = Duration::from_millis(500);
+/// Wait of late pieces above which a pool is overloaded: longer than a call and its fellow pieces.
+const OVERLOAD_WAIT: Duration = Duration::from_millis(500);
 
 /// How long new pieces would wait for their call in a pool.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -19,7 +19,7 @@
     pub late: Vec<Duration>,
     /// For how long the pool has had no room for late requests. Nobody knows when a burst ends; it is
     /// taken to last for as long again.
-    pub crowded: Duration,
+    pub overloaded: Duration,
     /// Time of a call that is as full as calls were of late, zero if none is known.
     pub call: Duration,
 }
@@ -40,8 +40,8 @@
 
     /// Whether late requests wait for long.
     #[must_use]
-    pub fn is_crowded(&self) -> bool {
-        !self.has_room() || self.late_for(u8::MAX) > CROWDED_WAIT
+    pub fn is_overloaded(&self) -> bool {
+        !self.has_room() || self.late_for(u8::MAX) > OVERLOAD_WAIT
     }
 
     /// When a caller should find room that is refused now: once all that waits is made, and the
@@ -51,7 +51,7 @@
     /// 4,100 callers that were told to come back within 0.4 s at most 15 were served.
     #[must_use]
     pub fn retry_after(&self) -> Duration {
-        self.late_for(u8::MAX).max(self.crowded)
+        self.late_for(u8::MAX).max(self.overloaded)
     }
 
     /// The wait when `age` has passed without news.
--- a/crates/crocusdale_core/src/batching/result_release.rs
+++ b/crates/crocusdale_core/src/batching/result_release.rs
@@ -1,6 +1,6 @@
 //! Results that nobody needs any more, and the memory that they take up until upstreams are told.
 
-use super::{BatchPool, DeskStep};
+use super::{BatchPool, DispatchStep};
 use crate::identity::MonotonicTime;
 use crate::pipeline::{PieceSource, ResultHandle};
 
@@ -12,7 +12,7 @@
 
     /// Has unwanted results given up, and counts on those of the turn before being gone: the news
     /// must not overtake a call that needs their room. Returns whether there were any.
-    pub fn turn_unwanted(&mut self, steps: &mut Vec<DeskStep>) -> bool {
+    pub fn turn_unwanted(&mut self, steps: &mut Vec<DispatchStep>) -> bool {
         let told = std::mem::replace(&mut self.told, std::mem::take(&mut self.unwanted));
         for worker in self.workers.values_mut() {
             for result in &told {
@@ -20,7 +20,7 @@
             }
         }
         if !self.told.is_empty() {
-            steps.push(DeskStep::Free(self.told.clone()));
+            steps.push(DispatchStep::Free(self.told.clone()));
         }
         !self.told.is_empty() || !told.is_empty()
     }
@@ -32,14 +32,14 @@
     /// for twice as much in a burst: in a model of three heavy loads, 0.73 to 0.95, 0.83 to 0.98 and
     /// 0.42 to 0.52 of the kind of request that passes three pools were in time. If the call fails,
     /// its pieces find their inputs gone, and the request's steps are begun anew.
-    pub(super) fn free_fetched(&mut self, now: MonotonicTime, steps: &mut Vec<DeskStep>) {
+    pub(super) fn free_fetched(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         while let Some((_, attempt)) = self.fetching.pop_front_if(|(at, _)| *at <= now) {
             let job = self.jobs.get(&attempt).filter(|job| job.waiting.is_empty());
             let Some(order) = job.map(|job| &job.order) else { continue };
             if let (Some(pool), PieceSource::Results(results)) = (&order.inputs_pool, &order.source)
             {
                 let (pool, results) = (pool.clone(), results.clone());
-                steps.push(DeskStep::FreeInputs { pool, results });
+                steps.push(DispatchStep::FreeInputs { pool, results });
             }
         }
     }
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -9,17 +9,17 @@
 use super::pause_watch::PauseWatch;
 use super::{DaemonCore, FleetState, NewsBounds};
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
-use crate::batching::{BatchDesk, PoolWaits};
+use crate::batching::{BatchDispatcher, PoolWaits};
 use crate::claims::RegisterShard;
 use crate::configuration::{DeclarationReader, Declarations, MembershipSettings, RegionMap};
 use crate::identity::{InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{MemberPlace, MemberViewBuilder, RosterHistory};
 use crate::pipeline::RequestShard;
-use crate::quarantine::CrashWatch;
+use crate::quarantine::CrashDetector;
 use crate::retry::RetryLimits;
 use crate::routing::{ColdLimits, UpstreamRouter};
 use crate::sync::lock;
-use crate::tickets::TicketBook;
+use crate::tickets::TicketIssuer;
 
 /// Shards of requests and of registers.
 const SHARDS: usize = 16;
@@ -44,9 +44,9 @@
     pub(super) directory: Mutex<DirectoryState>,
     /// What waits until what the platform publishes has been read.
     pub(super) held: Mutex<HeldWork>,
-    pub(super) desk: Mutex<BatchDesk>,
+    pub(super) dispatcher: Mutex<BatchDispatcher>,
     /// Upstreams that ended under requests.
-    pub(super) crashes: Mutex<CrashWatch>,
+    pub(super) crashes: Mutex<CrashDetector>,
     /// How long pieces would wait in each pool.
     pub(super) waits: Mutex<PoolWaits>,
     /// What each workspace sends.
@@ -66,7 +66,7 @@
     pub(super) pauses: Mutex<PauseWatch>,
     /// Time until which requests may have waited in a socket through a long pause.
     suspicious_until: Mutex<MonotonicTime>,
-    pub(super) tickets: TicketBook,
+    pub(super) tickets: TicketIssuer,
 }
 
 /// What every request needs to know of configuration and membership, in one reading.
@@ -188,10 +188,10 @@
         let retries = self.published.as_ref().map(|each| each.retries).unwrap_or_default();
         let cold_limits = self.published.as_ref().map(|each| each.cold_limits).unwrap_or_default();
         let regions = self.published.as_ref().map(|each| each.regions.clone()).unwrap_or_default();
-        let mut desk = BatchDesk::default();
-        desk.set_retries(retries);
+        let mut dispatcher = BatchDispatcher::default();
+        dispatcher.set_retries(retries);
         let grace = self.published.as_ref().map(|each| each.grace);
-        let crashes = CrashWatch::new(&self.own.vm, self.published.is_some());
+        let crashes = CrashDetector::new(&self.own.vm, self.published.is_some());
         let mut directory = DirectoryState::default();
         if let Some(published) = self.published {
             let pace = NewsPace::from(published.bounds);
@@ -219,7 +219,7 @@
             fleet: Mutex::new(fleet),
             directory: Mutex::new(directory),
             held: Mutex::default(),
-            desk: Mutex::new(desk),
+            dispatcher: Mutex::new(dispatcher),
             crashes: Mutex::new(crashes),
             waits: Mutex::default(),
             workspaces: Mutex::default(),
@@ -233,7 +233,7 @@
             last_housekeeping: Mutex::new(now),
             pauses: Mutex::new(PauseWatch::new(now)),
             suspicious_until: Mutex::new(now),
-            tickets: TicketBook::new(incarnation, self.seed.wrapping_add(3)),
+            tickets: TicketIssuer::new(incarnation, self.seed.wrapping_add(3)),
         })
     }
 }
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -104,13 +104,13 @@
                 self.state.dispatch_pieces(*order, now, &mut steps, out);
             }
             DaemonEvent::PiecesWithdrawn { attempt, pool } => {
-                lock(&self.state.desk).withdraw(attempt, &pool);
+                lock(&self.state.dispatcher).withdraw(attempt, &pool);
             }
             DaemonEvent::WaitTold { pool, wait } => {
                 lock(&self.state.waits).note(&pool, wait, now);
             }
             DaemonEvent::ResultsUnwanted { pool, results } => {
-                lock(&self.state.desk).release(&pool, results);
+                lock(&self.state.dispatcher).release(&pool, results);
             }
             DaemonEvent::BatchEnded { batch, outcome } => {
                 self.state.batch_ended(batch, outcome, now, &mut steps, out);
@@ -302,7 +302,7 @@
             outcomes,
             keys,
             waiting: router.waiting(),
-            waiting_pieces: lock(&self.state.desk).waiting(),
+            waiting_pieces: lock(&self.state.dispatcher).waiting(),
             upstreams: router.summaries(now),
             quarantined: lock(&self.state.crashes).quarantined(now),
         }
@@ -405,10 +405,10 @@
         let grants = self.state.router().serve_all_waiting(now);
         let mut steps = self.state.run_grants(grants, now);
         self.state.hand_over_pools(now, &mut steps, out);
-        self.state.turn_desk(now, &mut steps, out);
+        self.state.turn_dispatcher(now, &mut steps, out);
         self.state.turn_backlog(now, &mut steps);
         self.state.run_steps(steps, now, out);
-        let idle = self.open_calls() == 0 && lock(&self.state.desk).is_idle();
+        let idle = self.open_calls() == 0 && lock(&self.state.dispatcher).is_idle();
         if self.state.window_over.load(Ordering::Relaxed) && idle {
             out.push(Command::Note(StateChange::Drained));
             out.push(Command::Exit);
@@ -421,7 +421,7 @@
     fn look_for_pause(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let Some(pause) = lock(&self.state.pauses).note_event(now) else { return };
         out.push(Command::Count(CounterName::PausesNoticed));
-        lock(&self.state.desk).woke(pause, now);
+        lock(&self.state.dispatcher).woke(pause, now);
         lock(&self.state.directory).woke(pause, now);
         if pause >= LONG_PAUSE {
             self.doubt_beliefs(pause, now, out);
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -31,7 +31,7 @@
         plan.delays = self.expected_delays(&plan, now);
         match self.entry_verdict(&plan, now) {
             EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, steps),
-            EntryVerdict::Hopeless => self.refuse_late(call, &plan, now, steps),
+            EntryVerdict::Unservable => self.refuse_late(call, &plan, now, steps),
             verdict @ (EntryVerdict::LateWithRoom | EntryVerdict::Late) => {
                 steps.push(ShardStep::Command(Command::Note(StateChange::RequestWaits {
                     request: plan.request.key.clone(),
@@ -51,7 +51,7 @@
         let taken = lock(&self.backlog).take(LATE_PER_TURN, judge);
         for (call, mut plan, verdict) in taken {
             plan.delays = self.expected_delays(&plan, now);
-            if verdict == EntryVerdict::Hopeless {
+            if verdict == EntryVerdict::Unservable {
                 self.refuse_late(call, &plan, now, steps);
             } else {
                 self.shard(call.0).start(call, plan, now, steps);
@@ -147,11 +147,11 @@
         // A flood stands behind all others.
         let way = if plan.is_flood { way.max(bare + late.unwrap_or_default()) } else { way };
         if now + bare >= plan.deadline {
-            EntryVerdict::Hopeless
+            EntryVerdict::Unservable
         } else if now + way.mul_f64(1.0 / OBJECTIVE_SHARE) <= plan.objective {
             EntryVerdict::InTime
         } else if now + late.unwrap_or_default() >= plan.deadline {
-            EntryVerdict::Hopeless
+            EntryVerdict::Unservable
         } else if waits.iter().all(PoolWait::has_room) {
             EntryVerdict::LateWithRoom
         } else {
--- a/crates/crocusdale_core/src/daemon/list_guard.rs
+++ b/crates/crocusdale_core/src/daemon/list_guard.rs
@@ -26,7 +26,7 @@
         };
         let Some(released) = released else { return };
         self.router().hold(overdue);
-        lock(&self.desk).hold(overdue);
+        lock(&self.dispatcher).hold(overdue);
         if overdue {
             return;
         }
@@ -35,7 +35,7 @@
             self.acquire(request, reason, now, &mut steps);
         }
         steps.extend(self.run_grants(self.router().serve_all_waiting(now), now));
-        self.turn_desk(now, &mut steps, out);
+        self.turn_dispatcher(now, &mut steps, out);
         self.run_steps(steps, now, out);
         for held in released.requests {
             self.submit(held, now, out);
--- a/crates/crocusdale_core/src/daemon/notice_flow.rs
+++ b/crates/crocusdale_core/src/daemon/notice_flow.rs
@@ -31,7 +31,7 @@
         }
         if let Some(time) = notice.stay_away {
             self.router().stay_away(upstream, now + time);
-            lock(&self.desk).stay_away(upstream, now + time);
+            lock(&self.dispatcher).stay_away(upstream, now + time);
             let stay_away_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
             let upstream = upstream.to_owned();
             out.push(Command::Note(StateChange::UpstreamAway { upstream, stay_away_ms }));
@@ -81,9 +81,9 @@
         let router = self.router().reconfigured(declarations, &directory, now);
         router.take_roster(self.basis().history.current());
         self.set_router(router);
-        let (mut steps, mut desk_steps) = (Vec::new(), Vec::new());
-        lock(&self.desk).reconfigure(declarations, &directory, now, &mut desk_steps);
-        self.run_desk(desk_steps, now, &mut steps, out);
+        let (mut steps, mut dispatch_steps) = (Vec::new(), Vec::new());
+        lock(&self.dispatcher).reconfigure(declarations, &directory, now, &mut dispatch_steps);
+        self.run_dispatch(dispatch_steps, now, &mut steps, out);
         self.run_steps(steps, now, out);
     }
 }
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -1,6 +1,6 @@
 use super::core_state::CoreState;
 use super::{Command, CounterName};
-use crate::batching::{BatchId, BatchOutcome, DeskStep, DispatcherChoice};
+use crate::batching::{BatchId, BatchOutcome, DispatchStep, DispatcherChoice};
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::{
     AttemptEvent, PieceFault, PieceOrder, PlacedResult, ResultHandle, ShardStep,
@@ -37,9 +37,9 @@
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        let mut desk_steps = Vec::new();
-        lock(&self.desk).offer(order, now, &mut desk_steps);
-        self.run_desk(desk_steps, now, steps, out);
+        let mut dispatch_steps = Vec::new();
+        lock(&self.dispatcher).offer(order, now, &mut dispatch_steps);
+        self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
     /// Has results given up by the dispatcher of their pool, which counts what its upstreams hold.
@@ -55,7 +55,7 @@
             choice.dispatcher(pool, &[]).to_owned()
         };
         if vm == self.own.vm {
-            lock(&self.desk).release(pool, results);
+            lock(&self.dispatcher).release(pool, results);
         } else {
             out.push(Command::SendUnwanted { vm, pool: pool.to_owned(), results });
         }
@@ -68,9 +68,9 @@
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        let mut desk_steps = Vec::new();
-        lock(&self.desk).turn_unwanted(now, &mut desk_steps);
-        self.run_desk(desk_steps, now, steps, out);
+        let mut dispatch_steps = Vec::new();
+        lock(&self.dispatcher).turn_unwanted(now, &mut dispatch_steps);
+        self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
     /// Takes the end of a call of a batched upstream.
@@ -82,9 +82,9 @@
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        let mut desk_steps = Vec::new();
-        lock(&self.desk).answered(batch, outcome, now, &mut desk_steps);
-        self.run_desk(desk_steps, now, steps, out);
+        let mut dispatch_steps = Vec::new();
+        lock(&self.dispatcher).answered(batch, outcome, now, &mut dispatch_steps);
+        self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
     /// Takes an upstream's word on how much of its memory for results is free.
@@ -96,9 +96,9 @@
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        let mut desk_steps = Vec::new();
-        lock(&self.desk).room_told(upstream, free, now, &mut desk_steps);
-        self.run_desk(desk_steps, now, steps, out);
+        let mut dispatch_steps = Vec::new();
+        lock(&self.dispatcher).room_told(upstream, free, now, &mut dispatch_steps);
+        self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
     /// Hands over the pieces that wait here in pools which another daemon dispatches now.
@@ -108,7 +108,8 @@
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        let waiting = lock(&self.desk).waiting().into_iter().filter(|(_, pieces)| *pieces > 0);
+        let waiting =
+            lock(&self.dispatcher).waiting().into_iter().filter(|(_, pieces)| *pieces > 0);
         let mut pools: Vec<String> = waiting.map(|(pool, _)| pool).collect();
         if pools.is_empty() {
             return;
@@ -118,50 +119,52 @@
             let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
             pools.retain(|pool| choice.dispatcher(pool, &[]) != self.own.vm);
         }
-        let mut desk_steps = Vec::new();
+        let mut dispatch_steps = Vec::new();
         for pool in pools {
-            lock(&self.desk).hand_over(&pool, &mut desk_steps);
+            lock(&self.dispatcher).hand_over(&pool, &mut dispatch_steps);
         }
-        self.run_desk(desk_steps, now, steps, out);
+        self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
     /// Lets time pass for the pieces that wait here.
-    pub(super) fn turn_desk(
+    pub(super) fn turn_dispatcher(
         &self,
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        let mut desk_steps = Vec::new();
-        lock(&self.desk).turn(now, &mut desk_steps);
-        self.run_desk(desk_steps, now, steps, out);
+        let mut dispatch_steps = Vec::new();
+        lock(&self.dispatcher).turn(now, &mut dispatch_steps);
+        self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
     /// Carries out what the desk wants.
-    pub(super) fn run_desk(
+    pub(super) fn run_dispatch(
         &self,
-        desk_steps: Vec<DeskStep>,
+        dispatch_steps: Vec<DispatchStep>,
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
         // Calls go out before anything is told of the one that ended: until then their upstream
         // stands idle.
-        let (calls, others): (Vec<DeskStep>, Vec<DeskStep>) =
-            desk_steps.into_iter().partition(|step| matches!(step, DeskStep::Call(_)));
+        let (calls, others): (Vec<DispatchStep>, Vec<DispatchStep>) =
+            dispatch_steps.into_iter().partition(|step| matches!(step, DispatchStep::Call(_)));
         for step in calls.into_iter().chain(others) {
             match step {
-                DeskStep::Call(order) => {
+                DispatchStep::Call(order) => {
                     out.push(Command::Count(CounterName::BatchCalls));
                     out.push(Command::CallBatch(order));
                 }
-                DeskStep::Cancel(batch) => out.push(Command::CancelBatch(batch)),
-                DeskStep::Settle { attempt, pool, outcome } => {
+                DispatchStep::Cancel(batch) => out.push(Command::CancelBatch(batch)),
+                DispatchStep::Settle { attempt, pool, outcome } => {
                     self.settle(attempt, &pool, outcome, now, steps, out);
                 }
-                DeskStep::FreeInputs { pool, results } => self.free_results(&pool, results, out),
-                DeskStep::Free(results) => out.push(Command::FreeResults(results)),
-                DeskStep::AskRoom { upstream, address } => {
+                DispatchStep::FreeInputs { pool, results } => {
+                    self.free_results(&pool, results, out)
+                }
+                DispatchStep::Free(results) => out.push(Command::FreeResults(results)),
+                DispatchStep::AskRoom { upstream, address } => {
                     out.push(Command::Count(CounterName::RoomQuestions));
                     out.push(Command::AskRoom { upstream, address });
                 }
@@ -179,7 +182,7 @@
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
-        let wait = lock(&self.desk).expected_wait(pool, now);
+        let wait = lock(&self.dispatcher).expected_wait(pool, now);
         if attempt.incarnation != self.own.mark() {
             out.push(Command::AnswerPieces { attempt, outcome, wait });
             return;
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -300,7 +300,7 @@
                 self.offer_pieces(*order, &tried, now, &mut steps, out);
             }
             ShardStep::WithdrawPieces { attempt, pool } => {
-                lock(&self.desk).withdraw(attempt, &pool);
+                lock(&self.dispatcher).withdraw(attempt, &pool);
                 out.push(Command::CancelPieces(attempt));
             }
             ShardStep::Suspect { digest, upstream, address } => {
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -95,8 +95,8 @@
             branch.stage == grant.request.stage && branch.is_waiting()
         });
         // What can't be answered in time any more would only take the place of what can.
-        let hopeless = now + grant.fastest >= self.plan.deadline;
-        let Some(index) = wanted.filter(|_| !hopeless) else {
+        let unservable = now + grant.fastest >= self.plan.deadline;
+        let Some(index) = wanted.filter(|_| !unservable) else {
             let (call, report) = (self.call, AttemptReport::Cancelled);
             steps.push(ShardStep::Release { upstream: grant.upstream, call, report });
             return wanted.and_then(|_| self.denied(RefusalReason::Overload, now, steps));
--- a/crates/crocusdale_core/src/quarantine/crash_watch.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_detector.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::{CrashBook, CrashRecord, SuccessMemory, UpstreamEnd};
+use super::{CrashLog, CrashRecord, SuccessMemory, UpstreamEnd};
 use crate::identity::{MonotonicTime, RequestDigest};
 
 /// Time within which a declared upstream that ends again under one request is taken to have ended once,
@@ -14,11 +14,11 @@
 /// upstreams end by chance under all that they run. So the upstream is looked at first, and only if it
 /// has ended is the request suspected; a whole answer to a request like it clears it.
 #[derive(Debug)]
-pub struct CrashWatch {
+pub struct CrashDetector {
     own_vm: String,
     /// Whether each life of an upstream has a name of its own.
     lives_have_names: bool,
-    book: CrashBook,
+    book: CrashLog,
     successes: SuccessMemory,
     /// Requests whose attempts broke off at upstreams that are being looked at.
     suspects: HashMap<String, BTreeSet<RequestDigest>>,
@@ -39,14 +39,14 @@
     pub has_news: bool,
 }
 
-impl CrashWatch {
+impl CrashDetector {
     /// Knows nothing yet, on `own_vm`. Published upstreams have another name in each life.
     #[must_use]
     pub fn new(own_vm: &str, lives_have_names: bool) -> Self {
         Self {
             own_vm: own_vm.to_owned(),
             lives_have_names,
-            book: CrashBook::default(),
+            book: CrashLog::default(),
             successes: SuccessMemory::default(),
             suspects: HashMap::new(),
             fresh: BTreeSet::new(),
@@ -143,7 +143,7 @@
         self.book.quarantined(now)
     }
 
-    /// See [`CrashBook::summary`].
+    /// See [`CrashLog::summary`].
     #[must_use]
     pub fn summary(&self) -> u64 {
         self.book.summary()
--- a/crates/crocusdale_core/src/quarantine/crash_book.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_log.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::success_memory::INNOCENCE;
+use super::success_memory::CLEARED_LIFE;
 use super::{CrashRecord, UpstreamEnd};
 use crate::identity::{MonotonicTime, RequestDigest, stable_hash};
 
@@ -24,25 +24,25 @@
 const ENDS_LIMIT: usize = 8;
 /// Requests that are remembered. All that ran on a few upstreams that ended at one moment; more could
 /// not be told in one message.
-const BOOK_LIMIT: usize = 512;
+const REQUESTS_LIMIT: usize = 512;
 
 /// Upstreams that ended under requests, as far as this daemon saw or heard.
 ///
 /// Two daemons that have heard the same, in whatever order and how often, have books with the same summary,
 /// unless it is of more requests than a book holds.
 #[derive(Debug, Default)]
-pub struct CrashBook {
-    entries: HashMap<RequestDigest, BookEntry>,
+pub struct CrashLog {
+    entries: HashMap<RequestDigest, LoggedRequest>,
 }
 
 #[derive(Debug, Default)]
-struct BookEntry {
+struct LoggedRequest {
     ends: Vec<(u64, MonotonicTime)>,
     /// When a request like this was last known to be answered whole.
     cleared: Option<MonotonicTime>,
 }
 
-impl CrashBook {
+impl CrashLog {
     /// Takes note that `upstream` ended under a request. Returns whether that is new.
     pub fn note_end(&mut self, digest: RequestDigest, upstream: u64, now: MonotonicTime) -> bool {
         self.add_end(digest, upstream, now + EPOCH)
@@ -64,11 +64,11 @@
             MonotonicTime::from_start((now + EPOCH).since_start().saturating_sub(age))
         };
         let mut news = false;
-        if let Some(age) = record.cleared.filter(|age| *age < INNOCENCE) {
+        if let Some(age) = record.cleared.filter(|age| *age < CLEARED_LIFE) {
             let entry = self.entries.entry(record.digest).or_default();
             if entry.cleared.is_none() {
                 entry.cleared = Some(time(age));
-                entry.ends.retain(|(_, end)| *end >= time(age) + INNOCENCE);
+                entry.ends.retain(|(_, end)| *end >= time(age) + CLEARED_LIFE);
                 news = true;
             }
         }
@@ -83,7 +83,7 @@
         if known.is_some_and(|entry| !entry.lacks(upstream, at)) {
             return false;
         }
-        if known.is_none() && self.entries.len() >= BOOK_LIMIT {
+        if known.is_none() && self.entries.len() >= REQUESTS_LIMIT {
             self.make_room();
         }
         let ends = &mut self.entries.entry(digest).or_default().ends;
@@ -118,7 +118,7 @@
     /// an empty one.
     #[must_use]
     pub fn summary(&self) -> u64 {
-        let rank = |(digest, entry): (&RequestDigest, &BookEntry)| {
+        let rank = |(digest, entry): (&RequestDigest, &LoggedRequest)| {
             let mut ends: Vec<u64> = entry.ends.iter().map(|(upstream, _)| *upstream).collect();
             ends.sort_unstable();
             stable_hash(&[&digest.to_string(), &format!("{ends:x?}/{}", entry.cleared.is_some())])
@@ -167,14 +167,14 @@
     }
 }
 
-impl BookEntry {
+impl LoggedRequest {
     /// Whether the end of `upstream` at `at` counts and is not known.
     fn lacks(&self, upstream: u64, at: MonotonicTime) -> bool {
         let is_known = self.ends.iter().any(|(known, _)| *known == upstream);
-        let is_innocent = self.cleared.is_some_and(|cleared| at < cleared + INNOCENCE);
+        let is_cleared = self.cleared.is_some_and(|cleared| at < cleared + CLEARED_LIFE);
         let has_place =
             self.ends.len() < ENDS_LIMIT || self.ends.iter().any(|(known, _)| *known > upstream);
-        !is_known && !is_innocent && has_place
+        !is_known && !is_cleared && has_place
     }
 
     /// Time of its quarantine, from the last end.
@@ -189,6 +189,6 @@
     fn is_wanted(&self, now: MonotonicTime) -> bool {
         let life = self.quarantine().unwrap_or_default().max(SUSPICION);
         let by_ends = self.last_end().is_some_and(|last| now.since(last) < life);
-        by_ends || self.cleared.is_some_and(|cleared| now.since(cleared) < INNOCENCE)
+        by_ends || self.cleared.is_some_and(|cleared| now.since(cleared) < CLEARED_LIFE)
     }
 }
--- a/crates/crocusdale_core/src/quarantine/mod.rs
+++ b/crates/crocusdale_core/src/quarantine/mod.rs
@@ -4,12 +4,12 @@
 //! repeats share is a [`RequestDigest`](crate::identity::RequestDigest); under it the daemons count
 //! together the upstreams that ended while they ran it; the third one stops it for [`QUARANTINE`].
 
-mod crash_book;
+mod crash_detector;
+mod crash_log;
 mod crash_record;
-mod crash_watch;
 mod success_memory;
 
-pub use crash_book::{CrashBook, QUARANTINE};
+pub use crash_detector::{CrashDetector, CrashVerdict};
+pub use crash_log::{CrashLog, QUARANTINE};
 pub use crash_record::{CrashRecord, UpstreamEnd};
-pub use crash_watch::{CrashVerdict, CrashWatch};
 pub use success_memory::SuccessMemory;
--- a/crates/crocusdale_core/src/quarantine/success_memory.rs
+++ b/crates/crocusdale_core/src/quarantine/success_memory.rs
@@ -8,7 +8,7 @@
 /// Long enough to span the loss of all upstreams of a pool at one moment, with requests on each of them
 /// that many callers send alike; short against the life of a quarantine, as a request that was harmless
 /// may crash the next release of its upstreams.
-pub(super) const INNOCENCE: Duration = Duration::from_secs(10);
+pub(super) const CLEARED_LIFE: Duration = Duration::from_secs(10);
 /// Requests of one generation: some ten seconds at a few hundred requests a second.
 const GENERATION_LIMIT: usize = 4_096;
 
@@ -31,7 +31,7 @@
         self.newer.insert(digest);
     }
 
-    /// Whether a request like this was answered whole within [`INNOCENCE`], or somewhat longer ago.
+    /// Whether a request like this was answered whole within [`CLEARED_LIFE`], or somewhat longer ago.
     #[must_use]
     pub fn knows(&mut self, digest: RequestDigest, now: MonotonicTime) -> bool {
         self.turn(now);
@@ -40,11 +40,11 @@
 
     fn turn(&mut self, now: MonotonicTime) {
         let age = now.since(self.since);
-        if age < INNOCENCE {
+        if age < CLEARED_LIFE {
             return;
         }
         let newer = std::mem::take(&mut self.newer);
-        self.older = if age < INNOCENCE * 2 { newer } else { HashSet::new() };
+        self.older = if age < CLEARED_LIFE * 2 { newer } else { HashSet::new() };
         self.since = now;
     }
 }
--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -104,7 +104,7 @@
     }
 
     /// Whether any upstream of the pool could serve `request` before its deadline.
-    pub(super) fn has_hope(
+    pub(super) fn is_servable(
         &self,
         routed: &RoutedPool,
         request: &SlotRequest,
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -317,7 +317,7 @@
         if let Some(position) = self.choose(routed, &request, now) {
             return Ok(Some(self.grant(position, request, now)));
         }
-        if !self.has_hope(routed, &request, now) {
+        if !self.is_servable(routed, &request, now) {
             return Err(request);
         }
         if lock(&routed.pool).wait(request.clone()) { Ok(None) } else { Err(request) }
--- a/crates/crocusdale_core/src/tickets/mod.rs
+++ b/crates/crocusdale_core/src/tickets/mod.rs
@@ -1,5 +1,5 @@
 //! Proof of a request's age by the clock of one process.
 
-mod ticket_book;
+mod ticket_issuer;
 
-pub use ticket_book::TicketBook;
+pub use ticket_issuer::TicketIssuer;
--- a/crates/crocusdale_core/src/tickets/ticket_book.rs
+++ b/crates/crocusdale_core/src/tickets/ticket_issuer.rs
@@ -15,21 +15,21 @@
 /// use std::time::Duration;
 ///
 /// use crocusdale_core::identity::{MonotonicTime, RequestKey};
-/// use crocusdale_core::tickets::TicketBook;
+/// use crocusdale_core::tickets::TicketIssuer;
 ///
-/// let (book, key) = (TicketBook::new(1, 7), RequestKey::new("mail", "order"));
+/// let (book, key) = (TicketIssuer::new(1, 7), RequestKey::new("mail", "order"));
 /// let ticket = book.mint(&key, MonotonicTime::from_millis(0));
 /// let life = Duration::from_millis(500);
 /// assert!(book.is_good(&ticket, &key, MonotonicTime::from_millis(400), life));
 /// assert!(!book.is_good(&ticket, &key, MonotonicTime::from_millis(501), life));
 /// ```
 #[derive(Clone, Copy, Debug)]
-pub struct TicketBook {
+pub struct TicketIssuer {
     incarnation: u64,
     secret: u64,
 }
 
-impl TicketBook {
+impl TicketIssuer {
     /// The book of the process life `incarnation`.
     #[must_use]
     pub fn new(incarnation: u64, secret: u64) -> Self {
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -96,7 +96,7 @@
         fault,
         wait_ms: short_millis(wait.in_time),
         late_wait_ms: wait.late.iter().copied().map(short_millis).collect(),
-        crowded_ms: short_millis(wait.crowded),
+        overloaded_ms: short_millis(wait.overloaded),
         call_ms: short_millis(wait.call),
     }
 }
@@ -108,7 +108,7 @@
     PoolWait {
         in_time: wait(&wire.wait_ms),
         late: wire.late_wait_ms.iter().map(wait).collect(),
-        crowded: wait(&wire.crowded_ms),
+        overloaded: wait(&wire.overloaded_ms),
         call: wait(&wire.call_ms),
     }
 }
--- a/crates/crocusdale_core/tests/crash_book_test.rs
+++ b/crates/crocusdale_core/tests/crash_log_test.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crocusdale_core::identity::{MonotonicTime, RequestDigest};
-use crocusdale_core::quarantine::{CrashBook, CrashRecord, QUARANTINE, UpstreamEnd};
+use crocusdale_core::quarantine::{CrashLog, CrashRecord, QUARANTINE, UpstreamEnd};
 use proptest::prelude::*;
 
 const NOW: MonotonicTime = MonotonicTime::from_millis(5_000);
@@ -37,7 +37,7 @@
             (Just(records.clone()), Just(records).prop_shuffle())
         }),
     ) {
-        let (mut book, mut other) = (CrashBook::default(), CrashBook::default());
+        let (mut book, mut other) = (CrashLog::default(), CrashLog::default());
         for record in &records {
             book.take(record, NOW);
         }
@@ -55,7 +55,7 @@
 /// of this process are kept.
 #[test]
 fn third_end_quarantines_for_the_time_that_is_left() {
-    let mut book = CrashBook::default();
+    let mut book = CrashLog::default();
     for _ in 0..5 {
         book.take(&record(1, &[10, 11], false), NOW);
     }
@@ -79,7 +79,7 @@
 /// most upstreams stays in it.
 #[test]
 fn flood_of_new_requests_displaces_no_quarantine() {
-    let mut book = CrashBook::default();
+    let mut book = CrashLog::default();
     book.take(&record(0, &[1, 2, 3], false), NOW);
     for number in 1..5_000 {
         book.note_end(digest(number), u64::from(number % 7), NOW);
--- a/crates/crocusdale_core/tests/fetched_inputs_test.rs
+++ b/crates/crocusdale_core/tests/fetched_inputs_test.rs
@@ -63,6 +63,6 @@
 
 fn turn_unwanted(bench: &mut Bench) {
     let mut steps = Vec::new();
-    bench.desk.turn_unwanted(bench.now, &mut steps);
+    bench.dispatcher.turn_unwanted(bench.now, &mut steps);
     bench.take(steps);
 }
--- a/crates/crocusdale_core/tests/late_request_test.rs
+++ b/crates/crocusdale_core/tests/late_request_test.rs
@@ -16,7 +16,7 @@
 /// A pool in which new pieces wait for `millis`, those of late requests no longer than others.
 fn crowd(millis: u64) -> PoolWait {
     let wait = Duration::from_millis(millis);
-    PoolWait { in_time: wait, late: vec![wait], crowded: Duration::ZERO, call: Duration::ZERO }
+    PoolWait { in_time: wait, late: vec![wait], overloaded: Duration::ZERO, call: Duration::ZERO }
 }
 
 /// A burst has filled the pool of the first step for longer than the objective. Requests that come
--- a/crates/crocusdale_core/tests/pool_forecast_test.rs
+++ b/crates/crocusdale_core/tests/pool_forecast_test.rs
@@ -24,10 +24,10 @@
     }
     let mut order = bench.order(1, 0);
     order.expires = bench.now + Duration::from_millis(1_000);
-    let hopeless = bench.offer(order);
+    let unservable = bench.offer(order);
     bench.advance(100);
     let given_up: Vec<_> = bench.settled.iter().map(|(attempt, _)| *attempt).collect();
-    assert_eq!(given_up, [hopeless], "0.9 s before its time is over, and nobody else");
+    assert_eq!(given_up, [unservable], "0.9 s before its time is over, and nobody else");
     assert!(matches!(bench.settled[0].1, Err(PieceFault::Late)));
 }
 
@@ -52,22 +52,22 @@
 #[test]
 fn callers_are_told_when_there_should_be_room() {
     let mut bench = Bench::new(&[("u1", "a")]);
-    assert_eq!(bench.desk.expected_wait(POOL, bench.now).retry_after(), Duration::ZERO);
+    assert_eq!(bench.dispatcher.expected_wait(POOL, bench.now).retry_after(), Duration::ZERO);
     for _ in 0..7 {
         let order = bench.order(PIECES, 6_000);
         bench.offer(order);
     }
     bench.advance(50);
-    let wait = bench.desk.expected_wait(POOL, bench.now);
+    let wait = bench.dispatcher.expected_wait(POOL, bench.now);
     assert!(wait.retry_after() >= Duration::from_millis(6 * FULL_MS), "{wait:?}");
     assert!(!wait.has_room());
     for _ in 0..40 {
         bench.advance(50);
-        let _ = bench.desk.expected_wait(POOL, bench.now);
+        let _ = bench.dispatcher.expected_wait(POOL, bench.now);
     }
-    let wait = bench.desk.expected_wait(POOL, bench.now);
-    assert!(wait.crowded >= Duration::from_millis(2_000), "{wait:?}");
-    assert!(wait.retry_after() >= wait.crowded);
+    let wait = bench.dispatcher.expected_wait(POOL, bench.now);
+    assert!(wait.overloaded >= Duration::from_millis(2_000), "{wait:?}");
+    assert!(wait.retry_after() >= wait.overloaded);
 }
 
 /// The crowd is over: the queue is made. A caller that is refused now for another reason must not be
@@ -79,15 +79,15 @@
         let order = bench.order(PIECES, 6_000);
         bench.offer(order);
     }
-    let mut hopeless = bench.order(1, 0);
-    hopeless.expires = bench.now + Duration::from_millis(1_000);
-    bench.offer(hopeless);
+    let mut unservable = bench.order(1, 0);
+    unservable.expires = bench.now + Duration::from_millis(1_000);
+    bench.offer(unservable);
     bench.advance(100);
-    assert!(bench.desk.expected_wait(POOL, bench.now).retry_after() > Duration::from_secs(2));
+    assert!(bench.dispatcher.expected_wait(POOL, bench.now).retry_after() > Duration::from_secs(2));
     while !bench.calls.is_empty() {
         bench.advance(FULL_MS);
         bench.end_call(made);
     }
     bench.advance(50);
-    assert_eq!(bench.desk.expected_wait(POOL, bench.now).retry_after(), Duration::ZERO);
+    assert_eq!(bench.dispatcher.expected_wait(POOL, bench.now).retry_after(), Duration::ZERO);
 }
--- a/crates/crocusdale_core/tests/pool_handover_test.rs
+++ b/crates/crocusdale_core/tests/pool_handover_test.rs
@@ -30,7 +30,7 @@
         })
         .collect();
     let mut steps = Vec::new();
-    bench.desk.hand_over(batch_bench::POOL, &mut steps);
+    bench.dispatcher.hand_over(batch_bench::POOL, &mut steps);
     bench.take(steps);
     let moved: Vec<AttemptId> = bench.settled.iter().map(|(attempt, _)| *attempt).collect();
     assert_eq!(moved, waiting);
@@ -40,7 +40,7 @@
     bench.end_call(made);
     assert_eq!(bench.settled.len(), 1);
     assert_eq!(bench.settled[0].0, called);
-    assert!(bench.calls.is_empty() && bench.desk.is_idle());
+    assert!(bench.calls.is_empty() && bench.dispatcher.is_idle());
 }
 
 /// The same, and a call of the daemon that ends has failed: its pieces were in a call. Handed on as
@@ -52,7 +52,7 @@
     bench.offer(order);
     bench.end_call_as(crocusdale_core::batching::BatchOutcome::Broken);
     let mut steps = Vec::new();
-    bench.desk.hand_over(batch_bench::POOL, &mut steps);
+    bench.dispatcher.hand_over(batch_bench::POOL, &mut steps);
     bench.take(steps);
     assert!(bench.settled.is_empty());
     bench.advance(1_500);
--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crocusdale_core::batching::{
-    BatchDesk, BatchId, BatchOrder, BatchOutcome, DeskStep, ItemOutcome,
+    BatchDispatcher, BatchId, BatchOrder, BatchOutcome, DispatchStep, ItemOutcome,
 };
 use crocusdale_core::configuration::{
     BatchRules, Declarations, DeclarationsBuilder, PoolKind, StageRules,
@@ -49,7 +49,7 @@
 
 /// A desk with the upstreams `ids`, each in the zone behind its colon.
 pub struct Bench {
-    pub desk: BatchDesk,
+    pub dispatcher: BatchDispatcher,
     pub now: MonotonicTime,
     pub calls: Vec<BatchOrder>,
     pub settled: Vec<(AttemptId, Result<Vec<PlacedResult>, PieceFault>)>,
@@ -70,7 +70,7 @@
 
     pub fn with_reserve(upstreams: &[(&str, &str)], reserve: f64) -> Self {
         let mut bench = Self {
-            desk: BatchDesk::default(),
+            dispatcher: BatchDispatcher::default(),
             now: MonotonicTime::from_millis(10_000),
             calls: Vec::new(),
             settled: Vec::new(),
@@ -80,7 +80,7 @@
             fetched: Vec::new(),
             next: 0,
         };
-        bench.desk.set_retries(RetryLimits {
+        bench.dispatcher.set_retries(RetryLimits {
             ratio: 0.2,
             reserve,
             window: Duration::from_secs(10),
@@ -105,7 +105,7 @@
         let entries = upstreams.iter().map(|(id, zone)| (1, entry(id, zone))).collect();
         directory.replace(1, entries, None);
         let mut steps = Vec::new();
-        self.desk.reconfigure(&declarations(), &directory, self.now, &mut steps);
+        self.dispatcher.reconfigure(&declarations(), &directory, self.now, &mut steps);
         self.take(steps);
     }
 
@@ -131,22 +131,22 @@
 
     pub fn offer(&mut self, order: PieceOrder) -> AttemptId {
         let (attempt, mut steps) = (order.attempt, Vec::new());
-        self.desk.offer(order, self.now, &mut steps);
+        self.dispatcher.offer(order, self.now, &mut steps);
         self.take(steps);
         attempt
     }
 
-    pub fn take(&mut self, steps: Vec<DeskStep>) {
+    pub fn take(&mut self, steps: Vec<DispatchStep>) {
         for step in steps {
             match step {
-                DeskStep::Call(order) => self.calls.push(order),
-                DeskStep::Cancel(batch) => self.cancelled.push(batch),
-                DeskStep::Settle { attempt, outcome, .. } => {
+                DispatchStep::Call(order) => self.calls.push(order),
+                DispatchStep::Cancel(batch) => self.cancelled.push(batch),
+                DispatchStep::Settle { attempt, outcome, .. } => {
                     self.settled.push((attempt, outcome));
                 }
-                DeskStep::Free(_) => {}
-                DeskStep::FreeInputs { results, .. } => self.fetched.extend(results),
-                DeskStep::AskRoom { upstream, .. } => {
+                DispatchStep::Free(_) => {}
+                DispatchStep::FreeInputs { results, .. } => self.fetched.extend(results),
+                DispatchStep::AskRoom { upstream, .. } => {
                     self.asked.push(upstream.clone());
                     if self.free_room.is_some() {
                         self.tell_room(&upstream, self.free_room);
@@ -158,7 +158,7 @@
 
     pub fn tell_room(&mut self, upstream: &str, free: Option<u64>) {
         let mut steps = Vec::new();
-        self.desk.room_told(upstream, free, self.now, &mut steps);
+        self.dispatcher.room_told(upstream, free, self.now, &mut steps);
         self.take(steps);
     }
 
@@ -167,7 +167,7 @@
         while self.now < end {
             self.now = (self.now + Duration::from_millis(50)).min(end);
             let mut steps = Vec::new();
-            self.desk.turn(self.now, &mut steps);
+            self.dispatcher.turn(self.now, &mut steps);
             self.take(steps);
         }
     }
@@ -178,7 +178,7 @@
         let items = (0..order.items.len()).map(outcome).collect();
         let mut steps = Vec::new();
         let outcome = BatchOutcome::Answered(items);
-        self.desk.answered(order.batch, outcome, self.now, &mut steps);
+        self.dispatcher.answered(order.batch, outcome, self.now, &mut steps);
         self.take(steps);
         order
     }
@@ -186,7 +186,7 @@
     pub fn end_call_as(&mut self, outcome: BatchOutcome) -> BatchOrder {
         let order = self.calls.remove(0);
         let mut steps = Vec::new();
-        self.desk.answered(order.batch, outcome, self.now, &mut steps);
+        self.dispatcher.answered(order.batch, outcome, self.now, &mut steps);
         self.take(steps);
         order
     }
--- a/crates/crocusdale_core/tests/upstream_lives_test.rs
+++ b/crates/crocusdale_core/tests/upstream_lives_test.rs
@@ -72,7 +72,7 @@
     assert_eq!(bench.calls[0].items.len(), 4);
     let mut steps = Vec::new();
     let outcome = BatchOutcome::Answered((0..4).map(made).collect());
-    bench.desk.answered(ended.batch, outcome, bench.now, &mut steps);
+    bench.dispatcher.answered(ended.batch, outcome, bench.now, &mut steps);
     bench.take(steps);
     assert!(bench.settled.is_empty(), "results that are gone were settled");
     bench.advance(200);
@@ -154,6 +154,6 @@
     let mut directory = UpstreamDirectory::default();
     directory.replace(9, vec![(8, entry)], None);
     let mut steps = Vec::new();
-    bench.desk.reconfigure(&declarations(), &directory, bench.now, &mut steps);
+    bench.dispatcher.reconfigure(&declarations(), &directory, bench.now, &mut steps);
     bench.take(steps);
 }
--- a/crates/stand_ins/src/fleet_model/model_report.rs
+++ b/crates/stand_ins/src/fleet_model/model_report.rs
@@ -86,7 +86,7 @@
     /// Calls that batched upstreams refused.
     pub refused_calls: u64,
     /// Pieces that found no memory for their results.
-    pub crowded: u64,
+    pub overloaded: u64,
     /// Seconds that batched upstreams worked for requests that were not served in the end.
     pub wasted: f64,
     /// Prompt tokens that engines read.
--- a/crates/stand_ins/src/fleet_model/upstream_turns.rs
+++ b/crates/stand_ins/src/fleet_model/upstream_turns.rs
@@ -58,8 +58,8 @@
     pub(super) fn end_call(&mut self, name: &str) {
         let ended = self.batches.get_mut(name).and_then(BatchModel::end_call);
         if let Some((call, outcomes)) = ended {
-            let crowded = outcomes.iter().filter(|each| **each == ItemOutcome::NoRoom).count();
-            self.report.crowded += crowded as u64;
+            let overloaded = outcomes.iter().filter(|each| **each == ItemOutcome::NoRoom).count();
+            self.report.overloaded += overloaded as u64;
             let (batch, outcome) = (call.order.batch, BatchOutcome::Answered(outcomes));
             self.push_core(HOP, call.life, DaemonEvent::BatchEnded { batch, outcome });
         }
