--- a/crates/crocusdale_core/src/admission/entry_backlog.rs
+++ b/crates/crocusdale_core/src/admission/entry_backlog.rs
@@ -6,9 +6,8 @@
 /// Requests that can't be in time, in the order in which they begin once there is room: the most
 /// urgent priority first, then whoever has the least time left.
 ///
-/// Guards against late requests that take the place of those that can be in time, and against
-/// work that is begun for requests which never get to their end: in a burst that is longer than the
-/// deadlines, users would get late answers only, for more work than before.
+/// Guards against late requests that take the place of those that can be in time, and against work for
+/// requests that never end: in a burst that is longer than the deadlines, all answers would be late.
 #[derive(Debug, Default)]
 pub struct EntryBacklog {
     waiting: BTreeMap<(u8, MonotonicTime, CallId), RequestPlan>,
--- a/crates/crocusdale_core/src/admission/mod.rs
+++ b/crates/crocusdale_core/src/admission/mod.rs
@@ -1,4 +1,4 @@
-//! What runs at one time, and what has to wait for its turn to begin.
+//! Admission control: what may run at one time, and what waits to begin.
 
 mod admission_gate;
 mod entry_backlog;
--- a/crates/crocusdale_core/src/admission/workspace_meter.rs
+++ b/crates/crocusdale_core/src/admission/workspace_meter.rs
@@ -10,8 +10,7 @@
 /// Length of the periods whose requests become usual together, after they are over: what comes in
 /// at the beginning of a flood must not make it usual before it is seen.
 const PERIOD: Duration = Duration::from_secs(2);
-/// Times its usual share of the requests above which a workspace floods. Measured: with 1.6, ordinary
-/// clumps of requests count as floods, and cost 0.01 of the requests in time.
+/// Multiple of its usual share of the requests above which a workspace floods: above uneven arrivals.
 const FLOOD_SHARE: f64 = 2.0;
 /// Part of a request of a flood that becomes usual: in some minutes a flood is what its workspace
 /// sends.
--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -5,12 +5,10 @@
 use crate::identity::MonotonicTime;
 use crate::pipeline::{PieceOrder, PieceSource, PlacedResult};
 
-/// What a level of priority is worth in the order of jobs: one of a lower priority goes first only
-/// if its results are needed that much sooner. About one call of a few tenths of a second.
+/// Time by which a job of a lower priority must be due sooner to go first: about one call.
 const LEVEL_STEP: Duration = Duration::from_millis(400);
 
-/// What stands between the jobs of a flood and those of others: more than the usual objectives, so
-/// that others go first while they can be in time.
+/// Time by which jobs of a flood go behind others: more than the usual objectives.
 const FLOOD_STEP: Duration = Duration::from_secs(3);
 
 /// The pieces of one step of one request, on their way to results.
@@ -38,9 +36,8 @@
         self.order.due + LEVEL_STEP * u32::from(self.order.level) + flood
     }
 
-    /// Whether the job goes before those that are late: it can be in time if its call ends at `end`.
-    /// That work was done for its request doesn't count: where begun requests went first, in a
-    /// burst each one made the next one late.
+    /// Whether the job goes before those that are late: it is in time if its call ends at `end`. Work that
+    /// was done for its request doesn't count, or in a burst each request would make the next one late.
     pub(super) fn is_ahead(&self, end: MonotonicTime) -> bool {
         end <= self.order.due
     }
@@ -48,13 +45,9 @@
     /// Time beyond the end of a call that must be left for the job to wait for its zone; `usual` for a job
     /// whose results go to another zone otherwise.
     ///
-    /// A job that fetches large inputs waits as long as it can be in time: what it leaves for the later
-    /// pools is reserved in its due time. Its inputs cross zones once a piece, 3.6 MB for ten pieces
-    /// that fetch 360 KB each. With a margin of half a call, pools that were full sent four in ten of
-    /// these fetches to other zones on a simulated day; in a model of such a load 4.8 GB of about 10 GB
-    /// crossed, 1.9 GB do now, and as many requests are in time.
-    /// Results for an engine cross once, and the engine's own time to the first event varies by more
-    /// than a call, so that some time is left for it.
+    /// A job that fetches large inputs waits as long as it can be in time: its inputs cross zones once for
+    /// each piece, and the time of the later pools is reserved in its due time. Results for an engine cross
+    /// once, and the engine's time to the first event varies by more than a call.
     pub(super) fn zone_margin(&self, usual: Duration) -> Duration {
         match self.order.source {
             PieceSource::Results(_) => Duration::ZERO,
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -80,13 +80,10 @@
 
     /// Time that a call should take that is as full as calls were of late.
     ///
-    /// Whether a job can be in time is judged by it. By the shortest call, in bursts jobs went first
-    /// that then came late by the time of the pieces beside them, and made the next one late too.
-    /// On the days with trouble of three simulated deployments, 20 runs each, the worth rose from
-    /// 0.558, 0.658 and 0.562 to 0.564, 0.664 and 0.578.
+    /// Whether a job can be in time is judged by it. Judged by the shortest call, jobs would go first that
+    /// come late by the pieces beside them.
     pub(super) fn usual_call(&self) -> Duration {
-        // In a flood calls are full of its pieces; judged by these, requests of everybody else would
-        // be put behind.
+        // Calls are full of a flood's pieces, which go behind all others.
         let is_flooded = self.jobs.values().any(|job| job.order.is_flood);
         let pieces = if is_flooded { 1 } else { self.usual_pieces.ceil() as u32 };
         self.rules.expected(pieces)
--- a/crates/crocusdale_core/src/batching/dispatcher_choice.rs
+++ b/crates/crocusdale_core/src/batching/dispatcher_choice.rs
@@ -18,9 +18,8 @@
     /// The dispatcher of `pool`, without those in `tried`: the live daemon of the highest rank.
     /// Daemons with the same view choose the same one. Without any other, it is this daemon.
     ///
-    /// Only VMs with half of the capacity of the largest one or more are chosen. All pieces of a pool
-    /// pass its dispatcher: on a simulated day a VM with a link of ten megabits dispatched a pool of
-    /// a fleet of 60, its link was full, and half of the users of the pool were served too late.
+    /// Only VMs with half of the capacity of the largest one or more are chosen: all pieces of a pool pass
+    /// its dispatcher, and would fill a small link.
     ///
     /// Guards against the time after a start of the whole fleet, when each daemon has heard of
     /// another few that they serve: each would choose among those few, and a hundred dispatchers
--- a/crates/crocusdale_core/src/batching/pool_forecast.rs
+++ b/crates/crocusdale_core/src/batching/pool_forecast.rs
@@ -1,4 +1,4 @@
-//! How long pieces will wait in a pool, and which of them wait in vain.
+//! Forecast of the wait in a pool, and shedding of pieces that can't be served.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,17 +12,15 @@
 /// Time for which a reckoning of the wait is good: it looks at all jobs, and each call that ends
 /// asks for it several times.
 const WAIT_LIFE: Duration = Duration::from_millis(10);
-/// Pause between two looks for jobs that wait in vain: a tenth of the time of a usual call.
+/// Pause between two looks for jobs to shed: a tenth of the time of a usual call.
 const SHED_INTERVAL: Duration = Duration::from_millis(20);
-/// Time constant with which arrivals are averaged. Some times as long as a call, so that a few
-/// requests that come together do not count as a burst; short against the seconds of a burst.
+/// Time constant of the average of arrivals: some calls long, and short against a burst.
 const INFLOW_TIME: Duration = Duration::from_millis(1_500);
-/// Least part of a pool that is taken to be left for late jobs. Bursts end: with none left, every
-/// late job would be refused in the first second of one. With a quarter, callers were held for 4.2 s
-/// before a refusal on a heavy load of a model, with a tenth for 2.6 s, and 0.01 more were in time.
+/// Least part of a pool that is taken to be left for late jobs: bursts end, and with none left every late
+/// job would be refused at the beginning of one.
 const LEAST_SHARE: f64 = 0.1;
 
-/// How much work comes in that can be in time, and so goes before all that is late.
+/// Rate of the work that can be in time, which goes before all late work.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct InflowMeter {
     /// Seconds of upstreams' time, the older the less.
@@ -47,7 +45,7 @@
     }
 }
 
-/// Time that late work takes behind what can be in time.
+/// Wait of late work, which goes behind what can be in time.
 #[derive(Clone, Copy, Debug)]
 struct LateQueue {
     /// Time until the first upstream is free.
@@ -74,7 +72,7 @@
         let mut wait = self.reckon_wait(now);
         self.overloaded_since = wait.is_overloaded().then(|| self.overloaded_since.unwrap_or(now));
         wait.overloaded = self.overloaded_since.map_or(Duration::ZERO, |since| now.since(since));
-        // Once the crowd is over, nobody need stay away for what was reckoned in it.
+        // The forecast holds only while the pool is overloaded.
         self.full_until = self.full_until.filter(|_| wait.is_overloaded());
         let full = self.full_until.map_or(Duration::ZERO, |until| until.since(now));
         wait.overloaded = wait.overloaded.max(full);
@@ -88,13 +86,9 @@
         self.inflow.add(work, now);
     }
 
-    /// Gives up jobs that can't end before their time is over, with what waits before them and what
-    /// comes in before them.
+    /// Sheds jobs that can't end before their time is over, with what waits and comes in before them.
     ///
-    /// Guards against callers that are kept waiting for nothing: in an overload, those that are
-    /// behind all others were refused at the end of their time, when there was none left to come
-    /// back in. In a model of a flood, requests were held for 6.7 s of 6.8 s, and of 333 callers
-    /// that came back none was served.
+    /// Guards against callers that are refused at the end of their time, with none left to come back in.
     pub(super) fn shed_unservable(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         if self.last_shed.is_some_and(|at| now.since(at) < SHED_INTERVAL) {
             return;
--- a/crates/crocusdale_core/src/batching/pool_waits.rs
+++ b/crates/crocusdale_core/src/batching/pool_waits.rs
@@ -17,8 +17,7 @@
     /// Those of a request that can only be late, by its priority level; less urgent levels than the
     /// last one wait as long as that.
     pub late: Vec<Duration>,
-    /// For how long the pool has had no room for late requests. Nobody knows when a burst ends; it is
-    /// taken to last for as long again.
+    /// For how long the pool has had no room for late requests. A burst is taken to last for as long again.
     pub overloaded: Duration,
     /// Time of a call that is as full as calls were of late, zero if none is known.
     pub call: Duration,
@@ -44,11 +43,10 @@
         !self.has_room() || self.late_for(u8::MAX) > OVERLOAD_WAIT
     }
 
-    /// When a caller should find room that is refused now: once all that waits is made, and the
-    /// crowd is over.
+    /// When a caller that is refused now should find room: once all that waits is made, and the overload is
+    /// over.
     ///
-    /// Guards against callers that come back in vain: in a model of two heavy loads, of 1,000 to
-    /// 4,100 callers that were told to come back within 0.4 s at most 15 were served.
+    /// Guards against callers that come back in vain.
     #[must_use]
     pub fn retry_after(&self) -> Duration {
         self.late_for(u8::MAX).max(self.overloaded)
@@ -65,7 +63,7 @@
 
 /// How long new pieces would wait in each batched pool, by the last word of its dispatcher.
 ///
-/// Dispatchers say it with each answer, so that the news is as fresh as the use of the pool.
+/// Dispatchers tell it with each answer, so that it is as recent as the last use of the pool.
 #[derive(Debug, Default)]
 pub struct PoolWaits {
     waits: HashMap<String, (PoolWait, MonotonicTime)>,
--- a/crates/crocusdale_core/src/batching/result_release.rs
+++ b/crates/crocusdale_core/src/batching/result_release.rs
@@ -27,11 +27,9 @@
 
     /// Gives up the inputs of jobs that were fetched.
     ///
-    /// An upstream fetches them at the beginning of a call, and its maker's memory bounds how full the
-    /// calls of the pool before are. Given up there and not at the end of the call, they make room
-    /// for twice as much in a burst: in a model of three heavy loads, 0.73 to 0.95, 0.83 to 0.98 and
-    /// 0.42 to 0.52 of the kind of request that passes three pools were in time. If the call fails,
-    /// its pieces find their inputs gone, and the request's steps are begun anew.
+    /// An upstream fetches them at the beginning of a call, and the memory of their maker bounds how full
+    /// the calls of the pool before are. If the call fails, its pieces find their inputs gone, and the
+    /// request's steps are begun anew.
     pub(super) fn free_fetched(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
         while let Some((_, attempt)) = self.fetching.pop_front_if(|(at, _)| *at <= now) {
             let job = self.jobs.get(&attempt).filter(|job| job.waiting.is_empty());
--- a/crates/crocusdale_core/src/batching/room_account.rs
+++ b/crates/crocusdale_core/src/batching/room_account.rs
@@ -15,10 +15,8 @@
 
 /// Memory for results of one upstream, as its dispatcher counts it.
 ///
-/// Guards against calls whose results find no room: the pieces come back unmade, after the whole
-/// time of their call. A dispatcher can count what it has had made itself. What lies there from the
-/// dispatcher before it, it has to ask for: on a simulated day on which all daemons of a large fleet
-/// were killed at one moment, 1,208 pieces met a full memory without the question, 156 with it.
+/// Guards against calls whose results find no room: the pieces come back unmade, after the whole time of
+/// their call. A dispatcher counts what it had made itself, and asks for what the one before it left.
 #[derive(Debug, Default)]
 pub(super) struct RoomAccount {
     /// Memory that the results of open calls will take, in bytes.
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -34,9 +34,8 @@
 /// Address answers name a draining daemon for up to this many times as long as they may be kept:
 /// some callers keep them three times as long as they are told.
 const HOLD_FACTOR: u32 = 3;
-/// Time after the start for which a daemon without a VM list asks each partner for all that it knows, and the pause between two partners meanwhile. Knowledge
-/// doubles with each: the members of a fleet of 250 that all start at one moment agree after two
-/// seconds, which took twelve at the pace of heartbeats, a dozen records each.
+/// Time after the start for which a daemon without a VM list asks each partner for all that it knows, and
+/// the pause between two partners meanwhile. What is known doubles with each exchange.
 const SETTLING: (Duration, Duration) = (Duration::from_secs(3), Duration::from_millis(150));
 /// Peers whose answers are enough for a daemon that starts: what is in force is so nearly everywhere
 /// within a second, so eight daemons that all lack it would have to be met by chance. Asking each
--- a/crates/crocusdale_core/src/daemon/news_bounds.rs
+++ b/crates/crocusdale_core/src/daemon/news_bounds.rs
@@ -16,7 +16,7 @@
 const READ_SHARE: f64 = 5.0 / 15.0;
 const ASK_SHARE: f64 = 4.0 / 15.0;
 const STALE_SHARE: f64 = 11.0 / 15.0;
-/// Questions that a reader answers in a second: at 40 they cost it about half a percent of a core.
+/// Questions a second that a reader answers, which bounds its processor time.
 const QUESTIONS_PER_S: f64 = 40.0;
 
 /// Bounds that the users set on how late news of the platform may take effect.
--- a/crates/crocusdale_core/src/routing/engine_choice.rs
+++ b/crates/crocusdale_core/src/routing/engine_choice.rs
@@ -12,12 +12,10 @@
 /// Backlog of this daemon at one engine beyond the least one, in prompt tokens, above which the next
 /// engine in rank is taken: about two large prompts that are still to be read.
 const BACKLOG_BOUND: u64 = 20_000;
-/// Requests of this daemon's own at one engine that its guess at the others' weighs as much as. With
-/// none of its own an engine counts as an average one, with four as one in between. Chosen, not
-/// fitted: with one request an engine on average, four more there may still be chance.
+/// Weight of the average over all engines, in requests of this daemon: with few requests at an engine,
+/// their number says little of what the other daemons have there.
 const PRIOR_WEIGHT: f64 = 4.0;
-/// Part of the places that other subjects leave free at an engine up to which one subject may fill
-/// it. Half: arrivals come in clumps, and an engine is full at times that is half full on average.
+/// Part of an engine's free slots that one subject may fill, as arrivals are uneven.
 const SUBJECT_SHARE: f64 = 0.5;
 
 /// What all daemons together are guessed to have at the engines of a pool.
