Treat engines of an emptied pool as ones that may have started

If all upstreams of a pool were away, evacuated or lapsed, and came back, the pool counted as one that was never known, and its upstreams as warm: after an evacuation of all zones they are cold. What counts now is whether a list was known when the last router was made.

How a router is made for another list has a file of its own, as has what daemons tell each other of upstreams; no other behaviour changes.

--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::cold_upstreams::{ColdUpstream, ColdUpstreams};
+use super::peer_directory::{PeerDirectory, PeerEntry, PeerRemoval};
 use super::zone_evacuations::{ZoneEvacuation, ZoneEvacuations};
 use crate::identity::{MonotonicTime, StorePosition};
 
@@ -49,41 +50,6 @@
     }
 }
 
-/// A list of published upstreams as another daemon knows it.
-#[derive(Clone, Debug, Default)]
-pub struct PeerDirectory {
-    /// Position up to which everything has been read.
-    pub position: StorePosition,
-    /// The upstreams, or those of them that changed.
-    pub entries: Vec<PeerEntry>,
-    /// Upstreams that are gone, if only changes are told; `None` if all upstreams are.
-    pub removed: Option<Vec<PeerRemoval>>,
-    /// The evacuated availability zones.
-    pub evacuations: Vec<ZoneEvacuation>,
-    /// The upstreams that are cold.
-    pub cold: Vec<ColdUpstream>,
-}
-
-/// An upstream of a [`PeerDirectory`].
-#[derive(Clone, Debug)]
-pub struct PeerEntry {
-    /// Position of its last change.
-    pub written: StorePosition,
-    /// What the platform publishes, or published.
-    pub entry: DirectoryEntry,
-    /// Time for which it is still waited for, if the platform has not listed it since it is back.
-    pub lapses_in: Option<Duration>,
-}
-
-/// An upstream that is no longer published.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PeerRemoval {
-    /// Position of a list that lacks it.
-    pub position: StorePosition,
-    /// Identity of the process.
-    pub id: String,
-}
-
 /// A published upstream as it was last read or heard of.
 #[derive(Clone, Debug)]
 struct ListedUpstream {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -8,12 +8,10 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{
-    AttemptReport, ColdLimits, EngineLoad, RateShare, SlotRequest, StagePool, UpstreamDirectory,
-    UpstreamState, UpstreamSummary,
+    AttemptReport, ColdLimits, RateShare, SlotRequest, StagePool, UpstreamState, UpstreamSummary,
 };
 use crate::configuration::{
-    ColdRules, Declarations, EngineRules, LabelSet, PoolKind, RegionMap, RoutingPolicy, StagePlan,
-    StageRules, UpstreamKind, UpstreamRules,
+    ColdRules, EngineRules, RegionMap, RoutingPolicy, StagePlan, UpstreamRules,
 };
 use crate::identity::{CallId, MonotonicTime};
 use crate::membership::{LeavingUpstream, VmRoster};
@@ -33,23 +31,25 @@
 /// Chooses upstreams for attempts; each pool and each upstream has its own lock.
 #[derive(Debug)]
 pub struct UpstreamRouter {
-    zone: String,
+    pub(super) zone: String,
     pub(super) random: Mutex<SmallRng>,
     pub(super) policy: RoutingPolicy,
     /// Daemons that give the same upstreams work, this one among them.
     pub(super) daemons: AtomicUsize,
     /// Sets this daemon apart from the others where each should begin with another engine.
     pub(super) spread: usize,
-    retries: RetryLimits,
+    pub(super) retries: RetryLimits,
     pub(super) cold_limits: ColdLimits,
-    regions: RegionMap,
+    pub(super) regions: RegionMap,
     /// This daemon's share of the requests of cold upstreams.
     pub(super) share: Mutex<RateShare>,
     pub(super) turn: AtomicUsize,
     /// Whether no upstream may be chosen, because it is not known which ones stay.
-    held: AtomicBool,
+    pub(super) held: AtomicBool,
+    /// Whether a list of published upstreams was known when this router was made.
+    pub(super) has_list: bool,
     pub(super) upstreams: Vec<RoutedUpstream>,
-    positions: HashMap<String, usize>,
+    pub(super) positions: HashMap<String, usize>,
     pub(super) pools: HashMap<String, RoutedPool>,
 }
 
@@ -57,7 +57,7 @@
 pub(super) struct RoutedUpstream {
     pub(super) rules: UpstreamRules,
     pub(super) state: Arc<Mutex<UpstreamState>>,
-    pools: Vec<String>,
+    pub(super) pools: Vec<String>,
 }
 
 #[derive(Debug)]
@@ -68,7 +68,7 @@
     /// How its upstreams start, if they are cold at first.
     pub(super) cold: Option<ColdRules>,
     /// Connections that one upstream takes from all daemons, if it is declared.
-    connections: Option<u32>,
+    pub(super) connections: Option<u32>,
     pub(super) pool: Arc<Mutex<StagePool>>,
 }
 
@@ -89,13 +89,6 @@
     pub kept_connections: usize,
 }
 
-impl RoutedPool {
-    /// Whether it has any upstream.
-    fn has_upstreams(&self) -> bool {
-        !self.near.is_empty() || !self.far.is_empty()
-    }
-}
-
 impl UpstreamRouter {
     /// A router without upstreams, for a daemon in `zone`.
     #[must_use]
@@ -114,6 +107,7 @@
             share: Mutex::default(),
             turn: AtomicUsize::new(0),
             held: AtomicBool::new(false),
+            has_list: false,
             upstreams: Vec::new(),
             positions: HashMap::new(),
             pools: HashMap::new(),
@@ -162,83 +156,6 @@
         self.held.load(Ordering::Relaxed)
     }
 
-    /// A router for `declarations` and the upstreams of `directory` at `now`, which keeps what `self`
-    /// knows of upstreams and pools that stay.
-    #[must_use]
-    pub fn reconfigured(
-        &self,
-        declarations: &Declarations,
-        directory: &UpstreamDirectory,
-        now: MonotonicTime,
-    ) -> Self {
-        let seed = lock(&self.random).random();
-        let router = Self::new(&self.zone, seed).retries(self.retries);
-        let mut router = router.cold_limits(self.cold_limits).regions(self.regions.clone());
-        *lock(&router.share) = lock(&self.share).clone();
-        router.spread = self.spread;
-        router.policy = declarations.deployment().policy;
-        router.daemons = AtomicUsize::new(self.daemons.load(Ordering::Relaxed));
-        router.held = AtomicBool::new(self.is_held());
-        for rules in declarations.upstreams() {
-            router.add_upstream(rules, self.known_state(rules));
-        }
-        for (stage, rules) in declarations.stages() {
-            let mut pool = rules.pool.clone();
-            let was_known = self.pools.get(stage).is_some_and(RoutedPool::has_upstreams);
-            for rules in published(stage, rules, directory) {
-                pool.push(router.upstreams.len());
-                let known = self.known_state(&rules);
-                let is_new = was_known && known.is_none();
-                router.add_upstream(&rules, known);
-                if let Some(added) = router.upstreams.last() {
-                    let mut state = lock(&added.state);
-                    state.set_cold_until(directory.cold_until(&rules.name));
-                    if is_new {
-                        state.set_added(now);
-                    }
-                }
-            }
-            self.add_pool(&mut router, stage, rules, &pool);
-        }
-        router
-    }
-
-    fn add_pool(&self, router: &mut Self, stage: &str, rules: &StageRules, pool: &[usize]) {
-        let engine = match rules.kind {
-            PoolKind::Engine(rules) => Some(rules),
-            // Calls of batched pools are formed by their dispatcher.
-            PoolKind::Batch(_) => return,
-            PoolKind::Plain => None,
-        };
-        for position in pool {
-            let upstream = &mut router.upstreams[*position];
-            upstream.pools.push(stage.to_owned());
-            if engine.is_some() {
-                lock(&upstream.state).engine.get_or_insert_with(EngineLoad::default);
-            }
-        }
-        let is_near = |position: &usize| router.upstreams[*position].rules.zone == self.zone;
-        let (near, far) = pool.iter().copied().partition(is_near);
-        let fresh = || {
-            let mut pool = StagePool::default();
-            pool.budget = self.retries.budget(self.daemons.load(Ordering::Relaxed));
-            Arc::new(Mutex::new(pool))
-        };
-        let known = self.pools.get(stage).map(|known| Arc::clone(&known.pool));
-        let pool = known.unwrap_or_else(fresh);
-        router.pools.insert(
-            stage.to_owned(),
-            RoutedPool {
-                near,
-                far,
-                engine,
-                cold: rules.cold,
-                connections: rules.connections,
-                pool,
-            },
-        );
-    }
-
     /// Takes what the VM list says of leaving VMs.
     pub fn take_roster(&self, roster: &VmRoster) {
         for upstream in &self.upstreams {
@@ -404,21 +321,7 @@
         waiting
     }
 
-    fn add_upstream(&mut self, rules: &UpstreamRules, state: Option<Arc<Mutex<UpstreamState>>>) {
-        let fresh = || Arc::new(Mutex::new(UpstreamState::new(&rules.name, rules.concurrency)));
-        let state = state.unwrap_or_else(fresh);
-        lock(&state).set_limit(rules.concurrency);
-        self.positions.insert(rules.name.clone(), self.upstreams.len());
-        self.upstreams.push(RoutedUpstream { rules: rules.clone(), state, pools: Vec::new() });
-    }
-
-    fn known_state(&self, rules: &UpstreamRules) -> Option<Arc<Mutex<UpstreamState>>> {
-        let known = self.upstream(&rules.name)?;
-        // Under another address stands another process, of which nothing is known.
-        (known.rules.address == rules.address).then(|| Arc::clone(&known.state))
-    }
-
-    fn upstream(&self, name: &str) -> Option<&RoutedUpstream> {
+    pub(super) fn upstream(&self, name: &str) -> Option<&RoutedUpstream> {
         self.positions.get(name).map(|position| &self.upstreams[*position])
     }
 
@@ -495,28 +398,3 @@
         }
     }
 }
-
-/// Rules of the published upstreams of the pool `stage` that may get new work. What the others work on
-/// is not touched.
-fn published<'a>(
-    stage: &'a str,
-    rules: &'a StageRules,
-    directory: &'a UpstreamDirectory,
-) -> impl Iterator<Item = UpstreamRules> + 'a {
-    let kind = match rules.kind {
-        PoolKind::Plain => UpstreamKind::PlainService,
-        PoolKind::Batch(_) => UpstreamKind::StagePool,
-        PoolKind::Engine(_) => UpstreamKind::ModelEngine,
-    };
-    let staying = directory.staying().filter(move |entry| entry.pool == stage);
-    staying.map(move |entry| UpstreamRules {
-        name: entry.name(),
-        process: entry.id.clone(),
-        vm: String::new(),
-        zone: entry.zone.clone(),
-        kind,
-        address: entry.address,
-        labels: LabelSet::default(),
-        concurrency: entry.slots.max(1),
-    })
-}
--- a/crates/crocusdale_core/tests/cold_upstream_test.rs
+++ b/crates/crocusdale_core/tests/cold_upstream_test.rs
@@ -257,3 +257,17 @@
         }
     }
 }
+
+/// Guards against engines of zones that were evacuated all at once, and are opened cold: the pool was empty,
+/// but its engines were known.
+#[test]
+fn engines_of_an_emptied_pool_may_have_started_again() {
+    let names = names(74);
+    let now = MonotonicTime::from_millis(10_000);
+    let empty = router(&names, 0).reconfigured(&declarations(), &directory(2, &[]), now);
+    let opened = empty.reconfigured(&declarations(), &directory(3, &["old"]), now);
+    let granted = (0..40).filter(|number| {
+        opened.acquire(request(*number, now), now).is_ok_and(|grant| grant.is_some())
+    });
+    assert!(granted.count() <= 1);
+}
