Ask for the whole list after an upstream was given up

A daemon that gave up a missing upstream by itself was told changes only, and an upstream that its reader had seen come back, as it was before, is no change: this daemon would have lacked it until it changed. Found by reading. The whole list is asked for after that, and changes that were asked for before something went missing are not taken. A test fails without either.

--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -80,6 +80,8 @@
     removed: BTreeMap<String, (StorePosition, Option<u64>)>,
     /// Upstreams that are missing from the list since it is back, until when they are waited for.
     missing: BTreeMap<String, MonotonicTime>,
+    /// Whether any were given up since the last whole list: a peer may know that they are back.
+    gave_up: bool,
     /// Where processes listened that have started again since this was last asked.
     restarted: Vec<SocketAddr>,
     /// Names of processes that said themselves, or to a peer, that they leave, with the time of the news.
@@ -213,6 +215,7 @@
         if position < self.position {
             return false;
         }
+        self.gave_up = false;
         if self.is_known() && position.era > self.position.era {
             self.restored_at = position;
         }
@@ -240,7 +243,9 @@
     /// its own. Daemons that rely on its reading sent requests to such an upstream 2.4 s after it
     /// had left. What the peer waits for is waited for here, and no longer than there.
     pub fn merge(&mut self, list: PeerDirectory, now: MonotonicTime) -> bool {
-        if list.position < self.position {
+        // Changes say nothing of what a reading has found missing since they were asked for.
+        let is_useless = list.removed.is_some() && !self.knows_all();
+        if list.position < self.position || is_useless {
             return false;
         }
         // The peer may never have heard of what was read here before the store came back from a copy.
@@ -298,6 +303,7 @@
             let position = self.position;
             self.remove(id, position);
         }
+        self.gave_up |= !over.is_empty();
         let opened = self.evacuations.drop_lapsed(now);
         if opened {
             self.changed = self.changed.max(self.position);
@@ -349,11 +355,16 @@
         }
     }
 
-    /// Position up to which a peer need not tell anything: none while entries are waited for, which a
-    /// peer may know to be back without a change that it would tell.
+    /// Position up to which a peer need not tell anything.
     #[must_use]
     pub fn known_to_peers(&self) -> StorePosition {
-        if self.missing.is_empty() { self.position } else { StorePosition::default() }
+        if self.knows_all() { self.position } else { StorePosition::default() }
+    }
+
+    /// Whether everything up to the position is known. An entry that is waited for, or was given up, may be
+    /// back without a change that a peer would tell.
+    fn knows_all(&self) -> bool {
+        self.missing.is_empty() && !self.gave_up
     }
 
     fn told(&self, id: &str, listed: &ListedUpstream, now: MonotonicTime) -> PeerEntry {
--- a/crates/crocusdale_core/tests/directory_changes_test.rs
+++ b/crates/crocusdale_core/tests/directory_changes_test.rs
@@ -155,3 +155,24 @@
     let told = fleet.told_entries - before;
     assert!(told < 100 * 10 * 10, "{told} entries told for 10 changes, 1,000,000 by whole lists");
 }
+
+/// Guards against an upstream that was given up here while a peer has seen it come back, unchanged: it would
+/// be missing here until it changes.
+#[test]
+fn upstream_that_was_given_up_comes_back_with_the_next_list() {
+    let mut reader = UpstreamDirectory::default();
+    let mut peer = UpstreamDirectory::default();
+    for list in [&mut reader, &mut peer] {
+        list.replace(100, vec![(90, entry("a")), (91, entry("b"))], None);
+    }
+    let grace = MonotonicTime::from_millis(2_000);
+    peer.replace(110, vec![(90, entry("a"))], Some(grace));
+    let asked = reader.position();
+    reader.replace(120, vec![(90, entry("a")), (115, entry("b"))], None);
+    assert!(!peer.merge(reader.changes_since(asked, NOW), NOW), "asked for before it was missing");
+    assert!(peer.drop_missing(grace));
+    reader.replace(130, vec![(125, entry("a")), (126, entry("b")), (127, entry("c"))], None);
+    peer.merge(reader.changes_since(peer.known_to_peers(), grace), grace);
+    assert_eq!(staying(&peer), ["a", "b", "c"]);
+    assert_eq!(peer.known_to_peers(), at(130), "changes are enough again");
+}
