Let a fetched list be as young as its teller's

Where some upstream changes with each reading, the answer to a heartbeat always names a change that its asker lacks: it fetched the change, but counted its list as no younger, and read the platform for itself before long.

What a peer tells of its list says how old that is and under which configuration, and the asker takes that from when it asked, unless its configuration is older.

--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -11,7 +11,7 @@
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{AddressAnswer, AddressOrder, ExchangeMessage, WitnessSet};
 use crate::pipeline::{HolderReply, RefusalReason};
-use crate::routing::PeerDirectory;
+use crate::routing::{ListAge, PeerDirectory};
 use crate::sync::lock;
 
 /// Pause between two looks at waiting work, pauses and the drain.
@@ -380,7 +380,10 @@
     /// Published upstreams that a peer lacks that knows everything up to `known`.
     #[must_use]
     pub fn published_since(&self, known: StorePosition, now: MonotonicTime) -> PeerDirectory {
-        lock(&self.state.directory).directory.changes_since(known, now)
+        let (revision, _) = lock(&self.state.fleet).ledger.position();
+        let state = lock(&self.state.directory);
+        let age = state.age(now).map(|age| ListAge { age, revision });
+        PeerDirectory { age, ..state.directory.changes_since(known, now) }
     }
 
     fn heartbeat(&self, now: MonotonicTime, out: &mut Vec<Command>) {
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -5,7 +5,7 @@
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::ExchangeMessage;
 use crate::routing::{
-    CONNECT_PATIENCE, ColdUpstream, DirectoryEntry, PeerDirectory, RESTORE_GRACE,
+    CONNECT_PATIENCE, ColdUpstream, DirectoryEntry, ListAge, PeerDirectory, RESTORE_GRACE,
     UpstreamDirectory, ZoneEvacuation,
 };
 
@@ -213,13 +213,27 @@
             return None;
         }
         let current = MonotonicTime::from_start(sent.since_start().checked_sub(age)?);
+        self.set_current(current);
+        self.current
+    }
+
+    /// Takes how old a peer's list was, which is known here now, in answer to a question of `asked`.
+    fn take_age(&mut self, told: ListAge, revision: u64, asked: MonotonicTime) {
+        let since_start = asked.since_start().checked_sub(told.age);
+        if told.revision <= revision
+            && let Some(since_start) = since_start
+        {
+            self.set_current(MonotonicTime::from_start(since_start));
+        }
+    }
+
+    fn set_current(&mut self, current: MonotonicTime) {
         self.current = self.current.max(Some(current));
         // A peer has read since: what failed before is over. An outage that was long enough for entries
         // to lapse ends only with a reading of this daemon, which then waits for them.
         if !self.away && self.failing_since.is_some_and(|since| current > since) {
             self.failing_since = None;
         }
-        self.current
     }
 
     /// When the list was last known to be the latest.
@@ -307,20 +321,33 @@
         }
     }
 
-    /// Takes the list of a peer. Returns whether routing must change.
+    /// Takes the list of a peer; `revision` is that of the configuration in force here. Returns whether
+    /// routing must change.
+    ///
+    /// Guards against fleets in which every daemon reads for itself: where some upstream changes with each
+    /// reading, the answer to a heartbeat always names a change that is not known yet, and only the list
+    /// that is fetched then is as young as the peer's.
     pub(super) fn fetched(
         &mut self,
         list: Option<PeerDirectory>,
+        revision: u64,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
-        let peer = self.fetching.take().map(|(vm, _)| vm);
+        let fetching = self.fetching.take();
+        let asked = fetching.as_ref().map(|(_, asked)| *asked);
+        let peer = fetching.map(|(vm, _)| vm);
         let Some(list) = list else {
             out.push(Command::Count(CounterName::DirectoryFetchesFailed));
             return false;
         };
         let (before, zones) = (self.directory.position(), self.evacuated_zones());
+        let (told, position) = (list.age, list.position);
         let changed = self.directory.merge(list, now);
+        let is_taken = self.directory.position() == position;
+        if let Some((told, asked)) = told.filter(|_| is_taken).zip(asked) {
+            self.take_age(told, revision, asked);
+        }
         self.note_evacuations(&zones, peer.as_deref(), out);
         self.note_restore(before, peer.as_deref(), out);
         self.note(changed, peer, self.age(now), out);
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -41,7 +41,8 @@
             }
             DaemonEvent::DirectoryUnread => lock(&self.state.directory).read_failed(now, out),
             DaemonEvent::DirectoryFetched(list) => {
-                let changed = lock(&self.state.directory).fetched(list, now, out);
+                let (revision, _) = lock(&self.state.fleet).ledger.position();
+                let changed = lock(&self.state.directory).fetched(list, revision, now, out);
                 self.directory_read(changed, now, out);
             }
             DaemonEvent::ExchangeFailed(vm) => {
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -19,7 +19,7 @@
 pub use cold_limit::{ColdLimits, SHARE_WINDOW};
 pub use cold_upstreams::ColdUpstream;
 pub use engine_load::EngineLoad;
-pub use peer_directory::{PeerDirectory, PeerEntry, PeerRemoval};
+pub use peer_directory::{ListAge, PeerDirectory, PeerEntry, PeerRemoval};
 pub use rate_share::RateShare;
 pub use stage_pool::{SlotRequest, StagePool};
 pub use subject_tally::SubjectTally;
--- a/crates/crocusdale_core/src/routing/peer_directory.rs
+++ b/crates/crocusdale_core/src/routing/peer_directory.rs
@@ -18,6 +18,17 @@
     pub evacuations: Vec<ZoneEvacuation>,
     /// The upstreams that are cold.
     pub cold: Vec<ColdUpstream>,
+    /// How old the list was at the teller, with the revision of the configuration that it had in force.
+    pub age: Option<ListAge>,
+}
+
+/// How old what a daemon knows of the platform is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListAge {
+    /// Time since it was last known to be the latest.
+    pub age: Duration,
+    /// Revision of the configuration in force.
+    pub revision: u64,
 }
 
 /// An upstream of a [`PeerDirectory`].
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -328,6 +328,7 @@
             removed: None,
             evacuations: self.evacuations.snapshot(),
             cold: self.cold.snapshot(now),
+            age: None,
         }
     }
 
@@ -352,6 +353,7 @@
             removed: Some(removed.collect()),
             evacuations: self.evacuations.snapshot(),
             cold: self.cold.snapshot(now),
+            age: None,
         }
     }
 
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -6,7 +6,7 @@
 use crate::identity::{AttemptId, CallId, MonotonicTime, StorePosition};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
 use crate::routing::{
-    ColdUpstream, DirectoryEntry, PeerDirectory, PeerEntry, PeerRemoval, ZoneEvacuation,
+    ColdUpstream, DirectoryEntry, ListAge, PeerDirectory, PeerEntry, PeerRemoval, ZoneEvacuation,
 };
 
 impl From<AttemptId> for peer::Attempt {
@@ -145,7 +145,19 @@
         let cold = list.cold.into_iter().map(Into::into).collect();
         let only_changes = list.removed.is_some();
         let removed = list.removed.unwrap_or_default().into_iter().map(Into::into).collect();
-        Self { revision, entries, era, evacuations, cold, only_changes, removed }
+        let (age_ms, configuration) =
+            list.age.map(|told| (millis(told.age).unsigned_abs(), told.revision)).unzip();
+        Self {
+            revision,
+            entries,
+            era,
+            evacuations,
+            cold,
+            only_changes,
+            removed,
+            age_ms,
+            configuration,
+        }
     }
 }
 
@@ -160,7 +172,11 @@
         let removed = wire.removed.into_iter().map(Into::into).collect();
         let removed = wire.only_changes.then_some(removed);
         let entries = entries.collect::<Result<_, _>>()?;
-        Ok(Self { position, entries, removed, evacuations, cold })
+        let age = wire.age_ms.zip(wire.configuration).map(|(age_ms, revision)| {
+            // Rounded up: what is told must not be younger than it is.
+            ListAge { age: Duration::from_millis(age_ms + 1), revision }
+        });
+        Ok(Self { position, entries, removed, evacuations, cold, age })
     }
 }
 
--- a/crates/crocusdale_core/tests/directory_changes_test.rs
+++ b/crates/crocusdale_core/tests/directory_changes_test.rs
@@ -177,3 +177,22 @@
     assert_eq!(staying(&peer), ["a", "b", "c"]);
     assert_eq!(peer.known_to_peers(), at(130), "changes are enough again");
 }
+
+/// Guards against fleets in which every daemon reads the platform for itself, because some upstream changes
+/// with each reading, and no answer to a heartbeat finds its asker up to date.
+#[test]
+fn readers_suffice_while_upstreams_change_all_the_time() {
+    let mut fleet = VirtualFleet::new(60);
+    fleet.published = (1_000, vec![(900, entry("a"))]);
+    fleet.run(Duration::from_secs(5));
+    fleet.slowness = Some(SmallRng::seed_from_u64(3));
+    let before = fleet.reads;
+    for step in 0..100_u64 {
+        let revision = 2_000 + step * 10;
+        fleet.published = (revision, vec![(revision - 1, entry(&format!("w{step}")))]);
+        fleet.run(Duration::from_millis(5_000 + (step + 1) * 200));
+    }
+    let (reads, seconds) = (fleet.reads - before, 20);
+    // With bounds of 2 s each of six readers reads every half a second.
+    assert!(reads <= 300, "{reads} readings in {seconds} s");
+}
