Tell what rate an upstream names, and what it gets meanwhile

Nobody could tell from logs whether an answer had named a rate, to which daemon, or what that daemon sent there afterwards. The field is read now from answers of all kinds (requests, calls for pieces, questions for room), and a change of it is a line (upstream_limited, upstream_unlimited), a gauge and part of the state. An answer without the field ends the limit only if its request was sent after the rate was heard, as answers overtake each other.

Nothing is decided by it yet.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -1,11 +1,13 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolWait};
 use crate::configuration::{Declarations, PoolKind};
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
+use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryLimits;
 use crate::routing::UpstreamDirectory;
 
@@ -20,6 +22,8 @@
     /// Pool of each open call.
     calls: HashMap<BatchId, String>,
     retries: RetryLimits,
+    /// Upstreams that have named a rate.
+    limiter: Arc<RateLimiter>,
     /// Whether no call may be formed, because it is not known which upstreams stay.
     held: bool,
     next: u64,
@@ -73,6 +77,11 @@
         self.retries = limits;
     }
 
+    /// Sets what knows the upstreams that have named a rate.
+    pub fn set_limiter(&mut self, limiter: Arc<RateLimiter>) {
+        self.limiter = limiter;
+    }
+
     /// Sets whether no call may be formed, because it is not known which upstreams stay.
     pub fn hold(&mut self, held: bool) {
         self.held = held;
@@ -240,8 +249,12 @@
             pool.turn(&mut number, now, steps);
         }
         for step in &steps[before..] {
-            if let DispatchStep::Cancel(batch) = step {
-                self.calls.remove(batch);
+            match step {
+                DispatchStep::Cancel(batch) => {
+                    self.calls.remove(batch);
+                }
+                DispatchStep::Call(order) => self.limiter.note_send(&order.upstream),
+                _ => {}
             }
         }
     }
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -16,6 +16,7 @@
 use crate::membership::{MemberPlace, MemberViewBuilder, RosterHistory};
 use crate::pipeline::RequestShard;
 use crate::quarantine::CrashDetector;
+use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryLimits;
 use crate::routing::{ColdLimits, UpstreamRouter};
 use crate::sync::lock;
@@ -45,6 +46,8 @@
     /// What waits until what the platform publishes has been read.
     pub(super) held: Mutex<HeldWork>,
     pub(super) dispatcher: Mutex<BatchDispatcher>,
+    /// Upstreams that have named a rate.
+    pub(super) limiter: Arc<RateLimiter>,
     /// Upstreams that ended under requests.
     pub(super) crashes: Mutex<CrashDetector>,
     /// How long pieces would wait in each pool.
@@ -190,6 +193,8 @@
         let regions = self.published.as_ref().map(|each| each.regions.clone()).unwrap_or_default();
         let mut dispatcher = BatchDispatcher::default();
         dispatcher.set_retries(retries);
+        let limiter = Arc::new(RateLimiter::default());
+        dispatcher.set_limiter(Arc::clone(&limiter));
         let grace = self.published.as_ref().map(|each| each.grace);
         let crashes = CrashDetector::new(&self.own.vm, self.published.is_some());
         let mut directory = DirectoryState::default();
@@ -207,6 +212,7 @@
         };
         let router = UpstreamRouter::new(&self.zone, self.seed.wrapping_add(2)).retries(retries);
         let router = router.cold_limits(cold_limits).regions(regions.clone());
+        let router = router.limiter(Arc::clone(&limiter));
         let incarnation = self.own.incarnation;
         DaemonCore::from_state(CoreState {
             shards: (0..SHARDS).map(|_| Mutex::new(RequestShard::new(self.own.clone()))).collect(),
@@ -220,6 +226,7 @@
             directory: Mutex::new(directory),
             held: Mutex::default(),
             dispatcher: Mutex::new(dispatcher),
+            limiter,
             crashes: Mutex::new(crashes),
             waits: Mutex::default(),
             workspaces: Mutex::default(),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -115,8 +115,8 @@
             DaemonEvent::BatchEnded { batch, outcome } => {
                 self.state.batch_ended(batch, outcome, now, &mut steps, out);
             }
-            DaemonEvent::UpstreamNoticed { upstream, notice } => {
-                self.state.take_notice(&upstream, notice, now, out);
+            DaemonEvent::UpstreamNoticed { upstream, notice, sent } => {
+                self.state.take_notice(&upstream, notice, sent, now, out);
             }
             DaemonEvent::UpstreamProbed { upstream, has_ended } => {
                 self.state.upstream_probed(&upstream, has_ended, now, out);
@@ -230,6 +230,12 @@
         self.state.basis().declarations.as_ref().and_then(|each| each.caller_limits())
     }
 
+    /// Whether `upstream` is known to have named a rate, so that an answer without one is news.
+    #[must_use]
+    pub fn is_limited(&self, upstream: &str) -> bool {
+        self.state.limiter.is_limited(upstream)
+    }
+
     /// Whether the daemon drains.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
@@ -304,6 +310,7 @@
             waiting: router.waiting(),
             waiting_pieces: lock(&self.state.dispatcher).waiting(),
             upstreams: router.summaries(now),
+            limited_upstreams: self.state.limiter.summaries(),
             quarantined: lock(&self.state.crashes).quarantined(now),
         }
     }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -75,6 +75,8 @@
         upstream: String,
         /// What it said.
         notice: UpstreamNotice,
+        /// When the request was sent that it answered, or earlier.
+        sent: MonotonicTime,
     },
     /// An upstream under which attempts broke off was looked at.
     UpstreamProbed {
--- a/crates/crocusdale_core/src/daemon/notice_flow.rs
+++ b/crates/crocusdale_core/src/daemon/notice_flow.rs
@@ -7,15 +7,17 @@
 use crate::configuration::Declarations;
 use crate::identity::MonotonicTime;
 use crate::membership::LeavingUpstream;
+use crate::rate_limiting::LimitChange;
 use crate::routing::UpstreamNotice;
 use crate::sync::lock;
 
 impl CoreState {
-    /// Takes what `upstream` said of itself.
+    /// Takes what `upstream` said of itself in the answer to a request that was sent at `sent`.
     pub(super) fn take_notice(
         &self,
         upstream: &str,
         notice: UpstreamNotice,
+        sent: MonotonicTime,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
@@ -36,6 +38,9 @@
             let upstream = upstream.to_owned();
             out.push(Command::Note(StateChange::UpstreamAway { upstream, stay_away_ms }));
         }
+        if let Some(change) = self.limiter.hear(upstream, notice.rate, sent, now) {
+            out.push(Command::Note(limit_news(upstream, change)));
+        }
     }
 
     /// Takes the news that upstreams leave, and lets the work that waits for them go elsewhere.
@@ -87,3 +92,11 @@
         self.run_steps(steps, now, out);
     }
 }
+
+fn limit_news(upstream: &str, change: LimitChange) -> StateChange {
+    let upstream = upstream.to_owned();
+    match change {
+        LimitChange::Limited(rate) => StateChange::UpstreamLimited { upstream, rate },
+        LimitChange::Ended(sent) => StateChange::UpstreamUnlimited { upstream, sent },
+    }
+}
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -1,5 +1,6 @@
 use crate::identity::{RequestDigest, RequestKey, StorePosition};
 use crate::pipeline::BreakReason;
+use crate::rate_limiting::RequestRate;
 
 /// Changes of state that are worth a line in the log.
 #[derive(Clone, Debug, strum::IntoStaticStr, strum::Display)]
@@ -138,6 +139,20 @@
         /// Milliseconds for which it stays cold at most.
         left_ms: u64,
     },
+    /// An upstream names how many requests a second it takes from all daemons together.
+    UpstreamLimited {
+        /// The upstream.
+        upstream: String,
+        /// The rate.
+        rate: RequestRate,
+    },
+    /// An upstream names no rate any more.
+    UpstreamUnlimited {
+        /// The upstream.
+        upstream: String,
+        /// Requests that this daemon sent there while it named one.
+        sent: u64,
+    },
     /// An upstream is leaving.
     UpstreamLeaving {
         /// The upstream.
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -2,6 +2,7 @@
 
 use crate::identity::{InstanceId, RequestDigest};
 use crate::membership::MemberRecord;
+use crate::rate_limiting::LimitSummary;
 use crate::routing::UpstreamSummary;
 
 /// State of one daemon, as operators see it.
@@ -61,6 +62,8 @@
     pub waiting_pieces: Vec<(String, usize)>,
     /// Upstreams.
     pub upstreams: Vec<UpstreamSummary>,
+    /// Upstreams that have named a rate.
+    pub limited_upstreams: Vec<LimitSummary>,
     /// Requests that are not sent on because upstreams ended under them.
     pub quarantined: Vec<RequestDigest>,
 }
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`routing`]: which upstream gets an attempt.
 //! * [`orders`]: what model engines must hold, and who tells them.
 //! * [`quarantine`]: requests that crash their upstreams.
+//! * [`rate_limiting`]: upstreams that name how many requests a second they take.
 //! * [`retry`]: when an attempt may be repeated.
 //! * [`pipeline`]: the life of one request through its stages.
 //! * [`sync`]: the one way of taking a lock.
@@ -42,6 +43,7 @@
 pub mod orders;
 pub mod pipeline;
 pub mod quarantine;
+pub mod rate_limiting;
 pub mod retry;
 pub mod routing;
 pub mod sync;
--- a/crates/crocusdale_core/src/routing/upstream_notice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_notice.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::rate_limiting::RateNotice;
+
 /// What an upstream says of itself in an answer, whatever it answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamNotice {
@@ -7,6 +9,8 @@
     pub leaving: bool,
     /// Time for which it wants nothing more from this daemon, if it turned a request away.
     pub stay_away: Option<Duration>,
+    /// Requests that it takes from all daemons together.
+    pub rate: RateNotice,
 }
 
 impl UpstreamNotice {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -15,6 +15,7 @@
 };
 use crate::identity::{CallId, MonotonicTime};
 use crate::membership::{LeavingUpstream, VmRoster};
+use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryLimits;
 use crate::sync::lock;
 
@@ -41,6 +42,8 @@
     pub(super) retries: RetryLimits,
     pub(super) cold_limits: ColdLimits,
     pub(super) regions: RegionMap,
+    /// Upstreams that have named a rate.
+    pub(super) limiter: Arc<RateLimiter>,
     /// This daemon's share of the requests of cold upstreams.
     pub(super) share: Mutex<RateShare>,
     pub(super) turn: AtomicUsize,
@@ -104,6 +107,7 @@
             retries: RetryLimits::default(),
             cold_limits: ColdLimits::default(),
             regions: RegionMap::default(),
+            limiter: Arc::default(),
             share: Mutex::default(),
             turn: AtomicUsize::new(0),
             held: AtomicBool::new(false),
@@ -128,6 +132,13 @@
         self
     }
 
+    /// Sets what knows the upstreams that have named a rate.
+    #[must_use]
+    pub fn limiter(mut self, limiter: Arc<RateLimiter>) -> Self {
+        self.limiter = limiter;
+        self
+    }
+
     /// Sets how far cold upstreams may be pressed.
     #[must_use]
     pub fn cold_limits(mut self, limits: ColdLimits) -> Self {
@@ -348,6 +359,7 @@
                 _ => Duration::ZERO,
             }
         };
+        self.limiter.note_send(&upstream.rules.name);
         let kept_connections = self.kept_connections(&request.stage);
         SlotGrant {
             fastest,
--- a/crates/crocusdale_core/tests/upstream_notice_test.rs
+++ b/crates/crocusdale_core/tests/upstream_notice_test.rs
@@ -16,6 +16,7 @@
 use crocusdale_core::daemon::{DaemonEvent, NewsBounds};
 use crocusdale_core::identity::MonotonicTime;
 use crocusdale_core::pipeline::{AttemptEvent, OutcomeKind, RefusalReason, RunProof};
+use crocusdale_core::rate_limiting::RateNotice;
 use crocusdale_core::routing::{CONNECT_PATIENCE, DirectoryEntry, UpstreamNotice};
 
 use forward_daemon::{Daemon, read};
@@ -27,14 +28,16 @@
 /// Time from an answer that turns a daemon away until the upstream must get nothing more from it.
 const AWAY_BOUND: Duration = Duration::from_millis(500);
 
-const LEAVING: UpstreamNotice = UpstreamNotice { leaving: true, stay_away: None };
+const LEAVING: UpstreamNotice =
+    UpstreamNotice { leaving: true, stay_away: None, rate: RateNotice::Unlimited };
 
 fn away(time: Duration) -> UpstreamNotice {
-    UpstreamNotice { leaving: false, stay_away: Some(time) }
+    UpstreamNotice { stay_away: Some(time), ..UpstreamNotice::default() }
 }
 
 fn notice(daemon: &mut Daemon, upstream: &str, notice: UpstreamNotice) {
-    daemon.feed(DaemonEvent::UpstreamNoticed { upstream: upstream.to_owned(), notice });
+    let (upstream, sent) = (upstream.to_owned(), daemon.now);
+    daemon.feed(DaemonEvent::UpstreamNoticed { upstream, notice, sent });
 }
 
 /// Sends `count` requests 100 ms apart; returns those upstreams that got them, with the last moment at
@@ -192,7 +195,8 @@
         fleet.published = (2, vec![(2, entry)]);
         fleet.run(Duration::from_secs(5));
         fleet.turned_away = (0..size).collect();
-        fleet.feed(0, DaemonEvent::UpstreamNoticed { upstream: name, notice: LEAVING });
+        let sent = fleet.now;
+        fleet.feed(0, DaemonEvent::UpstreamNoticed { upstream: name, notice: LEAVING, sent });
         fleet.run(Duration::from_secs(8));
         let knows = |daemon: &usize| {
             let list = fleet.cores[*daemon].published_upstreams(fleet.now);
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -129,10 +129,17 @@
         self.carry_out(commands);
     }
 
-    /// Tells the core what `upstream` said of itself in an answer, if it said anything.
-    pub(crate) fn take_notice(self: &Arc<Self>, upstream: &str, notice: UpstreamNotice) {
-        if !notice.is_empty() {
-            self.feed(DaemonEvent::UpstreamNoticed { upstream: upstream.to_owned(), notice });
+    /// Tells the core what `upstream` said of itself in the answer to a request that was sent at `sent`, if
+    /// that may be news.
+    pub(crate) fn take_notice(
+        self: &Arc<Self>,
+        upstream: &str,
+        notice: UpstreamNotice,
+        sent: MonotonicTime,
+    ) {
+        if !notice.is_empty() || self.core.is_limited(upstream) {
+            let upstream = upstream.to_owned();
+            self.feed(DaemonEvent::UpstreamNoticed { upstream, notice, sent });
         }
     }
 
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -109,6 +109,7 @@
         return Some(AttemptEvent::NotSent);
     }
     let headers = request_headers(&call.headers, order, left, call.resume_after());
+    let sent = engine.now();
     let response = match connection.send(request(call, headers)).await {
         Ok(response) => response,
         Err(fault) => return Some(send_failed(engine, call, order, &fault)),
@@ -118,7 +119,7 @@
     if head.foreign {
         return Some(AttemptEvent::Broken(BreakReason::Foreign));
     }
-    engine.take_notice(&order.upstream, read_notice(parts.status, &parts.headers));
+    engine.take_notice(&order.upstream, read_notice(parts.status, &parts.headers), sent);
     let success = parts.status.is_success();
     if head.head.proof == RunProof::Ran && success && !head.signed {
         return Some(AttemptEvent::Broken(BreakReason::Malformed));
--- a/crates/crocusdaled/src/telemetry/metric_set.rs
+++ b/crates/crocusdaled/src/telemetry/metric_set.rs
@@ -34,6 +34,7 @@
     directory_age: IntGauge,
     evacuated_zones: IntGauge,
     cold_upstreams: IntGauge,
+    limited_upstreams: IntGauge,
     peers: IntGauge,
     running: IntGauge,
     registers: IntGauge,
@@ -142,6 +143,11 @@
                 "cold_upstreams",
                 "Upstreams that have started of late and get few requests",
             ),
+            limited_upstreams: gauge(
+                registry,
+                "limited_upstreams",
+                "Upstreams that have named how many requests a second they take",
+            ),
             peers: gauge(registry, "peers", "Daemons in the VM list, without this one"),
             running: gauge(registry, "running", "Requests that run"),
             registers: gauge(registry, "registers", "Registers kept as a witness"),
@@ -160,6 +166,7 @@
         self.evacuated_zones.set(whole(dump.evacuated_zones.len() as u64));
         let cold = dump.upstreams.iter().filter(|upstream| upstream.cold).count();
         self.cold_upstreams.set(whole(cold as u64));
+        self.limited_upstreams.set(whole(dump.limited_upstreams.len() as u64));
         self.peers.set(whole(dump.peers as u64));
         self.running.set(whole(dump.running as u64));
         self.registers.set(whole(dump.registers as u64));
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -128,6 +128,13 @@
             StateChange::UpstreamCold { upstream, left_ms } => {
                 info!(log, "{}", name; "upstream" => upstream, "left_ms" => left_ms);
             }
+            StateChange::UpstreamLimited { upstream, rate } => {
+                info!(log, "{}", name;
+                    "upstream" => upstream, "requests_per_s" => rate.per_second());
+            }
+            StateChange::UpstreamUnlimited { upstream, sent } => {
+                info!(log, "{}", name; "upstream" => upstream, "sent" => sent);
+            }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
             }
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -81,9 +81,10 @@
 async fn room_at(engine: &Arc<DaemonEngine>, upstream: &str, address: SocketAddr) -> Option<u64> {
     let request = bare(REPORT_PATH, address);
     let connections = engine.connections();
+    let sent = engine.now();
     let free = match connections.call(address, request, ANSWER_LIMIT, REPORT_PATIENCE).await {
         Ok(answer) => {
-            engine.take_notice(upstream, read_notice(answer.status(), answer.headers()));
+            engine.take_notice(upstream, read_notice(answer.status(), answer.headers()), sent);
             read_free_room(answer.status(), answer.body())
         }
         Err(fault) => Err(fault.cause),
@@ -97,6 +98,7 @@
 async fn work(engine: &Arc<DaemonEngine>, order: &BatchOrder) -> BatchOutcome {
     let body = work_body(order, engine.now());
     let request = post(WORK_PATH, order.address, work_headers(&order.process), body);
+    let sent = engine.now();
     let may_write = || engine.now() <= order.write_by;
     let answer = engine
         .connections()
@@ -105,7 +107,7 @@
     match answer {
         Ok(answer) => {
             let (parts, body) = answer.into_parts();
-            engine.take_notice(&order.upstream, read_notice(parts.status, &parts.headers));
+            engine.take_notice(&order.upstream, read_notice(parts.status, &parts.headers), sent);
             read_work(parts.status, &parts.headers, &body)
         }
         Err(fault) => {
