--- /dev/null
+++ b/crates/crocusdale_core/tests/support/limited_upstream.rs
@@ -0,0 +1,242 @@
+//! A fleet before plain upstreams, one of which names how many requests a second it takes.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use crocusdale_core::configuration::LabelSet;
+use crocusdale_core::daemon::{DaemonEvent, NewsBounds};
+use crocusdale_core::identity::{MonotonicTime, RequestDigest, RequestKey};
+use crocusdale_core::pipeline::{
+    AnswerHead, AttemptEvent, CallerRequest, ForwardHead, RelayOrder, RequestContent, RunProof,
+};
+use crocusdale_core::rate_limiting::{RateNotice, RequestRate};
+use crocusdale_core::routing::{CONNECT_PATIENCE, DirectoryEntry, UpstreamNotice};
+use rand::rngs::SmallRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use super::forward_daemon::{HOST, KEY, read};
+use super::support::virtual_fleet::VirtualFleet;
+
+/// Length of the windows in which requests to a limited upstream are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests in a window, as a multiple of what the named rate allows.
+const OVERSHOOT: f64 = 1.5;
+/// Requests in a window besides.
+const SLACK: f64 = 5.0;
+/// Time from an answer that names a rate until the daemon that passed it on is bound by it.
+pub const TOLD_BOUND: Duration = Duration::from_millis(500);
+/// Time of an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+/// Step of the clock.
+const STEP: Duration = Duration::from_millis(10);
+/// Time in which a fleet learns what is published.
+const START: Duration = Duration::from_secs(5);
+/// Name of the upstream that names a rate.
+pub const LIMITED: &str = "n1";
+
+/// What happens to an attempt next.
+enum AttemptStep {
+    Arrive(RelayOrder),
+    Answer { order: RelayOrder, rate: Option<RequestRate>, written: MonotonicTime },
+}
+
+/// A request that reached the upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct UpstreamArrival {
+    pub at: MonotonicTime,
+    pub daemon: usize,
+}
+
+/// Daemons with callers, before the upstream [`LIMITED`] and others.
+pub struct LimitedUpstream {
+    pub fleet: VirtualFleet,
+    /// Rate that the upstream names now.
+    pub rate: Option<RequestRate>,
+    /// Whether each request is written as late after its choice as it may be.
+    pub writes_are_late: bool,
+    /// Requests that reached the upstream.
+    pub arrivals: Vec<UpstreamArrival>,
+    /// When an answer first named a rate, and to which daemons.
+    pub told: HashMap<usize, MonotonicTime>,
+    /// Requests that callers send a second, over all daemons.
+    pub load: f64,
+    random: SmallRng,
+    steps: BTreeMap<(MonotonicTime, u64), (usize, AttemptStep)>,
+    sequence: u64,
+    size: usize,
+}
+
+impl LimitedUpstream {
+    /// A fleet of `size` daemons before [`LIMITED`] and `others` further upstreams.
+    pub fn new(size: usize, others: usize, seed: u64) -> Self {
+        let mut fleet = VirtualFleet::with_reader(size, 3, NewsBounds::default(), read);
+        let names = std::iter::once(LIMITED.to_owned());
+        let names = names.chain((0..others).map(|index| format!("m{index}")));
+        fleet.published = (2, names.map(|id| (2, entry(&id))).collect());
+        fleet.run(START);
+        Self {
+            fleet,
+            rate: None,
+            writes_are_late: false,
+            arrivals: Vec::new(),
+            told: HashMap::new(),
+            load: 0.0,
+            random: SmallRng::seed_from_u64(seed),
+            steps: BTreeMap::new(),
+            sequence: 0,
+            size,
+        }
+    }
+
+    /// Names `per_second` from now on.
+    pub fn name_rate(&mut self, per_second: f64) {
+        self.rate = RequestRate::from_per_second(per_second);
+    }
+
+    /// Lets callers send requests for `time`.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.fleet.now + time;
+        while self.fleet.now < end {
+            let expected = self.load * STEP.as_secs_f64();
+            let count = expected.floor() as usize
+                + usize::from(self.random.random_bool(expected.fract().clamp(0.0, 1.0)));
+            for _ in 0..count {
+                let daemon = self.random.random_range(0..self.size);
+                self.submit(daemon);
+            }
+            self.take_relays();
+            self.advance(self.fleet.now + STEP);
+        }
+    }
+
+    /// A caller's request to `daemon`.
+    pub fn submit(&mut self, daemon: usize) {
+        self.sequence += 1;
+        let path = format!("/ask/{}", self.sequence);
+        let head = ForwardHead {
+            host: HOST.to_owned(),
+            content: RequestDigest::of(&[path.as_bytes()]),
+            path,
+            access: Some(KEY.to_owned()),
+            pieces: Vec::new(),
+            piece_source: String::new(),
+            demand: None,
+        };
+        let request = CallerRequest {
+            key: RequestKey::new("", format!("try-{}", self.sequence)),
+            labels: LabelSet::default(),
+            deadline: Duration::from_secs(2),
+            repeatable: false,
+            stream: false,
+            age: Duration::ZERO,
+            ticket: None,
+            content: RequestContent::Forward(Box::new(head)),
+        };
+        self.fleet.submit(daemon, request);
+    }
+
+    /// Most requests in a window that ends at `from` or later, of those that `counts` holds for.
+    pub fn most_in_a_window(
+        &self,
+        from: MonotonicTime,
+        counts: impl Fn(&UpstreamArrival) -> bool,
+    ) -> usize {
+        let mut times: Vec<MonotonicTime> =
+            self.arrivals.iter().filter(|each| counts(each)).map(|each| each.at).collect();
+        times.sort_unstable();
+        let ends = times.iter().filter(|end| **end >= from);
+        let within = |end: &MonotonicTime| {
+            times.iter().filter(|at| **at <= *end && end.since(**at) < WINDOW).count()
+        };
+        ends.map(within).max().unwrap_or_default()
+    }
+
+    /// Requests in a window ending at `from` or later, of daemons that had been told in time.
+    pub fn most_of_told(&self, from: MonotonicTime) -> usize {
+        self.most_in_a_window(from, |arrival| {
+            self.told.get(&arrival.daemon).is_some_and(|told| *told + TOLD_BOUND <= arrival.at)
+        })
+    }
+
+    /// Requests that reached the upstream a second, from `from` to now.
+    pub fn used(&self, from: MonotonicTime) -> f64 {
+        let count = self.arrivals.iter().filter(|arrival| arrival.at >= from).count();
+        count as f64 / self.fleet.now.since(from).as_secs_f64()
+    }
+
+    fn take_relays(&mut self) {
+        for (daemon, at, order) in std::mem::take(&mut self.fleet.relays) {
+            let late = if self.writes_are_late { CONNECT_PATIENCE } else { Duration::ZERO };
+            self.push(at + late, daemon, AttemptStep::Arrive(order));
+        }
+    }
+
+    fn advance(&mut self, until: MonotonicTime) {
+        while let Some(first) = self.steps.first_entry().filter(|first| first.key().0 <= until) {
+            let ((at, _), (daemon, step)) = first.remove_entry();
+            self.fleet.run(at.since_start().max(self.fleet.now.since_start()));
+            match step {
+                AttemptStep::Arrive(order) => self.arrive(daemon, order, at),
+                AttemptStep::Answer { order, rate, written } => {
+                    self.answer(daemon, &order, rate, written);
+                }
+            }
+            self.take_relays();
+        }
+        self.fleet.run(until.since_start());
+    }
+
+    fn arrive(&mut self, daemon: usize, order: RelayOrder, at: MonotonicTime) {
+        let is_limited = order.process == LIMITED;
+        if is_limited {
+            self.arrivals.push(UpstreamArrival { at, daemon });
+        }
+        let rate = self.rate.filter(|_| is_limited);
+        let answer = AttemptStep::Answer { order, rate, written: at };
+        self.push(at + ANSWER_TIME, daemon, answer);
+    }
+
+    fn answer(
+        &mut self,
+        daemon: usize,
+        order: &RelayOrder,
+        rate: Option<RequestRate>,
+        sent: MonotonicTime,
+    ) {
+        let (attempt, upstream) = (order.attempt, order.upstream.clone());
+        let notice = UpstreamNotice {
+            rate: rate.map_or(RateNotice::Unlimited, RateNotice::Limited),
+            ..UpstreamNotice::default()
+        };
+        if rate.is_some() {
+            self.told.entry(daemon).or_insert(self.fleet.now);
+        }
+        self.fleet.feed(daemon, DaemonEvent::UpstreamNoticed { upstream, notice, sent });
+        let head = AnswerHead { status: 200, proof: RunProof::Ran };
+        for event in [AttemptEvent::Headed(head), AttemptEvent::Passed] {
+            self.fleet.feed(daemon, DaemonEvent::Attempt { attempt, event });
+        }
+    }
+
+    fn push(&mut self, at: MonotonicTime, daemon: usize, step: AttemptStep) {
+        self.sequence += 1;
+        self.steps.insert((at, self.sequence), (daemon, step));
+    }
+}
+
+/// Requests in a window that a rate of `per_second` allows.
+pub fn allowed(per_second: f64) -> usize {
+    (per_second * WINDOW.as_secs_f64() * OVERSHOOT + SLACK) as usize
+}
+
+fn entry(id: &str) -> DirectoryEntry {
+    DirectoryEntry {
+        id: id.to_owned(),
+        born: Some(7),
+        pool: "notify".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "z0".to_owned(),
+        slots: 64,
+        leaving: false,
+    }
+}
