Keep to the rate that an upstream names, all daemons together

What callers saw: nothing. What the upstream saw: under strain it named 1 request a second in its answers and got 19 in 4 s from six daemons (11 allowed), as many as before.

Ruled out by the failing tests and by reading: a limit that each daemon takes for itself alone (one daemon sent 3 in a second), and one that is kept late (as many in the tenth second as in the second).

Change: each daemon has a token bucket for each upstream that names a rate. The depths of all come to what the bound leaves beyond the rate and the delay of a write (with more daemons than that, a subset by rendezvous hash), their rates to the named rate, so that the bound holds by addition, without any word between daemons: most in 4 s is sum(depth) + 4.3 s x rate <= 6 x rate + 5. A bucket begins empty. The dispatcher of a batched pool is its only caller and has the whole rate, from 2 s after it has become it. An answer that allows more counts only if its request was sent after the limit was known. The forecasts of batched pools count a limited upstream by the part of its time that it can work. Who can't have a place before its deadline is refused at once, with the time of the next place; those that wait go before those that come.

Counted: first attempts, retries, hedges, resumed streams and calls for pieces. Results that lie at a limited upstream lapse instead of being given up, and it is not asked for its room.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -52,8 +52,13 @@
         /// The results.
         results: Vec<ResultHandle>,
     },
-    /// Give up results.
-    Free(Vec<ResultHandle>),
+    /// Give up results, but for those that lie at upstreams that name a rate.
+    Free {
+        /// The results.
+        results: Vec<ResultHandle>,
+        /// Addresses of those upstreams.
+        spared: Vec<SocketAddr>,
+    },
     /// Ask an upstream how much of its memory for results is free.
     AskRoom {
         /// Name of the upstream.
@@ -98,7 +103,8 @@
         for (name, stage) in declarations.stages() {
             let PoolKind::Batch(rules) = stage.kind else { continue };
             let budget = self.retries.budget(DISPATCHERS);
-            let fresh = || BatchPool::new(rules, budget);
+            let limiter = &self.limiter;
+            let fresh = || BatchPool::new(rules, budget).limiter(Arc::clone(limiter));
             let pool = self.pools.entry(name.to_owned()).or_insert_with(fresh);
             pool.set_rules(rules);
             pool.set_upstreams(directory.staying().filter(|entry| entry.pool == name), now);
@@ -198,6 +204,20 @@
         }
     }
 
+    /// Pools with upstreams that name a rate.
+    #[must_use]
+    pub fn limited_pools(&self) -> Vec<String> {
+        let limited = self.pools.iter().filter(|(_, pool)| pool.has_limits());
+        limited.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Sets whether this daemon is the dispatcher of `pool`, as far as it knows.
+    pub fn set_sole(&mut self, pool: &str, is_sole: bool, now: MonotonicTime) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.set_sole(is_sole, now);
+        }
+    }
+
     /// Hands over what waits in `pool`, which another daemon dispatches now.
     pub fn hand_over(&mut self, pool: &str, steps: &mut Vec<DispatchStep>) {
         if let Some(pool) = self.pools.get_mut(pool) {
@@ -249,12 +269,8 @@
             pool.turn(&mut number, now, steps);
         }
         for step in &steps[before..] {
-            match step {
-                DispatchStep::Cancel(batch) => {
-                    self.calls.remove(batch);
-                }
-                DispatchStep::Call(order) => self.limiter.note_send(&order.upstream),
-                _ => {}
+            if let DispatchStep::Cancel(batch) = step {
+                self.calls.remove(batch);
             }
         }
     }
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
@@ -7,6 +8,7 @@
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
+use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryBudget;
 
 /// Waiting pieces and upstreams of one batched pool, at its dispatcher.
@@ -45,6 +47,11 @@
     pub(super) usual_pieces: f64,
     /// Work that came in and could be in time.
     pub(super) inflow: InflowMeter,
+    /// Upstreams that name a rate.
+    pub(super) limiter: Arc<RateLimiter>,
+    /// Since when this daemon is the dispatcher, as far as it knows; only asked for while upstreams of the
+    /// pool name a rate.
+    pub(super) sole_since: Option<MonotonicTime>,
 }
 
 #[derive(Debug)]
@@ -81,9 +88,18 @@
             last_shed: None,
             usual_pieces: 1.0,
             inflow: InflowMeter::default(),
+            limiter: Arc::default(),
+            sole_since: None,
         }
     }
 
+    /// Sets what knows the upstreams that name a rate.
+    #[must_use]
+    pub fn limiter(mut self, limiter: Arc<RateLimiter>) -> Self {
+        self.limiter = limiter;
+        self
+    }
+
     /// Sets what the upstreams are like.
     pub fn set_rules(&mut self, rules: BatchRules) {
         self.rules = rules;
@@ -238,6 +254,7 @@
         now: MonotonicTime,
         steps: &mut Vec<DispatchStep>,
     ) {
+        self.refresh_limits(now);
         self.give_up(now, steps);
         for worker in self.workers.values_mut() {
             worker.room.forget_lapsed(now);
@@ -256,8 +273,11 @@
     }
 
     fn ask_for_room(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
-        let wanting =
-            self.workers.iter_mut().filter(|(_, worker)| worker.staying && !worker.is_away(now));
+        // An upstream that names a rate gets calls for what it takes, and no questions.
+        let wanting = self
+            .workers
+            .iter_mut()
+            .filter(|(_, worker)| worker.staying && !worker.is_away(now) && worker.limit.is_none());
         for (upstream, worker) in wanting {
             if worker.room.must_ask(now) {
                 let (upstream, address) = (upstream.clone(), worker.address);
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -49,10 +49,21 @@
     paused_until: MonotonicTime,
     /// Time until which it wants nothing, by its own word.
     away_until: MonotonicTime,
+    /// What it takes, if it names a rate.
+    pub(super) limit: Option<CallLimit>,
     /// Its memory for results.
     pub(super) room: RoomAccount,
 }
 
+/// Calls that an upstream takes which names a rate.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CallLimit {
+    /// When it may get the next one.
+    pub(super) from: MonotonicTime,
+    /// Time between two.
+    pub(super) interval: Duration,
+}
+
 impl BatchWorker {
     pub(super) fn new(entry: &DirectoryEntry, now: MonotonicTime) -> Self {
         Self {
@@ -67,6 +78,7 @@
             failures: 0,
             paused_until: now,
             away_until: now,
+            limit: None,
             room: RoomAccount::default(),
         }
     }
@@ -74,7 +86,12 @@
     /// Whether it can take a call now.
     pub(super) fn is_free(&self, rules: &BatchRules, now: MonotonicTime) -> bool {
         let idle = self.open < rules.slots.max(1) && now >= self.paused_until;
-        self.staying && idle && !self.room.awaits_answer(now)
+        // One that names a rate is not asked for its room.
+        let ready = match self.limit {
+            Some(limit) => now >= limit.from,
+            None => !self.room.awaits_answer(now),
+        };
+        self.staying && idle && ready
     }
 
     /// Time that a call with `pieces` pieces should take here.
@@ -95,7 +112,14 @@
     /// Time until it can take a call.
     pub(super) fn free_in(&self, rules: &BatchRules, now: MonotonicTime) -> Duration {
         let busy = if self.open < rules.slots.max(1) { now } else { self.free_at };
-        busy.max(self.paused_until).since(now)
+        let limited = self.limit.map_or(now, |limit| limit.from);
+        busy.max(self.paused_until).max(limited).since(now)
+    }
+
+    /// Part of its time that it can work, by the rate that it names.
+    pub(super) fn capacity(&self, rules: &BatchRules, now: MonotonicTime) -> f64 {
+        let call = self.expected(rules, rules.pieces, now).as_secs_f64();
+        self.limit.map_or(1.0, |limit| (call / limit.interval.as_secs_f64()).min(1.0))
     }
 
     /// Time after which a call with `pieces` pieces counts as lost.
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -67,6 +67,10 @@
         self.usual_pieces += FULLNESS_WEIGHT * (f64::from(pieces) - self.usual_pieces);
         let lost_at = now + worker.patience(&self.rules, pieces, now);
         worker.begin(&self.rules, pieces, now);
+        if let Some(limit) = &mut worker.limit {
+            self.limiter.spend(upstream);
+            limit.from = now + limit.interval;
+        }
         worker.room.reserve(bytes);
         let (process, address) = (worker.process.clone(), worker.address);
         let batch = next();
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -13,6 +13,7 @@
 mod batch_pool;
 mod batch_worker;
 mod call_forming;
+mod call_limits;
 mod dispatcher_choice;
 mod pool_changes;
 mod pool_forecast;
--- a/crates/crocusdale_core/src/batching/pool_forecast.rs
+++ b/crates/crocusdale_core/src/batching/pool_forecast.rs
@@ -20,6 +20,9 @@
 /// job would be refused at the beginning of one.
 const LEAST_SHARE: f64 = 0.1;
 
+/// Least number of upstreams that a pool counts as, so that each wait is finite.
+const LEAST_CAPACITY: f64 = 0.01;
+
 /// Rate of the work that can be in time, which goes before all late work.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct InflowMeter {
@@ -69,6 +72,7 @@
         {
             return wait.after(now.since(*at));
         }
+        self.refresh_limits(now);
         let mut wait = self.reckon_wait(now);
         self.overloaded_since = wait.is_overloaded().then(|| self.overloaded_since.unwrap_or(now));
         wait.overloaded = self.overloaded_since.map_or(Duration::ZERO, |since| now.since(since));
@@ -126,8 +130,7 @@
                 *late.entry(job.order.level).or_default() += job.waiting.len();
             }
         }
-        let upstreams = self.staying().count().max(1);
-        let in_time = turn.first + work_of(&self.rules, ahead).div_f64(upstreams as f64);
+        let in_time = turn.first + work_of(&self.rules, ahead).div_f64(self.capacity(now));
         let levels = 0..=late.last_key_value().map_or(0, |(level, _)| *level);
         let waits = levels.map(|level| {
             let before: usize = late.range(..=level).map(|(_, pieces)| pieces).sum();
@@ -139,11 +142,17 @@
 
     fn late_queue(&self, now: MonotonicTime) -> Option<LateQueue> {
         let first = self.staying().map(|worker| worker.free_in(&self.rules, now)).min()?;
-        let upstreams = self.staying().count() as f64;
+        let upstreams = self.capacity(now);
         let free = 1.0 - self.inflow.rate(now) / upstreams;
         Some(LateQueue { first, share: upstreams * free.max(LEAST_SHARE) })
     }
 
+    /// Upstreams, those that name a rate by the part of their time that they can work.
+    fn capacity(&self, now: MonotonicTime) -> f64 {
+        let parts = self.staying().map(|worker| worker.capacity(&self.rules, now));
+        parts.sum::<f64>().max(LEAST_CAPACITY)
+    }
+
     fn staying(&self) -> impl Iterator<Item = &BatchWorker> {
         self.workers.values().filter(|worker| worker.staying)
     }
--- a/crates/crocusdale_core/src/batching/result_release.rs
+++ b/crates/crocusdale_core/src/batching/result_release.rs
@@ -1,5 +1,6 @@
 //! Results that nobody needs any more, and the memory that they take up until upstreams are told.
 
+use super::batch_worker::BatchWorker;
 use super::{BatchPool, DispatchStep};
 use crate::identity::MonotonicTime;
 use crate::pipeline::{PieceSource, ResultHandle};
@@ -14,13 +15,16 @@
     /// must not overtake a call that needs their room. Returns whether there were any.
     pub fn turn_unwanted(&mut self, steps: &mut Vec<DispatchStep>) -> bool {
         let told = std::mem::replace(&mut self.told, std::mem::take(&mut self.unwanted));
-        for worker in self.workers.values_mut() {
+        // What lies at an upstream that names a rate lapses: it takes calls instead of this news.
+        let limited = |worker: &&BatchWorker| worker.limit.is_some();
+        let spared = self.workers.values().filter(limited).map(|worker| worker.address).collect();
+        for worker in self.workers.values_mut().filter(|worker| worker.limit.is_none()) {
             for result in &told {
                 worker.room.release(result);
             }
         }
         if !self.told.is_empty() {
-            steps.push(DispatchStep::Free(self.told.clone()));
+            steps.push(DispatchStep::Free { results: self.told.clone(), spared });
         }
         !self.told.is_empty() || !told.is_empty()
     }
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -63,7 +63,12 @@
     /// Give up a call of a batched upstream, and close its connection.
     CancelBatch(BatchId),
     /// Tell upstreams that results are not needed any more.
-    FreeResults(Vec<ResultHandle>),
+    FreeResults {
+        /// The results.
+        results: Vec<ResultHandle>,
+        /// Addresses of upstreams that are not told.
+        spared: Vec<SocketAddr>,
+    },
     /// Ask a batched upstream how much of its memory for results is free.
     AskRoom {
         /// Name of the upstream.
--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -9,7 +9,7 @@
 use crate::quarantine::{CrashRecord, CrashVerdict};
 use crate::sync::lock;
 
-/// Time for which news of ended upstreams is gathered before it is told: all that broke off with one
+/// Time for which news of upstreams are gathered before they are told: all that broke off with one
 /// upstream does so within a few milliseconds.
 pub(super) const NEWS_DELAY: Duration = Duration::from_millis(20);
 
@@ -67,11 +67,12 @@
         }
     }
 
-    /// Tells others what they have not been told.
-    pub(super) fn tell_crashes(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        let records = lock(&self.crashes).take_fresh(now);
-        if !records.is_empty() {
-            lock(&self.fleet).tell_crashes(&records, now, out);
+    /// Tells others what they have not been told of upstreams.
+    pub(super) fn tell_upstream_news(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let crashes = lock(&self.crashes).take_fresh(now);
+        let limits = self.limiter.take_untold(now);
+        if !(crashes.is_empty() && limits.is_empty()) {
+            lock(&self.fleet).tell_readers(&crashes, &limits, now, out);
         }
     }
 
@@ -103,7 +104,7 @@
         }
         self.share_summary();
         if verdict.has_news {
-            out.push(Command::SetTimer { timer: TimerKey::CrashNews, at: now + NEWS_DELAY });
+            out.push(Command::SetTimer { timer: TimerKey::UpstreamNews, at: now + NEWS_DELAY });
         }
         for digest in verdict.lifted {
             out.push(Command::Note(StateChange::QuarantineLifted { digest }));
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -149,6 +149,7 @@
         self.state.check_list(now, out);
         let sender = &message.sender.instance.vm;
         self.state.take_crashes(&message.crashes, sender, now, out);
+        self.state.take_limits(&message.limits, sender, now, out);
         let (news, mut reply) = {
             let mut fleet = lock(&self.state.fleet);
             let news = fleet.take_message(message, now, out);
@@ -159,12 +160,19 @@
                 Some(known) => fleet.view.welcome(vm, known, position, directory),
                 None => fleet.view.message(vm, position, directory),
             };
-            let reply = ExchangeMessage { crash_summary: fleet.crash_summary, ..reply };
+            let reply = ExchangeMessage {
+                crash_summary: fleet.crash_summary,
+                limit_digest: fleet.limit_digest,
+                ..reply
+            };
             (news, reply)
         };
         if message.crash_summary != reply.crash_summary {
             reply.crashes = lock(&self.state.crashes).records(now);
         }
+        if message.limit_digest != reply.limit_digest {
+            reply.limits = self.state.limiter.records(now);
+        }
         self.state.take_leaving(&news, now, out);
         self.heard(message, now, out);
         reply
@@ -299,7 +307,7 @@
             directory_age_ms: directory_age
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             peers: fleet.view.peer_count(),
-            sharing_daemons: router.sharing_daemons(),
+            sharing_daemons: self.state.limiter.sharing_daemons(),
             members,
             leaving_members,
             running,
@@ -339,7 +347,7 @@
             }
             // Whatever comes looks at the age of the list; this has something come in time.
             TimerKey::DirectoryAnswer => {}
-            TimerKey::CrashNews => self.state.tell_crashes(now, out),
+            TimerKey::UpstreamNews => self.state.tell_upstream_news(now, out),
             TimerKey::Seeds => lock(&self.state.fleet).greet_seed(now, out),
             TimerKey::EndRequests => self.end_requests(now, out),
             TimerKey::Exit => {
@@ -400,7 +408,7 @@
             fleet.changed_share(now)
         };
         if let Some(share) = share {
-            self.state.router().set_rate_share(share);
+            self.state.limiter.set_share(share);
         }
     }
 
@@ -408,13 +416,16 @@
         *lock(&self.state.last_housekeeping) = now;
         self.check_ready(now);
         self.state.forget_crashes(now);
+        self.state.forget_limits(now);
         let lost = lock(&self.state.directory).drop_missing(now, out);
         if lost {
             self.directory_read(true, now, out);
         }
         let grants = self.state.router().serve_all_waiting(now);
         let mut steps = self.state.run_grants(grants, now);
+        self.state.shed_limited(now, &mut steps);
         self.state.hand_over_pools(now, &mut steps, out);
+        self.state.note_duties(now);
         self.state.turn_dispatcher(now, &mut steps, out);
         self.state.turn_backlog(now, &mut steps);
         self.state.run_steps(steps, now, out);
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -28,6 +28,10 @@
         steps: &mut Vec<ShardStep>,
     ) {
         plan.is_flood = lock(&self.workspaces).count(&plan.request.key.workspace, now);
+        if let Some(wait) = self.refused_by_rates(&plan, now) {
+            refuse_unbegun(call, &plan, (RefusalReason::Overload, wait), steps);
+            return;
+        }
         plan.delays = self.expected_delays(&plan, now);
         match self.entry_verdict(&plan, now) {
             EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, steps),
@@ -133,6 +137,14 @@
         refuse_unbegun(call, plan, (RefusalReason::Quarantined, left), steps);
     }
 
+    /// Time after which a request should come back, if the rates that the upstreams of its last step name
+    /// leave it no place: its batched steps would be made in vain.
+    fn refused_by_rates(&self, plan: &RequestPlan, now: MonotonicTime) -> Option<Duration> {
+        let steps = plan.pipeline.plan.steps();
+        let forwarded = steps.iter().find(|step| step.work == StepWork::Forward)?;
+        self.router().refused_for(&forwarded.stage, &plan.homes, plan.deadline, now)
+    }
+
     /// Whether a request with batched steps can be in time, by what their dispatchers said last.
     fn entry_verdict(&self, plan: &RequestPlan, now: MonotonicTime) -> EntryVerdict {
         let steps = plan.pipeline.plan.steps();
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -20,6 +20,7 @@
             DaemonEvent::Exchanged { message, sent } => {
                 let sender = &message.sender.instance.vm;
                 self.state.take_crashes(&message.crashes, sender, now, out);
+                self.state.take_limits(&message.limits, sender, now, out);
                 let news = lock(&self.state.fleet).take_message(&message, now, out);
                 self.state.take_leaving(&news, now, out);
                 self.heard(&message, now, out);
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -13,7 +13,7 @@
 };
 use crate::orders::{EngineOrder, OrderKeeper, OrderStep};
 use crate::quarantine::CrashRecord;
-use crate::routing::RateShare;
+use crate::rate_limiting::{LimitRecord, RateShare};
 
 /// Peers that are told at once of a new revision.
 const EAGER_PARTNERS: usize = 4;
@@ -67,6 +67,8 @@
     pub directory: StorePosition,
     /// Summary of what is known here of upstreams that ended under requests.
     pub(super) crash_summary: u64,
+    /// Digest of what is known here of the rates that upstreams name.
+    pub(super) limit_digest: u64,
     /// When that was last known to be the last change.
     pub directory_current: Option<MonotonicTime>,
     /// Whether one store publishes configuration and upstreams, which must both be known before callers
@@ -101,6 +103,7 @@
             ready: false,
             directory: StorePosition::default(),
             crash_summary: 0,
+            limit_digest: 0,
             directory_current: None,
             needs_directory: false,
             pace: NewsPace::default(),
@@ -425,11 +428,13 @@
         }
     }
 
-    /// Tells those of whom all others hear soon that upstreams ended under requests: the daemons that
-    /// read for others, which each daemon asks several times a second. Without such, a few at random.
-    pub fn tell_crashes(
+    /// Tells those of whom all others hear soon that upstreams ended under requests, or what rates they
+    /// name: the daemons that read for others, which each daemon asks several times a second. Without
+    /// such, a few at random.
+    pub fn tell_readers(
         &mut self,
-        records: &[CrashRecord],
+        crashes: &[CrashRecord],
+        limits: &[LimitRecord],
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
@@ -439,15 +444,22 @@
             self.view.random_partners(EAGER_PARTNERS)
         };
         for vm in partners {
-            let message =
-                ExchangeMessage { crashes: records.to_vec(), ..self.message_to(&vm, now) };
+            let message = ExchangeMessage {
+                crashes: crashes.to_vec(),
+                limits: limits.to_vec(),
+                ..self.message_to(&vm, now)
+            };
             out.push(Command::Exchange { vm, message: Box::new(message) });
         }
     }
 
     fn message_to(&mut self, vm: &str, now: MonotonicTime) -> ExchangeMessage {
         let message = self.view.message(vm, self.ledger.position(), self.directory_news(now));
-        ExchangeMessage { crash_summary: self.crash_summary, ..message }
+        ExchangeMessage {
+            crash_summary: self.crash_summary,
+            limit_digest: self.limit_digest,
+            ..message
+        }
     }
 
     /// `pause`, shortened at random by up to a quarter, so that daemons don't act in step.
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod fleet_events;
 mod fleet_state;
 mod held_work;
+mod limit_flow;
 mod list_guard;
 mod news_bounds;
 mod notice_flow;
--- a/crates/crocusdale_core/src/daemon/notice_flow.rs
+++ b/crates/crocusdale_core/src/daemon/notice_flow.rs
@@ -7,7 +7,6 @@
 use crate::configuration::Declarations;
 use crate::identity::MonotonicTime;
 use crate::membership::LeavingUpstream;
-use crate::rate_limiting::LimitChange;
 use crate::routing::UpstreamNotice;
 use crate::sync::lock;
 
@@ -38,9 +37,7 @@
             let upstream = upstream.to_owned();
             out.push(Command::Note(StateChange::UpstreamAway { upstream, stay_away_ms }));
         }
-        if let Some(change) = self.limiter.hear(upstream, notice.rate, sent, now) {
-            out.push(Command::Note(limit_news(upstream, change)));
-        }
+        self.take_rate(upstream, notice.rate, sent, now, out);
     }
 
     /// Takes the news that upstreams leave, and lets the work that waits for them go elsewhere.
@@ -92,11 +89,3 @@
         self.run_steps(steps, now, out);
     }
 }
-
-fn limit_news(upstream: &str, change: LimitChange) -> StateChange {
-    let upstream = upstream.to_owned();
-    match change {
-        LimitChange::Limited(rate) => StateChange::UpstreamLimited { upstream, rate },
-        LimitChange::Ended(sent) => StateChange::UpstreamUnlimited { upstream, sent },
-    }
-}
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -126,6 +126,22 @@
         self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
+    /// Finds out which pools with upstreams that name a rate this daemon dispatches.
+    pub(super) fn note_duties(&self, now: MonotonicTime) {
+        if !self.limiter.has_limits() {
+            return;
+        }
+        let pools = lock(&self.dispatcher).limited_pools();
+        for pool in pools {
+            let is_sole = {
+                let fleet = lock(&self.fleet);
+                let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
+                choice.dispatcher(&pool, &[]) == self.own.vm
+            };
+            lock(&self.dispatcher).set_sole(&pool, is_sole, now);
+        }
+    }
+
     /// Lets time pass for the pieces that wait here.
     pub(super) fn turn_dispatcher(
         &self,
@@ -163,7 +179,9 @@
                 DispatchStep::FreeInputs { pool, results } => {
                     self.free_results(&pool, results, out)
                 }
-                DispatchStep::Free(results) => out.push(Command::FreeResults(results)),
+                DispatchStep::Free { results, spared } => {
+                    out.push(Command::FreeResults { results, spared });
+                }
                 DispatchStep::AskRoom { upstream, address } => {
                     out.push(Command::Count(CounterName::RoomQuestions));
                     out.push(Command::AskRoom { upstream, address });
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -145,6 +145,8 @@
         upstream: String,
         /// The rate.
         rate: RequestRate,
+        /// Peer that told it, or `None` for an answer to this daemon.
+        peer: Option<String>,
     },
     /// An upstream names no rate any more.
     UpstreamUnlimited {
@@ -152,6 +154,8 @@
         upstream: String,
         /// Requests that this daemon sent there while it named one.
         sent: u64,
+        /// Peer that told it, or `None` for an answer to this daemon.
+        peer: Option<String>,
     },
     /// An upstream is leaving.
     UpstreamLeaving {
--- a/crates/crocusdale_core/src/daemon/timer_key.rs
+++ b/crates/crocusdale_core/src/daemon/timer_key.rs
@@ -29,8 +29,8 @@
     DirectoryAnswer,
     /// Next turn of unwanted results.
     Results,
-    /// Time to tell others of upstreams that ended under requests.
-    CrashNews,
+    /// Time to tell others of upstreams that ended under requests, or name a rate.
+    UpstreamNews,
     /// Next greeting of the seeds.
     Seeds,
     /// Last moment at which a draining process can still answer its open requests.
--- a/crates/crocusdale_core/src/membership/exchange_message.rs
+++ b/crates/crocusdale_core/src/membership/exchange_message.rs
@@ -3,6 +3,7 @@
 use super::MemberRecord;
 use crate::identity::{InstanceId, StorePosition};
 use crate::quarantine::CrashRecord;
+use crate::rate_limiting::LimitRecord;
 
 /// News that an upstream is leaving.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize)]
@@ -48,6 +49,10 @@
     pub crash_summary: u64,
     /// Such upstreams: news, or in an answer all that is known, if the asker knows something else.
     pub crashes: Vec<CrashRecord>,
+    /// Digest of what the sender knows of the rates that upstreams name.
+    pub limit_digest: u64,
+    /// Such rates: news, or in an answer all that is known, if the asker knows something else.
+    pub limits: Vec<LimitRecord>,
     /// Digest of all records that the sender has, if it asks for those that it lacks.
     pub known_members: Option<u64>,
 }
--- a/crates/crocusdale_core/src/membership/member_gossip.rs
+++ b/crates/crocusdale_core/src/membership/member_gossip.rs
@@ -55,6 +55,8 @@
             // Another part of the core knows these.
             crash_summary: 0,
             crashes: Vec::new(),
+            limit_digest: 0,
+            limits: Vec::new(),
         }
     }
 
--- a/crates/crocusdale_core/src/routing/cold_limit.rs
+++ b/crates/crocusdale_core/src/routing/cold_limit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::upstream_router::RoutedPool;
-use super::{CONNECT_PATIENCE, RateShare, UpstreamRouter, UpstreamState};
+use super::{CONNECT_PATIENCE, UpstreamRouter, UpstreamState};
 use crate::identity::MonotonicTime;
 use crate::sync::lock;
 
@@ -38,17 +38,6 @@
 }
 
 impl UpstreamRouter {
-    /// Sets this daemon's share of the requests of cold upstreams.
-    pub fn set_rate_share(&self, share: RateShare) {
-        *lock(&self.share) = share;
-    }
-
-    /// Number of daemons that share what cold upstreams take, this one among them.
-    #[must_use]
-    pub fn sharing_daemons(&self) -> usize {
-        lock(&self.share).daemons()
-    }
-
     /// Whether this daemon may send one more request to the upstream at `position` now.
     ///
     /// Guards against the crash of an upstream that has just started: it has the least load, so that it
@@ -66,7 +55,7 @@
             return true;
         }
         let limit = self.cold_limits.requests(cold.requests_per_s);
-        let allowed = lock(&self.share).of(state.hash(), limit);
+        let allowed = self.limiter.share_of(state.hash(), limit);
         state.sent_since(now, SHARE_WINDOW) < allowed as usize
     }
 
--- a/crates/crocusdale_core/src/routing/router_update.rs
+++ b/crates/crocusdale_core/src/routing/router_update.rs
@@ -27,7 +27,6 @@
         let router = Self::new(&self.zone, seed).retries(self.retries);
         let mut router = router.cold_limits(self.cold_limits).regions(self.regions.clone());
         router = router.limiter(Arc::clone(&self.limiter));
-        *lock(&router.share) = lock(&self.share).clone();
         router.spread = self.spread;
         router.policy = declarations.deployment().policy;
         router.daemons = AtomicUsize::new(self.daemons.load(Ordering::Relaxed));
--- a/crates/crocusdale_core/src/routing/stage_pool.rs
+++ b/crates/crocusdale_core/src/routing/stage_pool.rs
@@ -100,6 +100,25 @@
         self.waiting.remove(&rank)
     }
 
+    /// Takes out the attempts that can't have one of `places` before their deadline, which are times after
+    /// `from` in order, or `None` where there is none.
+    pub fn take_unservable(
+        &mut self,
+        mut places: impl Iterator<Item = Option<Duration>>,
+        from: MonotonicTime,
+    ) -> Vec<SlotRequest> {
+        let mut place = places.next().flatten();
+        let mut unservable = Vec::new();
+        for (rank, request) in &self.waiting {
+            if place.is_some_and(|time| from + time < request.deadline) {
+                place = places.next().flatten();
+            } else {
+                unservable.push(*rank);
+            }
+        }
+        unservable.iter().filter_map(|rank| self.waiting.remove(rank)).collect()
+    }
+
     /// Takes out everything that waits for `call`.
     pub fn withdraw(&mut self, call: CallId, level: u8, deadline: MonotonicTime) {
         let range = (level, deadline, 0)..=(level, deadline, u64::MAX);
--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -1,7 +1,6 @@
 //! Which upstream of a pool a request goes to.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use rand::Rng as _;
 
@@ -9,6 +8,7 @@
 use super::{SlotRequest, UpstreamRouter};
 use crate::configuration::RoutingPolicy;
 use crate::identity::MonotonicTime;
+use crate::rate_limiting::RateUse;
 use crate::sync::lock;
 
 /// Upstreams that are looked at in each zone before the whole pool is.
@@ -59,7 +59,9 @@
         let usable = |position: &&usize| {
             let state = lock(&self.upstreams[**position].state);
             let allowed = request.homes.allow(self.region_of(**position));
-            allowed && !state.is_leaving() && state.away_for(now).is_zero()
+            let within_rate =
+                self.limiter.allows(&self.upstreams[**position].rules.name, RateUse::Shared, now);
+            allowed && within_rate && !state.is_leaving() && state.away_for(now).is_zero()
         };
         from_turn.find(usable).copied()
     }
@@ -94,7 +96,9 @@
         if !request.homes.allow(self.region_of(position)) {
             return None;
         }
-        if !self.is_within_share(routed, position, now) {
+        if !self.is_within_share(routed, position, now)
+            || !self.is_within_rate(routed, position, now)
+        {
             return None;
         }
         let state = lock(&upstream.state);
@@ -102,33 +106,4 @@
         let wanted = !state.is_leaving() && state.away_for(now).is_zero();
         (wanted && !doubted && state.has_room()).then(|| state.cost())
     }
-
-    /// Whether any upstream of the pool could serve `request` before its deadline.
-    pub(super) fn is_servable(
-        &self,
-        routed: &RoutedPool,
-        request: &SlotRequest,
-        now: MonotonicTime,
-    ) -> bool {
-        let away = self.shortest_away(routed, request, now);
-        away.is_some_and(|away| now + away < request.deadline)
-    }
-
-    /// Time after which the first upstream of the pool wants requests like this again, `None` if none
-    /// ever does.
-    pub(super) fn shortest_away(
-        &self,
-        routed: &RoutedPool,
-        request: &SlotRequest,
-        now: MonotonicTime,
-    ) -> Option<Duration> {
-        let away = |position: &usize| {
-            let upstream = &self.upstreams[*position];
-            let state = lock(&upstream.state);
-            let tried = request.tried.contains(&upstream.rules.name);
-            let allowed = request.homes.allow(self.region_of(*position));
-            (allowed && !tried && !state.is_leaving()).then(|| state.away_for(now))
-        };
-        routed.near.iter().chain(&routed.far).filter_map(away).min()
-    }
 }
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -7,15 +7,13 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
-use super::{
-    AttemptReport, ColdLimits, RateShare, SlotRequest, StagePool, UpstreamState, UpstreamSummary,
-};
+use super::{AttemptReport, ColdLimits, SlotRequest, StagePool, UpstreamState, UpstreamSummary};
 use crate::configuration::{
     ColdRules, EngineRules, RegionMap, RoutingPolicy, StagePlan, UpstreamRules,
 };
 use crate::identity::{CallId, MonotonicTime};
 use crate::membership::{LeavingUpstream, VmRoster};
-use crate::rate_limiting::RateLimiter;
+use crate::rate_limiting::{RateLimiter, RateUse};
 use crate::retry::RetryLimits;
 use crate::sync::lock;
 
@@ -42,10 +40,8 @@
     pub(super) retries: RetryLimits,
     pub(super) cold_limits: ColdLimits,
     pub(super) regions: RegionMap,
-    /// Upstreams that have named a rate.
+    /// Upstreams that have named a rate, and this daemon's share of what they and cold ones take.
     pub(super) limiter: Arc<RateLimiter>,
-    /// This daemon's share of the requests of cold upstreams.
-    pub(super) share: Mutex<RateShare>,
     pub(super) turn: AtomicUsize,
     /// Whether no upstream may be chosen, because it is not known which ones stay.
     pub(super) held: AtomicBool,
@@ -108,7 +104,6 @@
             cold_limits: ColdLimits::default(),
             regions: RegionMap::default(),
             limiter: Arc::default(),
-            share: Mutex::default(),
             turn: AtomicUsize::new(0),
             held: AtomicBool::new(false),
             has_list: false,
@@ -187,13 +182,6 @@
         }
     }
 
-    /// Time after which an upstream wants requests like this again, if none does now.
-    #[must_use]
-    pub fn away_for(&self, request: &SlotRequest, now: MonotonicTime) -> Option<Duration> {
-        let routed = self.pools.get(&request.stage)?;
-        self.shortest_away(routed, request, now).filter(|away| !away.is_zero())
-    }
-
     /// Takes the news that the process `life` answers behind `upstream`, and stays.
     pub fn greet(&self, upstream: &str, life: &str) {
         if let Some(upstream) = self.upstream(upstream) {
@@ -359,7 +347,7 @@
                 _ => Duration::ZERO,
             }
         };
-        self.limiter.note_send(&upstream.rules.name);
+        self.limiter.spend(&upstream.rules.name);
         let kept_connections = self.kept_connections(&request.stage);
         SlotGrant {
             fastest,
@@ -391,14 +379,16 @@
     ) {
         let upstream = &self.upstreams[position];
         loop {
-            let usable = self.is_within_share(routed, position, now) && {
-                let state = lock(&upstream.state);
-                state.has_room()
-                    && !state.is_leaving()
-                    && state.away_for(now).is_zero()
-                    && !state.is_ejected(now)
-                    && !state.is_full(now)
-            };
+            let usable = self.is_within_share(routed, position, now)
+                && self.limiter.allows(&upstream.rules.name, RateUse::Shared, now)
+                && {
+                    let state = lock(&upstream.state);
+                    state.has_room()
+                        && !state.is_leaving()
+                        && state.away_for(now).is_zero()
+                        && !state.is_ejected(now)
+                        && !state.is_full(now)
+                };
             let region = self.region_of(position);
             let next = if usable {
                 lock(&routed.pool).next_for(&upstream.rules.name, region)
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -7,6 +7,7 @@
     ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
 };
 use crate::quarantine::{CrashRecord, UpstreamEnd};
+use crate::rate_limiting::{LimitRecord, RequestRate};
 
 /// A message lacked a part that it must have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,6 +137,28 @@
     }
 }
 
+impl From<LimitRecord> for peer::UpstreamLimit {
+    fn from(record: LimitRecord) -> Self {
+        Self {
+            upstream: record.upstream,
+            version: record.version,
+            thousandths_per_s: record.rate.map(RequestRate::thousandths),
+            age_ms: whole_millis(record.age),
+        }
+    }
+}
+
+impl From<peer::UpstreamLimit> for LimitRecord {
+    fn from(wire: peer::UpstreamLimit) -> Self {
+        Self {
+            upstream: wire.upstream,
+            version: wire.version,
+            rate: wire.thousandths_per_s.map(RequestRate::from_thousandths),
+            age: Duration::from_millis(wire.age_ms.into()),
+        }
+    }
+}
+
 fn whole_millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
@@ -155,6 +178,8 @@
             known_members: message.known_members,
             crash_summary: message.crash_summary,
             crashes: message.crashes.into_iter().map(Into::into).collect(),
+            limit_digest: message.limit_digest,
+            limits: message.limits.into_iter().map(Into::into).collect(),
             // Rounded up: a list must never be taken for younger than it is.
             directory_age_ms: message
                 .directory_age
@@ -180,6 +205,8 @@
             directory_age: wire.directory_age_ms.map(Duration::from_millis),
             crash_summary: wire.crash_summary,
             crashes: wire.crashes.into_iter().map(TryInto::try_into).collect::<Result<_, _>>()?,
+            limit_digest: wire.limit_digest,
+            limits: wire.limits.into_iter().map(Into::into).collect(),
         })
     }
 }
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -38,6 +38,8 @@
             directory_age: None,
             known_members: None,
             crash_summary: 0,
+            limit_digest: 0,
+            limits: Vec::new(),
             crashes: Vec::new(),
         };
         view.take_message(&message, now);
--- a/crates/crocusdale_core/tests/cold_upstream_test.rs
+++ b/crates/crocusdale_core/tests/cold_upstream_test.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use crocusdale_core::configuration::{
@@ -9,10 +10,12 @@
 };
 use crocusdale_core::identity::{CallId, MonotonicTime, RequestDigest};
 use crocusdale_core::membership::KnownDaemons;
+use crocusdale_core::rate_limiting::{RateLimiter, RateShare};
 use crocusdale_core::routing::{
-    AttemptReport, CONNECT_PATIENCE, ColdLimits, ColdUpstream, DirectoryEntry, RateShare,
-    SlotRequest, UpstreamDirectory, UpstreamRouter,
+    AttemptReport, CONNECT_PATIENCE, ColdLimits, ColdUpstream, DirectoryEntry, SlotRequest,
+    UpstreamDirectory, UpstreamRouter,
 };
+
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -57,9 +60,11 @@
 
 /// The router of the daemon at `index` of `names`, before the engine `old`, which is warm.
 fn router(names: &[String], index: usize) -> UpstreamRouter {
+    let limiter = RateLimiter::default();
+    limiter.set_share(RateShare::new(&names[index], names.iter().map(String::as_str)));
     let router = UpstreamRouter::new("a", index as u64).cold_limits(LIMITS);
+    let router = router.limiter(Arc::new(limiter));
     router.set_daemons(names.len());
-    router.set_rate_share(RateShare::new(&names[index], names.iter().map(String::as_str)));
     router.reconfigured(&declarations(), &directory(1, &["old"]), MonotonicTime::from_millis(0))
 }
 
--- a/crates/crocusdale_core/tests/member_places_test.rs
+++ b/crates/crocusdale_core/tests/member_places_test.rs
@@ -37,6 +37,8 @@
         directory_age: None,
         known_members: None,
         crash_summary: 0,
+        limit_digest: 0,
+        limits: Vec::new(),
         crashes: Vec::new(),
     }
 }
--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -144,7 +144,7 @@
                 DispatchStep::Settle { attempt, outcome, .. } => {
                     self.settled.push((attempt, outcome));
                 }
-                DispatchStep::Free(_) => {}
+                DispatchStep::Free { .. } => {}
                 DispatchStep::FreeInputs { results, .. } => self.fetched.extend(results),
                 DispatchStep::AskRoom { upstream, .. } => {
                     self.asked.push(upstream.clone());
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -1,6 +1,7 @@
 //! One daemon that passes callers' own requests on, with every message in the hands of a test.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -108,6 +109,8 @@
     pub batches: Vec<BatchOrder>,
     /// Results that upstreams were told to give up.
     pub freed: Vec<ResultHandle>,
+    /// Addresses of upstreams that were not told.
+    pub spared: Vec<SocketAddr>,
     pub passed_on: Vec<AttemptId>,
     pub cancelled: Vec<AttemptId>,
     pub answers: Vec<(CallId, FinalAnswer)>,
@@ -161,6 +164,7 @@
             relays: Vec::new(),
             batches: Vec::new(),
             freed: Vec::new(),
+            spared: Vec::new(),
             passed_on: Vec::new(),
             cancelled: Vec::new(),
             answers: Vec::new(),
@@ -240,7 +244,10 @@
             match command {
                 Command::Relay(order) => self.relays.push(order),
                 Command::CallBatch(order) => self.batches.push(order),
-                Command::FreeResults(results) => self.freed.extend(results),
+                Command::FreeResults { results, spared } => {
+                    self.freed.extend(results);
+                    self.spared.extend(spared);
+                }
                 Command::PassOn { attempt, .. } => self.passed_on.push(attempt),
                 Command::Cancel(attempt) => self.cancelled.push(attempt),
                 Command::Reply { call, answer } => self.answers.push((call, answer)),
--- a/crates/crocusdale_core/tests/support/limited_upstream.rs
+++ b/crates/crocusdale_core/tests/support/limited_upstream.rs
@@ -60,6 +60,8 @@
     pub told: HashMap<usize, MonotonicTime>,
     /// Requests that callers send a second, over all daemons.
     pub load: f64,
+    /// Name of the upstream's life.
+    name: String,
     random: SmallRng,
     steps: BTreeMap<(MonotonicTime, u64), (usize, AttemptStep)>,
     sequence: u64,
@@ -81,6 +83,7 @@
             arrivals: Vec::new(),
             told: HashMap::new(),
             load: 0.0,
+            name: entry(LIMITED).name(),
             random: SmallRng::seed_from_u64(seed),
             steps: BTreeMap::new(),
             sequence: 0,
@@ -93,6 +96,27 @@
         self.rate = RequestRate::from_per_second(per_second);
     }
 
+    /// Has an answer of the upstream tell `daemon`.
+    pub fn tell(&mut self, daemon: usize, notice: UpstreamNotice) {
+        let (upstream, sent) = (self.name.clone(), self.fleet.now);
+        self.fleet.feed(daemon, DaemonEvent::UpstreamNoticed { upstream, notice, sent });
+    }
+
+    /// Daemons that know that the upstream names a rate.
+    pub fn knowing(&self) -> usize {
+        self.fleet.cores.iter().filter(|core| core.is_limited(&self.name)).count()
+    }
+
+    /// Ends the upstream and starts it again under its id.
+    pub fn start_again(&mut self) {
+        let (revision, entries) = &mut self.fleet.published;
+        *revision += 1;
+        for (written, entry) in entries.iter_mut().filter(|(_, entry)| entry.id == LIMITED) {
+            *written = *revision;
+            entry.born = entry.born.map(|born| born + 1);
+        }
+    }
+
     /// Lets callers send requests for `time`.
     pub fn run(&mut self, time: Duration) {
         let end = self.fleet.now + time;
--- a/crates/crocusdale_core/tests/support/reader_answer.rs
+++ b/crates/crocusdale_core/tests/support/reader_answer.rs
@@ -51,6 +51,8 @@
         directory_age: Some(Duration::ZERO),
         known_members: None,
         crash_summary: 0,
+        limit_digest: 0,
+        limits: Vec::new(),
         crashes: Vec::new(),
     });
     DaemonEvent::Exchanged { message, sent }
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -229,10 +229,12 @@
                 let is_mute = self.only_readers_tell && !self.readers.contains(&index);
                 if is_mute {
                     message.crashes.clear();
+                    message.limits.clear();
                 }
                 let mut reply = core.exchange(&message, self.now, &mut commands);
                 if is_mute {
                     reply.crashes.clear();
+                    reply.limits.clear();
                 }
                 self.records += message.records.len() + reply.records.len();
                 let event =
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -167,7 +167,9 @@
             Command::PassOn { call: _, attempt } => self.relays.pass_on(attempt),
             Command::CallBatch(order) => self.batches.call(self, order),
             Command::CancelBatch(batch) => self.batches.cancel(batch),
-            Command::FreeResults(results) => self.batches.free(self, &results),
+            Command::FreeResults { results, spared } => {
+                self.batches.free(self, &results, &spared);
+            }
             Command::AskRoom { upstream, address } => {
                 self.batches.ask_room(self, upstream, address);
             }
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -128,12 +128,14 @@
             StateChange::UpstreamCold { upstream, left_ms } => {
                 info!(log, "{}", name; "upstream" => upstream, "left_ms" => left_ms);
             }
-            StateChange::UpstreamLimited { upstream, rate } => {
+            StateChange::UpstreamLimited { upstream, rate, peer } => {
                 info!(log, "{}", name;
-                    "upstream" => upstream, "requests_per_s" => rate.per_second());
+                    "upstream" => upstream, "requests_per_s" => rate.per_second(),
+                    "peer" => peer.as_deref());
             }
-            StateChange::UpstreamUnlimited { upstream, sent } => {
-                info!(log, "{}", name; "upstream" => upstream, "sent" => sent);
+            StateChange::UpstreamUnlimited { upstream, sent, peer } => {
+                info!(log, "{}", name;
+                    "upstream" => upstream, "sent" => sent, "peer" => peer.as_deref());
             }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -69,9 +69,15 @@
         });
     }
 
-    /// Tells upstreams that `results` are not needed any more.
-    pub fn free(&self, engine: &Arc<DaemonEngine>, results: &[ResultHandle]) {
-        for (maker, body) in free_bodies(results) {
+    /// Tells upstreams, but for those at the addresses `spared`, that `results` are not needed any more.
+    pub fn free(
+        &self,
+        engine: &Arc<DaemonEngine>,
+        results: &[ResultHandle],
+        spared: &[SocketAddr],
+    ) {
+        let told = free_bodies(results).into_iter().filter(|(maker, _)| !spared.contains(maker));
+        for (maker, body) in told {
             let engine = Arc::clone(engine);
             tokio::spawn(async move { free_at(&engine, maker, body).await });
         }
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -39,7 +39,7 @@
             Command::CancelBatch(batch) => {
                 self.batches.values_mut().for_each(|upstream| upstream.cancel(life, batch));
             }
-            Command::FreeResults(results) => self.free(&results),
+            Command::FreeResults { results, spared: _ } => self.free(&results),
             Command::AskRoom { upstream, .. } => {
                 let free = self.batches.get(&upstream).map(BatchModel::free_bytes);
                 self.push_core(HOP * 2, life, DaemonEvent::RoomTold { upstream, free });
