--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -463,6 +463,20 @@
         }
     }
 
+    /// Takes the word of an upstream that is cold. Returns whether that matters to routing.
+    pub(super) fn hear_cold(
+        &mut self,
+        cold: ColdUpstream,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let is_news = self.directory.note_cold(vec![cold.clone()], now);
+        if is_news {
+            self.note_cold_starts(vec![cold], now, out);
+        }
+        is_news
+    }
+
     /// Tells which upstreams are cold.
     fn note_cold_starts(
         &self,
--- a/crates/crocusdale_core/src/daemon/notice_flow.rs
+++ b/crates/crocusdale_core/src/daemon/notice_flow.rs
@@ -7,7 +7,7 @@
 use crate::configuration::Declarations;
 use crate::identity::MonotonicTime;
 use crate::membership::LeavingUpstream;
-use crate::routing::UpstreamNotice;
+use crate::routing::{ColdUpstream, UpstreamNotice};
 use crate::sync::lock;
 
 impl CoreState {
@@ -37,6 +37,13 @@
             let upstream = upstream.to_owned();
             out.push(Command::Note(StateChange::UpstreamAway { upstream, stay_away_ms }));
         }
+        if let Some(left) = notice.cold {
+            let cold = ColdUpstream { name: upstream.to_owned(), left };
+            let is_news = lock(&self.directory).hear_cold(cold, now, out);
+            if let Some(declarations) = self.declarations_in_force().filter(|_| is_news) {
+                self.reroute(&declarations, now, out);
+            }
+        }
         self.take_rate(upstream, notice.rate, sent, now, out);
     }
 
@@ -61,17 +68,18 @@
         if !has_news {
             return;
         }
-        let declarations = {
-            let fleet = lock(&self.fleet);
-            fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
-        };
-        if let Some(declarations) = declarations.filter(|_| list_changed) {
+        if let Some(declarations) = self.declarations_in_force().filter(|_| list_changed) {
             self.reroute(&declarations, now, out);
         }
         let steps = self.run_grants(self.router().serve_all_waiting(now), now);
         self.run_steps(steps, now, out);
     }
 
+    fn declarations_in_force(&self) -> Option<Arc<Declarations>> {
+        let fleet = lock(&self.fleet);
+        fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
+    }
+
     /// Takes pools and upstreams as they are now.
     pub(super) fn reroute(
         &self,
--- a/crates/crocusdale_core/src/routing/upstream_notice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_notice.rs
@@ -9,6 +9,8 @@
     pub leaving: bool,
     /// Time for which it wants nothing more from this daemon, if it turned a request away.
     pub stay_away: Option<Duration>,
+    /// Time for which it stays cold at most, if it has started of late.
+    pub cold: Option<Duration>,
     /// Requests that it takes from all daemons together.
     pub rate: RateNotice,
 }
--- a/crates/crocusdale_core/tests/upstream_notice_test.rs
+++ b/crates/crocusdale_core/tests/upstream_notice_test.rs
@@ -29,7 +29,7 @@
 const AWAY_BOUND: Duration = Duration::from_millis(500);
 
 const LEAVING: UpstreamNotice =
-    UpstreamNotice { leaving: true, stay_away: None, rate: RateNotice::Unlimited };
+    UpstreamNotice { leaving: true, stay_away: None, cold: None, rate: RateNotice::Unlimited };
 
 fn away(time: Duration) -> UpstreamNotice {
     UpstreamNotice { stay_away: Some(time), ..UpstreamNotice::default() }
@@ -205,3 +205,19 @@
         assert_eq!((0..size).filter(knows).count(), size);
     }
 }
+
+/// Guards against an engine that turns cold without a start, says so in its answers, and is called as a warm
+/// one until its entry has been read.
+#[test]
+fn engine_that_says_that_it_is_cold_gets_few_requests() {
+    let mut daemon = Daemon::new();
+    daemon.advance(4_000);
+    daemon.publish(&["n1"], &[]);
+    let cold = Some(Duration::from_secs(3));
+    notice(&mut daemon, "r1", UpstreamNotice { cold, ..UpstreamNotice::default() });
+    let list = daemon.core.published_upstreams(daemon.now);
+    assert_eq!(list.cold.len(), 1, "peers are told");
+    let dump = daemon.core.dump(daemon.now);
+    let is_cold = |name: &str| dump.upstreams.iter().any(|each| each.name == name && each.cold);
+    assert!(is_cold("r1") && !is_cold("r2"));
+}
