Stop a request whose pieces crash the upstreams of batched pools

What callers would see: a request whose pieces end every upstream that works on them takes upstream after upstream of its pool, with the pieces of all requests that share its calls; only the pool's retry budget bounds it.

Cause: a call that breaks off was blamed on its upstream alone; orders for pieces did not tell what a request has in common with its repeats.

Change: orders carry the digest. When a call breaks off, its upstream is looked at, and if it refuses connections all requests of the call are suspected in the same log as those that end engines. From the second on, a request's pieces go in calls of their own, so that the third end is blamed on one request only. What is quarantined is given up at the dispatcher too.

Evidence: with the suspicion taken out, crashing_piece_test fails (the request is never stopped); with calls of their own taken out, requests_of_calls_that_broke_off_are_told_apart does.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -5,7 +5,7 @@
 
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolWait};
 use crate::configuration::{Declarations, PoolKind};
-use crate::identity::{AttemptId, MonotonicTime};
+use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
 use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryLimits;
@@ -59,6 +59,15 @@
         /// Addresses of those upstreams.
         spared: Vec<SocketAddr>,
     },
+    /// Look at an upstream that broke off a call, and suspect a request of that call if it has ended.
+    Suspect {
+        /// What the request has in common with its repeats.
+        digest: RequestDigest,
+        /// Name of the upstream.
+        upstream: String,
+        /// Where it listens.
+        address: SocketAddr,
+    },
     /// Ask an upstream how much of its memory for results is free.
     AskRoom {
         /// Name of the upstream.
@@ -116,17 +125,30 @@
         self.turn(now, steps);
     }
 
-    /// Takes the pieces of a step.
-    pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
+    /// Takes the pieces of a step, whose request `ends` upstreams ended under.
+    pub fn offer(
+        &mut self,
+        order: PieceOrder,
+        ends: usize,
+        now: MonotonicTime,
+        steps: &mut Vec<DispatchStep>,
+    ) {
         let name = order.pool.clone();
         let Some(pool) = self.pools.get_mut(&name) else {
             steps.push(DispatchStep::fail(order.attempt, &name, PieceFault::NoUpstream));
             return;
         };
-        pool.offer(order, now, steps);
+        pool.offer(order, ends, now, steps);
         self.turn_pool(&name, now, steps);
     }
 
+    /// Gives up the pieces of requests like `digest`, under which upstreams ended.
+    pub fn end_quarantined(&mut self, digest: RequestDigest, steps: &mut Vec<DispatchStep>) {
+        for pool in self.pools.values_mut() {
+            pool.end_quarantined(digest, steps);
+        }
+    }
+
     /// Nobody wants the results for `attempt` any more.
     pub fn withdraw(&mut self, attempt: AttemptId, pool: &str) {
         if let Some(pool) = self.pools.get_mut(pool) {
--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -11,6 +11,9 @@
 /// Time by which jobs of a flood go behind others: more than the usual objectives.
 const FLOOD_STEP: Duration = Duration::from_secs(3);
 
+/// Calls that broke off under a request from which on its pieces go alone: one before it is quarantined.
+const LONE_BREAKS: usize = 2;
+
 /// The pieces of one step of one request, on their way to results.
 #[derive(Debug)]
 pub(super) struct BatchJob {
@@ -21,13 +24,15 @@
     pub(super) waiting: VecDeque<u32>,
     /// Whether a piece was in a call, here or at another dispatcher.
     begun: bool,
+    /// Upstreams that ended under the request, or broke off a call with its pieces.
+    breaks: usize,
 }
 
 impl BatchJob {
     pub(super) fn new(order: PieceOrder) -> Self {
         let pieces = order.pieces;
         let (results, waiting) = (vec![None; pieces as usize], (0..pieces).collect());
-        Self { results, waiting, begun: order.repeated, order }
+        Self { results, waiting, begun: order.repeated, breaks: 0, order }
     }
 
     /// Place in the order of jobs: the earliest time by which results are needed goes first.
@@ -55,6 +60,19 @@
         }
     }
 
+    /// Counts `breaks` upstreams that ended under the request or broke off a call with its pieces.
+    pub(super) fn note_breaks(&mut self, breaks: usize) {
+        self.breaks += breaks;
+    }
+
+    /// Whether its pieces go in calls of their own.
+    ///
+    /// Guards against a request whose pieces crash upstreams: all requests of a call are suspected, and those
+    /// beside it would be quarantined with it. One crash may be by chance, under the pieces of many.
+    pub(super) fn goes_alone(&self) -> bool {
+        self.breaks >= LONE_BREAKS
+    }
+
     /// Whether another dispatcher may take it as if it were new.
     pub(super) fn is_untouched(&self) -> bool {
         !self.begun
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,4 +1,5 @@
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::batch_job::BatchJob;
@@ -6,7 +7,7 @@
 use super::pool_forecast::InflowMeter;
 use super::{BatchId, BatchOutcome, DispatchStep, ItemOutcome, PoolWait};
 use crate::configuration::BatchRules;
-use crate::identity::{AttemptId, MonotonicTime};
+use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
 use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryBudget;
@@ -57,6 +58,7 @@
 #[derive(Debug)]
 pub(super) struct OpenBatch {
     pub(super) upstream: String,
+    pub(super) address: SocketAddr,
     /// When it began, unless this process was paused since.
     pub(super) since: Option<MonotonicTime>,
     pub(super) lost_at: MonotonicTime,
@@ -123,8 +125,14 @@
         self.jobs.is_empty() && self.open.is_empty()
     }
 
-    /// Takes the pieces of a step.
-    pub fn offer(&mut self, order: PieceOrder, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
+    /// Takes the pieces of a step, whose request `ends` upstreams ended under.
+    pub fn offer(
+        &mut self,
+        order: PieceOrder,
+        ends: usize,
+        now: MonotonicTime,
+        steps: &mut Vec<DispatchStep>,
+    ) {
         let attempt = order.attempt;
         self.begin_work(order.repeated, now);
         if order.pieces == 0 {
@@ -145,7 +153,8 @@
             steps.push(DispatchStep::fail(attempt, &order.pool, PieceFault::NoUpstream));
             return;
         }
-        let job = BatchJob::new(order);
+        let mut job = BatchJob::new(order);
+        job.note_breaks(ends);
         if job.is_ahead(now + self.rules.expected(1)) {
             self.note_inflow(job.order.pieces, now);
         }
@@ -185,6 +194,16 @@
         }
     }
 
+    /// Gives up the pieces of requests like `digest`, under which upstreams ended.
+    pub fn end_quarantined(&mut self, digest: RequestDigest, steps: &mut Vec<DispatchStep>) {
+        let like = self.jobs.iter().filter(|(_, job)| job.order.digest == Some(digest));
+        let mut like: Vec<AttemptId> = like.map(|(attempt, _)| *attempt).collect();
+        like.sort_unstable();
+        for attempt in like {
+            self.fail(attempt, PieceFault::Quarantined, steps);
+        }
+    }
+
     /// Nobody wants the results for `attempt` any more.
     pub fn withdraw(&mut self, attempt: AttemptId) {
         let Some(job) = self.jobs.remove(&attempt) else { return };
@@ -239,6 +258,9 @@
                         _ => worker.failed(&rules, pieces, time, now),
                     }
                 }
+                if matches!(outcome, BatchOutcome::Broken) {
+                    self.suspect(&open, steps);
+                }
                 self.release(made_by(outcome));
                 for (job, piece) in open.items {
                     self.put_back(job, piece, now, steps);
@@ -363,6 +385,19 @@
         }
     }
 
+    /// A call broke off: its upstream is looked at, and if it has ended, the requests of the call are
+    /// suspected.
+    fn suspect(&mut self, open: &OpenBatch, steps: &mut Vec<DispatchStep>) {
+        let attempts: BTreeSet<AttemptId> = open.items.iter().map(|(job, _)| *job).collect();
+        for attempt in attempts {
+            let Some(job) = self.jobs.get_mut(&attempt) else { continue };
+            job.note_breaks(1);
+            let Some(digest) = job.order.digest else { continue };
+            let (upstream, address) = (open.upstream.clone(), open.address);
+            steps.push(DispatchStep::Suspect { digest, upstream, address });
+        }
+    }
+
     /// Lets a piece wait for another call, if the retry budget allows it.
     fn put_back(
         &mut self,
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -75,8 +75,14 @@
         let (process, address) = (worker.process.clone(), worker.address);
         let batch = next();
         let upstream = upstream.to_owned();
-        let open =
-            OpenBatch { upstream: upstream.clone(), since: Some(now), lost_at, bytes, items: refs };
+        let open = OpenBatch {
+            upstream: upstream.clone(),
+            address,
+            since: Some(now),
+            lost_at,
+            bytes,
+            items: refs,
+        };
         self.open.insert(batch, open);
         let write_by = now + CONNECT_PATIENCE;
         Some(BatchOrder { batch, upstream, process, address, items, write_by })
@@ -142,12 +148,13 @@
     ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>, u64) {
         let limit = self.rules.pieces.max(1) as usize;
         let (mut items, mut refs, mut bytes) = (Vec::new(), Vec::new(), 0);
+        let mut is_lone = false;
         let Some(worker) = self.workers.get(upstream) else { return (items, refs, bytes) };
         let (own_zone, room) = (worker.zone.clone(), worker.room.free_bytes(&self.rules));
         let margin = self.rules.expected(self.rules.pieces / 2) / 2;
         let zones = zone_ends(&self.workers, &self.rules, now);
         for attempt in &line.order {
-            if items.len() == limit {
+            if items.len() == limit || is_lone {
                 break;
             }
             let waits = |job: &&mut BatchJob| !job.waiting.is_empty();
@@ -164,6 +171,10 @@
             if fitting == 0 || !whole || elsewhere {
                 continue;
             }
+            if job.goes_alone() && !items.is_empty() {
+                continue;
+            }
+            is_lone = job.goes_alone();
             let taken = job.take(fitting);
             bytes += job.order.result_bytes * taken.len() as u64;
             refs.extend(taken.iter().map(|item| (*attempt, item.piece)));
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -38,7 +38,13 @@
         out: &mut Vec<Command>,
     ) {
         let mut dispatch_steps = Vec::new();
-        lock(&self.dispatcher).offer(order, now, &mut dispatch_steps);
+        if order.digest.is_some_and(|digest| self.quarantine_left(digest, now).is_some()) {
+            let fault = PieceFault::Quarantined;
+            dispatch_steps.push(DispatchStep::fail(order.attempt, &order.pool, fault));
+        } else {
+            let ends = order.digest.map_or(0, |digest| lock(&self.crashes).ends(digest));
+            lock(&self.dispatcher).offer(order, ends, now, &mut dispatch_steps);
+        }
         self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
@@ -182,6 +188,9 @@
                 DispatchStep::Free { results, spared } => {
                     out.push(Command::FreeResults { results, spared });
                 }
+                DispatchStep::Suspect { digest, upstream, address } => {
+                    self.suspect(digest, upstream, address, out);
+                }
                 DispatchStep::AskRoom { upstream, address } => {
                     out.push(Command::Count(CounterName::RoomQuestions));
                     out.push(Command::AskRoom { upstream, address });
--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -171,4 +171,6 @@
     NoUpstream,
     /// Another daemon dispatches the pool now, and none of them was in a call.
     Moved,
+    /// Upstreams ended under their request.
+    Quarantined,
 }
--- a/crates/crocusdale_core/src/pipeline/branch_run.rs
+++ b/crates/crocusdale_core/src/pipeline/branch_run.rs
@@ -132,6 +132,7 @@
             Self::NotRun | Self::Pieces(PieceFault::Late | PieceFault::Moved) => {
                 RefusalReason::Overload
             }
+            Self::Pieces(PieceFault::Quarantined) => RefusalReason::Quarantined,
             Self::Declined | Self::Pieces(PieceFault::Failed) => RefusalReason::UpstreamError,
             Self::Broken(_) | Self::Pieces(PieceFault::InputGone) => RefusalReason::UpstreamBroken,
         }
--- a/crates/crocusdale_core/src/pipeline/piece_order.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_order.rs
@@ -1,4 +1,4 @@
-use crate::identity::{AttemptId, MonotonicTime};
+use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
 
 use super::ResultHandle;
 
@@ -9,6 +9,8 @@
     pub attempt: AttemptId,
     /// Identity of the request, as its caller chose it.
     pub request: String,
+    /// What the request has in common with its repeats, if the daemon that asks tells it.
+    pub digest: Option<RequestDigest>,
     /// Pool that works on the pieces.
     pub pool: String,
     /// Position of the step in its pipeline.
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -44,6 +44,7 @@
         let order = PieceOrder {
             attempt: id,
             request: self.plan.request.key.key.clone(),
+            digest: Some(self.plan.digest),
             pool: self.branches[index].stage.clone(),
             step: u32::try_from(position).unwrap_or(u32::MAX),
             pieces: self.plan.pieces(position),
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -3,7 +3,7 @@
 use crocusdale_schema::peer;
 
 use crate::batching::PoolWait;
-use crate::identity::{AttemptId, CallId, MonotonicTime, StorePosition};
+use crate::identity::{AttemptId, CallId, MonotonicTime, RequestDigest, StorePosition};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
 use crate::routing::{
     ColdUpstream, DirectoryEntry, ListAge, PeerDirectory, PeerEntry, PeerRemoval, ZoneEvacuation,
@@ -47,6 +47,7 @@
             result_bytes: self.result_bytes,
             inputs_pool: self.inputs_pool.clone().unwrap_or_default(),
             is_flood: self.is_flood,
+            digest: self.digest.map(|digest| digest.0.to_vec()).unwrap_or_default(),
         }
     }
 
@@ -65,6 +66,7 @@
         Some(Self {
             attempt: wire.attempt?.into(),
             request: wire.request,
+            digest: wire.digest.try_into().ok().map(RequestDigest),
             pool: wire.pool,
             step: wire.step,
             pieces: wire.pieces,
--- a/crates/crocusdale_core/tests/batch_pool_test.rs
+++ b/crates/crocusdale_core/tests/batch_pool_test.rs
@@ -347,3 +347,32 @@
     bench.end_call(made);
     assert_eq!(bench.calls[0].items[0].request, format!("request-{}", alone.call.0));
 }
+
+/// Guards against a sound request that is quarantined with one whose pieces crash upstreams, because both are
+/// in the same calls: after two that broke off each has calls of its own.
+#[test]
+fn requests_of_calls_that_broke_off_are_told_apart() {
+    let mut bench = Bench::new(&[("u1", "a")]);
+    let busy = bench.order(1, 4_000);
+    bench.offer(busy);
+    let shared: Vec<_> = (0..2).map(|_| bench.order(3, 4_000)).collect();
+    let shared: Vec<_> = shared.into_iter().map(|order| bench.offer(order)).collect();
+    bench.advance(210);
+    bench.end_call(made);
+    for _ in 0..2 {
+        assert_eq!(bench.calls[0].items.len(), 6, "both share a call");
+        bench.end_call_as(BatchOutcome::Broken);
+        bench.advance(1_000);
+    }
+    let mut alone = Vec::new();
+    for _ in 0..2 {
+        alone.push(bench.end_call(made).items.len());
+        bench.advance(50);
+    }
+    assert_eq!(alone, [3, 3]);
+    let made = bench
+        .settled
+        .iter()
+        .filter(|(attempt, outcome)| shared.contains(attempt) && outcome.is_ok());
+    assert_eq!(made.count(), 2);
+}
--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -114,6 +114,7 @@
         PieceOrder {
             attempt: AttemptId { incarnation: 1, call: CallId(self.next), sequence: 1 },
             request: format!("request-{}", self.next),
+            digest: None,
             pool: POOL.to_owned(),
             step: 0,
             pieces,
@@ -131,7 +132,7 @@
 
     pub fn offer(&mut self, order: PieceOrder) -> AttemptId {
         let (attempt, mut steps) = (order.attempt, Vec::new());
-        self.dispatcher.offer(order, self.now, &mut steps);
+        self.dispatcher.offer(order, 0, self.now, &mut steps);
         self.take(steps);
         attempt
     }
@@ -144,7 +145,7 @@
                 DispatchStep::Settle { attempt, outcome, .. } => {
                     self.settled.push((attempt, outcome));
                 }
-                DispatchStep::Free { .. } => {}
+                DispatchStep::Free { .. } | DispatchStep::Suspect { .. } => {}
                 DispatchStep::FreeInputs { results, .. } => self.fetched.extend(results),
                 DispatchStep::AskRoom { upstream, .. } => {
                     self.asked.push(upstream.clone());
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -116,6 +116,10 @@
     pub answers: Vec<(CallId, FinalAnswer)>,
     /// When readings of the published upstreams were begun that the test has not answered.
     pub readings: Vec<MonotonicTime>,
+    /// Upstreams of the pool "scan".
+    pub stages: Vec<String>,
+    /// Upstreams that the daemon wants looked at.
+    pub probes: Vec<String>,
     /// Evacuated availability zones that the platform publishes.
     pub evacuated: Vec<String>,
     /// Upstreams that are cold, as the platform publishes them.
@@ -169,6 +173,8 @@
             cancelled: Vec::new(),
             answers: Vec::new(),
             readings: Vec::new(),
+            stages: vec!["s1".to_owned(), "s2".to_owned()],
+            probes: Vec::new(),
             evacuated: Vec::new(),
             cold: Vec::new(),
             deadline: Duration::from_secs(2),
@@ -206,10 +212,10 @@
     }
 
     fn answer_with(&self, plain: &[&str], leaving: &[&str]) -> DaemonEvent {
-        let others =
-            [("s1", "scan"), ("s2", "scan"), ("k1", "rank"), ("r1", "reader"), ("r2", "reader")];
+        let others = [("k1", "rank"), ("r1", "reader"), ("r2", "reader")];
+        let stages = self.stages.iter().map(|id| (id.as_str(), "scan"));
         let plain = plain.iter().map(|id| (*id, "notify"));
-        let entries = plain.chain(others).map(|(id, pool)| {
+        let entries = plain.chain(stages).chain(others).map(|(id, pool)| {
             let entry = DirectoryEntry {
                 born: None,
                 id: id.to_owned(),
@@ -251,6 +257,7 @@
                 Command::PassOn { attempt, .. } => self.passed_on.push(attempt),
                 Command::Cancel(attempt) => self.cancelled.push(attempt),
                 Command::Reply { call, answer } => self.answers.push((call, answer)),
+                Command::ProbeUpstream { upstream, .. } => self.probes.push(upstream),
                 Command::ReadDirectory => self.readings.push(self.now),
                 Command::SetTimer { timer, at } => {
                     self.sequence += 1;
