Cut large batched pools into sections with a dispatcher each

Cause, by reckoning: all pieces of a pool pass one daemon, which has a quarter of a core; with 250 upstreams that is some 5,800 orders and as many answers a second, each of the order of 0.2 ms.

Change: a pool of more than 48 upstreams is cut into a power of two of sections, by a hash of the upstreams' names; each has its dispatcher, chosen as before by the section's name. A request takes the better one of two sections that are drawn by its key, by what their dispatchers said last. A section's name says which part of how many it is, so that daemons with lists that differ agree on what belongs to it; sections of another cut are closed once they are idle. Results are given up at the section that made them. Pools of up to 48 upstreams (all deployments so far) are one section with the name of the pool, as before.

Weighed against it: mending one dispatcher's turn, which leaves the load of one daemon growing with the fleet.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolWait};
-use crate::configuration::{Declarations, PoolKind};
+use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolSection, PoolWait};
+use crate::configuration::{BatchRules, Declarations, PoolKind};
 use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
 use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryLimits;
-use crate::routing::UpstreamDirectory;
+use crate::routing::{DirectoryEntry, UpstreamDirectory};
 
 /// Dispatchers that a pool may have at one time, for the retry budget: while members disagree on
 /// the dispatcher, two daemons spend.
@@ -18,8 +18,11 @@
 /// The batched pools that this daemon dispatches, or would if it were asked to.
 #[derive(Debug, Default)]
 pub struct BatchDispatcher {
+    /// By the names of their sections.
     pools: HashMap<String, BatchPool>,
-    /// Pool of each open call.
+    /// Published upstreams of each pool that stay.
+    upstreams: HashMap<String, Vec<DirectoryEntry>>,
+    /// Section of each open call.
     calls: HashMap<BatchId, String>,
     retries: RetryLimits,
     /// Upstreams that have named a rate.
@@ -111,20 +114,64 @@
     ) {
         for (name, stage) in declarations.stages() {
             let PoolKind::Batch(rules) = stage.kind else { continue };
-            let budget = self.retries.budget(DISPATCHERS);
-            let limiter = &self.limiter;
-            let fresh = || BatchPool::new(rules, budget).limiter(Arc::clone(limiter));
-            let pool = self.pools.entry(name.to_owned()).or_insert_with(fresh);
-            pool.set_rules(rules);
-            pool.set_upstreams(directory.staying().filter(|entry| entry.pool == name), now);
+            let staying = directory.staying().filter(|entry| entry.pool == name).cloned();
+            self.upstreams.insert(name.to_owned(), staying.collect());
+            for section in PoolSection::all(name, self.sections(name)) {
+                self.open_section(&section, rules, now);
+            }
+            // Sections of before still hold work, and share their upstreams with those of now.
+            let pools = self.pools.iter_mut().map(|(name, pool)| (PoolSection::named(name), pool));
+            for (section, pool) in pools.filter(|(section, _)| section.pool == name) {
+                pool.set_rules(rules);
+                let upstreams = self.upstreams.get(name).into_iter().flatten();
+                pool.set_upstreams(upstreams.filter(|entry| section.holds(&entry.name())), now);
+            }
         }
-        let declared = |name: &String| {
-            declarations.stage(name).is_some_and(|stage| matches!(stage.kind, PoolKind::Batch(_)))
+        let declared = |pool: &str| {
+            declarations.stage(pool).is_some_and(|stage| matches!(stage.kind, PoolKind::Batch(_)))
         };
-        self.pools.retain(|name, pool| declared(name) || !pool.is_idle());
+        self.upstreams.retain(|name, _| declared(name));
         self.turn(now, steps);
     }
 
+    /// Closes sections that are none of a pool's any more, once they are idle.
+    fn close_sections(&mut self) {
+        let upstreams = &self.upstreams;
+        self.pools.retain(|name, pool| {
+            let section = PoolSection::named(name);
+            let count = upstreams.get(&section.pool).map(|all| PoolSection::count(all.len()));
+            count.is_some_and(|count| section.is_one_of(count)) || !pool.is_idle()
+        });
+    }
+
+    /// Number of sections of `pool`, by the upstreams that are known here.
+    #[must_use]
+    pub fn sections(&self, pool: &str) -> usize {
+        PoolSection::count(self.upstreams.get(pool).map_or(0, Vec::len))
+    }
+
+    fn open_section(&mut self, section: &PoolSection, rules: BatchRules, now: MonotonicTime) {
+        let name = section.to_string();
+        if self.pools.contains_key(&name) {
+            return;
+        }
+        let budget = self.retries.budget(DISPATCHERS * self.sections(&section.pool));
+        let mut pool = BatchPool::new(rules, budget).limiter(Arc::clone(&self.limiter));
+        let upstreams = self.upstreams.get(&section.pool).into_iter().flatten();
+        pool.set_upstreams(upstreams.filter(|entry| section.holds(&entry.name())), now);
+        self.pools.insert(name, pool);
+    }
+
+    /// Opens a section that a daemon with another list asks for, if its pool is known.
+    fn open_foreign(&mut self, name: &str, now: MonotonicTime) {
+        let section = PoolSection::named(name);
+        let mut known = self.pools.iter();
+        let known = known.find(|(known, _)| PoolSection::named(known).pool == section.pool);
+        if let Some(rules) = known.map(|(_, pool)| pool.rules()) {
+            self.open_section(&section, rules, now);
+        }
+    }
+
     /// Takes the pieces of a step, whose request `ends` upstreams ended under.
     pub fn offer(
         &mut self,
@@ -134,6 +181,9 @@
         steps: &mut Vec<DispatchStep>,
     ) {
         let name = order.pool.clone();
+        if !self.pools.contains_key(&name) {
+            self.open_foreign(&name, now);
+        }
         let Some(pool) = self.pools.get_mut(&name) else {
             steps.push(DispatchStep::fail(order.attempt, &name, PieceFault::NoUpstream));
             return;
@@ -249,6 +299,7 @@
 
     /// Lets time pass for all pools.
     pub fn turn(&mut self, now: MonotonicTime, steps: &mut Vec<DispatchStep>) {
+        self.close_sections();
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in names {
             self.turn_pool(&name, now, steps);
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -102,6 +102,12 @@
         self
     }
 
+    /// What the upstreams are like.
+    #[must_use]
+    pub fn rules(&self) -> BatchRules {
+        self.rules
+    }
+
     /// Sets what the upstreams are like.
     pub fn set_rules(&mut self, rules: BatchRules) {
         self.rules = rules;
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -89,14 +89,13 @@
     /// last: the wait for its calls, and the pieces of others in these. A flood stands behind all others,
     /// and what it waits for is told by the wait of late requests alone.
     fn expected_delays(&self, plan: &RequestPlan, now: MonotonicTime) -> Vec<Duration> {
-        let waits = lock(&self.waits);
         let steps = plan.pipeline.plan.steps().iter().enumerate();
         let delay = |(position, step): (usize, &PlanStep)| {
             let batched = matches!(step.work, StepWork::Batched { .. });
             if plan.is_flood || !batched || plan.pieces(position) == 0 {
                 return Duration::ZERO;
             }
-            let wait = waits.wait(&step.stage, now);
+            let wait = self.step_wait(plan, step, now);
             wait.in_time + wait.call.saturating_sub(plan.step_time(position, step))
         };
         steps.map(delay).collect()
@@ -104,12 +103,17 @@
 
     /// What dispatchers said last of the pools that a request needs.
     fn pool_waits(&self, plan: &RequestPlan, now: MonotonicTime) -> Vec<PoolWait> {
-        let waits = lock(&self.waits);
         let steps = plan.pipeline.plan.steps().iter().enumerate();
         let needed = steps.filter(|(position, step)| {
             matches!(step.work, StepWork::Batched { .. }) && plan.pieces(*position) > 0
         });
-        needed.map(|(_, step)| waits.wait(&step.stage, now)).collect()
+        needed.map(|(_, step)| self.step_wait(plan, step, now)).collect()
+    }
+
+    /// What the dispatcher said last that would make the pieces of `step`.
+    fn step_wait(&self, plan: &RequestPlan, step: &PlanStep, now: MonotonicTime) -> PoolWait {
+        let section = self.section_for(&step.stage, &plan.request.key.key, now);
+        lock(&self.waits).wait(&section, now)
     }
 
     /// Refuses a request that never began and can't be answered before its deadline. Its caller is
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -1,7 +1,7 @@
 use super::core_state::CoreState;
 use super::{Command, CounterName};
-use crate::batching::{BatchId, BatchOutcome, DispatchStep, DispatcherChoice};
-use crate::identity::{AttemptId, MonotonicTime};
+use crate::batching::{BatchId, BatchOutcome, DispatchStep, DispatcherChoice, PoolSection};
+use crate::identity::{AttemptId, MonotonicTime, stable_hash};
 use crate::pipeline::{
     AttemptEvent, PieceFault, PieceOrder, PlacedResult, ResultHandle, ShardStep,
 };
@@ -11,12 +11,14 @@
     /// Has the pieces of a step made by the dispatcher of their pool.
     pub(super) fn offer_pieces(
         &self,
-        order: PieceOrder,
+        mut order: PieceOrder,
         tried: &[String],
         now: MonotonicTime,
         steps: &mut Vec<ShardStep>,
         out: &mut Vec<Command>,
     ) {
+        order.pool = self.section_for(&order.pool, &order.request, now);
+        self.shard(order.attempt.call.0).note_section(order.attempt, &order.pool);
         let vm = {
             let fleet = lock(&self.fleet);
             let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
@@ -29,6 +31,25 @@
         }
     }
 
+    /// Section of `pool` that should make the pieces of the request `key` soonest, of two that are drawn by
+    /// its key.
+    ///
+    /// Guards against all daemons choosing the section of which they last heard that it has room.
+    pub(super) fn section_for(&self, pool: &str, key: &str, now: MonotonicTime) -> String {
+        let count = lock(&self.dispatcher).sections(pool);
+        if count == 1 {
+            return pool.to_owned();
+        }
+        let drawn = PoolSection::candidates(pool, count, stable_hash(&[key]));
+        let [first, second] = drawn.map(|section| section.to_string());
+        let waits = lock(&self.waits);
+        let rank = |section: &str| {
+            let wait = waits.wait(section, now);
+            (wait.in_time, wait.late_for(u8::MAX))
+        };
+        if rank(&second) < rank(&first) { second } else { first }
+    }
+
     /// Takes pieces as the dispatcher of their pool.
     pub(super) fn dispatch_pieces(
         &self,
--- a/crates/crocusdale_core/src/pipeline/attempt_ends.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt_ends.rs
@@ -111,7 +111,7 @@
         steps: &mut Vec<ShardStep>,
     ) {
         if !open.has_slot() {
-            let pool = self.branches[index].stage.clone();
+            let pool = self.branches[index].section.clone();
             steps.push(ShardStep::WithdrawPieces { attempt: open.id, pool });
             return;
         }
--- a/crates/crocusdale_core/src/pipeline/branch_run.rs
+++ b/crates/crocusdale_core/src/pipeline/branch_run.rs
@@ -13,6 +13,8 @@
     /// Position of the step in the plan.
     pub(super) step: usize,
     pub(super) stage: String,
+    /// Section of the pool that has its pieces made, or the stage.
+    pub(super) section: String,
     pub(super) work: StepWork,
     pub(super) since: MonotonicTime,
     /// Attempts that may have run.
@@ -64,6 +66,7 @@
         Self {
             step,
             stage: stage.to_owned(),
+            section: stage.to_owned(),
             work,
             since: now,
             attempts: 0,
--- a/crates/crocusdale_core/src/pipeline/piece_order.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_order.rs
@@ -11,7 +11,7 @@
     pub request: String,
     /// What the request has in common with its repeats, if the daemon that asks tells it.
     pub digest: Option<RequestDigest>,
-    /// Pool that works on the pieces.
+    /// Section of the pool that works on the pieces.
     pub pool: String,
     /// Position of the step in its pipeline.
     pub step: u32,
@@ -21,7 +21,7 @@
     pub result_bytes: u64,
     /// What the pieces are made from.
     pub source: PieceSource,
-    /// Pool whose upstreams hold the inputs, if no other step needs them.
+    /// Section of the pool whose upstreams hold the inputs, if no other step needs them.
     pub inputs_pool: Option<String>,
     /// Zone that will use the results, if that is known.
     pub zone: Option<String>,
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -10,7 +10,7 @@
 };
 use crate::configuration::{PoolKind, StepWork};
 use crate::daemon::CounterName;
-use crate::identity::MonotonicTime;
+use crate::identity::{AttemptId, MonotonicTime};
 
 /// Dispatchers that a batched step is given to, one after another, before it is given up.
 const DISPATCHERS: usize = 3;
@@ -68,7 +68,7 @@
         steps.push(ShardStep::OfferPieces { order: Box::new(order), tried, target });
     }
 
-    /// Pool that made the inputs of the step at `position`, if no other step needs them and they take
+    /// Section of the pool that made the inputs of the step at `position`, if no other step needs them and they take
     /// up enough of an upstream's memory to be given up before the step has ended.
     fn sole_input(&self, position: usize) -> Option<String> {
         let steps = self.plan.pipeline.plan.steps();
@@ -79,7 +79,15 @@
             return None;
         };
         let is_heavy = bytes.saturating_mul(LIGHT_SHARE) >= rules.result_bytes;
-        (users == 1 && is_heavy).then(|| steps[earlier].stage.clone())
+        let made_by = self.branches.iter().find(|branch| branch.step == earlier)?;
+        (users == 1 && is_heavy).then(|| made_by.section.clone())
+    }
+
+    /// The pieces of the attempt `id` are made by `section` of their pool.
+    pub fn note_section(&mut self, id: AttemptId, section: &str) {
+        if let Some(branch) = self.branches.iter_mut().find(|branch| branch.is_attempt(id)) {
+            section.clone_into(&mut branch.section);
+        }
     }
 
     /// Zone in which the inputs of the step at `position` lie, if they are large: each of its
@@ -212,7 +220,7 @@
         if made.is_empty() {
             return false;
         }
-        steps.push(free_results(&branch.stage, std::mem::take(made)));
+        steps.push(free_results(&branch.section, std::mem::take(made)));
         true
     }
 }
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -226,6 +226,13 @@
         }
     }
 
+    /// The pieces of `attempt` are made by `section` of their pool.
+    pub fn note_section(&mut self, attempt: AttemptId, section: &str) {
+        if let Some(active) = self.runs.get_mut(&attempt.call) {
+            active.run.note_section(attempt, section);
+        }
+    }
+
     /// No upstream is given the request of `call`, for a reason that holds for the time beside it.
     pub fn denied_for(
         &mut self,
--- /dev/null
+++ b/crates/crocusdale_core/tests/pool_section_test.rs
@@ -0,0 +1,141 @@
+//! Large batched pools, which several daemons dispatch.
+
+#[path = "support/forward_daemon.rs"]
+#[allow(dead_code, reason = "no test file uses all of it")]
+mod forward_daemon;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crocusdale_core::batching::PoolSection;
+use crocusdale_core::identity::stable_hash;
+use crocusdale_core::pipeline::{AttemptEvent, OutcomeKind, RunProof};
+
+use forward_daemon::Daemon;
+
+/// Upstreams that one daemon should have to call at most.
+const MOST_UPSTREAMS: usize = 64;
+/// Pieces of one request.
+const PIECES: usize = 3;
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("i-{index:x} born {}", index * 7)).collect()
+}
+
+/// Answers what is passed to engines, and what gets their places then.
+fn answer_relays(daemon: &mut Daemon) {
+    while !daemon.relays.is_empty() {
+        for relay in std::mem::take(&mut daemon.relays) {
+            daemon.headed(relay.attempt, 200, RunProof::Ran);
+            daemon.attempt(relay.attempt, AttemptEvent::Passed);
+        }
+    }
+}
+
+/// Guards against a pool whose one dispatcher has hundreds of upstreams to call, and against small pools
+/// whose calls are formed in two places.
+#[test]
+fn each_section_is_small_and_each_upstream_in_one() {
+    for upstreams in [1, 5, 20, 43, 48, 49, 96, 97, 250, 600, 1_500] {
+        let count = PoolSection::count(upstreams);
+        assert_eq!(count == 1, upstreams <= 48, "{upstreams} upstreams");
+        let sections: Vec<PoolSection> = PoolSection::all("scan", count).collect();
+        let mut sizes = vec![0; count];
+        for name in names(upstreams) {
+            let holders = sections.iter().enumerate().filter(|(_, section)| section.holds(&name));
+            let holders: Vec<usize> = holders.map(|(index, _)| index).collect();
+            assert_eq!(holders.len(), 1, "{name} of {upstreams}");
+            sizes[holders[0]] += 1;
+        }
+        assert!(sizes.iter().all(|size| *size <= MOST_UPSTREAMS), "{upstreams}: {sizes:?}");
+    }
+}
+
+/// Guards against daemons that take one name for different upstreams because their lists differ.
+#[test]
+fn name_of_a_section_says_what_belongs_to_it() {
+    for count in [1, 2, 8, 16] {
+        for section in PoolSection::all("scan", count) {
+            assert_eq!(PoolSection::named(&section.to_string()), section);
+        }
+    }
+    assert_eq!(PoolSection::named("scan"), PoolSection::new("scan", 0, 1));
+    assert_eq!(PoolSection::new("scan", 0, 1).to_string(), "scan");
+    for odd in ["scan#", "scan#1", "scan#x/2", "a#b"] {
+        assert_eq!(PoolSection::named(odd), PoolSection::new(odd, 0, 1), "a pool of that name");
+    }
+}
+
+/// Guards against sections that get no requests, or a request that has no second choice.
+#[test]
+fn requests_draw_two_different_sections_evenly() {
+    for count in [2, 4, 8, 16] {
+        let mut drawn: BTreeMap<String, usize> = BTreeMap::new();
+        for request in 0..4_000 {
+            let hash = stable_hash(&[&format!("request-{request}")]);
+            let [first, second] = PoolSection::candidates("scan", count, hash);
+            assert_ne!(first, second);
+            for section in [first, second] {
+                *drawn.entry(section.to_string()).or_default() += 1;
+            }
+        }
+        assert_eq!(drawn.len(), count);
+        let (least, most) = (drawn.values().min(), drawn.values().max());
+        assert!(most < least.map(|least| least * 2).as_ref(), "{drawn:?}");
+    }
+}
+
+/// Guards against pieces that are called in another section than their own, results that are given up at
+/// another dispatcher than the one that counts them, and upstreams that get no calls.
+#[test]
+fn pool_of_many_upstreams_works_in_sections() {
+    let mut daemon = Daemon::new();
+    daemon.stages = (0..100).map(|index| format!("s{index}")).collect();
+    daemon.publish(&["n1"], &[]);
+    let (mut called, mut calls) = (BTreeSet::new(), Vec::new());
+    for round in 0..50 {
+        for _ in 0..if round < 40 { 20 } else { 0 } {
+            calls.push(daemon.submit("/digest/it"));
+        }
+        for order in &daemon.batches {
+            called.insert(order.upstream.clone());
+        }
+        while !daemon.batches.is_empty() {
+            daemon.make_pieces();
+        }
+        answer_relays(&mut daemon);
+        daemon.advance(200);
+    }
+    let answered =
+        |call| daemon.answer(call).is_some_and(|(kind, _)| kind == OutcomeKind::Answered);
+    assert_eq!(calls.iter().filter(|call| answered(**call)).count(), calls.len());
+    assert!(called.len() > 30, "{} upstreams of both sections", called.len());
+    assert_eq!(daemon.freed.len(), calls.len() * PIECES, "all results are given up");
+    let waiting = daemon.core.dump(daemon.now).waiting_pieces;
+    let sections = waiting.iter().filter(|(name, _)| PoolSection::named(name).pool == "scan");
+    assert_eq!(sections.count(), PoolSection::count(100));
+}
+
+/// Guards against pieces that are lost when a pool is cut another way because upstreams came or went.
+#[test]
+fn pieces_that_wait_outlive_another_cut_of_the_pool() {
+    let mut daemon = Daemon::new();
+    daemon.stages = (0..60).map(|index| format!("s{index}")).collect();
+    daemon.publish(&["n1"], &[]);
+    let calls: Vec<_> = (0..200).map(|_| daemon.submit("/digest/it")).collect();
+    daemon.stages.truncate(20);
+    daemon.publish(&["n1"], &[]);
+    for _ in 0..20 {
+        while !daemon.batches.is_empty() {
+            daemon.make_pieces();
+        }
+        answer_relays(&mut daemon);
+        daemon.advance(100);
+    }
+    let answered =
+        |call| daemon.answer(call).is_some_and(|(kind, _)| kind == OutcomeKind::Answered);
+    let answered = calls.iter().filter(|call| answered(**call)).count();
+    assert_eq!(answered, calls.len());
+    let waiting = daemon.core.dump(daemon.now).waiting_pieces;
+    assert!(waiting.iter().any(|(name, _)| name == "scan"), "{waiting:?}");
+    assert!(waiting.iter().all(|(name, _)| !name.starts_with("scan#")), "{waiting:?}");
+}
