--- a/crates/crocusdale_core/tests/limited_upstream_test.rs
+++ b/crates/crocusdale_core/tests/limited_upstream_test.rs
@@ -8,17 +8,21 @@
 mod limited_upstream;
 mod support;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use crocusdale_core::configuration::HomeRegions;
 use crocusdale_core::daemon::{DaemonEvent, NewsBounds};
-use crocusdale_core::identity::{MonotonicTime, stable_hash};
+use crocusdale_core::identity::{CallId, MonotonicTime, RequestDigest, stable_hash};
 use crocusdale_core::pipeline::{AttemptEvent, OutcomeKind, RefusalReason, RunProof};
 use crocusdale_core::rate_limiting::{
-    LIMIT_WINDOW, RateNotice, RateQuota, RateShare, RateUse, RequestRate,
+    LIMIT_WINDOW, RateLimiter, RateNotice, RateQuota, RateShare, RateUse, RequestRate,
+};
+use crocusdale_core::routing::{
+    CONNECT_PATIENCE, SlotRequest, UpstreamDirectory, UpstreamNotice, UpstreamRouter,
 };
-use crocusdale_core::routing::{CONNECT_PATIENCE, UpstreamNotice};
 
-use forward_daemon::Daemon;
+use forward_daemon::{Daemon, read};
 use limited_upstream::{LIMITED, LimitedUpstream, allowed};
 use support::vm_name;
 
@@ -289,11 +293,10 @@
 #[test]
 fn request_beyond_the_rates_is_refused_at_once() {
     let mut daemon = settled();
-    for upstream in ["n1", "n2"] {
-        hear(&mut daemon, upstream, limited(1.0));
-    }
+    daemon.publish(&["n1"], &[]);
+    hear(&mut daemon, "n1", limited(0.93));
     daemon.advance(1_000);
-    let (mut refused, mut sent) = (0, 0);
+    let (mut refused, mut sent, mut let_in) = (0, 0, Vec::new());
     for _ in 0..300 {
         let call = daemon.submit("/ask/it");
         if daemon.answer(call).is_some() {
@@ -302,6 +305,8 @@
             assert_eq!(answer.reason, Some(RefusalReason::Overload));
             assert!(answer.retry_after.is_some_and(|after| !after.is_zero()));
             refused += 1;
+        } else {
+            let_in.push(call);
         }
         sent += answer_relays(&mut daemon).len();
         daemon.advance(20);
@@ -314,7 +319,41 @@
     let late =
         daemon.answers.iter().filter(|(_, answer)| answer.reason == Some(RefusalReason::Deadline));
     assert_eq!(late.count(), 0, "nobody is held to the deadline");
-    assert!(refused > 200 && sent >= 10, "{refused} refused, {sent} sent");
+    let answered = Some((OutcomeKind::Answered, None));
+    let served = let_in.iter().filter(|call| daemon.answer(**call) == answered).count();
+    assert_eq!(served, let_in.len(), "later ones don't take the places of those that wait");
+    assert!(refused > 200 && sent >= 5, "{refused} refused, {sent} sent");
+}
+
+/// Guards against requests that wait for an upstream's next place while later ones take it.
+#[test]
+fn place_goes_to_the_request_that_has_waited() {
+    let limiter = Arc::new(RateLimiter::default());
+    let declarations = read("", "first").expect("declarations");
+    let mut list = UpstreamDirectory::default();
+    list.replace(1, vec![(1, limited_upstream::entry(LIMITED))], None);
+    let start = MonotonicTime::from_millis(10_000);
+    let router = UpstreamRouter::new("z0", 1).limiter(Arc::clone(&limiter));
+    let router = router.reconfigured(&declarations, &list, start);
+    let name = limited_upstream::entry(LIMITED).name();
+    limiter.hear(&name, RateNotice::Limited(rate(1.0)), start, start);
+    let request = |call| SlotRequest {
+        call: CallId(call),
+        branch: 0,
+        stage: "notify".to_owned(),
+        level: 0,
+        deadline: start + Duration::from_secs(6),
+        tried: Vec::new(),
+        demand: None,
+        digest: RequestDigest::of(&[b"request"]),
+        homes: HomeRegions::default(),
+    };
+    assert_eq!(router.acquire(request(1), start).map(|grant| grant.is_some()), Ok(false));
+    let place = start + Duration::from_millis(1_010);
+    assert_eq!(router.acquire(request(2), place).map(|grant| grant.is_some()), Ok(false));
+    let granted: Vec<u64> =
+        router.serve_all_waiting(place).iter().map(|grant| grant.request.call.0).collect();
+    assert_eq!(granted, [1]);
 }
 
 /// Guards against a chain of steps that is begun although no engine takes its last one.
--- a/crates/crocusdale_core/tests/support/limited_upstream.rs
+++ b/crates/crocusdale_core/tests/support/limited_upstream.rs
@@ -253,7 +253,8 @@
     (per_second * WINDOW.as_secs_f64() * OVERSHOOT + SLACK) as usize
 }
 
-fn entry(id: &str) -> DirectoryEntry {
+/// Published entry of the upstream `id`.
+pub fn entry(id: &str) -> DirectoryEntry {
     DirectoryEntry {
         id: id.to_owned(),
         born: Some(7),
