--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -32,7 +32,7 @@
     next: u64,
 }
 
-/// What a desk wants done.
+/// What a dispatcher wants done.
 #[derive(Debug)]
 pub enum DispatchStep {
     /// Call an upstream.
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -40,25 +40,25 @@
         }
         // While more waits than all upstreams can take at once, a call that is not full is lost.
         let at_once = self.rules.pieces.max(1) as usize * self.workers.len();
-        let line =
+        let jobs =
             JobOrder { order: self.order_of_jobs(now), overloaded: self.waiting() > at_once };
         loop {
             let free = self.free_upstreams(now);
-            let call = free.iter().find_map(|upstream| self.call_of(upstream, &line, next, now));
+            let call = free.iter().find_map(|upstream| self.call_of(upstream, &jobs, next, now));
             let Some(call) = call else { return };
             steps.push(DispatchStep::Call(call));
         }
     }
 
-    /// A call of `upstream` with the first of the jobs in `line` that go there.
+    /// A call of `upstream` with the first of the jobs in `jobs` that go there.
     fn call_of(
         &mut self,
         upstream: &str,
-        line: &JobOrder,
+        jobs: &JobOrder,
         next: &mut impl FnMut() -> BatchId,
         now: MonotonicTime,
     ) -> Option<BatchOrder> {
-        let (items, refs, bytes) = self.fill(line, upstream, now);
+        let (items, refs, bytes) = self.fill(jobs, upstream, now);
         if items.is_empty() {
             return None;
         }
@@ -142,7 +142,7 @@
     /// inputs or results are of another zone goes there, if it still is in time there.
     fn fill(
         &mut self,
-        line: &JobOrder,
+        jobs: &JobOrder,
         upstream: &str,
         now: MonotonicTime,
     ) -> (Vec<BatchItem>, Vec<(AttemptId, u32)>, u64) {
@@ -153,7 +153,7 @@
         let (own_zone, room) = (worker.zone.clone(), worker.room.free_bytes(&self.rules));
         let margin = self.rules.expected(self.rules.pieces / 2) / 2;
         let zones = zone_ends(&self.workers, &self.rules, now);
-        for attempt in &line.order {
+        for attempt in &jobs.order {
             if items.len() == limit || is_lone {
                 break;
             }
@@ -167,7 +167,7 @@
             });
             let fitting = room.saturating_sub(bytes) / job.order.result_bytes.max(1);
             let fitting = usize::try_from(fitting).unwrap_or(usize::MAX).min(limit - items.len());
-            let whole = job.waiting.len() <= fitting || items.is_empty() || line.overloaded;
+            let whole = job.waiting.len() <= fitting || items.is_empty() || jobs.overloaded;
             if fitting == 0 || !whole || elsewhere {
                 continue;
             }
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -181,7 +181,7 @@
         self.run_dispatch(dispatch_steps, now, steps, out);
     }
 
-    /// Carries out what the desk wants.
+    /// Carries out what the dispatcher wants.
     pub(super) fn run_dispatch(
         &self,
         dispatch_steps: Vec<DispatchStep>,
--- a/crates/crocusdale_core/src/quarantine/crash_detector.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_detector.rs
@@ -18,7 +18,7 @@
     own_vm: String,
     /// Whether each life of an upstream has a name of its own.
     lives_have_names: bool,
-    book: CrashLog,
+    log: CrashLog,
     successes: SuccessMemory,
     /// Requests whose attempts broke off at upstreams that are being looked at.
     suspects: HashMap<String, BTreeSet<RequestDigest>>,
@@ -46,7 +46,7 @@
         Self {
             own_vm: own_vm.to_owned(),
             lives_have_names,
-            book: CrashLog::default(),
+            log: CrashLog::default(),
             successes: SuccessMemory::default(),
             suspects: HashMap::new(),
             fresh: BTreeSet::new(),
@@ -76,12 +76,12 @@
                 continue;
             }
             let Some(end) = self.name_end(digest, upstream, now) else { continue };
-            let before = self.book.quarantine(digest, now);
-            if self.book.note_end(digest, end, now) {
+            let before = self.log.quarantine(digest, now);
+            if self.log.note_end(digest, end, now) {
                 self.fresh.insert(digest);
                 verdict.has_news = true;
             }
-            if self.book.quarantine(digest, now) > before {
+            if self.log.quarantine(digest, now) > before {
                 verdict.quarantined.push(digest);
             }
         }
@@ -92,8 +92,8 @@
     pub fn succeeded(&mut self, digest: RequestDigest, now: MonotonicTime) -> CrashVerdict {
         self.successes.note(digest, now);
         let mut verdict = CrashVerdict::default();
-        let was_quarantined = self.book.quarantine(digest, now).is_some();
-        if self.book.clear(digest, now) {
+        let was_quarantined = self.log.quarantine(digest, now).is_some();
+        if self.log.clear(digest, now) {
             self.fresh.insert(digest);
             verdict.has_news = true;
             verdict.lifted.extend(was_quarantined.then_some(digest));
@@ -106,16 +106,16 @@
         let mut verdict = CrashVerdict::default();
         for record in records {
             let digest = record.digest;
-            let before = self.book.quarantine(digest, now);
-            if !self.book.take(record, now) {
+            let before = self.log.quarantine(digest, now);
+            if !self.log.take(record, now) {
                 continue;
             }
             if record.cleared.is_none() && self.successes.knows(digest, now) {
                 // Here it was answered whole of late, which the others do not know.
-                verdict.has_news |= self.book.clear(digest, now);
+                verdict.has_news |= self.log.clear(digest, now);
                 self.fresh.insert(digest);
             }
-            let after = self.book.quarantine(digest, now);
+            let after = self.log.quarantine(digest, now);
             if after > before {
                 verdict.quarantined.push(digest);
             } else if after.is_none() && before.is_some() {
@@ -128,44 +128,44 @@
     /// Time for which a request like this is still not sent on, if it is quarantined.
     #[must_use]
     pub fn quarantine(&self, digest: RequestDigest, now: MonotonicTime) -> Option<Duration> {
-        self.book.quarantine(digest, now)
+        self.log.quarantine(digest, now)
     }
 
     /// Number of upstreams that ended under a request like this.
     #[must_use]
     pub fn ends(&self, digest: RequestDigest) -> usize {
-        self.book.ends(digest)
+        self.log.ends(digest)
     }
 
     /// Requests that are quarantined.
     #[must_use]
     pub fn quarantined(&self, now: MonotonicTime) -> Vec<RequestDigest> {
-        self.book.quarantined(now)
+        self.log.quarantined(now)
     }
 
     /// See [`CrashLog::summary`].
     #[must_use]
     pub fn summary(&self) -> u64 {
-        self.book.summary()
+        self.log.summary()
     }
 
     /// Takes out what others have not been told.
     pub fn take_fresh(&mut self, now: MonotonicTime) -> Vec<CrashRecord> {
         let fresh = std::mem::take(&mut self.fresh);
-        fresh.into_iter().filter_map(|digest| self.book.record(digest, now)).collect()
+        fresh.into_iter().filter_map(|digest| self.log.record(digest, now)).collect()
     }
 
     /// All that is known, for a daemon that knows something else.
     #[must_use]
     pub fn records(&self, now: MonotonicTime) -> Vec<CrashRecord> {
-        self.book.records(now)
+        self.log.records(now)
     }
 
     /// Forgets what is too old to count. Returns whether there was anything.
     pub fn forget(&mut self, now: MonotonicTime) -> bool {
-        let is_less = self.book.forget(now);
-        let book = &self.book;
-        self.own_ends.retain(|(digest, _), _| book.ends(*digest) > 0);
+        let is_less = self.log.forget(now);
+        let log = &self.log;
+        self.own_ends.retain(|(digest, _), _| log.ends(*digest) > 0);
         is_less
     }
 
--- a/crates/crocusdale_core/src/quarantine/crash_log.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_log.rs
@@ -28,8 +28,8 @@
 
 /// Upstreams that ended under requests, as far as this daemon saw or heard.
 ///
-/// Two daemons that have heard the same, in whatever order and how often, have books with the same summary,
-/// unless it is of more requests than a book holds.
+/// Two daemons that have heard the same, in whatever order and how often, have logs with the same summary,
+/// unless it is of more requests than a log holds.
 #[derive(Debug, Default)]
 pub struct CrashLog {
     entries: HashMap<RequestDigest, LoggedRequest>,
@@ -114,7 +114,7 @@
         digests.filter(|digest| self.quarantine(*digest, now).is_some()).collect()
     }
 
-    /// A number that is the same for books with the same records, whatever their order and ages; 0 for
+    /// A number that is the same for logs with the same records, whatever their order and ages; 0 for
     /// an empty one.
     #[must_use]
     pub fn summary(&self) -> u64 {
@@ -155,7 +155,7 @@
         self.entries.len() < before
     }
 
-    /// Guards against a book that grows without bound where upstreams fail by the dozen: the request
+    /// Guards against a log that grows without bound where upstreams fail by the dozen: the request
     /// with the fewest ends under it goes, and the oldest among these.
     fn make_room(&mut self) {
         let least = self.entries.iter();
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -28,11 +28,8 @@
 /// Time that a peer has to send its configuration.
 const FETCH_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Pause after which a peer that owes an answer is asked for a sign of life, and the time that it
-/// has for it. Together the time after which a dispatcher that is frozen or cut off is given up.
-/// Objectives are one or two seconds, of which a request's calls need most: with 700 ms in place of
-/// 350 ms a freeze of the dispatcher for 2 to 4 s cost 0.01 to 0.04 more of the worth of a simulated
-/// day (two deployments, three seeds each); below the 100 ms for which a process may wait for its
-/// share of a core, a sound one would be given up.
+/// has for it. Together the time after which a dispatcher that is frozen or cut off is given up: short
+/// against objectives of a second or two, and longer than a process may wait for its share of a core.
 const LIFE_SIGN_PACE: Duration = Duration::from_millis(150);
 /// See [`LIFE_SIGN_PACE`].
 const LIFE_SIGN_PATIENCE: Duration = Duration::from_millis(200);
