Leave an upstream alone that turned the daemon away, though its entry comes back

An entry that lapses while the store is away and comes back would have been called too early. The test failed with the times left out of a new router.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -104,11 +104,12 @@
         self.held = held;
     }
 
-    /// Takes pools and upstreams as they are now.
+    /// Takes pools and upstreams as they are now, of which those `away` want nothing for a while.
     pub fn reconfigure(
         &mut self,
         declarations: &Declarations,
         directory: &UpstreamDirectory,
+        away: &HashMap<String, MonotonicTime>,
         now: MonotonicTime,
         steps: &mut Vec<DispatchStep>,
     ) {
@@ -131,6 +132,9 @@
             declarations.stage(pool).is_some_and(|stage| matches!(stage.kind, PoolKind::Batch(_)))
         };
         self.upstreams.retain(|name, _| declared(name));
+        for (upstream, until) in away {
+            self.stay_away(upstream, *until);
+        }
         self.turn(now, steps);
     }
 
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -1,3 +1,4 @@
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -48,6 +49,8 @@
     pub(super) dispatcher: Mutex<BatchDispatcher>,
     /// Upstreams that have named a rate.
     pub(super) limiter: Arc<RateLimiter>,
+    /// Until when upstreams that turned this daemon away want nothing from it.
+    pub(super) away: Mutex<HashMap<String, MonotonicTime>>,
     /// Upstreams that ended under requests.
     pub(super) crashes: Mutex<CrashDetector>,
     /// How long pieces would wait in each pool.
@@ -227,6 +230,7 @@
             held: Mutex::default(),
             dispatcher: Mutex::new(dispatcher),
             limiter,
+            away: Mutex::default(),
             crashes: Mutex::new(crashes),
             waits: Mutex::default(),
             workspaces: Mutex::default(),
--- a/crates/crocusdale_core/src/daemon/notice_flow.rs
+++ b/crates/crocusdale_core/src/daemon/notice_flow.rs
@@ -31,6 +31,10 @@
             self.take_leaving(&[news], now, out);
         }
         if let Some(time) = notice.stay_away {
+            let mut away = lock(&self.away);
+            away.retain(|_, until| *until > now);
+            away.insert(upstream.to_owned(), now + time);
+            drop(away);
             self.router().stay_away(upstream, now + time);
             lock(&self.dispatcher).stay_away(upstream, now + time);
             let stay_away_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
@@ -90,9 +94,20 @@
         let directory = lock(&self.directory).directory.clone();
         let router = self.router().reconfigured(declarations, &directory, now);
         router.take_roster(self.basis().history.current());
+        // What was known of an upstream goes with its entry, which may lapse and come back.
+        let away = lock(&self.away).clone();
+        for (upstream, until) in &away {
+            router.stay_away(upstream, *until);
+        }
         self.set_router(router);
         let (mut steps, mut dispatch_steps) = (Vec::new(), Vec::new());
-        lock(&self.dispatcher).reconfigure(declarations, &directory, now, &mut dispatch_steps);
+        lock(&self.dispatcher).reconfigure(
+            declarations,
+            &directory,
+            &away,
+            now,
+            &mut dispatch_steps,
+        );
         self.run_dispatch(dispatch_steps, now, &mut steps, out);
         self.run_steps(steps, now, out);
     }
--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -1,5 +1,6 @@
 //! A dispatcher with its upstreams in the hands of a test.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crocusdale_core::batching::{
@@ -105,7 +106,8 @@
         let entries = upstreams.iter().map(|(id, zone)| (1, entry(id, zone))).collect();
         directory.replace(1, entries, None);
         let mut steps = Vec::new();
-        self.dispatcher.reconfigure(&declarations(), &directory, self.now, &mut steps);
+        let away = HashMap::new();
+        self.dispatcher.reconfigure(&declarations(), &directory, &away, self.now, &mut steps);
         self.take(steps);
     }
 
--- a/crates/crocusdale_core/tests/upstream_lives_test.rs
+++ b/crates/crocusdale_core/tests/upstream_lives_test.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code, reason = "no test file uses all of it")]
 mod batch_bench;
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use batch_bench::{Bench, declarations, entry, made};
@@ -154,6 +155,7 @@
     let mut directory = UpstreamDirectory::default();
     directory.replace(9, vec![(8, entry)], None);
     let mut steps = Vec::new();
-    bench.dispatcher.reconfigure(&declarations(), &directory, bench.now, &mut steps);
+    let away = HashMap::new();
+    bench.dispatcher.reconfigure(&declarations(), &directory, &away, bench.now, &mut steps);
     bench.take(steps);
 }
--- a/crates/crocusdale_core/tests/upstream_notice_test.rs
+++ b/crates/crocusdale_core/tests/upstream_notice_test.rs
@@ -143,6 +143,29 @@
     assert!(count_of(&ask(&mut daemon, 20), "n1") > 0, "it is used again");
 }
 
+/// Guards against an upstream that is called too early because its entry has lapsed and come back.
+#[test]
+fn upstream_whose_entry_comes_back_is_still_left_alone() {
+    let mut daemon = Daemon::new();
+    for upstream in ["n1", "s1"] {
+        notice(&mut daemon, upstream, away(Duration::from_secs(10)));
+    }
+    daemon.stages = vec!["s2".to_owned()];
+    daemon.publish(&["n2"], &[]);
+    daemon.advance(5_000);
+    daemon.stages = vec!["s1".to_owned(), "s2".to_owned()];
+    daemon.publish(&["n1", "n2"], &[]);
+    assert_eq!(count_of(&ask(&mut daemon, 20), "n1"), 0);
+    for _ in 0..20 {
+        daemon.submit("/digest/it");
+        daemon.advance(50);
+        assert!(daemon.batches.iter().all(|batch| batch.upstream != "s1"));
+        while !daemon.batches.is_empty() {
+            daemon.make_pieces();
+        }
+    }
+}
+
 /// All upstreams of a pool turn the daemon away for longer than a caller waits. Who comes is refused at
 /// once, and told when one of them may be asked again.
 #[test]
