--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -5,7 +5,7 @@
 
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolSection, PoolWait};
 use crate::configuration::{BatchRules, Declarations, PoolKind};
-use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
+use crate::identity::{AttemptId, MonotonicTime, RequestDigest, stable_hash};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
 use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryLimits;
@@ -20,8 +20,8 @@
 pub struct BatchDispatcher {
     /// By the names of their sections.
     pools: HashMap<String, BatchPool>,
-    /// Published upstreams of each pool that stay.
-    upstreams: HashMap<String, Vec<DirectoryEntry>>,
+    /// Published upstreams of each pool that stay, with the hashes of their names.
+    upstreams: HashMap<String, Vec<(u64, DirectoryEntry)>>,
     /// Section of each open call.
     calls: HashMap<BatchId, String>,
     retries: RetryLimits,
@@ -115,7 +115,8 @@
     ) {
         for (name, stage) in declarations.stages() {
             let PoolKind::Batch(rules) = stage.kind else { continue };
-            let staying = directory.staying().filter(|entry| entry.pool == name).cloned();
+            let staying = directory.staying().filter(|entry| entry.pool == name);
+            let staying = staying.map(|entry| (stable_hash(&[&entry.name()]), entry.clone()));
             self.upstreams.insert(name.to_owned(), staying.collect());
             for section in PoolSection::all(name, self.sections(name)) {
                 self.open_section(&section, rules, now);
@@ -124,8 +125,7 @@
             let pools = self.pools.iter_mut().map(|(name, pool)| (PoolSection::named(name), pool));
             for (section, pool) in pools.filter(|(section, _)| section.pool == name) {
                 pool.set_rules(rules);
-                let upstreams = self.upstreams.get(name).into_iter().flatten();
-                pool.set_upstreams(upstreams.filter(|entry| section.holds(&entry.name())), now);
+                pool.set_upstreams(upstreams_of(&section, &self.upstreams), now);
             }
         }
         let declared = |pool: &str| {
@@ -161,8 +161,7 @@
         }
         let budget = self.retries.budget(DISPATCHERS * self.sections(&section.pool));
         let mut pool = BatchPool::new(rules, budget).limiter(Arc::clone(&self.limiter));
-        let upstreams = self.upstreams.get(&section.pool).into_iter().flatten();
-        pool.set_upstreams(upstreams.filter(|entry| section.holds(&entry.name())), now);
+        pool.set_upstreams(upstreams_of(section, &self.upstreams), now);
         self.pools.insert(name, pool);
     }
 
@@ -352,3 +351,12 @@
         }
     }
 }
+
+/// Upstreams of `section` among those of all pools.
+fn upstreams_of<'a>(
+    section: &'a PoolSection,
+    pools: &'a HashMap<String, Vec<(u64, DirectoryEntry)>>,
+) -> impl Iterator<Item = &'a DirectoryEntry> {
+    let upstreams = pools.get(&section.pool).into_iter().flatten();
+    upstreams.filter(|(hash, _)| section.holds(*hash)).map(|(_, entry)| entry)
+}
--- a/crates/crocusdale_core/src/batching/pool_section.rs
+++ b/crates/crocusdale_core/src/batching/pool_section.rs
@@ -1,7 +1,5 @@
 use std::fmt;
 
-use crate::identity::stable_hash;
-
 /// Upstreams of a section at most, about: what one daemon on a small share of a core can call.
 const SECTION_UPSTREAMS: usize = 48;
 /// Stands between a pool's name and the number of its section.
@@ -51,10 +49,10 @@
         Self::new(pool, index, count)
     }
 
-    /// Whether `upstream` belongs to it.
+    /// Whether the upstream whose name has `hash` belongs to it.
     #[must_use]
-    pub fn holds(&self, upstream: &str) -> bool {
-        self.count == 1 || stable_hash(&[upstream]) % self.count as u64 == self.index as u64
+    pub fn holds(&self, hash: u64) -> bool {
+        hash % self.count as u64 == self.index as u64
     }
 
     /// Whether it is one of the sections of a pool that has `count`.
--- a/crates/crocusdale_core/tests/pool_section_test.rs
+++ b/crates/crocusdale_core/tests/pool_section_test.rs
@@ -41,7 +41,10 @@
         let sections: Vec<PoolSection> = PoolSection::all("scan", count).collect();
         let mut sizes = vec![0; count];
         for name in names(upstreams) {
-            let holders = sections.iter().enumerate().filter(|(_, section)| section.holds(&name));
+            let holders = sections
+                .iter()
+                .enumerate()
+                .filter(|(_, section)| section.holds(stable_hash(&[&name])));
             let holders: Vec<usize> = holders.map(|(index, _)| index).collect();
             assert_eq!(holders.len(), 1, "{name} of {upstreams}");
             sizes[holders[0]] += 1;
