--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,13 +1,13 @@
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
+use super::open_batch::{OpenBatch, made_by};
 use super::pool_forecast::InflowMeter;
 use super::{BatchId, BatchOutcome, DispatchStep, ItemOutcome, PoolWait};
 use crate::configuration::BatchRules;
-use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
+use crate::identity::{AttemptId, MonotonicTime};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
 use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryBudget;
@@ -55,19 +55,6 @@
     pub(super) sole_since: Option<MonotonicTime>,
 }
 
-#[derive(Debug)]
-pub(super) struct OpenBatch {
-    pub(super) upstream: String,
-    pub(super) address: SocketAddr,
-    /// When it began, unless this process was paused since.
-    pub(super) since: Option<MonotonicTime>,
-    pub(super) lost_at: MonotonicTime,
-    /// Memory that is kept for the results, in bytes.
-    pub(super) bytes: u64,
-    /// Job and piece of each item.
-    pub(super) items: Vec<(AttemptId, u32)>,
-}
-
 impl BatchPool {
     /// A pool without upstreams.
     #[must_use]
@@ -200,16 +187,6 @@
         }
     }
 
-    /// Gives up the pieces of requests like `digest`, under which upstreams ended.
-    pub fn end_quarantined(&mut self, digest: RequestDigest, steps: &mut Vec<DispatchStep>) {
-        let like = self.jobs.iter().filter(|(_, job)| job.order.digest == Some(digest));
-        let mut like: Vec<AttemptId> = like.map(|(attempt, _)| *attempt).collect();
-        like.sort_unstable();
-        for attempt in like {
-            self.fail(attempt, PieceFault::Quarantined, steps);
-        }
-    }
-
     /// Nobody wants the results for `attempt` any more.
     pub fn withdraw(&mut self, attempt: AttemptId) {
         let Some(job) = self.jobs.remove(&attempt) else { return };
@@ -391,19 +368,6 @@
         }
     }
 
-    /// A call broke off: its upstream is looked at, and if it has ended, the requests of the call are
-    /// suspected.
-    fn suspect(&mut self, open: &OpenBatch, steps: &mut Vec<DispatchStep>) {
-        let attempts: BTreeSet<AttemptId> = open.items.iter().map(|(job, _)| *job).collect();
-        for attempt in attempts {
-            let Some(job) = self.jobs.get_mut(&attempt) else { continue };
-            job.note_breaks(1);
-            let Some(digest) = job.order.digest else { continue };
-            let (upstream, address) = (open.upstream.clone(), open.address);
-            steps.push(DispatchStep::Suspect { digest, upstream, address });
-        }
-    }
-
     /// Lets a piece wait for another call, if the retry budget allows it.
     fn put_back(
         &mut self,
@@ -437,13 +401,3 @@
         }
     }
 }
-
-/// Results that a call made.
-fn made_by(outcome: BatchOutcome) -> Vec<ResultHandle> {
-    let BatchOutcome::Answered(items) = outcome else { return Vec::new() };
-    let made = items.into_iter().filter_map(|item| match item {
-        ItemOutcome::Made(handle) => Some(handle),
-        _ => None,
-    });
-    made.collect()
-}
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use super::batch_job::BatchJob;
-use super::batch_pool::OpenBatch;
 use super::batch_worker::BatchWorker;
+use super::open_batch::OpenBatch;
 use super::{BatchId, BatchItem, BatchOrder, BatchPool, DispatchStep};
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
