Walk over the members only after they have changed

Cause: each heartbeat, sent or received, built the VM list of all members again to compare it with the one in use, and each order of pieces, release of results and check for handing over walked over all daemons with three look-ups and a hash each. A change of the VM list looked each member up by a walk over the list, the square of the fleet.

Change: the member view counts its changes: one number for places, one for anything that a choice depends on. The list and the candidates for dispatching are derived again when their number has changed; a choice hashes the candidates only (the large VMs).

Ruled out: a cache by time, which would choose a dispatcher that is known to be gone.

Why it holds: the work is done once a change of membership, whatever the rate of heartbeats and requests. Tests: known records change no version; the candidates choose like the whole walk, while members fail one by one.

--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -33,6 +33,6 @@
 pub use batch_call::{BatchId, BatchItem, BatchOrder, BatchOutcome, ItemOutcome};
 pub use batch_dispatcher::{BatchDispatcher, DispatchAction};
 pub use batch_pool::BatchPool;
-pub use dispatcher_choice::DispatcherChoice;
+pub use dispatcher_choice::{DispatcherCandidates, DispatcherChoice};
 pub use pool_section::PoolSection;
 pub use pool_waits::{PoolWait, PoolWaits};
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -6,6 +6,7 @@
 
 use super::staleness_bounds::RefreshIntervals;
 use super::{Command, CounterName, StateChange, TimerKey};
+use crate::batching::DispatcherCandidates;
 use crate::configuration::{ConfigurationLedger, DeclarationReader, LedgerVerdict};
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{
@@ -60,6 +61,9 @@
     pub ledger: ConfigurationLedger,
     /// VM lists that were in use recently, and the current one.
     pub history: VmListHistory,
+    /// Version of the member locations that the VM list was derived from. `None` if it wasn't
+    /// derived from them yet.
+    listed_places_version: Option<u64>,
     pub(super) zone: String,
     started_at: MonotonicTime,
     vm_list_interval: Duration,
@@ -88,6 +92,7 @@
     next_seed: usize,
     failed_seed_attempts: usize,
     known_daemons: KnownDaemons,
+    dispatcher_candidates: DispatcherCandidates,
     /// Whether this daemon's last computed share of upstream request rates was withheld. `None`
     /// before the first one.
     was_share_withheld: Option<bool>,
@@ -103,6 +108,7 @@
             view,
             ledger: ConfigurationLedger::default(),
             history: VmListHistory::new(started_at),
+            listed_places_version: None,
             zone: zone.to_owned(),
             started_at,
             vm_list_interval: DEFAULT_VM_LIST_INTERVAL,
@@ -122,6 +128,7 @@
             next_seed: 0,
             failed_seed_attempts: 0,
             known_daemons: KnownDaemons::default(),
+            dispatcher_candidates: DispatcherCandidates::default(),
             was_share_withheld: None,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -173,6 +180,11 @@
             return false;
         }
         self.view.remove_unreachable(now);
+        let places_version = Some(self.view.places_version());
+        if self.listed_places_version == places_version {
+            return false;
+        }
+        self.listed_places_version = places_version;
         let vms = self.view.places();
         let current = self.history.current();
         if current.vms == vms {
@@ -465,6 +477,12 @@
         announced_time + self.view.period() * 4
     }
 
+    /// VM name of the daemon that dispatches the pool section `pool`, except those in `tried`.
+    pub(super) fn dispatcher(&mut self, pool: &str, tried: &[String]) -> String {
+        let roster = self.history.current();
+        self.dispatcher_candidates.dispatcher(roster, &self.view, pool, tried)
+    }
+
     /// Sends a heartbeat to each of `partners`.
     pub fn send_heartbeats_to(
         &mut self,
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -1,6 +1,6 @@
 use super::core_state::CoreState;
 use super::{Command, CounterName};
-use crate::batching::{BatchId, BatchOutcome, DispatchAction, DispatcherChoice, PoolSection};
+use crate::batching::{BatchId, BatchOutcome, DispatchAction, PoolSection};
 use crate::identity::{AttemptId, MonotonicTime, stable_hash};
 use crate::pipeline::{
     AttemptEvent, PieceFault, PieceOrder, PlacedResult, ResultHandle, ShardAction,
@@ -21,11 +21,7 @@
     ) {
         order.pool = self.section_for(&order.pool, &order.request, now);
         self.shard(order.attempt.call.0).record_section(order.attempt, &order.pool);
-        let vm = {
-            let fleet = lock(&self.fleet);
-            let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
-            choice.dispatcher(&order.pool, tried).to_owned()
-        };
+        let vm = lock(&self.fleet).dispatcher(&order.pool, tried);
         if vm == self.own_instance.vm {
             self.queue_pieces(order, now, actions, out);
         } else {
@@ -83,11 +79,7 @@
         results: Vec<ResultHandle>,
         out: &mut Vec<Command>,
     ) {
-        let vm = {
-            let fleet = lock(&self.fleet);
-            let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
-            choice.dispatcher(pool, &[]).to_owned()
-        };
+        let vm = lock(&self.fleet).dispatcher(pool, &[]);
         if vm == self.own_instance.vm {
             lock(&self.dispatcher).release(pool, results);
         } else {
@@ -149,9 +141,8 @@
             return;
         }
         {
-            let fleet = lock(&self.fleet);
-            let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
-            pools.retain(|pool| choice.dispatcher(pool, &[]) != self.own_instance.vm);
+            let mut fleet = lock(&self.fleet);
+            pools.retain(|pool| fleet.dispatcher(pool, &[]) != self.own_instance.vm);
         }
         let mut dispatch_actions = Vec::new();
         for pool in pools {
@@ -167,11 +158,7 @@
         }
         let pools = lock(&self.dispatcher).rate_limited_sections();
         for pool in pools {
-            let is_sole = {
-                let fleet = lock(&self.fleet);
-                let choice = DispatcherChoice::new(fleet.history.current(), &fleet.view);
-                choice.dispatcher(&pool, &[]) == self.own_instance.vm
-            };
+            let is_sole = lock(&self.fleet).dispatcher(&pool, &[]) == self.own_instance.vm;
             lock(&self.dispatcher).set_sole_dispatcher(&pool, is_sole, now);
         }
     }
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -41,6 +41,10 @@
     pub(super) period: Duration,
     pub(super) suspicion: Duration,
     pub(super) peers: BTreeMap<String, PeerState>,
+    /// Number of changes of the members and their locations so far.
+    places_version: u64,
+    /// Number of changes of the members, their locations and their statuses so far.
+    version: u64,
     pub(super) leaving: BTreeMap<InstanceId, RemainingSends>,
     pub(super) leaving_upstreams: HashMap<String, LeavingNotice>,
     pub(super) period_count: u64,
@@ -136,6 +140,8 @@
             period: self.period,
             suspicion: self.suspicion,
             peers: BTreeMap::new(),
+            places_version: 0,
+            version: 0,
             leaving: BTreeMap::new(),
             leaving_upstreams: HashMap::new(),
             period_count: 0,
@@ -164,12 +170,14 @@
     /// it. In a deployment with a VM list, gossip adds no peers.
     pub fn update_peers(&mut self, vm_list: &VmList, now: MonotonicTime) {
         let own = &self.own.instance.vm;
-        self.peers.retain(|vm, _| vm_list.get(vm).is_some());
+        let listed: HashSet<&str> = vm_list.vms.iter().map(|vm| vm.name.as_str()).collect();
+        self.peers.retain(|vm, _| listed.contains(vm.as_str()));
         for vm in vm_list.entries().filter(|vm| vm.name != *own && vm.peer.is_some()) {
             self.peers.entry(vm.name.clone()).or_insert_with(|| PeerState::without_record(now));
         }
-        self.leaving.retain(|instance, _| vm_list.get(&instance.vm).is_some());
+        self.leaving.retain(|instance, _| listed.contains(instance.vm.as_str()));
         self.partner_order.clear();
+        self.version += 1;
     }
 
     /// Marks this daemon as able to serve callers, if it was starting.
@@ -177,12 +185,14 @@
         if self.own.status == MemberStatus::Starting {
             self.own.status = MemberStatus::Alive;
             self.own.refutation += 1;
+            self.version += 1;
         }
     }
 
     /// Marks this daemon as leaving, until its process ends.
     pub fn leave(&mut self) {
         self.own_leaving = true;
+        self.version += 1;
     }
 
     /// Whether this daemon is leaving.
@@ -205,7 +215,9 @@
         self.last_tick = Some(now);
         self.period_count += 1;
         for peer in self.peers.values_mut() {
-            peer.expire_suspicion(now, self.suspicion, was_paused);
+            if peer.expire_suspicion(now, self.suspicion, was_paused) {
+                self.version += 1;
+            }
         }
         let has_recent_failure =
             self.last_failure.is_some_and(|failure| now.since(failure) < EXTRA_PARTNERS_TIME);
@@ -260,6 +272,7 @@
         match &mut peer.record {
             Some(record) if !record.is_failure_report() => {
                 record.status = MemberStatus::Suspect;
+                self.version += 1;
                 peer.changed_at = now;
                 peer.remaining_sends = sends;
                 self.last_failure = Some(now);
@@ -320,6 +333,18 @@
         self.peers.len()
     }
 
+    /// Number that changes whenever a member, its location or its status changes.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Number that changes with each change of [`Self::places`].
+    #[must_use]
+    pub fn places_version(&self) -> u64 {
+        self.places_version
+    }
+
     /// Members that have announced their location, including this daemon, in the format of a VM
     /// list and sorted by name.
     #[must_use]
@@ -353,7 +378,12 @@
             status == Some(MemberStatus::Unreachable)
                 && now.since(peer.changed_at) > UNREACHABLE_RETENTION
         };
+        let count = self.peers.len();
         self.peers.retain(|_, peer| !is_lost(peer));
+        if self.peers.len() != count {
+            self.places_version += 1;
+            self.version += 1;
+        }
     }
 
     /// Number of peers with the status [`MemberStatus::Alive`].
@@ -393,6 +423,11 @@
         }
         let Some(peer) = self.peers.get_mut(&record.instance.vm) else { return };
         if peer.record.as_ref().is_none_or(|known| record.is_newer_than(known)) {
+            let known_place = peer.record.as_ref().map(|known| &known.place);
+            if known_place != Some(&record.place) {
+                self.places_version += 1;
+            }
+            self.version += 1;
             peer.record = Some(record.clone());
             peer.changed_at = now;
             peer.remaining_sends = sends;
@@ -418,6 +453,7 @@
         if *instance != self.own.instance && !self.leaving.contains_key(instance) {
             let sends = self.initial_sends();
             self.leaving.insert(instance.clone(), sends);
+            self.version += 1;
         }
     }
 
@@ -462,17 +498,28 @@
         self.record.as_ref().is_none_or(|record| record.status != MemberStatus::Unreachable)
     }
 
-    fn expire_suspicion(&mut self, now: MonotonicTime, suspicion: Duration, was_paused: bool) {
-        let Some(record) = &mut self.record else { return };
+    /// Makes a member unreachable that has been suspected for the time `suspicion`. Returns whether
+    /// it did.
+    fn expire_suspicion(
+        &mut self,
+        now: MonotonicTime,
+        suspicion: Duration,
+        was_paused: bool,
+    ) -> bool {
+        let Some(record) = &mut self.record else { return false };
         if record.status != MemberStatus::Suspect {
-            return;
+            return false;
         }
         if was_paused {
             self.changed_at = now;
-        } else if now.since(self.changed_at) >= suspicion {
+            return false;
+        }
+        let is_expired = now.since(self.changed_at) >= suspicion;
+        if is_expired {
             record.status = MemberStatus::Unreachable;
             self.changed_at = now;
         }
+        is_expired
     }
 }
 
--- a/crates/crocusdale_core/tests/member_places_test.rs
+++ b/crates/crocusdale_core/tests/member_places_test.rs
@@ -1,6 +1,6 @@
 //! Members that learn each other's places by gossip, without a VM list.
 
-use crocusdale_core::batching::DispatcherChoice;
+use crocusdale_core::batching::{DispatcherCandidates, DispatcherChoice};
 use crocusdale_core::identity::{InstanceId, MonotonicTime};
 use crocusdale_core::membership::{
     DirectoryVersion, ExchangeMessage, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
@@ -152,3 +152,40 @@
     let index: usize = chosen.trim_start_matches("entry-").parse().expect("a number");
     assert!(index < 50, "dispatcher must be a small VM once the large ones are gone: {chosen}");
 }
+
+/// Guards against heartbeats and orders of pieces that each cost a walk over all members. The walks
+/// are repeated only when the versions of the view change.
+#[test]
+fn known_records_change_no_version() {
+    let now = MonotonicTime::from_millis(0);
+    let mut view = view(0);
+    let alive = || (1..100).map(|index| record(index, MemberStatus::Alive)).collect();
+    view.merge_message(&exchange_message(alive()), now);
+    let versions = (view.version(), view.places_version());
+    view.merge_message(&exchange_message(alive()), now);
+    view.tick(now);
+    assert_eq!((view.version(), view.places_version()), versions);
+    view.handle_failed_exchange("entry-7", now);
+    assert_ne!(view.version(), versions.0, "a suspected member must change the version");
+    assert_eq!(view.places_version(), versions.1, "its place must stay");
+}
+
+/// Guards against a dispatcher that is chosen from outdated candidates.
+#[test]
+fn candidates_follow_the_members() {
+    let now = MonotonicTime::from_millis(0);
+    let mut view = view(0);
+    view.become_ready();
+    let alive = (1..20).map(|index| record(index, MemberStatus::Alive)).collect();
+    view.merge_message(&exchange_message(alive), now);
+    let mut candidates = DispatcherCandidates::default();
+    for _ in 0..20 {
+        let vm_list = VmList { revision: 1, vms: view.places() };
+        let chosen = DispatcherChoice::new(&vm_list, &view).dispatcher("scan", &[]).to_owned();
+        assert_eq!(candidates.dispatcher(&vm_list, &view, "scan", &[]), chosen);
+        let next = DispatcherChoice::new(&vm_list, &view).dispatcher("scan", &[chosen.clone()]);
+        let tried = [chosen.clone()];
+        assert_eq!(candidates.dispatcher(&vm_list, &view, "scan", &tried), next);
+        view.handle_failed_exchange(&chosen, now);
+    }
+}
