Open a section of a pool only where it has work

Cause: every daemon kept all sections of all pools open, with the state of every upstream, as any daemon may be asked to dispatch any section: 96 sections and 2,824 upstreams at the size of the fleet.

Change: a section is opened by the first pieces that arrive for it and closed after 30 s without work, when its results have expired and its budget and measured slowdowns have recovered (a budget counts from the start of the process, so that a new section begins with what an idle one would have). The timer is set only while there are results to free.

Sections of upstreams with a rate limit are opened as soon as this daemon is their only dispatcher, as the time since then counts.

Two tests changed: the keys of requests in `forward_daemon` were numbered together with timers, so that a timer less drew other sections; `queued_pieces_survive...` looked for the section of the new number without sending it work, and sends it a request now.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -1,28 +1,37 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::published_pool::PublishedPool;
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolSection, PoolWait};
-use crate::configuration::{BatchRules, Declarations, PoolKind};
-use crate::identity::{AttemptId, MonotonicTime, RequestDigest, stable_hash};
+use crate::configuration::{Declarations, PoolKind};
+use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
 use crate::rate_limiting::RateLimiter;
 use crate::retry::RetryLimits;
-use crate::routing::{DirectoryEntry, UpstreamDirectory};
+use crate::routing::UpstreamDirectory;
 
 /// Number of daemons that may dispatch a pool at the same time, for dividing the retry budget. Two
 /// daemons spend retries while members disagree on the dispatcher.
 const MAX_DISPATCHERS_PER_POOL: usize = 2;
+/// Time without work after which a section is closed. Its results have expired by then, and its
+/// retry budget and measured slowdowns have recovered.
+const SECTION_IDLE_TIME: Duration = Duration::from_secs(30);
 
-/// Forms the batch calls of all pool sections that this daemon dispatches, and keeps the sections
-/// ready that it could be asked to dispatch.
+/// Forms the batch calls of all pool sections that this daemon dispatches.
+///
+/// A section is open only while this daemon has work for it. Any daemon may become the dispatcher
+/// of any section, so keeping all of them open would cost each daemon state and time for every
+/// upstream of the fleet.
 #[derive(Debug, Default)]
 pub struct BatchDispatcher {
-    /// State of each section, by section name.
+    /// State of each open section, by section name.
     pools: HashMap<String, BatchPool>,
-    /// Published upstreams of each pool that are not leaving, with the hash of their names.
-    upstreams: HashMap<String, Vec<(u64, DirectoryEntry)>>,
+    /// Rules and available upstreams of each pool, by pool name.
+    published: HashMap<String, PublishedPool>,
+    /// Time until which each upstream has asked not to be called, by upstream name.
+    backoffs: HashMap<String, MonotonicTime>,
     /// Section name of each batch call in flight.
     call_sections: HashMap<BatchId, String>,
     retries: RetryLimits,
@@ -118,70 +127,67 @@
         now: MonotonicTime,
         actions: &mut Vec<DispatchAction>,
     ) {
+        self.published.clear();
         for (name, stage) in declarations.stages() {
             let PoolKind::Batch(rules) = stage.kind else { continue };
-            let remaining = directory.available_entries().filter(|entry| entry.pool == name);
-            let remaining = remaining.map(|entry| (stable_hash(&[&entry.name()]), entry.clone()));
-            self.upstreams.insert(name.to_owned(), remaining.collect());
-            for section in PoolSection::all(name, self.section_count(name)) {
-                self.open_section(&section, rules, now);
-            }
-            // Sections of a previous section count may still hold work. They share their upstreams
-            // with the current sections.
-            let pools =
-                self.pools.iter_mut().map(|(name, pool)| (PoolSection::from_name(name), pool));
-            for (section, pool) in pools.filter(|(section, _)| section.pool == name) {
-                pool.set_rules(rules);
-                pool.set_upstreams(section_upstreams(&section, &self.upstreams), now);
+            let entries = directory.available_entries().filter(|entry| entry.pool == name);
+            self.published.insert(name.to_owned(), PublishedPool::new(rules, entries));
+        }
+        for (name, pool) in &mut self.pools {
+            let section = PoolSection::from_name(name);
+            if let Some(published) = self.published.get(&section.pool) {
+                pool.set_rules(published.rules);
+                pool.set_upstreams(published.upstreams_in(&section), now);
             }
         }
-        let is_declared = |pool: &str| {
-            declarations.stage(pool).is_some_and(|stage| matches!(stage.kind, PoolKind::Batch(_)))
-        };
-        self.upstreams.retain(|name, _| is_declared(name));
         for (upstream, until) in backoffs {
             self.back_off(upstream, *until);
         }
         self.run_cycle(now, actions);
     }
 
-    /// Removes idle sections that are not part of their pool's current section count.
-    fn close_sections(&mut self) {
-        let upstreams = &self.upstreams;
+    /// Closes sections without work: at once if they are not part of their pool's current section
+    /// count, the others after [`SECTION_IDLE_TIME`].
+    fn close_sections(&mut self, now: MonotonicTime) {
+        let published = &self.published;
         self.pools.retain(|name, pool| {
             let section = PoolSection::from_name(name);
-            let count = upstreams.get(&section.pool).map(|all| PoolSection::count(all.len()));
-            count.is_some_and(|count| section.has_section_count(count)) || !pool.is_idle()
+            let count = published.get(&section.pool).map(PublishedPool::section_count);
+            let is_current = count.is_some_and(|count| section.has_section_count(count));
+            let is_recent = pool.idle_time(now).is_none_or(|idle| idle < SECTION_IDLE_TIME);
+            !pool.is_idle() || (is_current && is_recent)
         });
+        self.backoffs.retain(|_, until| *until > now);
     }
 
     /// Number of sections of `pool`, derived from the upstreams known to this daemon.
     #[must_use]
     pub fn section_count(&self, pool: &str) -> usize {
-        PoolSection::count(self.upstreams.get(pool).map_or(0, Vec::len))
+        self.published.get(pool).map_or(1, PublishedPool::section_count)
     }
 
-    fn open_section(&mut self, section: &PoolSection, rules: BatchRules, now: MonotonicTime) {
-        let name = section.to_string();
-        if self.pools.contains_key(&name) {
-            return;
-        }
-        let budget =
-            self.retries.budget(MAX_DISPATCHERS_PER_POOL * self.section_count(&section.pool));
-        let mut pool = BatchPool::new(rules, budget).limiter(Arc::clone(&self.limiter));
-        pool.set_upstreams(section_upstreams(section, &self.upstreams), now);
-        self.pools.insert(name, pool);
+    /// Number of sections that are open.
+    #[must_use]
+    pub fn open_sections(&self) -> usize {
+        self.pools.len()
     }
 
-    /// Opens a section that another daemon with a different upstream list has submitted pieces to.
-    /// Does nothing if the pool is unknown.
-    fn open_unlisted_section(&mut self, name: &str, now: MonotonicTime) {
+    /// Opens the section `name`, unless it is open or its pool is unknown. A daemon with a
+    /// different list of upstreams may name a section of another section count.
+    fn open_section(&mut self, name: &str, now: MonotonicTime) {
         let section = PoolSection::from_name(name);
-        let mut sections = self.pools.iter();
-        let sibling = sections.find(|(name, _)| PoolSection::from_name(name).pool == section.pool);
-        if let Some(rules) = sibling.map(|(_, pool)| pool.rules()) {
-            self.open_section(&section, rules, now);
+        let Some(published) = self.published.get(&section.pool) else { return };
+        if self.pools.contains_key(name) {
+            return;
+        }
+        let dispatchers = MAX_DISPATCHERS_PER_POOL * published.section_count();
+        let budget = self.retries.budget(dispatchers);
+        let mut pool = BatchPool::new(published.rules, budget).limiter(Arc::clone(&self.limiter));
+        pool.set_upstreams(published.upstreams_in(&section), now);
+        for (upstream, until) in &self.backoffs {
+            pool.back_off(upstream, *until);
         }
+        self.pools.insert(name.to_owned(), pool);
     }
 
     /// Accepts the pieces of a step. `crash_count` is the number of upstreams that have crashed
@@ -194,9 +200,7 @@
         actions: &mut Vec<DispatchAction>,
     ) {
         let name = order.pool.clone();
-        if !self.pools.contains_key(&name) {
-            self.open_unlisted_section(&name, now);
-        }
+        self.open_section(&name, now);
         let Some(pool) = self.pools.get_mut(&name) else {
             actions.push(DispatchAction::fail(order.attempt, &name, PieceFault::NoUpstream));
             return;
@@ -227,10 +231,17 @@
         }
     }
 
+    /// Whether [`Self::free_unneeded_results`] has anything to do, now or soon.
+    #[must_use]
+    pub fn has_results_to_free(&self) -> bool {
+        self.pools.values().any(BatchPool::has_results_to_free)
+    }
+
     /// Requests that unneeded results be freed, and forms calls that use the memory of those freed
     /// before.
     pub fn free_unneeded_results(&mut self, now: MonotonicTime, actions: &mut Vec<DispatchAction>) {
-        let names: Vec<String> = self.pools.keys().cloned().collect();
+        let with_results = self.pools.iter().filter(|(_, pool)| pool.has_results_to_free());
+        let names: Vec<String> = with_results.map(|(name, _)| name.clone()).collect();
         for name in names {
             if let Some(pool) = self.pools.get_mut(&name) {
                 pool.free_fetched_inputs(now, actions);
@@ -282,6 +293,7 @@
 
     /// Sends nothing to `upstream` until `until`, as it has requested.
     pub fn back_off(&mut self, upstream: &str, until: MonotonicTime) {
+        self.backoffs.insert(upstream.to_owned(), until);
         for pool in self.pools.values_mut() {
             pool.back_off(upstream, until);
         }
@@ -294,15 +306,25 @@
         }
     }
 
-    /// Names of the sections that have an upstream with a rate limit.
+    /// Names of the sections that have an upstream with a rate limit, whether they are open or not.
     #[must_use]
     pub fn rate_limited_sections(&self) -> Vec<String> {
-        let limited = self.pools.iter().filter(|(_, pool)| pool.has_limits());
-        limited.map(|(name, _)| name.clone()).collect()
+        let open = self.pools.iter().filter(|(_, pool)| pool.has_limits());
+        let mut names: BTreeSet<String> = open.map(|(name, _)| name.clone()).collect();
+        for upstream in self.limiter.limited_upstreams() {
+            let pools = self.published.iter();
+            let sections = pools.filter_map(|(name, pool)| pool.section_of(name, &upstream));
+            names.extend(sections.map(|section| section.to_string()));
+        }
+        names.into_iter().collect()
     }
 
-    /// Sets whether this daemon considers itself the only dispatcher of the section `pool`.
+    /// Sets whether this daemon considers itself the only dispatcher of the section `pool`. Opens
+    /// the section if so, because the time since then counts.
     pub fn set_sole_dispatcher(&mut self, pool: &str, is_sole: bool, now: MonotonicTime) {
+        if is_sole {
+            self.open_section(pool, now);
+        }
         if let Some(pool) = self.pools.get_mut(pool) {
             pool.set_sole_dispatcher(is_sole, now);
         }
@@ -317,7 +339,7 @@
 
     /// Handles timeouts of all sections, and forms calls.
     pub fn run_cycle(&mut self, now: MonotonicTime, actions: &mut Vec<DispatchAction>) {
-        self.close_sections();
+        self.close_sections(now);
         let names: Vec<String> = self.pools.keys().cloned().collect();
         for name in names {
             self.advance_section(&name, now, actions);
@@ -371,12 +393,3 @@
         }
     }
 }
-
-/// Upstreams that belong to `section`.
-fn section_upstreams<'a>(
-    section: &'a PoolSection,
-    upstreams_by_pool: &'a HashMap<String, Vec<(u64, DirectoryEntry)>>,
-) -> impl Iterator<Item = &'a DirectoryEntry> {
-    let upstreams = upstreams_by_pool.get(&section.pool).into_iter().flatten();
-    upstreams.filter(|(hash, _)| section.contains_hash(*hash)).map(|(_, entry)| entry)
-}
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
@@ -127,6 +128,16 @@
         self.jobs.is_empty() && self.in_flight.is_empty()
     }
 
+    /// Time since work last arrived, or since this daemon last considered itself the only dispatcher
+    /// of rate-limited upstreams. `None` if there was neither.
+    #[must_use]
+    pub fn idle_time(&self, now: MonotonicTime) -> Option<Duration> {
+        if self.sole_dispatcher_since.is_some() {
+            return Some(Duration::ZERO);
+        }
+        self.last_active_at.map(|active_at| now.since(active_at))
+    }
+
     /// Accepts the pieces of a step. `crash_count` is the number of upstreams that have crashed
     /// while they ran the request of the step.
     pub fn submit(
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -27,6 +27,7 @@
 mod pool_forecast;
 mod pool_section;
 mod pool_waits;
+mod published_pool;
 mod result_memory;
 mod result_release;
 
--- a/crates/crocusdale_core/src/batching/result_release.rs
+++ b/crates/crocusdale_core/src/batching/result_release.rs
@@ -11,6 +11,14 @@
         self.unneeded_results.extend(results);
     }
 
+    /// Whether a result is unneeded, or an input is being fetched and unneeded afterwards.
+    #[must_use]
+    pub fn has_results_to_free(&self) -> bool {
+        !self.unneeded_results.is_empty()
+            || !self.freed_results.is_empty()
+            || !self.fetching_jobs.is_empty()
+    }
+
     /// Requests that unneeded results be freed, and counts the memory of those from the previous
     /// cycle as free. The delay makes sure that a call which needs the memory does not overtake the
     /// message that frees it. Returns whether there were results in either cycle.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -48,6 +48,8 @@
     /// Attempts and requests queued until the list of published upstreams has been read again.
     pub(super) held_work: Mutex<HeldWork>,
     pub(super) dispatcher: Mutex<BatchDispatcher>,
+    /// Whether the timer for the next release of unneeded results is set.
+    pub(super) is_release_scheduled: AtomicBool,
     /// Rate limits that upstreams have announced, and this daemon's share of them.
     pub(super) limiter: Arc<RateLimiter>,
     /// End of the backoff that each upstream has asked this daemon for, by upstream name.
@@ -239,6 +241,7 @@
             directory: Mutex::new(directory),
             held_work: Mutex::default(),
             dispatcher: Mutex::new(dispatcher),
+            is_release_scheduled: AtomicBool::new(false),
             limiter,
             unavailable_until: Mutex::default(),
             crash_detector: Mutex::new(crash_detector),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -23,10 +23,6 @@
 /// Fraction of the grace period in which a draining process still accepts new requests. It could
 /// not finish later ones in time, whereas another daemon can serve them at once.
 const ACCEPTING_FRACTION: f64 = 0.3;
-/// Interval between two rounds that free unneeded results at upstreams. It is long enough for one
-/// call to free the results of many requests. It is short compared with the seconds in which an
-/// upstream's memory for results fills up.
-const RESULT_RELEASE_INTERVAL: Duration = Duration::from_millis(15);
 /// Shortest pause of the process after which its view of the peers is refreshed at once.
 const REFRESH_PAUSE: Duration = Duration::from_millis(1_000);
 
@@ -54,7 +50,7 @@
     pub fn start(&self, now: MonotonicTime, out: &mut Vec<Command>) {
         let uses_discovery = lock(&self.state.fleet).view.own().place.is_some();
         if uses_discovery {
-            for timer in [TimerKey::DirectoryPoll, TimerKey::SeedPing, TimerKey::ResultRelease] {
+            for timer in [TimerKey::DirectoryPoll, TimerKey::SeedPing] {
                 out.push(Command::SetTimer { timer, at: now });
             }
         } else {
@@ -139,6 +135,7 @@
         if lock(&self.state.held_work).is_holding() {
             self.state.check_staleness(now, out);
         }
+        self.state.schedule_result_release(now, out);
     }
 
     /// Issues a ticket for `key` and returns it with its validity period. The ticket lets this
@@ -370,10 +367,6 @@
                 let mut actions = Vec::new();
                 self.state.release_unneeded_results(now, &mut actions, out);
                 self.state.run_actions(actions, now, out);
-                out.push(Command::SetTimer {
-                    timer: TimerKey::ResultRelease,
-                    at: now + RESULT_RELEASE_INTERVAL,
-                });
             }
             // Every event checks the age of the list of published upstreams. This timer only makes
             // sure that an event arrives in time.
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -1,5 +1,8 @@
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use super::core_state::CoreState;
-use super::{Command, CounterName};
+use super::{Command, CounterName, TimerKey};
 use crate::batching::{BatchId, BatchOutcome, DispatchAction, PoolSection};
 use crate::identity::{AttemptId, MonotonicTime, stable_hash};
 use crate::pipeline::{
@@ -7,6 +10,11 @@
 };
 use crate::sync::lock;
 
+/// Interval between two rounds that free unneeded results at upstreams. It is long enough for one
+/// call to free the results of many requests. It is short compared with the seconds in which an
+/// upstream's memory for results fills up.
+const RESULT_RELEASE_INTERVAL: Duration = Duration::from_millis(15);
+
 impl CoreState {
     /// Sends the pieces of a batched step, which are the inputs that batches are formed from, to
     /// the dispatcher of their pool, on this or another daemon. Skips the dispatchers in `tried`,
@@ -87,6 +95,22 @@
         }
     }
 
+    /// Sets the timer for the next release of unneeded results, if there are any and it isn't set.
+    pub(super) fn schedule_result_release(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        if !lock(&self.dispatcher).has_results_to_free()
+            || self.is_release_scheduled.swap(true, Ordering::Relaxed)
+        {
+            return;
+        }
+        // Rounds start at multiples of the interval, so that a result waits for half of it on
+        // average.
+        let elapsed = now.since(self.started_at);
+        let since_round = elapsed.as_nanos() % RESULT_RELEASE_INTERVAL.as_nanos();
+        let since_round = Duration::from_nanos(u64::try_from(since_round).unwrap_or_default());
+        let at = now + (RESULT_RELEASE_INTERVAL - since_round);
+        out.push(Command::SetTimer { timer: TimerKey::ResultRelease, at });
+    }
+
     /// Frees the unneeded results of all pools that this daemon dispatches.
     pub(super) fn release_unneeded_results(
         &self,
@@ -94,6 +118,7 @@
         actions: &mut Vec<ShardAction>,
         out: &mut Vec<Command>,
     ) {
+        self.is_release_scheduled.store(false, Ordering::Relaxed);
         let mut dispatch_actions = Vec::new();
         lock(&self.dispatcher).free_unneeded_results(now, &mut dispatch_actions);
         self.run_dispatch_actions(dispatch_actions, now, actions, out);
--- a/crates/crocusdale_core/src/rate_limiting/rate_limiter.rs
+++ b/crates/crocusdale_core/src/rate_limiting/rate_limiter.rs
@@ -119,6 +119,17 @@
             && lock(&self.table).limits.get(upstream).is_some_and(|limit| limit.rate().is_some())
     }
 
+    /// Names of the upstreams that have a rate limit.
+    #[must_use]
+    pub fn limited_upstreams(&self) -> Vec<String> {
+        if !self.has_limits() {
+            return Vec::new();
+        }
+        let table = lock(&self.table);
+        let limited = table.limits.iter().filter(|(_, limit)| limit.rate().is_some());
+        limited.map(|(upstream, _)| upstream.clone()).collect()
+    }
+
     /// Time until this daemon may send `upstream` a request.
     #[must_use]
     pub fn wait(&self, upstream: &str, rate_use: RateUse, now: MonotonicTime) -> TokenWait {
--- a/crates/crocusdale_core/tests/pool_section_test.rs
+++ b/crates/crocusdale_core/tests/pool_section_test.rs
@@ -158,6 +158,7 @@
         |call| daemon.answer(call).is_some_and(|(kind, _)| kind == OutcomeKind::Answered);
     let answered = calls.iter().filter(|call| answered(**call)).count();
     assert_eq!(answered, calls.len(), "all requests must be answered");
+    daemon.submit("/digest/it");
     let waiting = daemon.core.dump(daemon.now).waiting_pieces;
     assert!(waiting.iter().any(|(name, _)| name == "scan"), "{waiting:?}");
     assert!(waiting.iter().all(|(name, _)| !name.starts_with("scan#")), "{waiting:?}");
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -108,6 +108,8 @@
     pub now: MonotonicTime,
     pub timers: BTreeMap<(MonotonicTime, u64), TimerKey>,
     pub sequence: u64,
+    /// Number of requests so far. Their keys must not depend on the timers of the daemon.
+    pub request_count: u64,
     pub relays: Vec<ForwardOrder>,
     pub batches: Vec<BatchOrder>,
     /// Results that the daemon has freed at their upstreams.
@@ -168,6 +170,7 @@
             now,
             timers: BTreeMap::new(),
             sequence: 0,
+            request_count: 0,
             relays: Vec::new(),
             batches: Vec::new(),
             freed: Vec::new(),
@@ -301,8 +304,8 @@
 
     /// Builds a request and its call without submitting it.
     pub fn request(&mut self, path: &str, access: Option<&str>) -> (CallId, Box<CallerRequest>) {
-        self.sequence += 1;
-        let key = RequestKey::new("", format!("try-{}", self.sequence));
+        self.request_count += 1;
+        let key = RequestKey::new("", format!("try-{}", self.request_count));
         let parts = vec![PromptPart { id: 5, tokens: 900 }, PromptPart { id: 6, tokens: 100 }];
         let demand = EngineDemand { parts, prompt_tokens: 1_000, output_tokens: 50 };
         let head = ForwardHead {
