Fetch changes of the list once an interval, from the daemon that reads it

Cause: a daemon that received a changed list told four random others at once, and any heartbeat that named a newer change made its receiver fetch it. With changes all the time, each daemon fetched, applied and told each change apart. A restarted daemon knows no changes from before its start, so whoever fetched from it got the whole list.

Change: each daemon fetches the changes together with its query to the daemon that reads the platform for it, every 4/15 of the longest age. Nobody is told at once. From 6/15 of that age on a daemon takes changes from any peer, as its reader may be slow or gone. The bounds are unchanged: they never rested on the early messages.

Why it holds: fetches and heartbeats a daemon don't depend on the number of daemons or the rate of changes: test at 60 and 120 daemons with a change every 50 ms.

--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -329,7 +329,11 @@
     }
 
     /// Fetches changes from the peer on `vm` if its last change, at `changed`, is newer than the
-    /// local list.
+    /// local list, and the local list is too old to wait for the daemon that reads the platform for
+    /// this one.
+    ///
+    /// Guards against a fleet that is busy with its own list. In a large fleet some upstream changes
+    /// all the time, and each daemon would handle each change apart if it fetched from any peer.
     ///
     /// Guards against a change that is lost for good. A paged read is not an atomic snapshot, so it
     /// can return a change with a higher revision than one that it missed. The comparison therefore
@@ -341,16 +345,24 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
-        let is_newer = changed > self.directory.position();
+        let is_fresh = self.age(now).is_some_and(|age| age < self.intervals.any_peer_age);
+        if !is_fresh && changed > self.directory.position() {
+            self.fetch_list(vm, now, out);
+        }
+    }
+
+    /// Fetches the changes of the list from the peer on `vm`, unless a fetch is pending.
+    pub(super) fn fetch_list(&mut self, vm: &str, now: MonotonicTime, out: &mut Vec<Command>) {
         let pending_fetch = self.pending_fetch.as_ref();
         let is_fetching =
             pending_fetch.is_some_and(|(_, requested_at)| now.since(*requested_at) < FETCH_TIMEOUT);
-        if is_newer && !is_fetching {
-            self.pending_fetch = Some((vm.to_owned(), now));
-            out.push(Command::Count(CounterName::DirectoryFetches));
-            let (vm, known) = (vm.to_owned(), self.directory.sync_position());
-            out.push(Command::FetchDirectory { known, vm });
+        if is_fetching {
+            return;
         }
+        self.pending_fetch = Some((vm.to_owned(), now));
+        out.push(Command::Count(CounterName::DirectoryFetches));
+        let (vm, known) = (vm.to_owned(), self.directory.sync_position());
+        out.push(Command::FetchDirectory { known, vm });
     }
 
     /// Merges the list that was fetched from a peer; `None` means that the fetch failed. `revision`
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -131,6 +131,8 @@
         };
         let reader_to_query = lock(&self.state.directory).poll(reader, has_met_peers, now, out);
         if let Some(reader) = reader_to_query {
+            // The heartbeat exchanges what the fleet knows of upstreams' limits and crashes.
+            lock(&self.state.directory).fetch_list(&reader, now, out);
             lock(&self.state.fleet).send_heartbeats_to(vec![reader], now, out);
         }
     }
@@ -154,9 +156,6 @@
             let mut fleet = lock(&self.state.fleet);
             fleet.directory = position;
             fleet.directory_verified_at = verified_at;
-            if changed {
-                fleet.send_early_heartbeats(now, out);
-            }
             fleet.ledger.in_force().map(|in_force| Arc::clone(&in_force.declarations))
         };
         if let Some(declarations) = declarations.filter(|_| changed) {
--- a/crates/crocusdale_core/src/daemon/staleness_bounds.rs
+++ b/crates/crocusdale_core/src/daemon/staleness_bounds.rs
@@ -18,6 +18,9 @@
 const READ_INTERVAL_SHARE: f64 = 5.0 / 15.0;
 const QUERY_INTERVAL_SHARE: f64 = 4.0 / 15.0;
 const SELF_READ_AGE_SHARE: f64 = 11.0 / 15.0;
+/// Share of the maximum age from which a daemon takes changes from any peer. The daemon that reads
+/// for it may be slow or gone.
+const ANY_PEER_AGE_SHARE: f64 = 6.0 / 15.0;
 /// Queries per second that a daemon which reads for others should answer, to limit its CPU load.
 const MAX_QUERIES_PER_S: f64 = 40.0;
 
@@ -57,9 +60,11 @@
     pub(super) max_age: Duration,
     /// Age at which a daemon reads the platform itself, although another daemon should read for it.
     pub(super) self_read_age: Duration,
-    /// Interval between two reads of the platform. Each read fetches the whole list. A watch would
-    /// bring no gain, because it would fire at once: each upstream renews its entry about every
-    /// second. It would also miss changes while the store compacts its history.
+    /// Age at which a daemon fetches changes from any peer that knows newer ones.
+    pub(super) any_peer_age: Duration,
+    /// Interval between two reads of the platform, each of which returns the changes since the one
+    /// before. A waiting watch would not save calls: in a large fleet it ends at once, because some
+    /// upstream changes all the time.
     pub(super) read_interval: Duration,
     /// Interval between two queries to the daemon that reads the platform for this one.
     pub(super) query_interval: Duration,
@@ -77,6 +82,7 @@
         Self {
             max_age,
             self_read_age: max_age.mul_f64(SELF_READ_AGE_SHARE),
+            any_peer_age: max_age.mul_f64(ANY_PEER_AGE_SHARE),
             read_interval: max_age.mul_f64(READ_INTERVAL_SHARE),
             query_interval: max_age.mul_f64(QUERY_INTERVAL_SHARE),
             recovery_time: bounds.recovery_time,
--- a/crates/crocusdale_core/tests/fleet_growth_test.rs
+++ b/crates/crocusdale_core/tests/fleet_growth_test.rs
@@ -3,6 +3,7 @@
 #[path = "support/forward_daemon.rs"]
 #[allow(dead_code, reason = "no test file uses all of it")]
 mod forward_daemon;
+mod support;
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,8 +23,13 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use forward_daemon::Daemon;
+use support::virtual_fleet::VirtualFleet;
 
 const NOW: MonotonicTime = MonotonicTime::from_millis(40_000);
+/// Maximum number of list fetches per daemon and second: one for each query of the daemon that
+/// reads the platform, every 0.4 s with the default bounds, and some for restarts and late replies.
+const MAX_FETCHES_PER_S: f64 = 3.5;
+
 fn declarations() -> Declarations {
     let batch = BatchRules {
         slots: 1,
@@ -219,3 +225,25 @@
         assert!(!daemon.timers.values().any(is_release), "nothing has to be released");
     }
 }
+
+/// Guards against messages between daemons that grow with the rate of changes or with the number of
+/// daemons: in a large fleet some upstream changes all the time.
+#[test]
+fn daemon_fetches_changes_at_the_pace_of_its_queries() {
+    for size in [60, 120] {
+        let mut fleet = VirtualFleet::new(size);
+        fleet.published = (1_000, vec![(900, entry(0, "notify"))]);
+        fleet.run(Duration::from_secs(5));
+        let (fetches, heartbeats) = (fleet.fetches, fleet.heartbeats);
+        for step in 1..=200_u64 {
+            let revision = 1_000 + step;
+            fleet.published = (revision, vec![(revision, entry(step as usize, "notify"))]);
+            fleet.run(Duration::from_millis(5_000 + step * 50));
+        }
+        let per_daemon_second = |count: u64| count as f64 / size as f64 / 10.0;
+        let fetches = per_daemon_second(fleet.fetches - fetches);
+        assert!(fetches <= MAX_FETCHES_PER_S, "{size} daemons: {fetches:.1} fetches a second each");
+        let heartbeats = per_daemon_second(fleet.heartbeats - heartbeats);
+        assert!(heartbeats <= 6.0, "{size} daemons: {heartbeats:.1} heartbeats a second each");
+    }
+}
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -87,6 +87,10 @@
     readers: HashSet<usize>,
     /// Upstreams that no longer accept connections.
     pub ended: HashSet<String>,
+    /// Number of heartbeats that daemons have sent.
+    pub heartbeats: u64,
+    /// Number of lists or changes of upstreams that daemons have fetched from each other.
+    pub fetches: u64,
     /// Total number of upstream entries that daemons have fetched from each other.
     pub fetched_entries: u64,
     /// Requests that were forwarded to upstreams, with the daemon and the time of forwarding.
@@ -136,6 +140,8 @@
             only_readers_gossip: false,
             readers: HashSet::new(),
             ended: HashSet::new(),
+            heartbeats: 0,
+            fetches: 0,
             fetched_entries: 0,
             relays: Vec::new(),
             answers: Vec::new(),
@@ -303,6 +309,7 @@
                 let is_reachable = self.can_reach(index, to);
                 let list = is_reachable.then(|| self.cores[to].published_since(known, self.now));
                 let entry_count = list.as_ref().map_or(0, |list| list.entries.len());
+                self.fetches += 1;
                 self.fetched_entries += entry_count as u64;
                 let event = Delivery::Event(DaemonEvent::DirectoryFetched(list));
                 self.push(self.now + ONE_WAY_LATENCY * 2, index, event);
@@ -339,6 +346,7 @@
     }
 
     fn send_heartbeat(&mut self, from: usize, to: usize, message: Box<ExchangeMessage>) {
+        self.heartbeats += 1;
         if !self.can_reach(from, to) {
             let failed = Delivery::Event(DaemonEvent::HeartbeatFailed(vm_name(to)));
             self.push(self.now + HEARTBEAT_TIMEOUT, from, failed);
