Read the changes of the store instead of the whole list

Beyond 64 pages the read ended and what was read passed for the whole list, without a word (12,800 items).

Change: a read asks for the evacuations, a small range whose answer is linearizable and names the latest revision; if that has moved, it polls the changes since the position that this daemon knows. The number of changes has to match the number of revisions and reach the latest one. Otherwise (a gap, history that was compacted, another era), after an outage and every 60 s all pages are read, as many as there are. The configuration is among the changes; a reader that got the list from a peer reads it apart, as its own may be older. The core applies the changes one by one.

Ruled out: a waiting watch alone (it proves no age while nothing happens, and may say nothing while the store compacts its history); stale reads.

--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -143,8 +143,12 @@
         /// VM of the peer.
         vm: String,
     },
-    /// Read everything that the platform's store publishes: upstreams and configuration.
-    ReadDirectory,
+    /// Read what the platform's store publishes: upstreams and configuration.
+    ReadDirectory {
+        /// Store position up to which this daemon has all changes, so that later changes suffice.
+        /// [`StorePosition::default`] if it needs the whole list.
+        since: StorePosition,
+    },
     /// Fetch the configuration that a peer has in force.
     FetchConfiguration {
         /// VM of the peer.
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -74,6 +74,8 @@
     ConfigurationConflicts,
     /// Reads of the published upstreams that were started.
     DirectoryReads,
+    /// Reads of the published upstreams that asked for the whole list rather than for changes.
+    FullDirectoryReads,
     /// Reads of the published upstreams by a daemon that normally relies on another daemon's reads.
     /// The daemon starts them once it has not heard of such a read for too long.
     DirectoryReadsForAge,
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -91,7 +91,7 @@
         /// Whether the upstream refused the connection, which means that its process has ended.
         has_ended: bool,
     },
-    /// The platform's store was read completely, as asked by [`super::Command::ReadDirectory`].
+    /// The platform's store was read completely, as requested by [`super::Command::ReadDirectory`].
     DirectoryRead {
         /// Era and revision of the store at the read.
         position: StorePosition,
@@ -104,6 +104,22 @@
         /// Configuration revision and text, or `None` if unchanged since the read before.
         configuration: Option<(u64, String)>,
     },
+    /// The changes of the platform's store were read, as requested by
+    /// [`super::Command::ReadDirectory`].
+    DirectoryChangesRead {
+        /// Era and revision of the store up to which the changes are complete.
+        position: StorePosition,
+        /// Upstreams that were published or changed, each with the revision of its last change.
+        written: Vec<(u64, DirectoryEntry)>,
+        /// IDs of the upstreams that were removed, each with the revision of the removal.
+        removed: Vec<(u64, String)>,
+        /// All evacuated availability zones, each with the revision of the evacuation.
+        evacuations: Vec<(u64, String)>,
+        /// Upstreams among `written` that are still in their cold start.
+        cold: Vec<ColdUpstream>,
+        /// Configuration revision and text, or `None` if unchanged since the read before.
+        configuration: Option<(u64, String)>,
+    },
     /// A read of the platform's store failed.
     DirectoryReadFailed,
     /// A peer's list of published upstreams was fetched; `None` if the fetch failed.
--- a/crates/crocusdale_core/src/daemon/directory_state.rs
+++ b/crates/crocusdale_core/src/daemon/directory_state.rs
@@ -21,6 +21,9 @@
 /// Shortest and longest backoff after a failed read of the platform.
 const READ_BACKOFF: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_millis(1_000));
+/// Interval at which a daemon that reads changes reads the whole list again. It bounds the time for
+/// which a change that a read has missed stays unknown.
+const FULL_READ_INTERVAL: Duration = Duration::from_secs(60);
 /// Timeout of a list fetch from a peer, after which another fetch may start.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for which reads must have failed before the platform counts as unavailable. Upstream
@@ -56,6 +59,8 @@
     last_failure: Option<FailedRead>,
     consecutive_failures: u32,
     last_success: Option<MonotonicTime>,
+    /// When this daemon last read the whole list. `None` if it has only received it from peers.
+    last_full_read: Option<MonotonicTime>,
     /// When a daemon that reads the platform for this one was last asked for the age of its list.
     last_query: Option<MonotonicTime>,
     /// Time at which the list and the configuration were last known to be up to date, as confirmed
@@ -70,7 +75,7 @@
     pending_fetch: Option<(String, MonotonicTime)>,
 }
 
-/// Result of one full read of the platform.
+/// Result of one read of the platform: all upstreams, or those that have changed.
 #[derive(Debug)]
 pub(super) struct PlatformSnapshot {
     position: StorePosition,
@@ -290,17 +295,56 @@
         let mut changed =
             self.directory.replace_evacuations(position, evacuations, restore_grace_end);
         changed |= self.directory.replace(position, entries, grace_end);
-        let reported_upstreams = cold_upstreams.clone();
-        if self.directory.record_cold(cold_upstreams, now) {
-            changed = true;
-            self.log_cold_starts(reported_upstreams, now, out);
-        }
+        self.last_full_read = Some(now);
+        changed |= self.record_cold_starts(cold_upstreams, now, out);
         self.log_evacuations(&previous_zones, None, out);
         self.log_restore(previous_position, None, out);
         self.log_list_change(changed, None, age, out);
         changed
     }
 
+    /// Applies the changes that a read returned, with the IDs of upstreams that were `removed` and the
+    /// revisions of the removals. Returns whether routing must be updated. If the
+    /// changes can't be applied, starts a full read.
+    pub(super) fn apply_changes_read(
+        &mut self,
+        changes: PlatformSnapshot,
+        removed: Vec<(u64, String)>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let PlatformSnapshot { position, entries, evacuations, cold_upstreams } = changes;
+        let age = self.age(now);
+        let previous_zones = self.evacuated_zones();
+        let Some(mut changed) = self.directory.apply_store_changes(position, entries, removed)
+        else {
+            self.pending_read = None;
+            self.start_read(None, now, out);
+            return false;
+        };
+        changed |= self.directory.replace_evacuations(position, evacuations, None);
+        self.record_success(now, out);
+        changed |= self.record_cold_starts(cold_upstreams, now, out);
+        self.log_evacuations(&previous_zones, None, out);
+        self.log_list_change(changed, None, age, out);
+        changed
+    }
+
+    /// Records the cold starts that a read returned, and logs them if any of them is new. Returns
+    /// whether routing must be updated.
+    fn record_cold_starts(
+        &mut self,
+        cold_upstreams: Vec<ColdUpstream>,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> bool {
+        let has_changed = self.directory.record_cold(cold_upstreams.clone(), now);
+        if has_changed {
+            self.log_cold_starts(cold_upstreams, now, out);
+        }
+        has_changed
+    }
+
     /// Records a failed read and schedules the next one after a backoff.
     pub(super) fn record_read_failure(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
         out.push(Command::Count(CounterName::PlatformReadsFailed));
@@ -443,7 +487,24 @@
             let age_ms = self.age(now).map(whole_millis);
             out.push(Command::LogStateChange(StateChange::DirectoryAged { age_ms, reader }));
         }
-        out.push(Command::ReadDirectory);
+        let since = self.known_position(now);
+        if since.is_none() {
+            out.push(Command::Count(CounterName::FullDirectoryReads));
+        }
+        out.push(Command::ReadDirectory { since });
+    }
+
+    /// Store position since which a read has to return changes. No position if it has to return the
+    /// whole list: the list is incomplete, entries may have expired during an outage, or the last
+    /// whole list is from [`FULL_READ_INTERVAL`] ago.
+    fn known_position(&self, now: MonotonicTime) -> StorePosition {
+        let is_recent =
+            self.last_full_read.is_none_or(|read_at| now.since(read_at) < FULL_READ_INTERVAL);
+        if is_recent && !self.had_outage {
+            self.directory.sync_position()
+        } else {
+            StorePosition::default()
+        }
     }
 
     /// End of the grace period for upstreams that the first read after an outage does not list.
@@ -516,11 +577,7 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> bool {
-        let has_changed = self.directory.record_cold(vec![upstream.clone()], now);
-        if has_changed {
-            self.log_cold_starts(vec![upstream], now, out);
-        }
-        has_changed
+        self.record_cold_starts(vec![upstream], now, out)
     }
 
     /// Logs the upstreams that are in their cold start, with the time left for each.
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -45,6 +45,21 @@
                 drop(directory);
                 self.propagate_directory(changed, now, out);
             }
+            DaemonEvent::DirectoryChangesRead {
+                position,
+                written,
+                removed,
+                evacuations,
+                cold,
+                configuration,
+            } => {
+                self.apply_configuration(configuration, now, out);
+                let changes =
+                    PlatformSnapshot::new(position, written, evacuations).with_cold_upstreams(cold);
+                let changed =
+                    lock(&self.state.directory).apply_changes_read(changes, removed, now, out);
+                self.propagate_directory(changed, now, out);
+            }
             DaemonEvent::DirectoryReadFailed => {
                 lock(&self.state.directory).record_read_failure(now, out)
             }
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -288,6 +288,27 @@
         changed
     }
 
+    /// Applies the changes up to `position` that were read from the store since an earlier
+    /// [`Self::sync_position`], with the revision of each write and removal. Returns whether they
+    /// affect routing, or `None` if a whole list is needed instead.
+    pub fn apply_store_changes(
+        &mut self,
+        position: StorePosition,
+        written: Vec<(u64, DirectoryEntry)>,
+        removed: Vec<(u64, String)>,
+    ) -> Option<bool> {
+        if !self.is_complete() || position.era != self.position.era {
+            return None;
+        }
+        let at = |revision| StorePosition { era: position.era, revision };
+        let removed = removed.into_iter();
+        let removed = removed.map(|(revision, id)| PeerRemoval { position: at(revision), id });
+        let written = written.into_iter().map(|(revision, entry)| (at(revision), entry));
+        // A peer's changes may have been merged since.
+        let position = position.max(self.position);
+        Some(self.apply_changes(position, written.collect(), removed.collect()))
+    }
+
     /// Merges a list from a peer. Returns whether the change affects routing.
     ///
     /// Guards against a missing upstream that a peer passes on as a listed one. A peer keeps such
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -267,7 +267,7 @@
                 Command::Cancel(attempt) => self.cancelled.push(attempt),
                 Command::Reply { call, answer } => self.answers.push((call, answer)),
                 Command::ProbeUpstream { upstream, .. } => self.probes.push(upstream),
-                Command::ReadDirectory => self.pending_reads.push(self.now),
+                Command::ReadDirectory { .. } => self.pending_reads.push(self.now),
                 Command::SetTimer { timer, at } => {
                     self.sequence += 1;
                     self.timers.insert((at, self.sequence), timer);
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -278,7 +278,7 @@
                 let to = vm_index(&vm);
                 self.send_heartbeat(index, to, message);
             }
-            Command::ReadDirectory => {
+            Command::ReadDirectory { .. } => {
                 self.reads += 1;
                 if !self.only_readers_gossip {
                     self.readers.insert(index);
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -179,7 +179,7 @@
             Command::AnswerPieces { attempt, outcome, wait } => {
                 self.pieces.answer(attempt, outcome, wait);
             }
-            Command::ReadDirectory => self.platform.read_directory(self),
+            Command::ReadDirectory { since } => self.platform.read_directory(self, since),
             Command::CloseIdleConnections(upstream) => self.upstreams.close_idle(&upstream),
             Command::ProbeUpstream { upstream, address } => {
                 probe_upstream(self, upstream, address);
--- a/crates/crocusdaled/src/platform/platform_reader.rs
+++ b/crates/crocusdaled/src/platform/platform_reader.rs
@@ -1,5 +1,7 @@
 use std::sync::Arc;
 
+use crocusdale_core::identity::StorePosition;
+
 use super::{ServiceReader, StoreReader};
 use crate::engine::DaemonEngine;
 
@@ -29,11 +31,12 @@
         }
     }
 
-    /// Reads the directory of published upstreams, and passes it to the core.
-    pub fn read_directory(&self, engine: &Arc<DaemonEngine>) {
+    /// Reads the changes of the published upstreams after `since`, or all upstreams, and passes them
+    /// to the core.
+    pub fn read_directory(&self, engine: &Arc<DaemonEngine>, since: StorePosition) {
         match self {
             Self::Services(_) => debug_assert!(false, "a directory is only read from a store"),
-            Self::Store(reader) => reader.read_directory(engine),
+            Self::Store(reader) => reader.read_directory(engine, since),
         }
     }
 }
--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -8,9 +8,10 @@
 use crocusdale_core::identity::StorePosition;
 use crocusdale_core::sync::lock;
 use crocusdale_platform::store::{
-    StoreChange, StoreChanges, StoreError, StoreItem, evacuated_zone, is_configuration,
-    is_upstream, range_path, read_changes, read_configuration, read_page, read_restore_count,
-    read_upstream, watch_path,
+    StoreChange, StoreChanges, StoreError, StoreItem, changes_path, configuration_path,
+    evacuated_zone, evacuations_path, is_configuration, is_upstream, published_id, range_path,
+    read_changes, read_configuration, read_item, read_page, read_restore_count, read_upstream,
+    watch_path,
 };
 use http::{HeaderValue, Request, StatusCode, header};
 use http_body_util::Full;
@@ -31,8 +32,6 @@
 /// Largest answer of the store that is read, in bytes. A page has about one megabyte, which base64
 /// enlarges.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
-/// Maximum number of pages of one full read.
-const MAX_PAGES: usize = 64;
 
 /// Client that reads configuration and upstreams from a key-value store.
 pub struct StoreReader {
@@ -51,7 +50,7 @@
 #[derive(Clone, Copy, Debug, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 enum StoreCall {
-    /// Reads all items.
+    /// Reads all items, or the changes of items.
     Reading,
     /// Waits for a change of the configuration.
     Watch,
@@ -66,6 +65,8 @@
     HistoryCompacted,
     /// The store was restored from an older copy between two pages.
     Restored,
+    /// A page doesn't follow the page before it, so that the read would never end.
+    RepeatedPage,
     Unparsable(StoreError),
 }
 
@@ -75,6 +76,9 @@
             Self::Unanswered(fault) => formatter.write_str(&fault.cause),
             Self::UnexpectedStatus(status) => write!(formatter, "status {status}, accepted: 200"),
             Self::HistoryCompacted => formatter.write_str("the history to watch was compacted"),
+            Self::RepeatedPage => {
+                formatter.write_str("the page repeats keys of the page before it")
+            }
             Self::Restored => formatter.write_str("the store was restored between two pages"),
             Self::Unparsable(fault) => write!(formatter, "the answer can't be parsed: {fault}"),
         }
@@ -89,6 +93,18 @@
     unreadable: Vec<StoreError>,
 }
 
+/// The changes that one read of changes returned.
+struct StoreDifference {
+    /// Position of the store up to which the changes are complete.
+    position: StorePosition,
+    /// The configuration, if it has changed or may have.
+    configuration: Option<StoreItem>,
+    /// Items of all evacuated availability zones.
+    evacuations: Vec<StoreItem>,
+    changes: Vec<StoreChange>,
+    unreadable: Vec<StoreError>,
+}
+
 impl StoreReader {
     /// Creates a reader of the store at the address `store`.
     #[must_use]
@@ -117,21 +133,33 @@
         });
     }
 
-    /// Reads all published items, and passes them to the core.
-    pub fn read_directory(&self, engine: &Arc<DaemonEngine>) {
+    /// Reads the published items that have changed since `since`, or all of them, and passes them to
+    /// the core. All of them are read if `since` is no position, or if the store can't tell all
+    /// changes since then.
+    pub fn read_directory(&self, engine: &Arc<DaemonEngine>, since: StorePosition) {
         let (reader, engine) = (self.clone_shared(), Arc::clone(engine));
         tokio::spawn(async move {
-            let event = match reader.read_all().await {
-                Ok(read) => reader.directory_event(read, &engine),
-                Err(fault) => {
-                    reader.log_fault(&engine, StoreCall::Reading, &fault);
-                    DaemonEvent::DirectoryReadFailed
-                }
-            };
+            let event = reader.read_event(since, &engine).await.unwrap_or_else(|fault| {
+                reader.log_fault(&engine, StoreCall::Reading, &fault);
+                DaemonEvent::DirectoryReadFailed
+            });
             engine.handle_event(event);
         });
     }
 
+    async fn read_event(
+        &self,
+        since: StorePosition,
+        engine: &DaemonEngine,
+    ) -> Result<DaemonEvent, ReadFault> {
+        if !since.is_none()
+            && let Some(difference) = self.read_difference(since).await?
+        {
+            return Ok(self.difference_event(difference, engine));
+        }
+        Ok(self.directory_event(self.read_all().await?, engine))
+    }
+
     fn clone_shared(&self) -> Self {
         Self {
             store: self.store,
@@ -145,12 +173,10 @@
     fn directory_event(&self, contents: StoreContents, engine: &DaemonEngine) -> DaemonEvent {
         let StoreContents { position, items, mut unreadable } = contents;
         let mut entries = Vec::with_capacity(items.len());
-        let (mut evacuations, mut cold) = (Vec::new(), Vec::new());
+        let mut cold = Vec::new();
         let mut configuration = None;
         for item in &items {
-            if let Some(zone) = evacuated_zone(&item.key) {
-                evacuations.push((item.revision, zone.to_owned()));
-            } else if is_configuration(&item.key) {
+            if is_configuration(&item.key) {
                 match self.changed_configuration(item, position.era) {
                     Ok(change) => configuration = change,
                     Err(fault) => unreadable.push(fault),
@@ -165,15 +191,58 @@
                 }
             }
         }
-        // An evacuation item evacuates its zone by its key, even if its value can't be read.
-        let unreadable_zones = unreadable.iter().filter_map(|fault| evacuated_zone(&fault.key));
-        evacuations.extend(unreadable_zones.map(|zone| (position.revision, zone.to_owned())));
+        let evacuations = evacuated_zones(&items, &unreadable, position.revision);
         unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
         self.unreadable.log_new_faults(&engine.telemetry, unreadable);
         self.advance_position(position);
         DaemonEvent::DirectoryRead { position, entries, evacuations, cold, configuration }
     }
 
+    fn difference_event(&self, difference: StoreDifference, engine: &DaemonEngine) -> DaemonEvent {
+        let StoreDifference { position, configuration, evacuations, changes, mut unreadable } =
+            difference;
+        let (mut written, mut removed, mut cold) = (Vec::new(), Vec::new(), Vec::new());
+        for change in changes {
+            match change {
+                StoreChange::Written(item) if is_upstream(&item.key) => {
+                    match read_upstream(&item) {
+                        Ok(upstream) => {
+                            cold.extend(upstream.cold_upstream());
+                            written.push((item.revision, upstream.entry));
+                        }
+                        Err(fault) => unreadable.push(fault),
+                    }
+                }
+                StoreChange::Deleted { key, revision } => {
+                    removed.extend(published_id(&key).map(|id| (revision, id.to_owned())));
+                }
+                StoreChange::Written(_) => {}
+            }
+        }
+        // An entry that can't be read names no upstream to use, like a missing one.
+        let unreadable_ids = unreadable.iter().filter_map(|fault| published_id(&fault.key));
+        removed.extend(unreadable_ids.map(|id| (position.revision, id.to_owned())));
+        let configuration = configuration.and_then(|item| {
+            let changed = self.changed_configuration(&item, position.era);
+            changed.unwrap_or_else(|fault| {
+                unreadable.push(fault);
+                None
+            })
+        });
+        let evacuations = evacuated_zones(&evacuations, &unreadable, position.revision);
+        unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
+        self.unreadable.log_new_faults(&engine.telemetry, unreadable);
+        self.advance_position(position);
+        DaemonEvent::DirectoryChangesRead {
+            position,
+            written,
+            removed,
+            evacuations,
+            cold,
+            configuration,
+        }
+    }
+
     /// Returns the configuration in `item`, or `None` if the core already got it from a full read.
     fn changed_configuration(
         &self,
@@ -211,13 +280,72 @@
         Ok(change)
     }
 
+    /// Reads the changes of all items after `since`. Returns `None` if the store can't tell all of
+    /// them, so that a full read is needed.
+    ///
+    /// Guards against changes that the store doesn't report: while it compacts its history, a watch
+    /// may return nothing although items change. The evacuations are therefore read first, which
+    /// also returns the latest revision. As each change has a revision of its own, the number of
+    /// changes shows whether one is missing.
+    async fn read_difference(
+        &self,
+        since: StorePosition,
+    ) -> Result<Option<StoreDifference>, ReadFault> {
+        let (era, body) = self.get(&evacuations_path(), ANSWER_TIMEOUT).await?;
+        let evacuations = read_page(&body).map_err(ReadFault::Unparsable)?;
+        let latest_revision = evacuations.revision;
+        if era != since.era || latest_revision < since.revision || evacuations.next.is_some() {
+            return Ok(None);
+        }
+        let (mut changes, mut unreadable) = (Vec::new(), evacuations.unreadable);
+        let mut revision = since.revision;
+        while revision < latest_revision {
+            let (answer_era, body) = match self.get(&changes_path(revision), ANSWER_TIMEOUT).await {
+                Err(ReadFault::HistoryCompacted) => return Ok(None),
+                answer => answer?,
+            };
+            let read = read_changes(&body).map_err(ReadFault::Unparsable)?;
+            let expected = read.revision.saturating_sub(revision);
+            let change_count = (read.changes.len() + read.unreadable.len()) as u64;
+            if answer_era != era || expected == 0 || change_count < expected {
+                return Ok(None);
+            }
+            revision = read.revision;
+            changes.extend(read.changes);
+            unreadable.extend(read.unreadable);
+        }
+        let configuration = self.configuration_since(since, &changes).await?;
+        let position = StorePosition { era, revision };
+        let evacuations = evacuations.items;
+        Ok(Some(StoreDifference { position, configuration, evacuations, changes, unreadable }))
+    }
+
+    /// Returns the configuration if it is among `changes`. Reads it apart if this reader has not
+    /// followed it up to `since`, because the changes before came from a peer.
+    async fn configuration_since(
+        &self,
+        since: StorePosition,
+        changes: &[StoreChange],
+    ) -> Result<Option<StoreItem>, ReadFault> {
+        let is_followed = *lock(&self.position) >= since;
+        if is_followed {
+            let mut items = changes.iter().rev().filter_map(StoreChange::written);
+            return Ok(items.find(|item| is_configuration(&item.key)).cloned());
+        }
+        let (_, body) = match self.get(&configuration_path(), ANSWER_TIMEOUT).await {
+            Err(ReadFault::UnexpectedStatus(StatusCode::NOT_FOUND)) => return Ok(None),
+            answer => answer?,
+        };
+        Ok(Some(read_item(&body).map_err(ReadFault::Unparsable)?))
+    }
+
     /// Reads all items, page by page. The pages are no snapshot: an item that changes meanwhile is
     /// seen by the next full read, and by a watch from the revision of the first page.
     async fn read_all(&self) -> Result<StoreContents, ReadFault> {
         let (mut items, mut unreadable) = (Vec::new(), Vec::new());
         let mut start_position: Option<StorePosition> = None;
         let mut after: Option<String> = None;
-        for _ in 0..MAX_PAGES {
+        loop {
             let path = range_path(after.as_deref());
             let (era, body) = self.get(&path, ANSWER_TIMEOUT).await?;
             let page = read_page(&body).map_err(ReadFault::Unparsable)?;
@@ -228,6 +356,9 @@
             }
             items.extend(page.items);
             unreadable.extend(page.unreadable);
+            if page.next.is_some() && page.next <= after {
+                return Err(ReadFault::RepeatedPage);
+            }
             after = page.next;
             if after.is_none() {
                 break;
@@ -265,6 +396,20 @@
     }
 }
 
+/// Zones that `items` evacuate, each with the revision of its item. An item evacuates its zone by its
+/// key, also if its value is `unreadable`; `revision` then stands for that of the item.
+fn evacuated_zones(
+    items: &[StoreItem],
+    unreadable: &[StoreError],
+    revision: u64,
+) -> Vec<(u64, String)> {
+    let readable =
+        items.iter().filter_map(|item| Some((item.revision, evacuated_zone(&item.key)?)));
+    let unreadable =
+        unreadable.iter().filter_map(|fault| Some((revision, evacuated_zone(&fault.key)?)));
+    readable.chain(unreadable).map(|(revision, zone)| (revision, zone.to_owned())).collect()
+}
+
 fn written_items(changes: Vec<StoreChange>) -> Vec<StoreItem> {
     let item = |change| match change {
         StoreChange::Written(item) => Some(item),
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -98,7 +98,7 @@
                 let to = daemon_index(&vm);
                 self.push(HOP, ModelEvent::Ask { life, to, message });
             }
-            Command::ReadDirectory => {
+            Command::ReadDirectory { .. } => {
                 let entries = self.published.clone();
                 let configuration = Some((1, self.load.text.clone()));
                 let event = DaemonEvent::DirectoryRead {
