Build heartbeats and replies to fetches without walks over the fleet

Each heartbeat also counted the alive members, and each event of a ready daemon checked whether it had met enough peers.

Change: the view keeps the names of members whose record is unsent or failed; the directory keeps its upstreams in the order of their changes; the alive members are counted once a version. The random order of two records drawn from all members differs, nothing else in the messages.

Ruled out: a log of the last changes with a fixed length, which falls back to the walk after a burst.

The tests of gossip, of changes between peers (a random series adds up to the whole list) and of the start of large fleets pass.

--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -48,6 +48,9 @@
 /// it. Contacting every peer of a large fleet would take longer than [`MAX_STARTUP_WAIT`], and
 /// callers are refused meanwhile.
 const SUFFICIENT_STARTUP_PEERS: usize = 8;
+/// Longest time between two updates of the known daemons. It is short compared with the time for
+/// which a daemon that has disappeared stays known.
+const KNOWN_DAEMONS_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest time after the start for which peers that have not answered can keep a daemon from being
 /// ready.
 const MAX_STARTUP_WAIT: Duration = Duration::from_secs(2);
@@ -92,6 +95,8 @@
     next_seed: usize,
     failed_seed_attempts: usize,
     known_daemons: KnownDaemons,
+    /// Version of the member view and time of the last update of `known_daemons`.
+    known_daemons_at: Option<(u64, MonotonicTime)>,
     dispatcher_candidates: DispatcherCandidates,
     /// Whether this daemon's last computed share of upstream request rates was withheld. `None`
     /// before the first one.
@@ -128,6 +133,7 @@
             next_seed: 0,
             failed_seed_attempts: 0,
             known_daemons: KnownDaemons::default(),
+            known_daemons_at: None,
             dispatcher_candidates: DispatcherCandidates::default(),
             was_share_withheld: None,
             random: SmallRng::seed_from_u64(seed),
@@ -223,6 +229,9 @@
     /// service while its peers have a newer one in force. It would serve callers under the outdated
     /// revision until its fetch from a peer ends.
     pub fn update_readiness(&mut self, now: MonotonicTime) -> bool {
+        if self.is_ready {
+            return false;
+        }
         let has_asked_peers = self.view.has_contacted_peers(SUFFICIENT_STARTUP_PEERS)
             || now.since(self.started_at) >= MAX_STARTUP_WAIT;
         let (revision, digest) = self.newest_peer_position;
@@ -233,7 +242,7 @@
             && self.history.current().revision > 0
             && has_asked_peers
             && !self.ledger.should_fetch(revision, digest);
-        if self.is_ready || !is_ready {
+        if !is_ready {
             return false;
         }
         self.is_ready = true;
@@ -277,8 +286,15 @@
     /// Returns this daemon's share of the request rates that upstreams accept from all daemons
     /// together, or `None` if the share has not changed since the last call.
     pub(super) fn update_rate_share(&mut self, now: MonotonicTime) -> Option<RateShare> {
-        let names = self.view.records().map(|record| record.instance.vm.as_str());
-        let has_changed = self.known_daemons.update(names, now);
+        let version = self.view.version();
+        let is_current = self.known_daemons_at.is_some_and(|(known_version, updated_at)| {
+            known_version == version && now.since(updated_at) < KNOWN_DAEMONS_INTERVAL
+        });
+        let has_changed = !is_current && {
+            self.known_daemons_at = Some((version, now));
+            let names = self.view.records().map(|record| record.instance.vm.as_str());
+            self.known_daemons.update(names, now)
+        };
         let is_share_withheld = self.is_discovering_members(now);
         let is_new_share = has_changed || self.was_share_withheld != Some(is_share_withheld);
         self.was_share_withheld = Some(is_share_withheld);
--- a/crates/crocusdale_core/src/membership/member_gossip.rs
+++ b/crates/crocusdale_core/src/membership/member_gossip.rs
@@ -4,7 +4,6 @@
 
 use rand::seq::IndexedRandom as _;
 
-use super::member_view::PeerState;
 use super::{DirectoryVersion, ExchangeMessage, LeavingUpstream, MemberRecord, MemberView};
 use crate::identity::{InstanceId, stable_hash};
 
@@ -37,10 +36,9 @@
         records.extend(self.disputed_record(partner).cloned());
         records.extend(self.take_gossip_records(partner, MAX_RECORDS - records.len()));
         records.extend(self.recent_failures(partner, &records));
-        let vms: Vec<&String> = self.peers.keys().collect();
-        for vm in vms.choose_multiple(&mut self.random, RANDOM_RECORD_COUNT) {
-            let record = self.peers[*vm].record.as_ref();
-            if records.len() < MAX_RECORDS && vm.as_str() != partner {
+        for vm in self.random_peers(RANDOM_RECORD_COUNT) {
+            let record = self.peers.get(&vm).and_then(|peer| peer.record.as_ref());
+            if records.len() < MAX_RECORDS && vm != partner {
                 records.extend(record.filter(|record| !records.contains(record)).cloned());
             }
         }
@@ -96,8 +94,8 @@
             return Vec::new();
         }
         let now = self.last_tick.unwrap_or_default();
-        let recent =
-            self.peers.values().filter(|peer| now.since(peer.changed_at) < FAILURE_GOSSIP_TIME);
+        let failed = self.failed.iter().filter_map(|vm| self.peers.get(vm));
+        let recent = failed.filter(|peer| now.since(peer.changed_at) < FAILURE_GOSSIP_TIME);
         let records = recent.filter_map(|peer| peer.record.as_ref());
         let failures = records.filter(|record| record.is_failure_report());
         let failures: Vec<&MemberRecord> = failures
@@ -136,15 +134,25 @@
     /// loss of an availability zone, records of its other VMs would wait until the record of the
     /// first VM has been sent often enough.
     fn take_gossip_records(&mut self, partner: &str, limit: usize) -> Vec<MemberRecord> {
-        let peers = self.peers.iter_mut();
-        let mut pending: Vec<&mut PeerState> = peers
-            .filter(|(vm, peer)| vm.as_str() != partner && peer.remaining_sends.0 > 0)
-            .map(|(_, peer)| peer)
-            .collect();
-        pending.sort_by_key(|peer| std::cmp::Reverse(peer.remaining_sends.0));
-        let sent = pending.into_iter().take(limit);
-        sent.filter_map(|peer| peer.remaining_sends.use_send().then(|| peer.record.clone())?)
-            .collect()
+        let remaining = |vm: &String| self.peers.get(vm).map_or(0, |peer| peer.remaining_sends.0);
+        let pending = self.unsent.iter().filter(|vm| vm.as_str() != partner);
+        let mut pending: Vec<String> = pending.cloned().collect();
+        pending.sort_by_key(|vm| std::cmp::Reverse(remaining(vm)));
+        pending.truncate(limit);
+        let mut records = Vec::new();
+        for vm in pending {
+            let Some(peer) = self.peers.get_mut(&vm) else {
+                self.unsent.remove(&vm);
+                continue;
+            };
+            if peer.remaining_sends.use_send() {
+                records.extend(peer.record.clone());
+            }
+            if peer.remaining_sends.0 == 0 {
+                self.unsent.remove(&vm);
+            }
+        }
+        records
     }
 
     fn take_leaving_members(&mut self) -> Vec<InstanceId> {
@@ -158,8 +166,10 @@
     fn take_leaving_upstreams(&mut self) -> Vec<LeavingUpstream> {
         let upstreams = self.leaving_upstreams.iter_mut();
         let entries = upstreams.filter_map(|(upstream, notice)| {
-            let (upstream, process) = (upstream.clone(), notice.process.clone());
-            notice.remaining_sends.use_send().then_some(LeavingUpstream { upstream, process })
+            notice.remaining_sends.use_send().then(|| LeavingUpstream {
+                upstream: upstream.clone(),
+                process: notice.process.clone(),
+            })
         });
         entries.take(MAX_LEAVING_ENTRIES).collect()
     }
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
@@ -45,6 +45,14 @@
     places_version: u64,
     /// Number of changes of the members, their locations and their statuses so far.
     version: u64,
+    /// Names of the peers whose record still has to be sent.
+    pub(super) unsent: BTreeSet<String>,
+    /// Names of the peers that are suspected or unreachable.
+    pub(super) failed: BTreeSet<String>,
+    /// Names of all peers, for a random choice. Empty after the set of peers has changed.
+    names: Vec<String>,
+    /// Number of alive peers, with the version of the view that it was counted in.
+    alive: Option<(u64, usize)>,
     pub(super) leaving: BTreeMap<InstanceId, RemainingSends>,
     pub(super) leaving_upstreams: HashMap<String, LeavingNotice>,
     pub(super) period_count: u64,
@@ -142,6 +150,10 @@
             peers: BTreeMap::new(),
             places_version: 0,
             version: 0,
+            unsent: BTreeSet::new(),
+            failed: BTreeSet::new(),
+            names: Vec::new(),
+            alive: None,
             leaving: BTreeMap::new(),
             leaving_upstreams: HashMap::new(),
             period_count: 0,
@@ -177,6 +189,7 @@
         }
         self.leaving.retain(|instance, _| listed.contains(instance.vm.as_str()));
         self.partner_order.clear();
+        self.names.clear();
         self.version += 1;
     }
 
@@ -214,7 +227,8 @@
         let was_paused = self.last_tick.is_some_and(|last| now.since(last) > self.period * 3);
         self.last_tick = Some(now);
         self.period_count += 1;
-        for peer in self.peers.values_mut() {
+        for vm in &self.failed {
+            let Some(peer) = self.peers.get_mut(vm) else { continue };
             if peer.expire_suspicion(now, self.suspicion, was_paused) {
                 self.version += 1;
             }
@@ -273,6 +287,8 @@
             Some(record) if !record.is_failure_report() => {
                 record.status = MemberStatus::Suspect;
                 self.version += 1;
+                self.unsent.insert(vm.to_owned());
+                self.failed.insert(vm.to_owned());
                 peer.changed_at = now;
                 peer.remaining_sends = sends;
                 self.last_failure = Some(now);
@@ -378,19 +394,35 @@
             status == Some(MemberStatus::Unreachable)
                 && now.since(peer.changed_at) > UNREACHABLE_RETENTION
         };
-        let count = self.peers.len();
-        self.peers.retain(|_, peer| !is_lost(peer));
-        if self.peers.len() != count {
-            self.places_version += 1;
-            self.version += 1;
+        let is_kept = |vm: &String| self.peers.get(vm).is_some_and(|peer| !is_lost(peer));
+        let lost: Vec<String> = self.failed.iter().filter(|vm| !is_kept(vm)).cloned().collect();
+        for vm in &lost {
+            self.failed.remove(vm);
+            if self.peers.remove(vm).is_some() {
+                self.names.clear();
+                self.places_version += 1;
+                self.version += 1;
+            }
         }
     }
 
     /// Number of peers with the status [`MemberStatus::Alive`].
-    #[must_use]
-    pub fn alive_count(&self) -> usize {
+    pub fn alive_count(&mut self) -> usize {
+        if let Some((_, count)) = self.alive.filter(|(version, _)| *version == self.version) {
+            return count;
+        }
         let alive = |record: &&MemberRecord| record.status == MemberStatus::Alive;
-        self.records().filter(alive).count()
+        let count = self.records().filter(alive).count();
+        self.alive = Some((self.version, count));
+        count
+    }
+
+    /// Chooses up to `count` random peers, whether they are reachable or not.
+    pub(super) fn random_peers(&mut self, count: usize) -> Vec<String> {
+        if self.names.is_empty() {
+            self.names = self.peers.keys().cloned().collect();
+        }
+        self.names.choose_multiple(&mut self.random, count).cloned().collect()
     }
 
     /// Whether a message from any peer has arrived at or after `since`.
@@ -420,6 +452,7 @@
         if is_new && !is_unreachable && !self.peers.contains_key(&record.instance.vm) {
             self.peers.insert(record.instance.vm.clone(), PeerState::without_record(now));
             self.partner_order.clear();
+            self.names.clear();
         }
         let Some(peer) = self.peers.get_mut(&record.instance.vm) else { return };
         if peer.record.as_ref().is_none_or(|known| record.is_newer_than(known)) {
@@ -431,6 +464,12 @@
             peer.record = Some(record.clone());
             peer.changed_at = now;
             peer.remaining_sends = sends;
+            self.unsent.insert(record.instance.vm.clone());
+            if record.is_failure_report() {
+                self.failed.insert(record.instance.vm.clone());
+            } else {
+                self.failed.remove(&record.instance.vm);
+            }
         }
     }
 
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -1,5 +1,6 @@
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,8 @@
 /// Separator between the process ID and the start time in the name of an upstream. IDs contain no
 /// spaces.
 const START_SEPARATOR: &str = " born ";
+/// String that sorts after all process IDs, which are ASCII.
+const LAST_ID: &str = "\u{10ffff}";
 /// Time for which a leaving notice is remembered. The process has ended long before.
 const LEAVING_NOTICE_TTL: Duration = Duration::from_secs(600);
 
@@ -82,6 +85,8 @@
     /// Store position of the last change that affects routing.
     change_position: StorePosition,
     entries: BTreeMap<String, ListedUpstream>,
+    /// Change position and process ID of each listed upstream, in the order of changes.
+    changes: BTreeSet<(StorePosition, String)>,
     /// Removed upstreams by process ID, with the store position of the removal and the last known
     /// start time.
     removed: BTreeMap<String, (StorePosition, Option<u64>)>,
@@ -421,10 +426,11 @@
         if since < self.complete_since || since.era != self.position.era {
             return self.snapshot(now);
         }
-        let entries = self.entries.iter();
-        let recent = entries.filter(|(id, listed)| {
-            listed.change_position > since || self.missing.contains_key(*id)
-        });
+        let after_since = (Bound::Excluded((since, String::from(LAST_ID))), Bound::Unbounded);
+        let changed = self.changes.range(after_since).map(|(_, id)| id);
+        let changed = changed.filter(|id| !self.missing.contains_key(*id));
+        let recent = changed.chain(self.missing.keys());
+        let recent = recent.filter_map(|id| self.entries.get_key_value(id));
         let removed = self.removed.iter().filter(|(_, (position, _))| *position > since);
         let removed =
             removed.map(|(id, (position, _))| PeerRemoval { position: *position, id: id.clone() });
@@ -504,6 +510,10 @@
             }
         }
         let entry = DirectoryEntry { leaving: entry.leaving || is_leaving, ..entry };
+        if changed {
+            self.changes.remove(&(last_change, entry.id.clone()));
+            self.changes.insert((write_position, entry.id.clone()));
+        }
         let last_change = if changed { write_position } else { last_change };
         let listed = ListedUpstream { write_position, change_position: last_change, entry };
         self.entries.insert(listed.entry.id.clone(), listed);
@@ -557,6 +567,7 @@
             self.entries.get(id).is_some_and(|listed| listed.write_position <= position);
         if is_removed {
             if let Some(listed) = self.entries.remove(id) {
+                self.changes.remove(&(listed.change_position, id.to_owned()));
                 self.unrouted.record(listed.entry.name());
             }
             self.missing.remove(id);
