--- a/crates/crocusdale_core/src/routing/engine_choice.rs
+++ b/crates/crocusdale_core/src/routing/engine_choice.rs
@@ -164,10 +164,8 @@
                 in_flight: u64::from(state.in_flight()),
             })
         };
-        let pool_positions: Vec<usize> =
-            routed.same_zone.iter().chain(&routed.other_zones).copied().collect();
         let usable_candidates = |require_healthy| {
-            let positions = pool_positions.iter().copied();
+            let positions = routed.same_zone.iter().chain(&routed.other_zones).copied();
             let is_usable = move |position: &usize| {
                 self.cost_if_usable(routed, *position, request, require_healthy, now).is_some()
             };
