Let daemons with a part below one retry share the reserve

Cause: the reserve of retries is divided among all daemons, and half of a part may be saved up. At 585 daemons that is 0.44 of a retry, and a retry needed a whole one: no request was ever sent again.

Change: a budget that can't hold a whole retry stakes its fraction on one, with the fraction as probability, and loses it either way.

Ruled out: a debt after a retry that was only partly available.

Why it holds: the expected number of retries is the number of parts. Test: 300, 585, 1,170 and 3,000 daemons that always want a retry stay within the reserve in each window, and use a third of it at least.

--- a/crates/crocusdale_core/src/routing/router_update.rs
+++ b/crates/crocusdale_core/src/routing/router_update.rs
@@ -13,7 +13,7 @@
 use crate::configuration::{
     Declarations, LabelSet, PoolKind, StageRules, UpstreamKind, UpstreamRules,
 };
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, stable_hash};
 use crate::sync::lock;
 
 impl UpstreamRouter {
@@ -147,7 +147,9 @@
         let (same_zone, other_zones) = pool.iter().copied().partition(is_in_same_zone);
         let new_queue = || {
             let mut queue = AttemptQueue::default();
-            queue.retry_budget = self.retries.budget(self.daemons.load(Ordering::Relaxed));
+            let seed = stable_hash(&[stage]) ^ self.replica_offset as u64;
+            queue.retry_budget =
+                self.retries.budget(self.daemons.load(Ordering::Relaxed)).seed(seed);
             Arc::new(Mutex::new(queue))
         };
         let current_queue = self.pools.get(stage).map(|routed| Arc::clone(&routed.queue));
--- a/crates/crocusdale_core/tests/retry_budget_test.rs
+++ b/crates/crocusdale_core/tests/retry_budget_test.rs
@@ -100,3 +100,28 @@
         .sum();
     assert!(spent <= 26, "{spent} retries at one moment, at most 26 expected");
 }
+
+/// Guards against a fleet so large that a daemon's part of the reserve is less than one retry: no
+/// request would ever be sent again. All daemons together must use a good part of the reserve, and
+/// stay within the bound.
+#[test]
+fn daemons_with_a_part_below_one_retry_share_the_reserve() {
+    const RESERVE: f64 = 640.0;
+    let limits =
+        RetryLimits { ratio: 0.0, reserve: RESERVE, window: Duration::from_millis(WINDOW_MS) };
+    for daemons in [300, 585, 1_170, 3_000] {
+        let seeded = |seed: usize| limits.budget(daemons).seed(seed as u64);
+        let mut budgets: Vec<_> = (0..daemons).map(seeded).collect();
+        let mut by_second = Vec::new();
+        for second in 60..100 {
+            let now = MonotonicTime::from_millis(second * 1_000);
+            let taken =
+                budgets.iter_mut().filter_map(|budget| budget.take_retry(now).then_some(()));
+            by_second.push(taken.count());
+        }
+        let windows: Vec<usize> = by_second.windows(10).map(|window| window.iter().sum()).collect();
+        let most = windows.iter().max().copied().unwrap_or_default() as f64;
+        assert!(most <= RESERVE, "{daemons} daemons: {most} retries in one window");
+        assert!(most >= RESERVE / 3.0, "{daemons} daemons: {most} retries in one window");
+    }
+}
