Read the store at the bounds that users state

Cause: where the settings name no bound for evacuations, 2 s counted, the shortest bound of all. Deployments with bounds of 3 to 5 s for notices and configurations read the store every 0.5 s in place of 0.75 to 1.25 s, and had 2.5 times as many readers, as the number of queries that a reader answers follows from the interval.

Change: without a bound of its own an evacuation takes effect within the longer of the two others.

Ruled out: a default of 5 s, which would be a bound that nobody stated.

Test: the bound of settings without `evacuation_ms`.

--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -243,6 +243,10 @@
     }
     let number = |key: &str| published.get::<f64>(key).expect("numbers with a default are present");
     let millis = |key: &str| Duration::from_secs_f64(number(key) / 1_000.0);
+    let (notice, configuration) = (millis("notice_ms"), millis("configuration_ms"));
+    let evacuation = published.get::<f64>("evacuation_ms");
+    let evacuation =
+        evacuation.map(|evacuation_ms| Duration::from_secs_f64(evacuation_ms / 1_000.0));
     PlatformSettings::Published(PublishedSettings {
         store: address("published", "store"),
         seeds: published.text("seeds").and_then(parse_addresses).unwrap_or_default(),
@@ -259,9 +263,10 @@
             slack: number("cold_slack"),
         },
         bounds: StalenessBounds {
-            notice: millis("notice_ms"),
-            configuration: millis("configuration_ms"),
-            evacuation: millis("evacuation_ms"),
+            notice,
+            configuration,
+            // Without a bound of its own, an evacuation must not make the reads more frequent.
+            evacuation: evacuation.unwrap_or(notice.max(configuration)),
             recovery_time: millis("contact_ms"),
         },
     })
--- a/crates/crocusdale_core/tests/declarations_test.rs
+++ b/crates/crocusdale_core/tests/declarations_test.rs
@@ -1,7 +1,10 @@
 //! Declarations and settings are accepted whole or not at all, and every error names its place.
 
+use std::time::Duration;
+
 use crocusdale_core::configuration::{
-    ConfigurationErrorKind as Kind, DECLARATIONS_LIMIT, Declarations, LabelSet, ProcessSettings,
+    ConfigurationErrorKind as Kind, DECLARATIONS_LIMIT, Declarations, LabelSet, PlatformSettings,
+    ProcessSettings,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -145,6 +148,25 @@
     assert_eq!(sections, ["listen", "platform"]);
 }
 
+/// Guards against a fleet that reads the store several times as often as its users need, because a
+/// bound that they don't state counts as the shortest one.
+#[test]
+fn unstated_evacuation_bound_does_not_shorten_the_others() {
+    let text = "[daemon]\nname = a\nzone = z\n[listen]\ncaller = 127.0.0.1:1\n\
+                peer = 127.0.0.1:2\noperator = 127.0.0.1:3\nreadiness = 127.0.0.1:4\n\
+                addresses = 127.0.0.1:5\n[published]\nstore = 127.0.0.1:6\n\
+                seeds = 127.0.0.1:2\nnotice_ms = 5000\nconfiguration_ms = 4000\n";
+    let evacuation_bound = |text: &str| {
+        let settings = ProcessSettings::check("entry.ini", text).expect("the settings are valid");
+        match settings.platform {
+            PlatformSettings::Published(published) => published.bounds.evacuation,
+            PlatformSettings::Services { .. } => panic!("the settings name a store"),
+        }
+    };
+    assert_eq!(evacuation_bound(text), Duration::from_secs(5));
+    assert_eq!(evacuation_bound(&format!("{text}evacuation_ms = 3000\n")), Duration::from_secs(3));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(SEED),
--- a/crates/crocusdale_core/tests/member_places_test.rs
+++ b/crates/crocusdale_core/tests/member_places_test.rs
@@ -183,8 +183,8 @@
         let vm_list = VmList { revision: 1, vms: view.places() };
         let chosen = DispatcherChoice::new(&vm_list, &view).dispatcher("scan", &[]).to_owned();
         assert_eq!(candidates.dispatcher(&vm_list, &view, "scan", &[]), chosen);
-        let next = DispatcherChoice::new(&vm_list, &view).dispatcher("scan", &[chosen.clone()]);
         let tried = [chosen.clone()];
+        let next = DispatcherChoice::new(&vm_list, &view).dispatcher("scan", &tried);
         assert_eq!(candidates.dispatcher(&vm_list, &view, "scan", &tried), next);
         view.handle_failed_exchange(&chosen, now);
     }
