Keep the unsent records in the order in which they are sent

After the start of the fleet nearly all 584 records are unsent, 30 times each.

Change: the index is ordered by the remaining sends; a message takes the first entries.

The records and their order are as before the index.

--- a/crates/crocusdale_core/src/membership/member_gossip.rs
+++ b/crates/crocusdale_core/src/membership/member_gossip.rs
@@ -1,5 +1,6 @@
 //! Builds the heartbeat messages that carry gossip about the fleet.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use rand::seq::IndexedRandom as _;
@@ -134,22 +135,18 @@
     /// loss of an availability zone, records of its other VMs would wait until the record of the
     /// first VM has been sent often enough.
     fn take_gossip_records(&mut self, partner: &str, limit: usize) -> Vec<MemberRecord> {
-        let remaining = |vm: &String| self.peers.get(vm).map_or(0, |peer| peer.remaining_sends.0);
-        let pending = self.unsent.iter().filter(|vm| vm.as_str() != partner);
-        let mut pending: Vec<String> = pending.cloned().collect();
-        pending.sort_by_key(|vm| std::cmp::Reverse(remaining(vm)));
-        pending.truncate(limit);
+        let pending = self.unsent.iter().filter(|(_, vm)| vm != partner);
+        let pending: Vec<(Reverse<u32>, String)> = pending.take(limit).cloned().collect();
         let mut records = Vec::new();
-        for vm in pending {
-            let Some(peer) = self.peers.get_mut(&vm) else {
-                self.unsent.remove(&vm);
-                continue;
-            };
+        for entry in pending {
+            self.unsent.remove(&entry);
+            let (_, vm) = entry;
+            let Some(peer) = self.peers.get_mut(&vm) else { continue };
             if peer.remaining_sends.use_send() {
                 records.extend(peer.record.clone());
             }
-            if peer.remaining_sends.0 == 0 {
-                self.unsent.remove(&vm);
+            if peer.remaining_sends.0 > 0 {
+                self.unsent.insert((Reverse(peer.remaining_sends.0), vm));
             }
         }
         records
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
@@ -45,8 +46,8 @@
     places_version: u64,
     /// Number of changes of the members, their locations and their statuses so far.
     version: u64,
-    /// Names of the peers whose record still has to be sent.
-    pub(super) unsent: BTreeSet<String>,
+    /// Peers whose record still has to be sent, those with the most remaining sends first.
+    pub(super) unsent: BTreeSet<(Reverse<u32>, String)>,
     /// Names of the peers that are suspected or unreachable.
     pub(super) failed: BTreeSet<String>,
     /// Names of all peers, for a random choice. Empty after the set of peers has changed.
@@ -287,9 +288,10 @@
             Some(record) if !record.is_failure_report() => {
                 record.status = MemberStatus::Suspect;
                 self.version += 1;
-                self.unsent.insert(vm.to_owned());
                 self.failed.insert(vm.to_owned());
                 peer.changed_at = now;
+                self.unsent.remove(&(Reverse(peer.remaining_sends.0), vm.to_owned()));
+                self.unsent.insert((Reverse(sends.0), vm.to_owned()));
                 peer.remaining_sends = sends;
                 self.last_failure = Some(now);
             }
@@ -463,8 +465,10 @@
             self.version += 1;
             peer.record = Some(record.clone());
             peer.changed_at = now;
+            let vm = &record.instance.vm;
+            self.unsent.remove(&(Reverse(peer.remaining_sends.0), vm.clone()));
+            self.unsent.insert((Reverse(sends.0), vm.clone()));
             peer.remaining_sends = sends;
-            self.unsent.insert(record.instance.vm.clone());
             if record.is_failure_report() {
                 self.failed.insert(record.instance.vm.clone());
             } else {
