--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -7,7 +7,9 @@
 use super::staleness_bounds::RefreshIntervals;
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::batching::DispatcherCandidates;
-use crate::configuration::{ConfigurationLedger, DeclarationReader, LedgerVerdict};
+use crate::configuration::{
+    ActiveConfiguration, ConfigurationLedger, DeclarationReader, LedgerVerdict,
+};
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{
     DirectoryVersion, ExchangeMessage, KnownDaemons, MemberStatus, MemberView, VmList,
@@ -437,7 +439,11 @@
     /// Asks the engines that this daemon manages which model placement they hold, and schedules the
     /// next check.
     pub fn query_engines(&mut self, now: MonotonicTime, out: &mut Vec<Command>) {
-        if let Some(in_force) = self.ledger.in_force().filter(|_| self.is_ready) {
+        // Published engines have no declared placement.
+        let has_engines =
+            |in_force: &&ActiveConfiguration| !in_force.declarations.upstreams().is_empty();
+        let in_force = self.ledger.in_force().filter(has_engines);
+        if let Some(in_force) = in_force.filter(|_| self.is_ready) {
             let reconciler = OrderReconciler::new(&in_force.declarations, in_force.revision);
             for engine in reconciler.managed_engines(self.history.current(), &self.view) {
                 let (upstream, address) = (engine.name.clone(), engine.address);
