Keep the order of changes of which some can't be read

And a reader took its configuration for known up to where a watch had got, although a watch may report nothing while the store compacts its history; changes that a peer told could then hide a configuration from it.

Change: a change that can't be decoded is a deletion at its own revision; an entry that can't be read is removed at its own. The configuration counts as known up to where this reader has read the store itself.

Test: a change that can't be decoded, followed by a good one.

--- a/crates/crocusdaled/src/platform/store_reader.rs
+++ b/crates/crocusdaled/src/platform/store_reader.rs
@@ -39,6 +39,8 @@
     connections: Arc<ConnectionPool>,
     /// Position of the store from which the next watch starts.
     position: Arc<Mutex<StorePosition>>,
+    /// Position up to which reads have passed every configuration to the core.
+    read_position: Arc<Mutex<StorePosition>>,
     /// Position of the configuration item that a full read passed to the core last. It includes the
     /// era, as a restored store may hold another text under the same revision.
     last_configuration: Arc<Mutex<StorePosition>>,
@@ -113,6 +115,7 @@
             store,
             connections: Arc::default(),
             position: Arc::default(),
+            read_position: Arc::default(),
             last_configuration: Arc::default(),
             unreadable: Arc::default(),
         }
@@ -165,6 +168,7 @@
             store: self.store,
             connections: Arc::clone(&self.connections),
             position: Arc::clone(&self.position),
+            read_position: Arc::clone(&self.read_position),
             last_configuration: Arc::clone(&self.last_configuration),
             unreadable: Arc::clone(&self.unreadable),
         }
@@ -194,7 +198,7 @@
         let evacuations = evacuated_zones(&items, &unreadable, position.revision);
         unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
         self.unreadable.log_new_faults(&engine.telemetry, unreadable);
-        self.advance_position(position);
+        self.record_read(position);
         DaemonEvent::DirectoryRead { position, entries, evacuations, cold, configuration }
     }
 
@@ -210,7 +214,12 @@
                             cold.extend(upstream.cold_upstream());
                             written.push((item.revision, upstream.entry));
                         }
-                        Err(fault) => unreadable.push(fault),
+                        // An entry that can't be read names no upstream to use, like a missing one.
+                        Err(fault) => {
+                            unreadable.push(fault);
+                            let id = published_id(&item.key).unwrap_or_default();
+                            removed.push((item.revision, id.to_owned()));
+                        }
                     }
                 }
                 StoreChange::Deleted { key, revision } => {
@@ -219,9 +228,6 @@
                 StoreChange::Written(_) => {}
             }
         }
-        // An entry that can't be read names no upstream to use, like a missing one.
-        let unreadable_ids = unreadable.iter().filter_map(|fault| published_id(&fault.key));
-        removed.extend(unreadable_ids.map(|id| (position.revision, id.to_owned())));
         let configuration = configuration.and_then(|item| {
             let changed = self.changed_configuration(&item, position.era);
             changed.unwrap_or_else(|fault| {
@@ -232,7 +238,7 @@
         let evacuations = evacuated_zones(&evacuations, &unreadable, position.revision);
         unreadable.retain(|fault| is_configuration(&fault.key) || is_upstream(&fault.key));
         self.unreadable.log_new_faults(&engine.telemetry, unreadable);
-        self.advance_position(position);
+        self.record_read(position);
         DaemonEvent::DirectoryChangesRead {
             position,
             written,
@@ -258,6 +264,14 @@
         Ok(Some(change))
     }
 
+    /// Records that all items, or all their changes, were read up to `position`.
+    fn record_read(&self, position: StorePosition) {
+        let mut read_position = lock(&self.read_position);
+        *read_position = position.max(*read_position);
+        drop(read_position);
+        self.advance_position(position);
+    }
+
     /// Lets the next watch start from `position`, unless a later position is already known.
     fn advance_position(&self, position: StorePosition) {
         let mut known = lock(&self.position);
@@ -269,7 +283,7 @@
         let path = watch_path(start_revision, WATCH_HOLD_TIME);
         let (era, body) = self.get(&path, WATCH_HOLD_TIME + ANSWER_TIMEOUT).await?;
         let read = read_changes(&body).map_err(ReadFault::Unparsable)?;
-        let StoreChanges { changes, unreadable, revision } = read;
+        let StoreChanges { changes, unreadable, revision, .. } = read;
         if let Some(fault) = unreadable.into_iter().find(|fault| is_configuration(&fault.key)) {
             return Err(ReadFault::Unparsable(fault));
         }
@@ -306,13 +320,16 @@
             };
             let read = read_changes(&body).map_err(ReadFault::Unparsable)?;
             let expected = read.revision.saturating_sub(revision);
-            let change_count = (read.changes.len() + read.unreadable.len()) as u64;
+            let change_count = (read.changes.len() + read.undecoded.len()) as u64;
             if answer_era != era || expected == 0 || change_count < expected {
                 return Ok(None);
             }
             revision = read.revision;
             changes.extend(read.changes);
             unreadable.extend(read.unreadable);
+            // An item that can't be decoded is of no more use than a deleted one.
+            let undecoded = read.undecoded.into_iter();
+            changes.extend(undecoded.map(|(revision, key)| StoreChange::Deleted { key, revision }));
         }
         let configuration = self.configuration_since(since, &changes).await?;
         let position = StorePosition { era, revision };
@@ -320,15 +337,14 @@
         Ok(Some(StoreDifference { position, configuration, evacuations, changes, unreadable }))
     }
 
-    /// Returns the configuration if it is among `changes`. Reads it apart if this reader has not
-    /// followed it up to `since`, because the changes before came from a peer.
+    /// Returns the configuration if it is among `changes`. Reads it apart if this reader has not read
+    /// the store up to `since`, because a peer told the changes before.
     async fn configuration_since(
         &self,
         since: StorePosition,
         changes: &[StoreChange],
     ) -> Result<Option<StoreItem>, ReadFault> {
-        let is_followed = *lock(&self.position) >= since;
-        if is_followed {
+        if *lock(&self.read_position) >= since {
             let mut items = changes.iter().rev().filter_map(StoreChange::written);
             return Ok(items.find(|item| is_configuration(&item.key)).cloned());
         }
