Define the calls and settings of coordinated scheduling

Cause: in a fleet of dozens of daemons each sees a few requests a second, so that no daemon can learn the speed of an engine, the load of a whole chain of pools, or which workspace floods.

Change: the specification, the calls between daemons, the section [scheduling] of the settings (all off by default) and the choice of coordinators. The calls answer UNIMPLEMENTED so far.

--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -12,6 +12,7 @@
 mod label_set;
 mod process_settings;
 mod route_table;
+mod scheduling_settings;
 mod section_reader;
 mod stage_plan;
 
@@ -36,6 +37,7 @@
     PublishedSettings,
 };
 pub use route_table::RouteTable;
+pub use scheduling_settings::SchedulingSettings;
 pub use stage_plan::{PlanStep, StagePlan, StepWork};
 
 /// Maximum size of the text of settings or declarations, in bytes.
--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -4,7 +4,7 @@
 use crocusdale_schema::sections::SETTINGS;
 
 use super::section_reader::{CheckedSection, ErrorCollector, parse_addresses, read_sections};
-use super::{ConfigurationError, ConfigurationErrorKind, RegionMap};
+use super::{ConfigurationError, ConfigurationErrorKind, RegionMap, SchedulingSettings};
 use crate::daemon::StalenessBounds;
 use crate::retry::RetryLimits;
 use crate::routing::ColdLimits;
@@ -36,6 +36,8 @@
     pub limits: LimitSettings,
     /// Failure detection between daemons.
     pub membership: MembershipSettings,
+    /// Decisions that coordinators make for the whole fleet.
+    pub scheduling: SchedulingSettings,
     /// Format of the log output.
     pub log: LogFormat,
 }
@@ -138,6 +140,7 @@
             sections.push(CheckedSection::empty(spec));
         }
         check_platform(&sections, &mut errors);
+        check_scheduling(&sections, &mut errors);
         errors.finish(())?;
         Ok(Self::read(&sections))
     }
@@ -184,6 +187,7 @@
                 period: duration("membership", "period_ms"),
                 suspicion: duration("membership", "suspicion_ms"),
             },
+            scheduling: read_scheduling(section("scheduling")),
             log: section("log").get("format").unwrap_or(LogFormat::Terminal),
         }
     }
@@ -226,6 +230,34 @@
     }
 }
 
+fn read_scheduling(section: &CheckedSection) -> SchedulingSettings {
+    let is_on = |key: &str| section.text(key) == Some("on");
+    SchedulingSettings {
+        min_daemons: section.get("coordination_min_daemons").unwrap_or_default(),
+        engine_placement: is_on("engine_placement"),
+        chain_admission: is_on("chain_admission"),
+        workspace_shares: is_on("workspace_shares"),
+        return_slots: is_on("return_slots"),
+        align_parallel_steps: is_on("align_parallel_steps"),
+    }
+}
+
+/// Reports settings that have no effect without `chain_admission`.
+fn check_scheduling(sections: &[CheckedSection], errors: &mut ErrorCollector<'_>) {
+    let Some(section) = sections.iter().find(|section| section.spec.name == "scheduling") else {
+        return;
+    };
+    if section.text("chain_admission") == Some("on") {
+        return;
+    }
+    for key in ["workspace_shares", "return_slots"] {
+        if section.text(key) == Some("on") {
+            let accepted = "`off`, or `on` together with chain_admission = on";
+            errors.report(ConfigurationErrorKind::BadValue, ("scheduling", key), "on", accepted);
+        }
+    }
+}
+
 fn read_platform<'a>(section: &impl Fn(&str) -> &'a CheckedSection) -> PlatformSettings {
     let address = |name: &str, key: &str| {
         section(name)
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
+use super::coordination::Coordination;
 use super::directory_state::DirectoryState;
 use super::held_work::HeldWork;
 use super::pause_detector::PauseDetector;
@@ -12,7 +13,9 @@
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
 use crate::batching::{BatchDispatcher, PoolWaits};
 use crate::claims::RegisterShard;
-use crate::configuration::{DeclarationReader, Declarations, MembershipSettings, RegionMap};
+use crate::configuration::{
+    DeclarationReader, Declarations, MembershipSettings, RegionMap, SchedulingSettings,
+};
 use crate::identity::{InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{MemberPlace, MemberViewBuilder, VmListHistory};
 use crate::pipeline::RequestShard;
@@ -67,6 +70,7 @@
     /// Time from which a draining process refuses new requests that it might not finish; `None`
     /// before the drain.
     pub(super) refuse_requests_from: Mutex<Option<MonotonicTime>>,
+    pub(super) coordination: Coordination,
     router: RwLock<Arc<UpstreamRouter>>,
     fleet_snapshot: RwLock<Arc<FleetSnapshot>>,
     next_call: AtomicU64,
@@ -108,6 +112,7 @@
     membership: Option<MembershipSettings>,
     vm_list_interval: Option<Duration>,
     discovery: Option<DiscoverySettings>,
+    scheduling: SchedulingSettings,
     seed: u64,
 }
 
@@ -144,6 +149,7 @@
             membership: None,
             vm_list_interval: None,
             discovery: None,
+            scheduling: SchedulingSettings::default(),
             seed: 0,
         }
     }
@@ -177,6 +183,13 @@
         self
     }
 
+    /// Sets which decisions coordinators make for the whole fleet.
+    #[must_use]
+    pub fn scheduling(mut self, scheduling: SchedulingSettings) -> Self {
+        self.scheduling = scheduling;
+        self
+    }
+
     /// Sets the seed of all random choices, so that runs can be repeated.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
@@ -250,6 +263,7 @@
             entry_backlog: Mutex::default(),
             grace_period,
             refuse_requests_from: Mutex::new(None),
+            coordination: Coordination::new(self.scheduling),
             router: RwLock::new(Arc::new(router)),
             fleet_snapshot: RwLock::new(Arc::new(snapshot)),
             next_call: AtomicU64::new(1),
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -2,6 +2,7 @@
 
 mod command;
 mod configuration_watch;
+mod coordination;
 mod core_state;
 mod counter_name;
 mod crash_flow;
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// Number of daemons that send work to the same upstreams, including this one.
+    #[must_use]
+    pub fn daemon_count(&self) -> usize {
+        self.daemons.load(Ordering::Relaxed)
+    }
+
     /// Suspends or resumes the choice of upstreams for all pools. While it is suspended, queued
     /// attempts stay in their queues. Returns whether the state has changed.
     pub fn set_suspended(&self, is_suspended: bool) -> bool {
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -159,6 +159,7 @@
     let core = DaemonCoreBuilder::new(instance, settings.zone.clone())
         .requests(settings.limits.requests)
         .membership(settings.membership)
+        .scheduling(settings.scheduling)
         .seed(rand::random());
     let (core, platform) = match &settings.platform {
         PlatformSettings::Services { configuration, vm_list, vm_list_period } => {
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -9,10 +9,12 @@
 use crocusdale_core::wire::pieces_reply;
 use crocusdale_schema::peer::peer_service_server::{PeerService, PeerServiceServer};
 use crocusdale_schema::peer::{
-    AskOutcomeReply, AskOutcomeRequest, BuryRequest, ClaimRequest, ExchangeMessage,
-    FetchConfigurationReply, FetchConfigurationRequest, FetchDirectoryReply, FetchDirectoryRequest,
-    FreeResultsReply, FreeResultsRequest, MakePiecesReply, MakePiecesRequest, PoolResults,
-    RecordOutcomeReply, RecordOutcomeRequest, RegisterReply,
+    AdmitRequestReply, AdmitRequestRequest, AskOutcomeReply, AskOutcomeRequest, BuryRequest,
+    ClaimRequest, ExchangeMessage, FetchConfigurationReply, FetchConfigurationRequest,
+    FetchDirectoryReply, FetchDirectoryRequest, FreeResultsReply, FreeResultsRequest,
+    MakePiecesReply, MakePiecesRequest, PlaceRequestReply, PlaceRequestRequest, PoolResults,
+    RecordOutcomeReply, RecordOutcomeRequest, RegisterReply, ReportPlacementsReply,
+    ReportPlacementsRequest, ReportPoolStatusReply, ReportPoolStatusRequest,
 };
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -176,6 +178,34 @@
         let holder: InstanceId = request.holder.ok_or_else(|| missing_field("holder"))?.into();
         Ok(Response::new(self.engine.core.holder_reply(&key, &holder).into()))
     }
+
+    async fn place_request(
+        &self,
+        _request: Request<PlaceRequestRequest>,
+    ) -> Result<Response<PlaceRequestReply>, Status> {
+        Err(Status::unimplemented("place_request"))
+    }
+
+    async fn report_placements(
+        &self,
+        _request: Request<ReportPlacementsRequest>,
+    ) -> Result<Response<ReportPlacementsReply>, Status> {
+        Err(Status::unimplemented("report_placements"))
+    }
+
+    async fn admit_request(
+        &self,
+        _request: Request<AdmitRequestRequest>,
+    ) -> Result<Response<AdmitRequestReply>, Status> {
+        Err(Status::unimplemented("admit_request"))
+    }
+
+    async fn report_pool_status(
+        &self,
+        _request: Request<ReportPoolStatusRequest>,
+    ) -> Result<Response<ReportPoolStatusReply>, Status> {
+        Err(Status::unimplemented("report_pool_status"))
+    }
 }
 
 fn missing_field(field: &str) -> Status {
