Choose model engines at a placement coordinator

Cause: a daemon of a large fleet sends one request to an engine in 24 s, so it cannot learn how fast an engine is or how full it is. The slowest third of the engines got as many requests as the fastest.

Change: with `engine_placement` on, each daemon asks the coordinator of the engine pool's section which engine to use, and reports the first event and the end of each request. The coordinator knows the open requests of all daemons, the prompt caches and the speeds, and chooses the engine with the least expected time to first event. The daemon's router has the final decision. Without a reply within 100 ms the daemon decides by itself and does not ask that coordinator for 1 s. Plans use the measured time to first event of the pool while it is younger than 5 s.

--- a/crates/crocusdale_core/src/configuration/allowed_regions.rs
+++ b/crates/crocusdale_core/src/configuration/allowed_regions.rs
@@ -27,6 +27,12 @@
         Self((!regions.is_empty()).then(|| Arc::new(regions)))
     }
 
+    /// Names of the allowed regions, or `None` if all regions are allowed.
+    #[must_use]
+    pub fn names(&self) -> Option<&[String]> {
+        self.0.as_ref().map(|allowed| allowed.as_slice())
+    }
+
     /// Regions that both `self` and `other` allow. The result may allow no region at all.
     #[must_use]
     pub fn and(&self, other: &Self) -> Self {
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -9,6 +9,7 @@
 use crate::pipeline::{
     FinalAnswer, ForwardOrder, JsonCallOrder, PieceFault, PieceOrder, PlacedResult, ResultHandle,
 };
+use crate::placement::{PlacementReport, PlacementRequest};
 
 /// Side effect that the state machine of the daemon asks its surrounding process to perform.
 #[derive(Clone, Debug)]
@@ -86,6 +87,23 @@
         /// Handles of the results to free.
         results: Vec<ResultHandle>,
     },
+    /// Ask the placement coordinator on `vm` for the engine of a request. The reply, or its absence
+    /// after a short time, comes back as [`super::DaemonEvent::PlacementReplied`].
+    PlaceRequest {
+        /// VM of the coordinator.
+        vm: String,
+        /// Request to place.
+        request: Box<PlacementRequest>,
+    },
+    /// Report the progress of a placed request to its coordinator. Reports may be coalesced.
+    ReportPlacement {
+        /// VM of the coordinator.
+        vm: String,
+        /// Section of the engine pool.
+        section: String,
+        /// The report.
+        report: Box<PlacementReport>,
+    },
     /// Close all idle connections to the named upstream.
     CloseIdleConnections(String),
     /// Close the idle connections to an address whose process has restarted.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -8,6 +8,7 @@
 use super::directory_state::DirectoryState;
 use super::held_work::HeldWork;
 use super::pause_detector::PauseDetector;
+use super::placement_state::PlacementState;
 use super::staleness_bounds::RefreshIntervals;
 use super::{DaemonCore, FleetState, StalenessBounds};
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
@@ -71,6 +72,7 @@
     /// before the drain.
     pub(super) refuse_requests_from: Mutex<Option<MonotonicTime>>,
     pub(super) coordination: Coordination,
+    pub(super) placements: PlacementState,
     router: RwLock<Arc<UpstreamRouter>>,
     fleet_snapshot: RwLock<Arc<FleetSnapshot>>,
     next_call: AtomicU64,
@@ -264,6 +266,7 @@
             grace_period,
             refuse_requests_from: Mutex::new(None),
             coordination: Coordination::new(self.scheduling),
+            placements: PlacementState::default(),
             router: RwLock::new(Arc::new(router)),
             fleet_snapshot: RwLock::new(Arc::new(snapshot)),
             next_call: AtomicU64::new(1),
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -95,6 +95,17 @@
     OrdersRefused,
     /// Engine orders withheld because the model engine already held one of a later revision.
     OrdersOutdated,
+    /// Requests that were sent to the engine that their placement coordinator had chosen.
+    PlacementsUsed,
+    /// Requests whose placement coordinator had chosen no engine, or one that this daemon's router
+    /// did not allow.
+    PlacementsUnused,
+    /// Requests whose engine this daemon chose by itself, because the placement coordinator did not
+    /// reply in time.
+    PlacementFallbacks,
+    /// Requests that this daemon counted at an engine until their deadline, because no report about
+    /// them came.
+    PlacementsExpired,
     /// Pauses of this process that it detected, such as a suspension or a lack of CPU time.
     PausesNoticed,
 }
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -120,6 +120,12 @@
             DaemonEvent::BatchEnded { batch, outcome } => {
                 self.state.handle_batch_outcome(batch, outcome, now, &mut actions, out);
             }
+            DaemonEvent::PlacementReplied { vm, request, reply } => {
+                self.state.handle_placement_reply(vm, &request, reply, now, &mut actions, out);
+            }
+            DaemonEvent::StreamForwarded { call, events, time } => {
+                self.state.placements.record_stream(call, events, time);
+            }
             DaemonEvent::UpstreamNoticed { upstream, notice, sent } => {
                 self.state.apply_notice(&upstream, notice, sent, now, out);
             }
@@ -337,6 +343,7 @@
             waiting: router.waiting_counts(),
             waiting_pieces: lock(&self.state.dispatcher).waiting(),
             upstreams: router.summaries(now),
+            engine_speeds: lock(&self.state.placements.placers).speeds(now),
             limited_upstreams: self.state.limiter.summaries(),
             quarantined: lock(&self.state.crash_detector).quarantined(now),
         }
@@ -449,6 +456,7 @@
         self.check_ready(now);
         self.state.expire_crash_records(now);
         self.state.expire_limits(now);
+        self.state.expire_placements(now, out);
         let has_dropped_entries = lock(&self.state.directory).drop_missing(now, out);
         if has_dropped_entries {
             self.propagate_directory(true, now, out);
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -6,6 +6,7 @@
 use crate::membership::{ExchangeMessage, VmList};
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
+use crate::placement::{PlacementReply, PlacementRequest};
 use crate::routing::{ColdUpstream, DirectoryEntry, PeerDirectory, UpstreamNotice};
 
 use super::TimerKey;
@@ -168,6 +169,25 @@
         /// Outcome of each piece, or the reason why the batch failed.
         outcome: BatchOutcome,
     },
+    /// The placement coordinator on `vm` replied to a question of this daemon, or did not reply in
+    /// time.
+    PlacementReplied {
+        /// VM of the coordinator.
+        vm: String,
+        /// Request that was to be placed.
+        request: Box<PlacementRequest>,
+        /// Decision of the coordinator, or `None` if it did not reply in time.
+        reply: Option<PlacementReply>,
+    },
+    /// All events of a forwarded stream were passed on to the caller.
+    StreamForwarded {
+        /// Call that the stream belongs to.
+        call: CallId,
+        /// Number of events.
+        events: u32,
+        /// Time from the first to the last event.
+        time: Duration,
+    },
     /// The VM list was read; `None` if it is unchanged.
     VmListRead(Option<VmList>),
     /// A read of the VM list failed.
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -16,6 +16,8 @@
 mod limit_updates;
 mod pause_detector;
 mod piece_flow;
+mod placement_flow;
+mod placement_state;
 mod reader_election;
 mod request_flow;
 mod staleness_bounds;
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -306,12 +306,12 @@
         match action {
             ShardAction::Command(command) => out.push(command),
             ShardAction::AcquireSlot(request) => {
-                self.acquire(request, RefusalReason::NoUpstream, now, &mut actions);
+                self.acquire_placed(request, RefusalReason::NoUpstream, now, &mut actions, out);
             }
             ShardAction::AcquireRetrySlot { request, reason } => {
                 if self.router().take_retry(&request, now) {
                     out.push(Command::Count(CounterName::Retries));
-                    self.acquire(request, reason, now, &mut actions);
+                    self.acquire_placed(request, reason, now, &mut actions, out);
                 } else {
                     out.push(Command::Count(CounterName::RetriesDenied));
                     self.shard(request.call.0).handle_refusal(
@@ -324,15 +324,18 @@
             }
             ShardAction::CancelSlotRequest(request) => {
                 lock(&self.held_work).remove_attempts(&request);
+                self.placements.cancel_pending(&request);
                 self.router().remove_waiting(&request);
             }
             ShardAction::ReleaseSlot { upstream, call, report } => {
                 let report = self.exclude_paused_time(report, now);
+                self.report_placement_end(call, &upstream, report, now, out);
                 actions = self
                     .assign_granted_slots(self.router().release(&upstream, call, report, now), now);
             }
             ShardAction::RecordStreamStart { upstream, call } => {
-                self.router().record_first_event(&upstream, call)
+                self.router().record_first_event(&upstream, call);
+                self.report_first_event(call, &upstream, now, out);
             }
             ShardAction::FreeResults { pool, results } => self.free_results(&pool, results, out),
             ShardAction::SubmitPieces { mut order, tried, target } => {
--- a/crates/crocusdale_core/src/daemon/staleness_guard.rs
+++ b/crates/crocusdale_core/src/daemon/staleness_guard.rs
@@ -5,7 +5,7 @@
 use super::{Command, CounterName};
 use crate::identity::MonotonicTime;
 use crate::pipeline::{RefusalReason, ShardAction};
-use crate::routing::SlotRequest;
+use crate::routing::{SlotGrant, SlotRequest};
 use crate::sync::lock;
 
 impl CoreState {
@@ -32,7 +32,7 @@
         }
         let mut actions = Vec::new();
         for (request, reason) in released_work.attempts {
-            self.acquire(request, reason, now, &mut actions);
+            self.acquire_placed(request, reason, now, &mut actions, out);
         }
         actions.extend(self.assign_granted_slots(self.router().serve_all_waiting(now), now));
         self.advance_dispatcher(now, &mut actions, out);
@@ -62,7 +62,20 @@
             actions.push(ShardAction::Command(Command::Count(CounterName::AttemptsHeld)));
             return;
         };
-        match self.router().acquire(request, now) {
+        let result = self.router().acquire(request, now);
+        self.finish_acquire(result, reason, now, actions);
+    }
+
+    /// Passes the router's decision on an attempt to its request. A denied attempt is refused for
+    /// `reason`.
+    pub(super) fn finish_acquire(
+        &self,
+        result: Result<Option<SlotGrant>, SlotRequest>,
+        reason: RefusalReason,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        match result {
             Ok(Some(grant)) => self.shard(grant.request.call.0).handle_grant(grant, now, actions),
             Ok(None) => {}
             Err(request) => match self.router().retry_delay(&request, now) {
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -165,6 +165,16 @@
         /// Name of the upstream.
         upstream: String,
     },
+    /// A placement coordinator did not reply in time. For a while, this daemon chooses engines by
+    /// itself.
+    PlacementCoordinatorLost {
+        /// VM of the coordinator.
+        vm: String,
+        /// Section of the engine pool.
+        section: String,
+        /// Number of other requests that wait for a reply of a coordinator.
+        pending: usize,
+    },
     /// This daemon has started to drain.
     Draining,
     /// This daemon has finished its drain.
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -2,6 +2,7 @@
 
 use crate::identity::{InstanceId, RequestDigest};
 use crate::membership::MemberRecord;
+use crate::placement::EngineSpeedSummary;
 use crate::rate_limiting::LimitSummary;
 use crate::routing::UpstreamSummary;
 
@@ -66,6 +67,8 @@
     pub upstreams: Vec<UpstreamSummary>,
     /// Upstreams that have announced a rate limit.
     pub limited_upstreams: Vec<LimitSummary>,
+    /// Speeds of the engines that this daemon places requests on as a coordinator, slowest first.
+    pub engine_speeds: Vec<EngineSpeedSummary>,
     /// Digests of quarantined requests, which are not dispatched because upstreams crashed while
     /// they ran them.
     pub quarantined: Vec<RequestDigest>,
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`admission`]: limits on concurrent requests, and load shedding.
 //! * [`batching`]: calls to upstreams that pieces of many requests share.
 //! * [`routing`]: choice of the upstream for each attempt.
+//! * [`placement`]: choice of model engines for all daemons by one coordinator.
 //! * [`orders`]: desired state of model engines, and the daemon that sends it.
 //! * [`quarantine`]: quarantine of requests that crash the upstreams which run them.
 //! * [`rate_limiting`]: rate limits for upstreams that announce how many requests per second they
@@ -46,6 +47,7 @@
 pub mod membership;
 pub mod orders;
 pub mod pipeline;
+pub mod placement;
 pub mod quarantine;
 pub mod rate_limiting;
 pub mod retry;
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -15,6 +15,7 @@
 mod outcome_lookup;
 mod piece_order;
 mod piece_steps;
+mod placement_inputs;
 mod request_plan;
 mod request_run;
 mod request_shard;
@@ -33,6 +34,7 @@
 pub use forward_head::{EngineDemand, ForwardHead, PromptPart, ResultHandle};
 pub use outcome_lookup::{HolderReply, LookupStep, OutcomeLookup};
 pub use piece_order::{PieceOrder, PieceSource, PlacedResult};
+pub use placement_inputs::PlacementInputs;
 pub use request_plan::RequestPlan;
 pub use request_run::RequestRun;
 pub use request_shard::{LookupRetention, RequestShard};
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -105,8 +105,14 @@
     }
 
     /// Availability zone that holds most input bytes of the step at `position`, if they are large.
-    /// Each piece of the step fetches all inputs.
     fn input_zone(&self, position: usize) -> Option<String> {
+        let (zone, fetched_bytes) = self.input_location(position)?;
+        (fetched_bytes >= LARGE_TRANSFER_BYTES).then(|| zone.to_owned())
+    }
+
+    /// Availability zone that holds most input bytes of the step at `position`, with the bytes that
+    /// the step fetches from there. Each piece of the step fetches all inputs.
+    pub(super) fn input_location(&self, position: usize) -> Option<(&str, u64)> {
         let input_steps = &self.plan.pipeline.plan.steps()[position].after;
         let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
         for step_run in
@@ -118,8 +124,7 @@
             }
         }
         let (zone, bytes) = zones.into_iter().max_by_key(|(_, bytes)| *bytes)?;
-        let fetched_bytes = bytes * u64::from(self.plan.pieces(position));
-        (fetched_bytes >= LARGE_TRANSFER_BYTES).then(|| zone.to_owned())
+        Some((zone, bytes * u64::from(self.plan.pieces(position))))
     }
 
     /// Whether the results of the step at `position` are large and read only by forwarded steps.
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -53,6 +53,9 @@
     /// Expected queueing delay of each step on top of [`Self::step_time`], by position, from the
     /// load of the pools when the request started. Missing entries count as zero.
     pub queueing_delays: Vec<Duration>,
+    /// Recent time to first response of requests like this one, from the placement coordinator of
+    /// the engine pool. `None` if it is not known.
+    pub first_response_time: Option<Duration>,
 }
 
 impl RequestPlan {
@@ -109,6 +112,7 @@
             permit: AdmissionPermit::default(),
             allowed_regions: AllowedRegions::default(),
             queueing_delays: Vec::new(),
+            first_response_time: None,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -163,6 +167,7 @@
             permit: AdmissionPermit::default(),
             allowed_regions,
             queueing_delays: Vec::new(),
+            first_response_time: None,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -202,7 +207,9 @@
                 // Pieces share calls, which are half full on average.
                 pieces => rules.expected(pieces.max(rules.pieces / 2)),
             },
-            (StepWork::Forward, PoolKind::Engine(_)) => DEFAULT_FIRST_RESPONSE_TIME,
+            (StepWork::Forward, PoolKind::Engine(_)) => {
+                self.first_response_time.unwrap_or(DEFAULT_FIRST_RESPONSE_TIME)
+            }
             _ => Duration::ZERO,
         }
     }
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod engine_choice;
 mod engine_load;
 mod peer_directory;
+mod placed_choice;
 mod pool_availability;
 mod prefix_counter;
 mod router_update;
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -248,16 +248,7 @@
         now: MonotonicTime,
     ) -> Result<Option<SlotGrant>, SlotRequest> {
         let Some(routed) = self.pools.get(&request.stage) else { return Err(request) };
-        if request.failed_upstreams.is_empty() {
-            let mut queue = lock(&routed.queue);
-            queue.retry_budget.record_first_attempt(now);
-            // The subject is the last segment of the prompt prefix that other requests may share.
-            if let Some(prefix) =
-                request.demand.as_ref().and_then(|demand| demand.last_shared_part())
-            {
-                queue.prefixes.record(prefix.id, now);
-            }
-        }
+        Self::record_first_attempt(routed, &request, now);
         if let Some(position) = self.choose(routed, &request, now) {
             return Ok(Some(self.grant(position, request, now)));
         }
@@ -360,7 +351,12 @@
         self.regions.region(&self.upstreams[position].rules.zone)
     }
 
-    fn grant(&self, position: usize, request: SlotRequest, now: MonotonicTime) -> SlotGrant {
+    pub(super) fn grant(
+        &self,
+        position: usize,
+        request: SlotRequest,
+        now: MonotonicTime,
+    ) -> SlotGrant {
         let upstream = &self.upstreams[position];
         let min_answer_time = {
             let mut state = lock(&upstream.state);
--- a/crates/crocusdale_core/src/wire/mod.rs
+++ b/crates/crocusdale_core/src/wire/mod.rs
@@ -2,6 +2,9 @@
 
 mod claim_messages;
 mod exchange_messages;
+mod millis;
 mod piece_messages;
+mod placement_messages;
 
 pub use piece_messages::{pieces_reply, read_pieces_reply, read_pool_wait};
+pub use placement_messages::{MessageFault, read_placement_reports};
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -2,6 +2,7 @@
 
 use crocusdale_schema::peer;
 
+use super::millis::{saturating_millis, signed_millis};
 use crate::batching::PoolWait;
 use crate::identity::{AttemptId, CallId, MonotonicTime, RequestDigest, StorePosition};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
@@ -267,11 +268,3 @@
         Ok(Self { write_position, entry, expires_in })
     }
 }
-
-fn saturating_millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn signed_millis(duration: Duration) -> i64 {
-    i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
-}
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use crocusdale_core::daemon::DaemonEvent;
-use crocusdale_core::identity::{AttemptId, CallId};
+use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime};
 use crocusdale_core::pipeline::{
     AttemptEvent, BreakReason, EventVerdict, ExecutionStatus, ForwardOrder,
 };
@@ -137,8 +137,9 @@
         });
         release_receiver.await.ok()?;
         let events = open_events(engine, call, attempt.call, parts.status, head);
-        let mut forwarder = EventForwarder { engine, call, attempt, events, has_started: false };
+        let mut forwarder = EventForwarder { engine, call, attempt, events, progress: None };
         let end_event = forwarder.run(body).await;
+        forwarder.report_progress();
         if matches!(end_event, AttemptEvent::ResponseForwarded) {
             pool.return_connection(connection, &parts.headers, order.kept_connections);
         }
@@ -215,7 +216,8 @@
     call: &'a RelayCall,
     attempt: AttemptId,
     events: mpsc::Sender<Bytes>,
-    has_started: bool,
+    /// Time of the first event, time of the last, and number of events. `None` before the first.
+    progress: Option<(MonotonicTime, MonotonicTime, u32)>,
 }
 
 impl EventForwarder<'_> {
@@ -237,6 +239,16 @@
         }
     }
 
+    /// Reports the number of events and their time, from which the speed of engines is learned.
+    fn report_progress(&self) {
+        if let Some((first, last, events)) = self.progress
+            && self.engine.core.uses_placement()
+        {
+            let (call, time) = (self.attempt.call, last.since(first));
+            self.engine.handle_event(DaemonEvent::StreamForwarded { call, events, time });
+        }
+    }
+
     /// Forwards the whole events that have arrived. Returns the event that ends the attempt if one
     /// of them can't be forwarded.
     async fn forward_events(&mut self, reader: &mut EventReader) -> Option<AttemptEvent> {
@@ -258,8 +270,11 @@
                 // The caller has disconnected, which its call reports to the core.
                 return Some(AttemptEvent::Broken(BreakReason::CallerDisconnected));
             }
-            if !self.has_started {
-                self.has_started = true;
+            let now = self.engine.now();
+            if let Some((_, last, count)) = &mut self.progress {
+                (*last, *count) = (now, *count + 1);
+            } else {
+                self.progress = Some((now, now, 1));
                 let event = AttemptEvent::StreamStarted;
                 self.engine.handle_event(DaemonEvent::Attempt { attempt: self.attempt, event });
             }
--- a/crates/crocusdaled/src/peer/mod.rs
+++ b/crates/crocusdaled/src/peer/mod.rs
@@ -5,6 +5,9 @@
 mod peer_server;
 mod piece_client;
 mod piece_table;
+mod placement_client;
+mod placement_reports;
+mod placement_service;
 mod released_results;
 
 pub use peer_client::PeerClient;
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -18,6 +18,8 @@
 
 use super::peer_call::{call, call_at};
 use super::piece_client::send_pieces;
+use super::placement_client::place_request;
+use super::placement_reports::PlacementReports;
 use super::released_results::ReleasedResults;
 use crate::engine::DaemonEngine;
 
@@ -50,6 +52,7 @@
 pub struct PeerClient {
     channels: Mutex<HashMap<SocketAddr, Channel>>,
     released_results: ReleasedResults,
+    placement_reports: PlacementReports,
 }
 
 impl PeerClient {
@@ -64,6 +67,10 @@
                 self.released_results.enqueue(engine, vm, pool, results);
                 return;
             }
+            Command::ReportPlacement { vm, section, report } => {
+                self.placement_reports.enqueue(engine, vm, section, *report);
+                return;
+            }
             command => command,
         };
         let engine = Arc::clone(engine);
@@ -73,6 +80,7 @@
                 Command::PingSeed { address, message } => ping(&engine, address, *message).await,
                 Command::FetchDirectory { vm, known } => fetch_directory(&engine, &vm, known).await,
                 Command::FetchConfiguration { vm, known } => pull_config(&engine, &vm, known).await,
+                Command::PlaceRequest { vm, request } => place_request(&engine, vm, request).await,
                 Command::RecordOutcome { .. } => record_outcome(&engine, command).await,
                 Command::AskHolder { .. } => ask_holder(&engine, command).await,
                 Command::AskWitness { .. } => ask_witness(&engine, command).await,
@@ -86,6 +94,11 @@
         &self.released_results
     }
 
+    /// Reports that have not yet been sent to their placement coordinators.
+    pub(super) fn placement_reports(&self) -> &PlacementReports {
+        &self.placement_reports
+    }
+
     pub(super) fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = lock(&self.channels);
         let connect = || {
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -23,6 +23,7 @@
 
 use super::peer_call::MAX_MESSAGE_BYTES;
 use super::piece_table::ReceivedPieces;
+use super::placement_service;
 use crate::engine::DaemonEngine;
 
 /// Maximum number of calls that one peer may have open at a time. A peer needs one for each
@@ -181,16 +182,16 @@
 
     async fn place_request(
         &self,
-        _request: Request<PlaceRequestRequest>,
+        request: Request<PlaceRequestRequest>,
     ) -> Result<Response<PlaceRequestReply>, Status> {
-        Err(Status::unimplemented("place_request"))
+        placement_service::place_request(&self.engine, request)
     }
 
     async fn report_placements(
         &self,
-        _request: Request<ReportPlacementsRequest>,
+        request: Request<ReportPlacementsRequest>,
     ) -> Result<Response<ReportPlacementsReply>, Status> {
-        Err(Status::unimplemented("report_placements"))
+        placement_service::report_placements(&self.engine, request)
     }
 
     async fn admit_request(
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -142,6 +142,9 @@
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
             }
+            StateChange::PlacementCoordinatorLost { vm, section, pending } => {
+                info!(log, "{}", name; "peer" => vm, "section" => section, "pending" => pending);
+            }
             StateChange::Paused { millis } => info!(log, "{}", name; "paused_ms" => millis),
             StateChange::PeerStatus { vm, status } => {
                 info!(log, "{}", name; "peer" => vm, "status" => status);
