Order pipelines within a workspace level, and know when callers leave a stream

Cause: a workspace's level replaced that of the pipeline, so that at deployments whose workspaces all have a level no pipeline was more urgent than another. Streams were planned to their deadline although callers leave a stream without a first event earlier: late requests of a pipeline with a long deadline went last, and had lost their caller when they were served.

Change: [scheduling] pipeline_levels orders requests of one workspace level by their pipeline; abandon_ms, abandon_objectives and abandon_gaps say when callers leave. Both off by default.

--- a/crates/crocusdale_core/src/admission/entry_backlog.rs
+++ b/crates/crocusdale_core/src/admission/entry_backlog.rs
@@ -32,7 +32,7 @@
 impl EntryBacklog {
     /// Queues the request of `call`.
     pub fn push(&mut self, call: CallId, plan: RequestPlan) {
-        self.waiting.insert((plan.level, plan.deadline, call), plan);
+        self.waiting.insert((plan.level, plan.first_event_deadline, call), plan);
     }
 
     /// Removes the request of `call` from the queue and returns its plan, or `None` if it is not
--- a/crates/crocusdale_core/src/configuration/forward_rules.rs
+++ b/crates/crocusdale_core/src/configuration/forward_rules.rs
@@ -11,6 +11,9 @@
     pub timeout: Duration,
     /// Latency objective for the answer, or for the first event of a stream.
     pub objective: Duration,
+    /// Longest pause between two events of a stream for which the answer is on time. Zero if it is
+    /// not declared.
+    pub gap_target: Duration,
     /// Priority level of the requests, where 0 is the most urgent. A level of the workspace
     /// overrides it.
     pub level: u8,
--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! Process settings and operator declarations, which are validated completely before use, and the
 //! configuration revision in force.
 
+mod abandon_rules;
 mod allowed_regions;
 mod caller_limits;
 mod configuration_error;
@@ -16,6 +17,7 @@
 mod section_reader;
 mod stage_plan;
 
+pub use abandon_rules::AbandonRules;
 pub use allowed_regions::{AllowedRegions, RegionMap};
 pub use caller_limits::CallerLimits;
 pub use configuration_error::{ConfigurationError, ConfigurationErrorKind};
--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -4,7 +4,9 @@
 use crocusdale_schema::sections::SETTINGS;
 
 use super::section_reader::{CheckedSection, ErrorCollector, parse_addresses, read_sections};
-use super::{ConfigurationError, ConfigurationErrorKind, RegionMap, SchedulingSettings};
+use super::{
+    AbandonRules, ConfigurationError, ConfigurationErrorKind, RegionMap, SchedulingSettings,
+};
 use crate::daemon::StalenessBounds;
 use crate::retry::RetryLimits;
 use crate::routing::ColdLimits;
@@ -239,9 +241,21 @@
         workspace_shares: is_on("workspace_shares"),
         return_slots: is_on("return_slots"),
         align_parallel_steps: is_on("align_parallel_steps"),
+        pipeline_levels: is_on("pipeline_levels"),
+        abandon: read_abandon_rules(section),
     }
 }
 
+fn read_abandon_rules(section: &CheckedSection) -> Option<AbandonRules> {
+    let count = |key: &str| section.get(key).unwrap_or_default();
+    let rules = AbandonRules {
+        min_time: section.duration("abandon_ms").unwrap_or_default(),
+        objectives: count("abandon_objectives"),
+        gaps: count("abandon_gaps"),
+    };
+    (!rules.min_time.is_zero()).then_some(rules)
+}
+
 /// Reports settings that have no effect without `chain_admission`.
 fn check_scheduling(sections: &[CheckedSection], errors: &mut ErrorCollector<'_>) {
     let Some(section) = sections.iter().find(|section| section.spec.name == "scheduling") else {
--- a/crates/crocusdale_core/src/configuration/scheduling_settings.rs
+++ b/crates/crocusdale_core/src/configuration/scheduling_settings.rs
@@ -1,3 +1,5 @@
+use super::AbandonRules;
+
 /// Decisions that coordinators make for the whole fleet.
 ///
 /// Everything is off by default: each daemon then decides by itself.
@@ -15,6 +17,11 @@
     pub return_slots: bool,
     /// Whether parallel batched steps are due at the same time.
     pub align_parallel_steps: bool,
+    /// Whether the level of the pipeline orders requests whose workspaces have the same level.
+    pub pipeline_levels: bool,
+    /// Time after which callers abandon a stream without a first event. `None` if they wait until
+    /// their deadline.
+    pub abandon: Option<AbandonRules>,
 }
 
 impl SchedulingSettings {
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -179,11 +179,11 @@
         } else {
             expected
         };
-        if now + unqueued_duration >= plan.deadline {
+        if now + unqueued_duration >= plan.first_event_deadline {
             EntryVerdict::Unservable
         } else if now + expected.mul_f64(1.0 / OBJECTIVE_FRACTION) <= plan.objective {
             EntryVerdict::InTime
-        } else if now + late_wait.unwrap_or_default() >= plan.deadline {
+        } else if now + late_wait.unwrap_or_default() >= plan.first_event_deadline {
             EntryVerdict::Unservable
         } else if waits.iter().all(PoolWait::has_spare_capacity) {
             EntryVerdict::LateWithCapacity
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -165,6 +165,9 @@
         let key = request.key.clone();
         let mut plan = RequestPlan::build(request, declarations, arrived_at)
             .map_err(|refusal| (refusal, true))?;
+        if self.is_coordinated() {
+            plan.apply_scheduling(&self.coordination.settings);
+        }
         let is_repeatable = plan.repeatable;
         if let Some(quarantine) = self.remaining_quarantine(plan.digest, now) {
             return Err((refusal(&key, RefusalReason::Quarantined, quarantine), is_repeatable));
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -5,12 +5,15 @@
 use crate::admission::AdmissionPermit;
 use crate::configuration::{
     AllowedRegions, Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind,
-    StageRules, StepWork, WeightedPool, WorkspaceRules,
+    SchedulingSettings, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 use crate::identity::{MonotonicTime, RequestDigest, RequestKey};
 
 /// Expected time to first response of a forwarded request, before any was measured in its pool.
 const DEFAULT_FIRST_RESPONSE_TIME: Duration = Duration::from_millis(250);
+/// Number of pipeline levels that are told apart among workspaces with the same level. Less urgent
+/// pipelines share the last one.
+const PIPELINE_LEVELS: u8 = 3;
 /// Upper bound on a request's deadline, which keeps sums of times from overflowing.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
@@ -36,6 +39,9 @@
     pub objective: MonotonicTime,
     /// Time after which nothing is dispatched for the request.
     pub deadline: MonotonicTime,
+    /// Time by which the caller of a stream abandons it without a first event, at most
+    /// [`Self::deadline`].
+    pub first_event_deadline: MonotonicTime,
     /// Time until which the witnesses surely remember the key.
     pub remembered_until: MonotonicTime,
     /// Whether the request may run more than once.
@@ -105,6 +111,7 @@
             arrived_at: now,
             objective: now + request.deadline,
             deadline: now + request.deadline,
+            first_event_deadline: now + request.deadline,
             remembered_until: now + declarations.deployment().key_life.saturating_sub(request.age),
             repeatable,
             needs_claim: !repeatable,
@@ -160,6 +167,7 @@
             arrived_at: now,
             objective,
             deadline: now + timeout,
+            first_event_deadline: now + timeout,
             remembered_until: now,
             repeatable,
             needs_claim: false,
@@ -174,6 +182,19 @@
         })
     }
 
+    /// Applies the settings for a fleet with coordinated scheduling.
+    pub fn apply_scheduling(&mut self, settings: &SchedulingSettings) {
+        let Some(forward) = &self.pipeline.forward else { return };
+        if settings.pipeline_levels {
+            let pipeline_level = forward.level.min(PIPELINE_LEVELS - 1);
+            self.level = self.level.saturating_mul(PIPELINE_LEVELS).saturating_add(pipeline_level);
+        }
+        if let Some(rules) = settings.abandon.filter(|_| forward.repeat.is_stream()) {
+            let timeout = rules.first_event_timeout(forward.objective, forward.gap_target);
+            self.first_event_deadline = self.deadline.min(self.arrived_at + timeout);
+        }
+    }
+
     /// Rules of `stage`. Validation of the configuration guarantees that every stage of a pipeline
     /// is declared.
     ///
@@ -220,7 +241,8 @@
         let plan = &self.pipeline.plan;
         let time_after = plan
             .critical_path_time_after(position, |step, position| self.step_time(position, step));
-        MonotonicTime::from_start(self.deadline.since_start().saturating_sub(time_after))
+        let end = self.first_event_deadline.since_start();
+        MonotonicTime::from_start(end.saturating_sub(time_after))
     }
 
     /// Time by which the step at `position` should end for the request to meet its latency
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -93,6 +93,7 @@
             repeat,
             timeout: Duration::from_secs(30),
             objective: Duration::from_millis(900),
+            gap_target: Duration::ZERO,
             level: 1,
             attempts: 2,
             pools: vec![WeightedPool { pool, weight: 1 }],
--- a/crates/stand_ins/src/fleet_model/model_load.rs
+++ b/crates/stand_ins/src/fleet_model/model_load.rs
@@ -267,6 +267,7 @@
                 repeat: self.repeat,
                 timeout: self.deadline,
                 objective: self.objective,
+                gap_target: Duration::ZERO,
                 level: self.level,
                 attempts: 2,
                 pools: vec![WeightedPool { pool: engines.to_owned(), weight: 1 }],
