Learn from requests that end without a first event

Cause: an engine that had stopped counted as usual again once its requests had ended at their deadlines, and got the next ones. A request that its daemon had sent to another engine made that engine appear overdue after 40 ms. A single extreme sample could shift the mean of all engines.

Change: the wait of a request that ends without an event is a sample of the engine's speed if it was longer than expected; moved requests keep their estimate; samples of the section's means are bounded. The estimate of one engine has a file of its own.

--- a/crates/crocusdale_core/src/placement/engine_placer.rs
+++ b/crates/crocusdale_core/src/placement/engine_placer.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cost_estimate::{CostEstimate, UsualTimes, unshared_tokens};
 use super::placed_engine::PlacedEngine;
 use super::{
     FirstEventModel, PlacementOutcome, PlacementReply, PlacementReport, PlacementRequest,
@@ -10,13 +11,6 @@
 use crate::configuration::EngineRules;
 use crate::identity::{AttemptId, MonotonicTime, stable_hash};
 
-/// Cost that each running request adds to the time to a first event, in prompt tokens. A running
-/// request slows every decoding step by about the time to process a few prompt tokens.
-const RUNNING_REQUEST_TOKENS: f64 = 128.0;
-/// Cost of fetching large inputs from another availability zone, in milliseconds.
-const ZONE_FETCH_MS: f64 = 60.0;
-/// Size of inputs from which fetching them from another zone has that cost, in bytes.
-const LARGE_INPUT_BYTES: u64 = 200_000;
 /// Costs within this fraction of the smallest, or within [`NEAR_MS`], count as equal. Among these,
 /// the engine that is preferred by the session is chosen.
 const NEAR_FRACTION: f64 = 0.1;
@@ -32,6 +26,9 @@
 const MEAN_PRIOR_WEIGHT: f64 = 0.5;
 /// Number of events from which the time between events is a sample of an engine's speed.
 const MIN_STREAM_EVENTS: u32 = 4;
+/// Limit on a sample in the means of the whole section, as a multiple of the usual. A caller that
+/// reads slowly must not make all engines appear fast.
+const MAX_MEAN_SAMPLE: f64 = 10.0;
 /// Weight of a sample of the time to the first event. It varies more than the time between events.
 const FIRST_EVENT_WEIGHT: f64 = 0.5;
 /// Range of the speed by which samples of the time to the first event are divided.
@@ -77,33 +74,8 @@
     prompt_tokens: u64,
     held_tokens: u64,
     estimate: CostEstimate,
-}
-
-/// Expected time to the first event of a request at one engine.
-#[derive(Clone, Copy, Debug, Default)]
-struct CostEstimate {
-    /// Prompt tokens of the request that the engine has to process.
-    own_tokens: u64,
-    /// Tokens before and of the request, including the cost of the running requests.
-    total_tokens: f64,
-    /// Time at an engine of usual speed, in milliseconds, without a wait for a slot.
-    usual_ms: f64,
-    /// Learned speed of the engine.
-    speed: f64,
-    /// Wait for a slot or for memory, in milliseconds.
-    wait_ms: f64,
-    cost_ms: f64,
-}
-
-/// Times at an engine of usual speed, in milliseconds.
-#[derive(Clone, Copy, Debug)]
-struct UsualTimes {
-    fixed_ms: f64,
-    token_ms: f64,
-    /// Duration of a whole request.
-    request_ms: f64,
-    /// Recent mean ratio of the observed to the expected time to the first event.
-    mean_ratio: f64,
+    /// Whether the estimate was made for the engine that runs the request.
+    is_estimated: bool,
 }
 
 impl EnginePlacer {
@@ -163,13 +135,14 @@
                 self.record_start(report, now);
                 self.record_stream(report, now);
             }
-            PlacementOutcome::Failed => self.change_engine(report.attempt, |engine| {
-                engine.record_failure(now);
-            }),
-            PlacementOutcome::Declined => self.change_engine(report.attempt, |engine| {
-                engine.record_declined(now);
-            }),
-            PlacementOutcome::Cancelled => {}
+            PlacementOutcome::Failed => {
+                self.record_missing_event(report.attempt, now);
+                self.change_engine(report.attempt, |engine| engine.record_failure(now));
+            }
+            PlacementOutcome::Declined => {
+                self.change_engine(report.attempt, |engine| engine.record_declined(now));
+            }
+            PlacementOutcome::Cancelled => self.record_missing_event(report.attempt, now),
         }
         if !matches!(report.outcome, PlacementOutcome::Started | PlacementOutcome::NotUsed) {
             self.remove(report.attempt, now);
@@ -220,12 +193,13 @@
         let request_ms =
             self.mean_request_ms.mean_with_prior(DEFAULT_REQUEST_MS, MEAN_PRIOR_WEIGHT, now);
         let mean_ratio = self.mean_ratio(now);
-        let times = UsualTimes { fixed_ms, token_ms, request_ms, mean_ratio };
+        let rules = self.rules;
+        let times = UsualTimes { rules, fixed_ms, token_ms, request_ms, mean_ratio };
         let estimates = |with_excluded: bool| {
             let engines = self.engines.values().filter(is_allowed);
             let engines = engines.filter(|engine| with_excluded || !engine.is_excluded(now));
             engines
-                .map(|engine| (engine, self.estimate(engine, request, times, now)))
+                .map(|engine| (engine, CostEstimate::new(engine, request, times, now)))
                 .collect::<Vec<_>>()
         };
         let mut candidates = estimates(false);
@@ -241,31 +215,6 @@
         Some((Arc::clone(&chosen.0.name), chosen.1))
     }
 
-    fn estimate(
-        &self,
-        engine: &PlacedEngine,
-        request: &PlacementRequest,
-        UsualTimes { fixed_ms, token_ms, request_ms, mean_ratio }: UsualTimes,
-        now: MonotonicTime,
-    ) -> CostEstimate {
-        let speed = engine.speed.ratio(now);
-        let ratio = speed.max(engine.queue.overdue_ratio(now) / mean_ratio);
-        let cached = engine.cache.cached_tokens(&request.shared_parts, now);
-        let own_tokens = request.prompt_tokens.saturating_sub(cached);
-        let running = engine.queue.running_count() as f64 * RUNNING_REQUEST_TOKENS;
-        let queued = engine.queue.queued_tokens(token_ms * ratio, now);
-        let total_tokens = queued + own_tokens as f64 + running;
-        let usual_ms = fixed_ms + total_tokens * token_ms;
-        let new_tokens = unshared_tokens(request);
-        let limits = (self.rules.slots, self.rules.token_memory);
-        let wait_ms = engine.queue.wait_ms(limits, new_tokens, request_ms * ratio, now);
-        let is_far = request.input_bytes >= LARGE_INPUT_BYTES
-            && request.input_zone.as_ref().is_some_and(|zone| *zone != engine.zone);
-        let fetch_ms = if is_far { ZONE_FETCH_MS } else { 0.0 };
-        let cost_ms = usual_ms * ratio + wait_ms + fetch_ms;
-        CostEstimate { own_tokens, total_tokens, usual_ms, speed, wait_ms, cost_ms }
-    }
-
     fn mean_ratio(&self, now: MonotonicTime) -> f64 {
         let mean = self.mean_first_event_ratio.mean_with_prior(1.0, MEAN_PRIOR_WEIGHT, now);
         mean.max(f64::EPSILON)
@@ -291,6 +240,7 @@
             prompt_tokens: request.prompt_tokens,
             held_tokens,
             estimate,
+            is_estimated: true,
         };
         if let Some(engine) = self.engines.get_mut(&placement.engine) {
             let free_tokens = self.rules.token_memory.saturating_sub(engine.queue.held_tokens());
@@ -307,8 +257,7 @@
         let Some(engine) = self.engines.get_mut(&placement.engine) else { return };
         engine.queue.finish_prefill(placement.number, now);
         engine.record_success();
-        let Some(first_event) = report.first_event.filter(|_| placement.estimate.usual_ms > 0.0)
-        else {
+        let Some(first_event) = report.first_event.filter(|_| placement.is_estimated) else {
             return;
         };
         let observed_ms = first_event.as_secs_f64() * 1e3;
@@ -318,11 +267,25 @@
         let working_ms = (observed_ms - estimate.wait_ms).max(observed_ms / 2.0);
         self.queue_model.record(estimate.total_tokens, working_ms / correction, now);
         let ratio = working_ms / estimate.usual_ms;
-        self.mean_first_event_ratio.record(ratio, 1.0, now);
+        self.mean_first_event_ratio.record(ratio.min(MAX_MEAN_SAMPLE), 1.0, now);
         let mean_ratio = self.mean_first_event_ratio.mean_with_prior(1.0, MEAN_PRIOR_WEIGHT, now);
         engine.speed.record(ratio / mean_ratio.max(f64::EPSILON), FIRST_EVENT_WEIGHT, now);
     }
 
+    /// Records that a request has ended without a first event. If it had waited for longer than
+    /// expected, that is a sample of the engine's speed.
+    ///
+    /// Guards against an engine that has stopped, whose requests all end at their deadlines.
+    fn record_missing_event(&mut self, attempt: AttemptId, now: MonotonicTime) {
+        let mean_ratio = self.mean_ratio(now);
+        let Some(placement) = self.open.get(&attempt) else { return };
+        let Some(engine) = self.engines.get_mut(&placement.engine) else { return };
+        let awaited_ratio = engine.queue.awaited_ratio(placement.number, now).unwrap_or_default();
+        if awaited_ratio > mean_ratio {
+            engine.speed.record(awaited_ratio / mean_ratio, 1.0, now);
+        }
+    }
+
     /// Records an ended stream: a sample of the engine's speed from the time between its events.
     fn record_stream(&mut self, report: &PlacementReport, now: MonotonicTime) {
         let Some(placement) = self.open.get(&report.attempt) else { return };
@@ -333,7 +296,9 @@
             return;
         }
         let event_ms = report.stream_time.as_secs_f64() * 1e3 / f64::from(report.events - 1);
-        self.mean_event_ms.record(event_ms, 1.0, now);
+        let previous_mean_ms = self.mean_event_ms.mean_with_prior(event_ms, 0.0, now);
+        let bounded_ms = event_ms.min(previous_mean_ms * MAX_MEAN_SAMPLE);
+        self.mean_event_ms.record(bounded_ms, 1.0, now);
         let mean_ms = self.mean_event_ms.mean_with_prior(event_ms, 0.0, now);
         engine.speed.record(event_ms / mean_ms.max(f64::EPSILON), 1.0, now);
     }
@@ -349,8 +314,7 @@
         if let Some(engine) = self.engines.get_mut(&placement.engine) {
             engine.queue.remove(placement.number, now);
         }
-        // The estimate was made for the other engine, so that no speed is learned from it.
-        placement.estimate.usual_ms = 0.0;
+        placement.is_estimated = false;
         placement.engine = name;
         if let Some(engine) = self.engines.get_mut(&placement.engine) {
             add_to_queue(engine, placement, now);
@@ -373,13 +337,6 @@
     }
 }
 
-/// Tokens of memory that a request holds in addition to the shared parts of its prompt, which the
-/// engine keeps once for all requests.
-fn unshared_tokens(request: &PlacementRequest) -> u64 {
-    let shared: u64 = request.shared_parts.iter().map(|part| u64::from(part.tokens)).sum();
-    request.prompt_tokens.saturating_sub(shared) + request.output_tokens
-}
-
 fn add_to_queue(engine: &mut PlacedEngine, placement: &OpenPlacement, now: MonotonicTime) {
     let tokens = (placement.estimate.own_tokens, placement.held_tokens);
     // The wait for a slot is part of the time that is expected to pass without an event.
--- a/crates/crocusdale_core/src/placement/engine_queue.rs
+++ b/crates/crocusdale_core/src/placement/engine_queue.rs
@@ -113,6 +113,15 @@
         ratio.min(MAX_OVERDUE_RATIO)
     }
 
+    /// Ratio of the time for which the first event of the request `number` has been awaited to its
+    /// expected time at an engine of usual speed. `None` if the event has come.
+    #[must_use]
+    pub fn awaited_ratio(&self, number: u64, now: MonotonicTime) -> Option<f64> {
+        let prefill = self.prefilling.get(&number)?;
+        let awaited_ms = now.since(prefill.placed_at).as_secs_f64() * 1e3;
+        Some(awaited_ms / prefill.expected_ms.max(1.0))
+    }
+
     /// Expected wait of a new request until enough open requests have ended, in milliseconds, if
     /// each request runs for `request_ms`, and the engine has `slots` slots and `token_memory`
     /// tokens of memory. Zero if it has room for `new_tokens` more tokens now.
--- a/crates/crocusdale_core/src/placement/mod.rs
+++ b/crates/crocusdale_core/src/placement/mod.rs
@@ -1,5 +1,6 @@
 //! Choice of the model engine for the requests of all daemons, by the coordinator of a pool.
 
+mod cost_estimate;
 mod engine_placer;
 mod engine_placers;
 mod engine_queue;
--- a/crates/crocusdale_core/tests/engine_placement_test.rs
+++ b/crates/crocusdale_core/tests/engine_placement_test.rs
@@ -182,6 +182,36 @@
     }
 }
 
+/// Guards against an engine that has stopped and gets the next requests as soon as the previous ones
+/// have ended at their deadlines.
+#[test]
+fn engine_whose_requests_end_without_an_event_counts_as_slow() {
+    let mut placer = placer(2);
+    let stuck = request(1, 5, at(0.0));
+    let silent = placer.place(&stuck, at(0.0)).upstream.expect("an engine");
+    placer.report(&report(&stuck, PlacementOutcome::Cancelled), at(5_900.0));
+    let next = placer.place(&request(2, 5, at(6_000.0)), at(6_000.0)).upstream;
+    assert_ne!(next, Some(silent));
+}
+
+/// Guards against an engine that appears overdue because a daemon chose it by itself.
+#[test]
+fn request_that_its_daemon_sent_elsewhere_counts_there() {
+    let mut placer = placer(2);
+    let moved = request(1, 5, at(0.0));
+    let chosen = placer.place(&moved, at(0.0)).upstream.expect("an engine");
+    let other = if chosen == "reader-0" { "reader-1" } else { "reader-0" };
+    let mut not_used = report(&moved, PlacementOutcome::NotUsed);
+    other.clone_into(&mut not_used.upstream);
+    placer.report(&not_used, at(1.0));
+    let open = |placer: &EnginePlacer, name: &str| {
+        placer.speeds(at(1.0)).into_iter().find(|engine| engine.0 == name).map(|engine| engine.2)
+    };
+    assert_eq!((open(&placer, &chosen), open(&placer, other)), (Some(0), Some(1)));
+    let next = placer.place(&request(2, 5, at(60.0)), at(60.0));
+    assert!(next.expected.as_millis() < 300, "{next:?}");
+}
+
 #[test]
 fn excluded_engines_and_forbidden_regions_are_never_chosen() {
     let mut placer = EnginePlacer::new(RULES);
--- a/crates/crocusdale_core/tests/placement_flow_test.rs
+++ b/crates/crocusdale_core/tests/placement_flow_test.rs
@@ -9,17 +9,17 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::{
-    ConfigurationError, Declarations, DeclarationsBuilder, EngineRules, PlanStep, PoolKind,
-    RepeatRule, SchedulingSettings, StageRules, StepWork,
+    BatchRules, ConfigurationError, Declarations, DeclarationsBuilder, EngineRules, PlanStep,
+    PoolKind, RepeatRule, SchedulingSettings, StageRules, StepWork,
 };
-use crocusdale_core::daemon::{Command, DaemonEvent};
+use crocusdale_core::daemon::{Command, DaemonEvent, StateChange};
 use crocusdale_core::identity::{CallId, RequestDigest, RequestKey};
 use crocusdale_core::pipeline::{
     AttemptEvent, CallerRequest, EngineDemand, ExecutionStatus, ForwardHead, ForwardOrder,
     PromptPart, RequestContent, ResponseHead,
 };
 use crocusdale_core::placement::{
-    PlacementOutcome, PlacementReply, PlacementReport, PlacementRequest,
+    FirstEventTime, PlacementOutcome, PlacementReply, PlacementReport, PlacementRequest,
 };
 use crocusdale_core::routing::DirectoryEntry;
 use forward_daemon::{HOST, pipeline};
@@ -31,10 +31,23 @@
 
 fn read(_: &str, _: &str) -> Result<Declarations, Vec<ConfigurationError>> {
     let engine = PoolKind::Engine(EngineRules { slots: 2, token_memory: 100_000 });
-    let step = PlanStep { stage: "reader".to_owned(), after: vec![], work: StepWork::Forward };
+    let batch = PoolKind::Batch(BatchRules {
+        slots: 1,
+        pieces: 20,
+        call_time: Duration::from_millis(50),
+        piece_time: Duration::from_millis(1),
+        result_bytes: 50_000_000,
+        result_lifetime: Duration::from_secs(4),
+    });
+    let step = |after| PlanStep { stage: "reader".to_owned(), after, work: StepWork::Forward };
+    let work = StepWork::Batched { result_bytes: 1_000 };
+    let scan = PlanStep { stage: "scan".to_owned(), after: vec![], work };
+    let digest = vec![scan, step(vec![0])];
     Ok(DeclarationsBuilder::new("test", Duration::from_secs(1))
         .stage("reader", StageRules::published(engine, None))
-        .route(HOST, "/tell/", pipeline(RepeatRule::ResumableStream, vec![step]))
+        .stage("scan", StageRules::published(batch, None))
+        .route(HOST, "/tell/", pipeline(RepeatRule::ResumableStream, vec![step(vec![])]))
+        .route(HOST, "/digest/", pipeline(RepeatRule::ResumableStream, digest))
         .build())
 }
 
@@ -57,19 +70,24 @@
 }
 
 fn submit(fleet: &mut VirtualFleet, daemon: usize) -> CallId {
+    let request = build(fleet, "/tell/");
+    fleet.submit(daemon, request)
+}
+
+fn build(fleet: &mut VirtualFleet, path: &str) -> CallerRequest {
     let parts = vec![PromptPart { id: 5, tokens: 900 }, PromptPart { id: 6, tokens: 100 }];
     let demand = EngineDemand { parts, prompt_tokens: 1_000, output_tokens: 50 };
     let head = ForwardHead {
         host: HOST.to_owned(),
-        path: "/tell/".to_owned(),
-        content: RequestDigest::of(&[b"tell"]),
+        path: path.to_owned(),
+        content: RequestDigest::of(&[path.as_bytes()]),
         access: None,
         pieces: vec![],
         piece_source: String::new(),
         demand: Some(Arc::new(demand)),
     };
     let key = format!("try-{}-{}", fleet.now.since_start().as_micros(), fleet.relays.len());
-    let request = CallerRequest {
+    CallerRequest {
         key: RequestKey::new("", key),
         labels: Default::default(),
         deadline: Duration::from_secs(6),
@@ -78,8 +96,7 @@
         age: Duration::ZERO,
         ticket: None,
         content: RequestContent::Forward(Box::new(head)),
-    };
-    fleet.submit(daemon, request)
+    }
 }
 
 /// Daemon that does not coordinate the pool, the coordinator's VM and the first question to it.
@@ -219,6 +236,34 @@
     assert_eq!(request.excluded, [names[0].name.clone()]);
 }
 
+/// Guards against requests that are admitted with an engine time of idle engines, and against one
+/// that is used long after it was measured.
+#[test]
+fn plans_use_the_measured_time_to_first_event_for_five_seconds() {
+    let mut fleet = placing_fleet();
+    let (daemon, _, vm, request) = ask(&mut fleet);
+    let is_late = |fleet: &mut VirtualFleet| {
+        let request = build(fleet, "/digest/");
+        let (core, mut commands) = (&fleet.cores[daemon], Vec::new());
+        let call = core.open_call(&request.key);
+        let event = DaemonEvent::Submitted { call, request: Box::new(request) };
+        core.handle(event, fleet.now, &mut commands);
+        commands.iter().any(|command| {
+            matches!(command, Command::LogStateChange(StateChange::RequestWaits { .. }))
+        })
+    };
+    assert!(!is_late(&mut fleet));
+    let first_event = FirstEventTime {
+        fixed: Duration::from_millis(300),
+        thousand_tokens: Duration::from_millis(600),
+    };
+    let reply = PlacementReply { first_event: Some(first_event), ..PlacementReply::default() };
+    fleet.feed(daemon, DaemonEvent::PlacementReplied { vm, request, reply: Some(reply) });
+    assert!(is_late(&mut fleet), "the engine alone takes the 900 ms to the objective");
+    fleet.run(fleet.now.since_start() + Duration::from_millis(5_100));
+    assert!(!is_late(&mut fleet));
+}
+
 #[test]
 fn small_fleet_and_unset_switch_ask_nobody() {
     for scheduling in [
