--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -46,6 +46,19 @@
     ForeignAnswers,
     /// Answers dropped because they were truncated or could not be parsed.
     BrokenAnswers,
+    /// Requests that this daemon served as late, as their admission coordinator, because their
+    /// workspace was over its share.
+    AdmissionsOverShare,
+    /// Refused requests for which this daemon reserved a return slot.
+    ReturnSlotsReserved,
+    /// Refused requests that found no capacity for a return slot.
+    ReturnSlotsMissing,
+    /// Requests that came back on time and took their return slot.
+    ReturnSlotsClaimed,
+    /// Requests that came back before their return slot and had to wait for it.
+    ReturnSlotsEarly,
+    /// Return slots that were released because the caller did not come back in time.
+    ReturnSlotsExpired,
     /// Requests quarantined because upstreams crashed while they ran them.
     RequestsQuarantined,
     /// Attempts cancelled because the upstream sent nothing before the idle timeout.
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -123,6 +123,14 @@
         /// Peer that reported the last crash, or `None` if this daemon observed it.
         peer: Option<String>,
     },
+    /// An admission coordinator dropped entries because a table was full. Logged once a second at
+    /// most.
+    AdmissionEntriesDropped {
+        /// Table that was full: `workspaces` or `return_slots`.
+        table: &'static str,
+        /// Number of entries dropped since the last line.
+        dropped: u64,
+    },
     /// A quarantine was lifted, because a request with the same digest was answered completely.
     QuarantineLifted {
         /// Digest of caller, target and content, which every repeat of the request shares.
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -121,6 +121,9 @@
                 info!(log, "{}", name;
                     "digest" => digest.to_string(), "ends" => ends, "peer" => peer.as_deref());
             }
+            StateChange::AdmissionEntriesDropped { table, dropped } => {
+                info!(log, "{}", name; "table" => table, "dropped" => dropped);
+            }
             StateChange::QuarantineLifted { digest } => {
                 info!(log, "{}", name; "digest" => digest.to_string());
             }
