Count returning callers by level and by how many return

Work that was promised to callers counted before all new requests, also before more urgent ones.

Change: `expected_work` counts promised work of the same and more urgent levels only, by the part of slots whose callers returned of late.

Tests: return_slots_test, workspace_shares_test and scheduling_settings_test pass; the other tests of crocusdale_core ran before this change.

--- a/crates/crocusdale_core/src/admission/pool_calendar.rs
+++ b/crates/crocusdale_core/src/admission/pool_calendar.rs
@@ -9,25 +9,27 @@
 const MAX_STEP_PERIODS: u64 = 10;
 
 /// Work of one pool that is promised to callers that will return, by the period in which it is
-/// expected.
+/// expected and by priority level.
 #[derive(Debug, Default)]
 pub(super) struct PoolCalendar {
-    promised: BTreeMap<u64, Duration>,
+    promised: BTreeMap<(u64, u8), Duration>,
 }
 
 /// Part of a promise that falls into one period.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CalendarEntry {
     period: u64,
+    level: u8,
     work: Duration,
 }
 
 impl PoolCalendar {
-    /// Promises `work` from the period of `start` on, without gaps. A period takes up to `limit`.
+    /// Promises `work` of `level` from the period of `start` on, without gaps. A period takes up to `limit`.
     /// Returns what was promised in each period, or `None` if the work does not fit. Nothing is
     /// promised then.
     pub(super) fn promise(
         &mut self,
+        level: u8,
         work: Duration,
         start: MonotonicTime,
         limit: Duration,
@@ -39,20 +41,21 @@
             if left.is_zero() {
                 break;
             }
-            let promised = self.promised.get(&period).copied().unwrap_or_default();
+            let promised = self.promised.range((period, 0)..=(period, u8::MAX));
+            let promised: Duration = promised.map(|(_, work)| *work).sum();
             let part = limit.saturating_sub(promised).min(left);
             if part.is_zero() {
                 // Work that waits for a later period should return in that period.
                 break;
             }
             left -= part;
-            entries.push(CalendarEntry { period, work: part });
+            entries.push(CalendarEntry { period, level, work: part });
         }
         if !left.is_zero() {
             return None;
         }
         for entry in &entries {
-            *self.promised.entry(entry.period).or_default() += entry.work;
+            *self.promised.entry((entry.period, entry.level)).or_default() += entry.work;
         }
         Some(entries)
     }
@@ -60,22 +63,25 @@
     /// Takes back what was promised.
     pub(super) fn release(&mut self, entries: &[CalendarEntry]) {
         for entry in entries {
-            if let Some(promised) = self.promised.get_mut(&entry.period) {
+            let key = (entry.period, entry.level);
+            if let Some(promised) = self.promised.get_mut(&key) {
                 *promised = promised.saturating_sub(entry.work);
                 if promised.is_zero() {
-                    self.promised.remove(&entry.period);
+                    self.promised.remove(&key);
                 }
             }
         }
     }
 
-    /// Work that is promised between `from` and `to`. A period that is partly in that range counts
-    /// by that part.
-    pub(super) fn promised(&self, from: MonotonicTime, to: MonotonicTime) -> Duration {
+    /// Work of `level` and more urgent levels that is promised between `from` and `to`. A period
+    /// that is partly in that range counts by that part.
+    pub(super) fn promised(&self, level: u8, from: MonotonicTime, to: MonotonicTime) -> Duration {
         if to <= from {
             return Duration::ZERO;
         }
-        let parts = self.promised.range(period_of(from)..=period_of(to)).map(|(period, work)| {
+        let entries = self.promised.range((period_of(from), 0)..=(period_of(to), u8::MAX));
+        let entries = entries.filter(|((_, other), _)| *other <= level);
+        let parts = entries.map(|((period, _), work)| {
             let (start, end) = (start_of(*period), start_of(period + 1));
             let overlap = end.min(to).since(start.max(from));
             work.mul_f64(overlap.as_secs_f64() / PERIOD.as_secs_f64())
--- a/crates/crocusdale_core/src/admission/return_slots.rs
+++ b/crates/crocusdale_core/src/admission/return_slots.rs
@@ -27,16 +27,21 @@
 /// Part of the capacity by which each second since the first refusal makes up for the level.
 const WAITED_PART_PER_SECOND: f64 = 0.1;
 
+/// Weight of one slot in the part of callers that return.
+const RETURN_WEIGHT: f64 = 0.02;
+
 /// Capacity that is reserved for refused callers which come back on time.
 ///
 /// Guards against callers that wait as they are told and are refused again, because others have
 /// taken the capacity meanwhile.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReturnSlots {
     calendars: HashMap<String, PoolCalendar>,
     refusals: HashMap<RequestDigest, RefusalRecord>,
     /// Time at which each entry of `refusals` changes next.
     timers: BTreeSet<(MonotonicTime, RequestDigest)>,
+    /// Recent part of the slots whose callers returned.
+    return_part: f64,
     dropped: DroppedEntries,
 }
 
@@ -64,7 +69,8 @@
     pub work: Duration,
     /// Time from the start of the request to the arrival at the pool.
     pub delay: Duration,
-    /// Capacity of the pool, in upstreams of usual speed.
+    /// Capacity of the pool that the on-time load of more urgent levels leaves, in upstreams of
+    /// usual speed. Less urgent callers would otherwise be given slots that others use up.
     pub capacity: f64,
 }
 
@@ -93,6 +99,18 @@
     promises: Vec<(String, Vec<CalendarEntry>)>,
 }
 
+impl Default for ReturnSlots {
+    fn default() -> Self {
+        Self {
+            calendars: HashMap::new(),
+            refusals: HashMap::new(),
+            timers: BTreeSet::new(),
+            return_part: 1.0,
+            dropped: DroppedEntries::default(),
+        }
+    }
+}
+
 impl ReturnSlots {
     /// Reserves capacity for a refused request and returns after which time its caller should come
     /// back. `None` if no period before the caller's return has enough capacity left. A caller that
@@ -131,13 +149,33 @@
             return Some(SlotClaim::Early { remaining });
         }
         self.remove(digest);
+        self.return_part += (1.0 - self.return_part) * RETURN_WEIGHT;
         Some(SlotClaim::OnTime)
     }
 
     /// Work of `pool` that is promised to callers which are expected back between `from` and `to`.
     #[must_use]
     pub fn promised_work(&self, pool: &str, from: MonotonicTime, to: MonotonicTime) -> Duration {
-        self.calendars.get(pool).map_or(Duration::ZERO, |calendar| calendar.promised(from, to))
+        self.calendars
+            .get(pool)
+            .map_or(Duration::ZERO, |calendar| calendar.promised(u8::MAX, from, to))
+    }
+
+    /// Work of `pool` that is expected between `from` and `to` before other work of `level`: the
+    /// promised work of that level and of more urgent ones, by the part of callers that return.
+    ///
+    /// Guards against new requests that are refused for the sake of callers that never return, and
+    /// against urgent requests that wait for less urgent callers.
+    #[must_use]
+    pub fn expected_work(
+        &self,
+        pool: &str,
+        level: u8,
+        from: MonotonicTime,
+        to: MonotonicTime,
+    ) -> Duration {
+        let Some(calendar) = self.calendars.get(pool) else { return Duration::ZERO };
+        calendar.promised(level, from, to).mul_f64(self.return_part)
     }
 
     /// Releases the slots whose callers did not come, and removes requests after their deadline.
@@ -146,7 +184,10 @@
         let mut expired = 0;
         while let Some((_, digest)) = self.timers.first().copied().filter(|(at, _)| *at < now) {
             let Some(mut record) = self.remove(digest) else { continue };
-            expired += usize::from(record.slot.take().is_some());
+            if record.slot.take().is_some() {
+                expired += 1;
+                self.return_part -= self.return_part * RETURN_WEIGHT;
+            }
             if record.deadline >= now {
                 self.insert(digest, record);
             }
@@ -182,7 +223,7 @@
         let latest = now + (request.time_left / CALLER_WAIT_DIVISOR).min(MAX_WAIT);
         let mut expected_at = next_period_start(now + request.not_before.max(EARLY_TOLERANCE));
         while expected_at <= latest {
-            if let Some(promises) = self.promise_steps(request.steps, part, expected_at) {
+            if let Some(promises) = self.promise_steps(request, part, expected_at) {
                 return Some(ReturnSlot { expected_at, promises });
             }
             expected_at = expected_at + PERIOD;
@@ -192,15 +233,15 @@
 
     fn promise_steps(
         &mut self,
-        steps: &[StepDemand<'_>],
+        request: &RefusedRequest<'_>,
         part: f64,
         start: MonotonicTime,
     ) -> Option<Vec<(String, Vec<CalendarEntry>)>> {
-        let mut promises = Vec::with_capacity(steps.len());
-        for step in steps {
+        let mut promises = Vec::with_capacity(request.steps.len());
+        for step in request.steps {
             let limit = period_limit(step.capacity * part);
             let calendar = self.calendars.entry(step.pool.to_owned()).or_default();
-            match calendar.promise(step.work, start + step.delay, limit) {
+            match calendar.promise(request.level, step.work, start + step.delay, limit) {
                 Some(entries) => promises.push((step.pool.to_owned(), entries)),
                 None => {
                     self.release(&promises);
--- a/crates/crocusdale_core/tests/return_slots_test.rs
+++ b/crates/crocusdale_core/tests/return_slots_test.rs
@@ -184,6 +184,35 @@
     assert!(slots.is_empty());
 }
 
+/// Guards against new requests that are refused for the sake of callers that never return, and
+/// against urgent requests that wait for less urgent callers.
+#[test]
+fn only_callers_that_return_count_before_new_requests() {
+    let mut slots = ReturnSlots::default();
+    let expected = |slots: &ReturnSlots, level, from_ms| {
+        slots.expected_work("scan", level, at(from_ms), at(from_ms + 2_000))
+    };
+    reserve(&mut slots, 0, 2, 5);
+    let work = Duration::from_millis(WORK_MS);
+    assert_eq!((expected(&slots, 1, 5), expected(&slots, 2, 5)), (Duration::ZERO, work));
+    let mut now_ms = 10_000;
+    for number in 1..200 {
+        reserve(&mut slots, number, 2, now_ms);
+        now_ms += 2_000;
+    }
+    reserve(&mut slots, 200, 2, now_ms);
+    let without_returns = expected(&slots, 2, now_ms);
+    assert!(without_returns < work / 10, "{without_returns:?}");
+    for number in 201..400 {
+        let wait = reserve(&mut slots, number, 2, now_ms).expect("the pool is free");
+        now_ms += wait.as_millis() as u64;
+        assert_eq!(slots.claim(digest(number), at(now_ms)), Some(SlotClaim::OnTime));
+    }
+    reserve(&mut slots, 400, 2, now_ms);
+    let with_returns = expected(&slots, 2, now_ms);
+    assert!(with_returns > work.mul_f64(0.9), "{with_returns:?}");
+}
+
 /// Guards against a state that grows with the number of refused requests, and against a log line
 /// for each of them.
 #[test]
