Make parallel batched steps due together

Cause: a batched step beside a chain of steps was scheduled by the latest time at which it may end. It ended after the chain, and the request waited for it at the join.

Change: with `align_parallel_steps = on`, a step off the critical path is due when the critical path is expected to reach the join (StepForecast), computed when the step is submitted, with the queueing delays of the plan. Slack below half of the step's time does not count. Steps on the critical path keep their due time, also in late requests.

--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -33,6 +33,7 @@
             refuse_unstarted(call, &plan, (RefusalReason::Overload, wait), actions);
             return;
         }
+        plan.aligns_parallel_steps = self.coordination.settings.align_parallel_steps;
         plan.queueing_delays = self.expected_delays(&plan, now);
         match self.entry_verdict(&plan, now) {
             EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, actions),
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -19,6 +19,7 @@
 mod request_run;
 mod request_shard;
 mod shard_action;
+mod step_forecast;
 mod step_run;
 mod stream_assembler;
 
@@ -37,4 +38,5 @@
 pub use request_run::RequestRun;
 pub use request_shard::{LookupRetention, RequestShard};
 pub use shard_action::{RegisterCall, ShardAction};
+pub use step_forecast::{StepForecast, StepProgress};
 pub use stream_assembler::{StreamAssembler, StreamFault, StreamLine};
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -6,7 +6,7 @@
 use super::step_run::{AttemptFailure, AttemptKind, InFlightAttempt, StepOutput};
 use super::{
     FinalAnswer, PieceFault, PieceOrder, PieceSource, PlacedResult, RefusalReason, RequestRun,
-    ResultHandle, ShardAction,
+    ResultHandle, ShardAction, StepForecast, StepProgress,
 };
 use crate::configuration::{PoolKind, StepWork};
 use crate::daemon::CounterName;
@@ -56,7 +56,7 @@
             zone: self.input_zone(position),
             level: self.plan.level,
             is_flood: self.plan.is_flood,
-            target_end: self.plan.target_end(position),
+            target_end: self.due(index, now),
             expires: self.plan.latest_end(position),
             is_resubmission: !self.step_runs[index].failed_targets.is_empty() || self.rebuilds > 0,
         };
@@ -81,6 +81,30 @@
         });
     }
 
+    /// Time by which the pieces of the step run at `index`, which are submitted at `now`, are due.
+    fn due(&self, index: usize, now: MonotonicTime) -> MonotonicTime {
+        let position = self.step_runs[index].step;
+        if self.plan.aligns_parallel_steps {
+            self.forecast(index, now).due(&self.plan, position)
+        } else {
+            self.plan.target_end(position)
+        }
+    }
+
+    /// Expected ends of all steps, if the step run at `index` starts at `now`.
+    fn forecast(&self, index: usize, now: MonotonicTime) -> StepForecast {
+        let progress = |position| {
+            let found = self.step_runs.iter().enumerate().find(|(_, run)| run.step == position);
+            match found {
+                None => StepProgress::Waiting,
+                Some((_, run)) if run.output.is_some() => StepProgress::Done,
+                Some((found_index, _)) if found_index == index => StepProgress::Started(now),
+                Some((_, run)) => StepProgress::Started(run.started_at),
+            }
+        };
+        StepForecast::new(&self.plan, progress, now)
+    }
+
     /// Pool section that holds the inputs of the step at `position`, if these inputs can be freed
     /// before the step has ended. They must come from one step, be read by no other step, and take
     /// up enough of an upstream's result memory.
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -53,6 +53,8 @@
     /// Expected queueing delay of each step on top of [`Self::step_time`], by position, from the
     /// load of the pools when the request started. Missing entries count as zero.
     pub queueing_delays: Vec<Duration>,
+    /// Whether parallel batched steps are due together.
+    pub aligns_parallel_steps: bool,
 }
 
 impl RequestPlan {
@@ -109,6 +111,7 @@
             permit: AdmissionPermit::default(),
             allowed_regions: AllowedRegions::default(),
             queueing_delays: Vec::new(),
+            aligns_parallel_steps: false,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -163,6 +166,7 @@
             permit: AdmissionPermit::default(),
             allowed_regions,
             queueing_delays: Vec::new(),
+            aligns_parallel_steps: false,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -221,14 +225,26 @@
     /// [`Self::queueing_delays`].
     #[must_use]
     pub fn target_end(&self, position: usize) -> MonotonicTime {
-        let plan = &self.pipeline.plan;
-        let time_after = plan.critical_path_time_after(position, |step, position| {
-            let delay = self.queueing_delays.get(position).copied().unwrap_or_default();
-            self.step_time(position, step) + delay
-        });
+        let time_after = self.queued_time_after(position);
         let since_start = self.objective.since_start().saturating_sub(time_after);
         MonotonicTime::from_start(since_start)
     }
+
+    /// Expected duration of `step` with its delay in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_step_time(&self, position: usize, step: &PlanStep) -> Duration {
+        let delay = self.queueing_delays.get(position).copied().unwrap_or_default();
+        self.step_time(position, step) + delay
+    }
+
+    /// Expected time from the end of the step at `position` to the end of the request, with the
+    /// delays in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_time_after(&self, position: usize) -> Duration {
+        self.pipeline.plan.critical_path_time_after(position, |step, position| {
+            self.queued_step_time(position, step)
+        })
+    }
 }
 
 fn refuse<T>(
