Compute only lost results again, and begin no step that can't end in time

Cause: after the loss of one result, all batched steps of a request ran again. Steps were begun although the queues of later pools left no time for an answer: the deadline of a step did not include queueing delays.

Change: after a loss, only the steps run again whose results are known to be gone (freed, or older than upstreams keep results), and those that they need. If none is known, all inputs of the step that failed run again. A second loss runs all steps again, a third one fails the request. A batched step is submitted only if it and the rest of its path can end before the deadline with the plan's queueing delays; else the request is refused at once (step_not_begun, steps_not_begun) with the longest of these delays as its retry time.

Not included: results of upstreams that have left the directory. A result does not name its upstream in the core.

--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -34,6 +34,8 @@
     DispatchersLost,
     /// Batched steps that ran again because upstreams had lost or freed their results.
     StepsRemade,
+    /// Batched steps not begun because the rest of their request's path could not end in time.
+    StepsNotBegun,
     /// Batches sent to batched upstreams.
     BatchCalls,
     /// Queries to batched upstreams for their free result memory.
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -103,6 +103,20 @@
         /// Whether the workspace sends much more than its usual share of the requests.
         is_flood: bool,
     },
+    /// A request was refused before one of its batched steps, because the rest of its path could
+    /// not end before the deadline.
+    StepNotBegun {
+        /// Idempotency key of the request.
+        request: RequestKey,
+        /// Stage of the step that was not begun.
+        stage: String,
+        /// Expected milliseconds of the step and those after it, with queueing delays.
+        needed_ms: u64,
+        /// Milliseconds left until the deadline.
+        left_ms: u64,
+        /// Age of the queueing delays, in milliseconds.
+        delays_age_ms: u64,
+    },
     /// An upstream broke off an attempt that it had started, or may have started.
     AttemptBroken {
         /// Idempotency key of the request.
--- a/crates/crocusdale_core/src/pipeline/attempt_failures.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt_failures.rs
@@ -1,6 +1,6 @@
 //! How attempts of a request end without an answer, and which of them are retried.
 
-use super::request_run::{MAX_REBUILDS, count, set_timer};
+use super::request_run::{count, set_timer};
 use super::step_run::{AttemptFailure, InFlightAttempt};
 use super::{BreakReason, FinalAnswer, RequestRun, ShardAction};
 use crate::configuration::RepeatRule;
@@ -76,9 +76,8 @@
         let has_not_run = matches!(failure, AttemptFailure::NotSent | AttemptFailure::NotRun);
         let can_retry = (can_repeat || has_not_run) && (!self.has_sent_response || is_resumable);
         if can_retry && now < self.plan.deadline {
-            if self.has_freed_results && self.rebuilds < MAX_REBUILDS {
-                self.rebuild_inputs(now, actions);
-                return None;
+            if self.has_freed_results && self.can_rebuild() {
+                return self.rebuild_inputs(self.step_runs[index].step, now, actions);
             }
             let request = self.slot_request(index);
             actions
--- a/crates/crocusdale_core/src/pipeline/claim_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/claim_steps.rs
@@ -130,7 +130,8 @@
             ClaimVerdict::Granted => {
                 active_run.witnesses = Some(poll.witnesses().clone());
                 active_run.poll = None;
-                active_run.run.start_first_steps(now, actions);
+                let final_answer = active_run.run.start_first_steps(now, actions);
+                self.finish_if_ended(call, final_answer, now, actions);
             }
             ClaimVerdict::Impossible => self.abandon_claim(call, now, actions),
         }
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -1,6 +1,6 @@
 //! Steps that forward the caller's own request to an upstream.
 
-use super::request_run::{MAX_REBUILDS, count};
+use super::request_run::count;
 use super::step_run::{AttemptFailure, StepOutput};
 use super::{
     ExecutionStatus, FinalAnswer, ForwardOrder, PlacedResult, RefusalReason, RequestRun,
@@ -92,9 +92,8 @@
                 self.step_runs[index].attempts -= 1;
                 self.release_slot(index, AttemptReport::Cancelled, actions);
                 self.step_runs[index].in_flight = None;
-                if self.rebuilds < MAX_REBUILDS && now < self.plan.deadline {
-                    self.rebuild_inputs(now, actions);
-                    return None;
+                if self.can_rebuild() && now < self.plan.deadline {
+                    return self.rebuild_inputs(self.step_runs[index].step, now, actions);
                 }
                 return Some(self.finish_unanswered(RefusalReason::UpstreamBroken, now, actions));
             }
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -12,6 +12,7 @@
 mod forward_steps;
 mod json_steps;
 mod key_table;
+mod lost_results;
 mod outcome_lookup;
 mod piece_order;
 mod piece_steps;
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -1,15 +1,17 @@
 //! Batched steps, whose pieces share upstream calls with those of other requests.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use super::request_run::{MAX_REBUILDS, count};
+use super::lost_results::RebuildStage;
+use super::request_run::count;
 use super::step_run::{AttemptFailure, AttemptKind, InFlightAttempt, StepOutput};
 use super::{
     FinalAnswer, PieceFault, PieceOrder, PieceSource, PlacedResult, RefusalReason, RequestRun,
     ResultHandle, ShardAction, StepForecast, StepProgress,
 };
 use crate::configuration::{PoolKind, StepWork};
-use crate::daemon::CounterName;
+use crate::daemon::{Command, CounterName, StateChange};
 use crate::identity::{AttemptId, MonotonicTime};
 
 /// Maximum number of dispatchers that are tried for one batched step.
@@ -28,14 +30,24 @@
 const LARGE_TRANSFER_BYTES: u64 = 200_000;
 
 impl RequestRun {
+    /// Submits the pieces of the step run at `index`. Ends the request instead if the rest of its
+    /// path can't end before the deadline.
     pub(super) fn submit_pieces(
         &mut self,
         index: usize,
         now: MonotonicTime,
         actions: &mut Vec<ShardAction>,
-    ) {
-        let id = self.next_attempt_id();
+    ) -> Option<FinalAnswer> {
         let position = self.step_runs[index].step;
+        if self.is_awaiting_inputs(position) {
+            self.await_inputs(index, actions);
+            return None;
+        }
+        let needed_time = self.plan.queued_time_from(position);
+        if now + needed_time > self.plan.deadline {
+            return Some(self.refuse_step(position, needed_time, now, actions));
+        }
+        let id = self.next_attempt_id();
         let input_steps = &self.plan.pipeline.plan.steps()[position].after;
         let head = self.plan.request.forward_head();
         let source = if input_steps.is_empty() {
@@ -58,7 +70,8 @@
             is_flood: self.plan.is_flood,
             target_end: self.due(index, now),
             expires: self.plan.latest_end(position),
-            is_resubmission: !self.step_runs[index].failed_targets.is_empty() || self.rebuilds > 0,
+            is_resubmission: !self.step_runs[index].failed_targets.is_empty()
+                || self.rebuild_stage != RebuildStage::None,
         };
         let step_run = &mut self.step_runs[index];
         step_run.attempts += 1;
@@ -79,6 +92,29 @@
             tried: failed_dispatchers,
             target,
         });
+        None
+    }
+
+    /// Ends the request, because the step at `position` and those after it need `needed_time`, which
+    /// is not left. The caller should come back after the longest queueing delay in the plan.
+    fn refuse_step(
+        &mut self,
+        position: usize,
+        needed_time: Duration,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) -> FinalAnswer {
+        let since_start = self.step_runs.iter().map(|run| run.started_at).min();
+        actions.push(count(CounterName::StepsNotBegun));
+        actions.push(ShardAction::Command(Command::LogStateChange(StateChange::StepNotBegun {
+            request: self.plan.request.key.clone(),
+            stage: self.plan.pipeline.plan.steps()[position].stage.clone(),
+            needed_ms: whole_millis(needed_time),
+            left_ms: whole_millis(self.plan.deadline.since(now)),
+            delays_age_ms: since_start.map_or(0, |at| whole_millis(now.since(at))),
+        })));
+        self.retry_after = self.plan.queueing_delays.iter().copied().max().max(self.retry_after);
+        self.finish_unanswered(RefusalReason::Overload, now, actions)
     }
 
     /// Time by which the pieces of the step run at `index`, which are submitted at `now`, are due.
@@ -187,19 +223,22 @@
         actions.push(count(counter));
         self.step_runs[index].in_flight = None;
         let is_in_time = now < self.plan.deadline;
+        let position = self.step_runs[index].step;
         match fault {
             PieceFault::Moved
                 if is_in_time
                     && self.step_runs[index].dispatcher_changes < MAX_DISPATCHER_CHANGES =>
             {
                 self.step_runs[index].dispatcher_changes += 1;
-                self.submit_pieces(index, now, actions);
-                None
+                self.submit_pieces(index, now, actions)
             }
-            PieceFault::InputGone if is_in_time && self.rebuilds < MAX_REBUILDS => {
-                self.rebuild_inputs(now, actions);
+            PieceFault::InputGone if is_in_time && self.is_awaiting_inputs(position) => {
+                self.await_inputs(index, actions);
                 None
             }
+            PieceFault::InputGone if is_in_time && self.can_rebuild() => {
+                self.rebuild_inputs(position, now, actions)
+            }
             _ => Some(self.finish_unanswered(
                 AttemptFailure::Pieces(fault).refusal_reason(),
                 now,
@@ -223,23 +262,7 @@
             return Some(self.finish_unanswered(RefusalReason::NoUpstream, now, actions));
         }
         actions.push(count(CounterName::DispatchersLost));
-        self.submit_pieces(index, now, actions);
-        None
-    }
-
-    /// Starts all batched steps again, because a result that a later step needs was lost with the
-    /// upstream that stored it.
-    pub(super) fn rebuild_inputs(&mut self, now: MonotonicTime, actions: &mut Vec<ShardAction>) {
-        self.rebuilds += 1;
-        self.close_step_runs(actions);
-        self.free_all_results(actions);
-        self.has_freed_results = false;
-        let forward_run =
-            self.step_runs.drain(..).find(|step_run| step_run.work == StepWork::Forward);
-        self.forward_history =
-            forward_run.map(|step_run| (step_run.attempts, step_run.failed_targets));
-        actions.push(count(CounterName::StepsRemade));
-        self.start_ready_steps(now, actions);
+        self.submit_pieces(index, now, actions)
     }
 
     /// Frees every result. Either the results that were needed have been fetched, or no step will
@@ -282,3 +305,8 @@
     let results = results.into_iter().map(|result| result.handle).collect();
     ShardAction::FreeResults { pool: pool.to_owned(), results }
 }
+
+/// Whole milliseconds of `duration`.
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -237,6 +237,14 @@
         self.step_time(position, step) + delay
     }
 
+    /// Expected time from the start of the step at `position` to the end of the request, with the
+    /// delays in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_time_from(&self, position: usize) -> Duration {
+        let step = &self.pipeline.plan.steps()[position];
+        self.queued_step_time(position, step) + self.queued_time_after(position)
+    }
+
     /// Expected time from the end of the step at `position` to the end of the request, with the
     /// delays in [`Self::queueing_delays`].
     #[must_use]
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::lost_results::RebuildStage;
 use super::step_run::{AttemptFailure, AttemptKind, InFlightAttempt, StepOutput, StepRun};
 use super::{
     AttemptCounts, AttemptEvent, BreakReason, FinalAnswer, FinalOutcome, OutcomeKind,
@@ -14,9 +15,6 @@
 /// remains until the request's deadline, that time is the minimum instead. A batched call takes a
 /// few tenths of a second, so the queues have moved on after this delay.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Maximum number of times that the batched steps of a request are run again because a result was
-/// gone when it was needed.
-pub(super) const MAX_REBUILDS: u32 = 1;
 
 /// Execution state of one request on its way through the steps of its pipeline.
 #[derive(Debug)]
@@ -34,8 +32,8 @@
     pub(super) has_sent_response: bool,
     /// Whether an upstream answered the forwarded request with a success status.
     pub(super) has_upstream_success: bool,
-    /// Number of times that the batched steps were run again because results were gone.
-    pub(super) rebuilds: u32,
+    /// Steps that were run again because results were gone.
+    pub(super) rebuild_stage: RebuildStage,
     /// Whether results were freed after an upstream had fetched them.
     pub(super) has_freed_results: bool,
     /// Attempt count and tried upstreams of the forwarded step, kept while its inputs are computed
@@ -60,7 +58,7 @@
             last_sequence: 0,
             has_sent_response: false,
             has_upstream_success: false,
-            rebuilds: 0,
+            rebuild_stage: RebuildStage::None,
             has_freed_results: false,
             forward_history: None,
             retry_after: None,
@@ -79,9 +77,14 @@
         self.attempt_counts.possibly_sent == 0
     }
 
-    /// Starts the steps that need no results of other steps.
-    pub fn start_first_steps(&mut self, now: MonotonicTime, actions: &mut Vec<ShardAction>) {
-        self.start_ready_steps(now, actions);
+    /// Starts the steps that need no results of other steps. Returns the final answer if they can't
+    /// end in time.
+    pub fn start_first_steps(
+        &mut self,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) -> Option<FinalAnswer> {
+        self.start_ready_steps(now, actions)
     }
 
     /// Sends an attempt to the upstream that the router assigned.
@@ -301,8 +304,13 @@
         }
     }
 
-    /// Starts every step that has not started and whose inputs are available.
-    pub(super) fn start_ready_steps(&mut self, now: MonotonicTime, actions: &mut Vec<ShardAction>) {
+    /// Starts every step that has not started and whose inputs are available. Returns the final
+    /// answer if one of them can't end in time.
+    pub(super) fn start_ready_steps(
+        &mut self,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) -> Option<FinalAnswer> {
         for position in 0..self.plan.pipeline.plan.steps().len() {
             let step = &self.plan.pipeline.plan.steps()[position];
             let is_started = self.step_runs.iter().any(|step_run| step_run.step == position);
@@ -325,12 +333,13 @@
             if is_answered {
                 continue;
             }
-            if is_batched {
-                self.submit_pieces(index, now, actions);
-            } else {
+            if !is_batched {
                 actions.push(ShardAction::AcquireSlot(self.slot_request(index)));
+            } else if let Some(refusal) = self.submit_pieces(index, now, actions) {
+                return Some(refusal);
             }
         }
+        None
     }
 
     pub(super) fn is_done(&self, position: usize) -> bool {
@@ -388,6 +397,7 @@
         let in_flight = self.step_runs[index].in_flight.take()?;
         let upstream_time = now.since(in_flight.sent_at);
         self.step_runs[index].output = Some(output);
+        self.step_runs[index].ended_at = Some(now);
         let step_run = &self.step_runs[index];
         let cost_factor = self.plan.stage(&step_run.stage).cost;
         self.stage_costs.push(StageCost {
@@ -403,7 +413,9 @@
             actions.push(ShardAction::ReleaseSlot { upstream: in_flight.upstream, call, report });
         }
         self.free_unneeded_inputs(self.step_runs[index].step, actions);
-        self.start_ready_steps(now, actions);
+        if let Some(refusal) = self.start_ready_steps(now, actions) {
+            return Some(refusal);
+        }
         let is_finished =
             (0..self.plan.pipeline.plan.steps().len()).all(|position| self.is_done(position));
         is_finished.then(|| self.finish_answered(now))
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -115,9 +115,10 @@
         debug_assert!(!plan.needs_claim);
         actions.push(set_timer(TimerKey::Deadline(call), plan.deadline));
         let mut run = RequestRun::new(call, self.own_instance.process_hash(), plan);
-        run.start_first_steps(now, actions);
+        let final_answer = run.start_first_steps(now, actions);
         let active_run = ActiveRun { run, poll: None, witnesses: None, waiting_calls: Vec::new() };
         self.runs.insert(call, active_run);
+        self.finish_if_ended(call, final_answer, now, actions);
     }
 
     /// Handles the upstream that the router assigned to a step.
@@ -328,7 +329,7 @@
         self.finish_if_ended(call, final_answer, now, actions);
     }
 
-    fn finish_if_ended(
+    pub(super) fn finish_if_ended(
         &mut self,
         call: CallId,
         final_answer: Option<FinalAnswer>,
--- a/crates/crocusdale_core/src/pipeline/step_run.rs
+++ b/crates/crocusdale_core/src/pipeline/step_run.rs
@@ -30,6 +30,8 @@
     /// can be made.
     pub(super) held_attempt: Option<AttemptId>,
     pub(super) output: Option<StepOutput>,
+    /// Time at which the step ended with `output`.
+    pub(super) ended_at: Option<MonotonicTime>,
 }
 
 /// An attempt that has not ended.
@@ -78,6 +80,7 @@
             in_flight: None,
             held_attempt: None,
             output: None,
+            ended_at: None,
         }
     }
 
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -56,6 +56,13 @@
         let scan = batched("scan", Vec::new(), result_bytes);
         vec![scan, batched("rank", vec![0], 1_000), forward("reader", vec![1])]
     };
+    // A chain of two batched steps beside a single one.
+    let join = vec![
+        batched("scan", Vec::new(), 1_000),
+        batched("rank", vec![0], 1_000),
+        batched("scan", Vec::new(), 1_000),
+        forward("reader", vec![1, 2]),
+    ];
     let key = if text == WITHOUT_KEYS { "another key" } else { KEY };
     let workspace = WorkspaceRules {
         labels: LabelSet::default(),
@@ -70,6 +77,7 @@
         .stage("reader", stage(PoolKind::Engine(engine)))
         .route(HOST, "/light/", pipeline(RepeatRule::ResumableStream, chain(1_000)))
         .route(HOST, "/heavy/", pipeline(RepeatRule::ResumableStream, chain(2_000_000)))
+        .route(HOST, "/join/", pipeline(RepeatRule::ResumableStream, join))
         .workspace("letters", workspace, [key.to_owned()])
         .route(HOST, "/ask/", pipeline(RepeatRule::Idempotent, vec![forward("notify", vec![])]))
         .route(HOST, "/shred/", pipeline(RepeatRule::AtMostOnce, vec![forward("notify", vec![])]))
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -111,6 +111,12 @@
                     "verdict" => verdict, "needed_ms" => needed_ms,
                     "objective_ms" => objective_ms, "flood" => is_flood);
             }
+            StateChange::StepNotBegun { request, stage, needed_ms, left_ms, delays_age_ms } => {
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "stage" => stage, "needed_ms" => needed_ms, "left_ms" => left_ms,
+                    "delays_age_ms" => delays_age_ms);
+            }
             StateChange::AttemptBroken { request, digest, upstream, reason } => {
                 info!(log, "{}", name;
                     "request" => &request.key, "workspace" => &request.workspace,
