Use the pace that upstreams report in their load figures

Cause: upstreams become slower for some tenths of a second. A daemon that sends few requests to one learned that only after the time had passed.

Change: the adapter reads `X-Instance-Load` (running, waiting, slots and optionally pace) from answers. A plain upstream's cost and a batched upstream's expected call time are multiplied by pace / 100 for 300 ms after the report. Malformed figures, and a pace of 0 or above 10,000, are ignored and counted (load_figures_unreadable).

A slow call raises the learned slowdown as before, so that for 300 ms both count at a batched upstream.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -325,6 +325,13 @@
         }
     }
 
+    /// Records that `upstream` reported `pace`, in percent of the usual time, at `now`.
+    pub fn record_pace(&mut self, upstream: &str, pace: u32, now: MonotonicTime) {
+        for pool in self.pools.values_mut() {
+            pool.record_pace(upstream, pace, now);
+        }
+    }
+
     /// Adjusts all timeouts after this process was paused for `pause`, which ended at `now`.
     pub fn resume_after_pause(&mut self, pause: Duration, now: MonotonicTime) {
         for pool in self.pools.values_mut() {
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -202,6 +202,13 @@
         }
     }
 
+    /// Records that `upstream` reported `pace`, in percent of the usual time, at `now`.
+    pub fn record_pace(&mut self, upstream: &str, pace: u32, now: MonotonicTime) {
+        if let Some(worker) = self.workers.get_mut(upstream) {
+            worker.reported_pace.record(pace, now);
+        }
+    }
+
     /// Records the free memory for results at `upstream`, in bytes, or `None` if it did not answer
     /// the query.
     pub fn record_free_memory(
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -4,7 +4,7 @@
 use super::result_memory::ResultMemory;
 use crate::configuration::BatchRules;
 use crate::identity::MonotonicTime;
-use crate::routing::DirectoryEntry;
+use crate::routing::{DirectoryEntry, ReportedPace};
 
 /// Weight of the newest call in the moving average of the slowdown.
 const SLOWDOWN_SMOOTHING: f64 = 0.4;
@@ -49,6 +49,8 @@
     slowdown: f64,
     /// Time of the last update of the slowdown.
     measured_at: MonotonicTime,
+    /// Pace that the upstream reported last.
+    pub(super) reported_pace: ReportedPace,
     consecutive_failures: u32,
     /// Time until which no calls are sent, after failures or at the upstream's request.
     paused_until: MonotonicTime,
@@ -80,6 +82,7 @@
             free_at: now,
             slowdown: 1.0,
             measured_at: now,
+            reported_pace: ReportedPace::default(),
             consecutive_failures: 0,
             paused_until: now,
             backoff_until: now,
@@ -106,7 +109,8 @@
         pieces: u32,
         now: MonotonicTime,
     ) -> Duration {
-        rules.expected(pieces).mul_f64(self.slowdown_at(now))
+        let slowdown = self.slowdown_at(now) * self.reported_pace.factor(now);
+        rules.expected(pieces).mul_f64(slowdown)
     }
 
     /// Expected end of a call with `pieces` pieces that is sent as soon as the upstream can take
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -91,6 +91,8 @@
     StoreRestores,
     /// Items of the platform's store that could not be parsed.
     StoreItemsUnreadable,
+    /// Answers of upstreams whose load figures could not be parsed.
+    LoadFiguresUnreadable,
     /// Engine orders sent to model engines.
     OrdersGiven,
     /// Engine orders that a model engine refused, for their fencing number or another reason.
--- a/crates/crocusdale_core/src/daemon/upstream_notices.rs
+++ b/crates/crocusdale_core/src/daemon/upstream_notices.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use super::core_state::CoreState;
-use super::{Command, StateChange};
+use super::{Command, CounterName, StateChange};
 use crate::configuration::Declarations;
 use crate::identity::MonotonicTime;
 use crate::membership::LeavingUpstream;
-use crate::routing::{ColdUpstream, DirectoryChange, UpstreamNotice};
+use crate::routing::{ColdUpstream, DirectoryChange, LoadNotice, UpstreamNotice};
 use crate::sync::lock;
 
 impl CoreState {
@@ -51,9 +51,26 @@
                 self.route_changed_upstreams(&declarations, now, out);
             }
         }
+        self.apply_load_notice(upstream, notice.load, now, out);
         self.apply_rate_notice(upstream, notice.rate, sent, now, out);
     }
 
+    fn apply_load_notice(
+        &self,
+        upstream: &str,
+        notice: LoadNotice,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        if notice == LoadNotice::Unreadable {
+            out.push(Command::Count(CounterName::LoadFiguresUnreadable));
+        }
+        if let Some(pace) = notice.pace() {
+            self.router().record_pace(upstream, pace, now);
+            lock(&self.dispatcher).record_pace(upstream, pace, now);
+        }
+    }
+
     /// Marks upstreams as leaving, and lets attempts that wait for them continue at other
     /// upstreams.
     pub(super) fn mark_leaving(
--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -119,6 +119,6 @@
         let state = lock(&upstream.state);
         let is_unhealthy = require_healthy && (state.is_ejected(now) || state.is_full(now));
         let is_accepting = !state.is_leaving() && state.backoff_left(now).is_zero();
-        (is_accepting && !is_unhealthy && state.has_free_slot()).then(|| state.cost())
+        (is_accepting && !is_unhealthy && state.has_free_slot()).then(|| state.cost(now))
     }
 }
--- a/crates/crocusdale_core/src/routing/upstream_notice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_notice.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::LoadNotice;
 use crate::rate_limiting::RateNotice;
 
 /// Status that an upstream reports about itself in the headers of an answer, with any status code.
@@ -14,6 +15,8 @@
     pub cold_remaining: Option<Duration>,
     /// Request rate that the upstream accepts from all daemons together.
     pub rate: RateNotice,
+    /// Load of the upstream.
+    pub load: LoadNotice,
 }
 
 impl UpstreamNotice {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -203,6 +203,13 @@
         }
     }
 
+    /// Records that `upstream` reported `pace`, in percent of the usual time, at `now`.
+    pub fn record_pace(&self, upstream: &str, pace: u32, now: MonotonicTime) {
+        if let Some(upstream) = self.upstream(upstream) {
+            lock(&upstream.state).record_pace(pace, now);
+        }
+    }
+
     /// Records that the process `process` serves `upstream` and is not leaving.
     pub fn confirm_running(&self, upstream: &str, process: &str) {
         if let Some(upstream) = self.upstream(upstream) {
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -3,7 +3,7 @@
 
 use serde::Serialize;
 
-use super::EngineLoad;
+use super::{EngineLoad, ReportedPace};
 use crate::identity::{MonotonicTime, stable_hash};
 
 /// Number of consecutive failures after which an upstream is ejected.
@@ -75,6 +75,8 @@
     cold_until: Option<MonotonicTime>,
     /// Times of the recent requests to this upstream, recorded only if its pool has cold starts.
     recent_sends: VecDeque<MonotonicTime>,
+    /// Pace that the upstream reported last.
+    reported_pace: ReportedPace,
     /// Prompt cache and backlog, if the upstream is a model engine.
     pub(super) engine: Option<EngineLoad>,
 }
@@ -118,6 +120,7 @@
             possible_start: None,
             cold_until: None,
             recent_sends: VecDeque::new(),
+            reported_pace: ReportedPace::default(),
             engine: None,
         }
     }
@@ -250,13 +253,20 @@
     /// Relative cost of one more attempt, for comparing the upstreams of a pool: the expected wait
     /// in seconds, increased by consecutive failures. After a failure, an upstream is chosen only
     /// if no better one is found. Work that must not be repeated has only one attempt, and each
-    /// daemon would lose several such attempts before it ejects the upstream.
+    /// daemon would lose several such attempts before it ejects the upstream. A pace that the
+    /// upstream reported recently counts too.
     #[must_use]
-    pub fn cost(&self) -> f64 {
+    pub fn cost(&self, now: MonotonicTime) -> f64 {
         let mean = self.mean_answer_time.map_or(0.001, |mean| mean.as_secs_f64());
         f64::from(self.in_flight + 1)
             * mean
             * (1.0 + FAILURE_PENALTY * f64::from(self.consecutive_failures))
+            * self.reported_pace.factor(now)
+    }
+
+    /// Records that the upstream reported `pace`, in percent of the usual time, at `now`.
+    pub fn record_pace(&mut self, pace: u32, now: MonotonicTime) {
+        self.reported_pace.record(pace, now);
     }
 
     /// Records the start of an attempt.
--- a/crates/crocusdale_core/tests/upstream_notice_test.rs
+++ b/crates/crocusdale_core/tests/upstream_notice_test.rs
@@ -16,7 +16,7 @@
 use crocusdale_core::identity::MonotonicTime;
 use crocusdale_core::pipeline::{AttemptEvent, ExecutionStatus, OutcomeKind, RefusalReason};
 use crocusdale_core::rate_limiting::RateNotice;
-use crocusdale_core::routing::{CONNECT_TIMEOUT, DirectoryEntry, UpstreamNotice};
+use crocusdale_core::routing::{CONNECT_TIMEOUT, DirectoryEntry, LoadNotice, UpstreamNotice};
 
 use forward_daemon::{Daemon, read};
 use support::virtual_fleet::VirtualFleet;
@@ -33,6 +33,7 @@
     backoff: None,
     cold_remaining: None,
     rate: RateNotice::Unlimited,
+    load: LoadNotice::Missing,
 };
 
 fn backoff_notice(time: Duration) -> UpstreamNotice {
