--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -34,6 +34,8 @@
     DispatchersLost,
     /// Batched steps that ran again because upstreams had lost or freed their results.
     StepsRemade,
+    /// Batched steps not begun because the rest of their request's path could not end in time.
+    StepsNotBegun,
     /// Batches sent to batched upstreams.
     BatchCalls,
     /// Queries to batched upstreams for their free result memory.
@@ -102,6 +104,8 @@
     StoreRestores,
     /// Items of the platform's store that could not be parsed.
     StoreItemsUnreadable,
+    /// Answers of upstreams whose load figures could not be parsed.
+    LoadFiguresUnreadable,
     /// Engine orders sent to model engines.
     OrdersGiven,
     /// Engine orders that a model engine refused, for their fencing number or another reason.
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -34,6 +34,8 @@
             return;
         }
         plan.first_response_time = self.placed_first_response(&plan, now);
+        plan.aligns_parallel_steps =
+            self.is_coordinated() && self.coordination.settings.align_parallel_steps;
         plan.queueing_delays = self.expected_delays(&plan, now);
         match self.entry_verdict(&plan, now) {
             EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, actions),
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -62,6 +62,8 @@
     /// Recent time to first response of requests like this one, from the placement coordinator of
     /// the engine pool. `None` if it is not known.
     pub first_response_time: Option<Duration>,
+    /// Whether parallel batched steps are due together.
+    pub aligns_parallel_steps: bool,
 }
 
 impl RequestPlan {
@@ -120,6 +122,7 @@
             allowed_regions: AllowedRegions::default(),
             queueing_delays: Vec::new(),
             first_response_time: None,
+            aligns_parallel_steps: false,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -176,6 +179,7 @@
             allowed_regions,
             queueing_delays: Vec::new(),
             first_response_time: None,
+            aligns_parallel_steps: false,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -250,14 +254,34 @@
     /// [`Self::queueing_delays`].
     #[must_use]
     pub fn target_end(&self, position: usize) -> MonotonicTime {
-        let plan = &self.pipeline.plan;
-        let time_after = plan.critical_path_time_after(position, |step, position| {
-            let delay = self.queueing_delays.get(position).copied().unwrap_or_default();
-            self.step_time(position, step) + delay
-        });
+        let time_after = self.queued_time_after(position);
         let since_start = self.objective.since_start().saturating_sub(time_after);
         MonotonicTime::from_start(since_start)
     }
+
+    /// Expected duration of `step` with its delay in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_step_time(&self, position: usize, step: &PlanStep) -> Duration {
+        let delay = self.queueing_delays.get(position).copied().unwrap_or_default();
+        self.step_time(position, step) + delay
+    }
+
+    /// Expected time from the start of the step at `position` to the end of the request, with the
+    /// delays in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_time_from(&self, position: usize) -> Duration {
+        let step = &self.pipeline.plan.steps()[position];
+        self.queued_step_time(position, step) + self.queued_time_after(position)
+    }
+
+    /// Expected time from the end of the step at `position` to the end of the request, with the
+    /// delays in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_time_after(&self, position: usize) -> Duration {
+        self.pipeline.plan.critical_path_time_after(position, |step, position| {
+            self.queued_step_time(position, step)
+        })
+    }
 }
 
 fn refuse<T>(
--- a/crates/crocusdale_core/tests/scheduling_settings_test.rs
+++ b/crates/crocusdale_core/tests/scheduling_settings_test.rs
@@ -35,6 +35,8 @@
     );
     let settings = settings.expect("the settings are valid");
     let expected = SchedulingSettings {
+        pipeline_levels: false,
+        abandon: None,
         min_daemons: 12,
         engine_placement: true,
         chain_admission: true,
