Admit requests with batched steps by the load of the whole chain

Cause: an entry daemon judges a request by the last wait of each pool that it saw itself. It does not know the work that other daemons have admitted and that reaches the later pools soon. Requests start, and are late or refused after a step has run.

Change: an admission coordinator (AdmissionCoordinator, PoolLedger) decides for each forwarded request with batched steps: start, start after a time, or refuse at once with the time until the late queues are worked off. Dispatchers report capacity and waiting work every 50 ms. Pieces carry how their request was admitted; dispatchers keep promised late pieces until they expire. Without a reply within 100 ms the entry decides as before. All of it is off unless [scheduling] turns chain_admission on.

--- /dev/null
+++ b/crates/crocusdale_core/src/admission/admission_coordinator.rs
@@ -0,0 +1,162 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::{
+    AdmissionDecision, AdmissionInputs, AdmissionLimits, AdmissionRequest, AdmissionVerdict,
+    PoolLedger,
+};
+use crate::batching::PoolStatus;
+use crate::configuration::BatchRules;
+use crate::identity::MonotonicTime;
+
+/// Fraction of the time to the deadline by which a late request must be expected to end. The rest
+/// is a margin for the error of the forecast.
+const DEADLINE_FRACTION: f64 = 0.95;
+/// Smallest `Retry-After` of a refusal: the pools are overloaded at least for a call.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Decides for each request of one admission section whether it starts now, starts later, or is
+/// refused, by the work that is waiting and promised at every pool that the request needs.
+#[derive(Debug)]
+pub struct AdmissionCoordinator {
+    limits: AdmissionLimits,
+    /// Ledgers of the batched pools, by name of the pool.
+    ledgers: HashMap<String, PoolLedger>,
+}
+
+/// When a request reaches each of its steps, and how long it is delayed there.
+#[derive(Debug, Default)]
+struct ChainForecast {
+    /// Time from the start of the request to its arrival at each step.
+    arrivals: Vec<Duration>,
+    delays: Vec<Duration>,
+    /// Time from the start of the request to the end of its last step.
+    end: Duration,
+}
+
+impl AdmissionCoordinator {
+    /// Creates a coordinator with empty ledgers.
+    #[must_use]
+    pub fn new(limits: AdmissionLimits) -> Self {
+        Self { limits, ledgers: HashMap::new() }
+    }
+
+    /// Records the status of a section of `pool`.
+    pub fn record_status(
+        &mut self,
+        pool: &str,
+        rules: BatchRules,
+        status: PoolStatus,
+        now: MonotonicTime,
+    ) {
+        self.ledger(pool, rules).record_status(status, now);
+    }
+
+    /// Decides on `request` and enters what the decision promises. `rules_of` returns the declared
+    /// call of a batched pool, and `None` for other pools. A request that `is_over_share` is served
+    /// behind those that can be on time.
+    pub fn decide(
+        &mut self,
+        request: &AdmissionRequest,
+        is_over_share: bool,
+        rules_of: &impl Fn(&str) -> Option<BatchRules>,
+        now: MonotonicTime,
+    ) -> AdmissionDecision {
+        for step in request.steps.iter().filter(|step| step.pieces > 0) {
+            if let Some(rules) = rules_of(&step.pool) {
+                let ledger = self.ledger(&step.pool, rules);
+                ledger.record_demand(request.level, ledger.work(step.pieces), now);
+            }
+        }
+        let forecast = self.forecast(request, request.level, now);
+        let latest_end = request.objective_in.mul_f64(self.limits.objective_fraction);
+        let late_wait = self.late_wait(request, request.level, now);
+        let inputs = AdmissionInputs {
+            forecast: forecast.end,
+            late_wait,
+            status_age: self.status_age(request, now),
+            is_over_share,
+        };
+        if forecast.end <= latest_end && !is_over_share {
+            self.promise(request, &forecast, now, PoolLedger::promise_on_time, now);
+            let (verdict, step_delays) = (AdmissionVerdict::Start, forecast.delays);
+            return AdmissionDecision { verdict, step_delays, inputs };
+        }
+        // A late request is served behind the on-time requests of all levels.
+        let forecast = self.forecast(request, u8::MAX, now);
+        if late_wait + forecast.end > request.deadline_in.mul_f64(DEADLINE_FRACTION) {
+            let verdict = AdmissionVerdict::Refuse(self.refusal_wait(request, now));
+            return AdmissionDecision { verdict, step_delays: forecast.delays, inputs };
+        }
+        self.promise(request, &forecast, now + late_wait, PoolLedger::promise_late, now);
+        let verdict = AdmissionVerdict::StartAfter(late_wait);
+        AdmissionDecision { verdict, step_delays: forecast.delays, inputs }
+    }
+
+    /// `Retry-After` of a refused request: the time until the late queue of the slowest pool that
+    /// it needs is worked off. Nothing else determines it, so a reserved slot would replace it
+    /// here.
+    fn refusal_wait(&self, request: &AdmissionRequest, now: MonotonicTime) -> Duration {
+        self.late_wait(request, u8::MAX, now).max(MIN_RETRY_AFTER)
+    }
+
+    fn forecast(&self, request: &AdmissionRequest, level: u8, now: MonotonicTime) -> ChainForecast {
+        let mut forecast = ChainForecast::default();
+        let mut ends: Vec<Duration> = Vec::with_capacity(request.steps.len());
+        for step in &request.steps {
+            let needed = step.after.iter().filter_map(|position| ends.get(*position));
+            let arrival = needed.max().copied().unwrap_or_default();
+            let ledger = self.ledgers.get(&step.pool).filter(|_| step.pieces > 0);
+            let delay = ledger.map_or(Duration::ZERO, |ledger| {
+                let wait = ledger.on_time_wait(level, now + arrival, now);
+                wait + ledger.call_delay(step.step_time, wait, now)
+            });
+            let end = arrival.saturating_add(delay).saturating_add(step.step_time);
+            forecast.arrivals.push(arrival);
+            forecast.delays.push(delay);
+            forecast.end = forecast.end.max(end);
+            ends.push(end);
+        }
+        forecast
+    }
+
+    /// Enters the work of a request that starts at `start` in the ledgers of its pools.
+    fn promise(
+        &mut self,
+        request: &AdmissionRequest,
+        forecast: &ChainForecast,
+        start: MonotonicTime,
+        enter: impl Fn(&mut PoolLedger, u8, f64, MonotonicTime, MonotonicTime),
+        now: MonotonicTime,
+    ) {
+        for (step, arrival) in request.steps.iter().zip(&forecast.arrivals) {
+            if let Some(ledger) = self.ledgers.get_mut(&step.pool).filter(|_| step.pieces > 0) {
+                let work = ledger.work(step.pieces);
+                enter(ledger, request.level, work, start + *arrival, now);
+            }
+        }
+    }
+
+    fn late_wait(&self, request: &AdmissionRequest, level: u8, now: MonotonicTime) -> Duration {
+        let waits = self.needed_ledgers(request).map(|ledger| ledger.late_wait(level, now));
+        waits.max().unwrap_or_default()
+    }
+
+    fn status_age(&self, request: &AdmissionRequest, now: MonotonicTime) -> Option<Duration> {
+        let mut ages = self.needed_ledgers(request).map(|ledger| ledger.status_age(now));
+        ages.try_fold(Duration::ZERO, |oldest, age| age.map(|age| oldest.max(age)))
+    }
+
+    fn needed_ledgers(&self, request: &AdmissionRequest) -> impl Iterator<Item = &PoolLedger> {
+        let steps = request.steps.iter().filter(|step| step.pieces > 0);
+        steps.filter_map(|step| self.ledgers.get(&step.pool))
+    }
+
+    fn ledger(&mut self, pool: &str, rules: BatchRules) -> &mut PoolLedger {
+        let limits = self.limits;
+        let ledger = self.ledgers.entry(pool.to_owned());
+        let ledger = ledger.or_insert_with(|| PoolLedger::new(rules, limits));
+        ledger.set_rules(rules);
+        ledger
+    }
+}
--- a/crates/crocusdale_core/src/admission/entry_backlog.rs
+++ b/crates/crocusdale_core/src/admission/entry_backlog.rs
@@ -12,6 +12,8 @@
 #[derive(Debug, Default)]
 pub struct EntryBacklog {
     waiting: BTreeMap<(u8, MonotonicTime, CallId), RequestPlan>,
+    /// Requests that start at a time that their admission coordinator has set.
+    scheduled: BTreeMap<(MonotonicTime, CallId), RequestPlan>,
 }
 
 /// Admission decision for one request.
@@ -35,9 +37,23 @@
         self.waiting.insert((plan.level, plan.deadline, call), plan);
     }
 
+    /// Queues the request of `call`, which starts at `start`.
+    pub fn push_scheduled(&mut self, call: CallId, plan: RequestPlan, start: MonotonicTime) {
+        self.scheduled.insert((start, call), plan);
+    }
+
+    /// Removes the scheduled requests whose start has come, earliest first.
+    pub fn take_scheduled(&mut self, now: MonotonicTime) -> Vec<(CallId, RequestPlan)> {
+        let due = self.scheduled.extract_if(.., |(start, _), _| *start <= now);
+        due.map(|((_, call), plan)| (call, plan)).collect()
+    }
+
     /// Removes the request of `call` from the queue and returns its plan, or `None` if it is not
     /// queued.
     pub fn remove(&mut self, call: CallId) -> Option<RequestPlan> {
+        if let Some(key) = self.scheduled.keys().find(|(_, waiting)| *waiting == call).copied() {
+            return self.scheduled.remove(&key);
+        }
         let key = *self.waiting.keys().find(|(_, _, waiting)| *waiting == call)?;
         self.waiting.remove(&key)
     }
@@ -76,24 +92,28 @@
     /// Removes all requests whose digest equals `digest`.
     pub fn take_matching(&mut self, digest: RequestDigest) -> Vec<(CallId, RequestPlan)> {
         let matching = self.waiting.extract_if(.., |_, plan| plan.digest == digest);
-        matching.map(|((_, _, call), plan)| (call, plan)).collect()
+        let matching = matching.map(|((_, _, call), plan)| (call, plan));
+        let scheduled = self.scheduled.extract_if(.., |_, plan| plan.digest == digest);
+        matching.chain(scheduled.map(|((_, call), plan)| (call, plan))).collect()
     }
 
     /// Removes all requests.
     pub fn take_all(&mut self) -> Vec<(CallId, RequestPlan)> {
         let all = std::mem::take(&mut self.waiting);
-        all.into_iter().map(|((_, _, call), plan)| (call, plan)).collect()
+        let all = all.into_iter().map(|((_, _, call), plan)| (call, plan));
+        let scheduled = std::mem::take(&mut self.scheduled);
+        all.chain(scheduled.into_iter().map(|((_, call), plan)| (call, plan))).collect()
     }
 
     /// Number of requests in the queue.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.waiting.len() + self.scheduled.len()
     }
 
     /// Whether the queue is empty.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.waiting.is_empty() && self.scheduled.is_empty()
     }
 }
--- a/crates/crocusdale_core/src/admission/mod.rs
+++ b/crates/crocusdale_core/src/admission/mod.rs
@@ -1,10 +1,30 @@
-//! Admission control: limits on concurrent requests, the queue of late requests, and the detection
-//! of workspaces that flood the daemon.
+//! Admission control: limits on concurrent requests, the queue of late requests, the detection of
+//! workspaces that flood the daemon, and the coordinators that admit requests with batched steps by
+//! the load of all pools that they need.
 
+mod admission_class;
+mod admission_coordinator;
+mod admission_coordinators;
+mod admission_decision;
 mod admission_gate;
+mod admission_limits;
+mod admission_request;
 mod entry_backlog;
+mod level_work;
+mod pool_ledger;
+mod pool_reports;
+mod work_rate;
 mod workspace_meter;
 
+pub use admission_class::AdmissionClass;
+pub use admission_coordinator::AdmissionCoordinator;
+pub use admission_coordinators::AdmissionCoordinators;
+pub use admission_decision::{AdmissionDecision, AdmissionInputs, AdmissionVerdict};
 pub use admission_gate::{AdmissionGate, AdmissionPermit};
+pub use admission_limits::{AdmissionLimits, AdmissionLimitsBuilder};
+pub use admission_request::{AdmissionRequest, AdmissionStep};
 pub use entry_backlog::{EntryBacklog, EntryVerdict};
+pub use level_work::LevelWork;
+pub use pool_ledger::PoolLedger;
+use pool_reports::PoolReports;
 pub use workspace_meter::WorkspaceMeter;
--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -27,9 +27,9 @@
 #[derive(Debug, Default)]
 pub struct BatchDispatcher {
     /// State of each open section, by section name.
-    pools: HashMap<String, BatchPool>,
+    pub(super) pools: HashMap<String, BatchPool>,
     /// Rules and available upstreams of each pool, by pool name.
-    published: HashMap<String, PublishedPool>,
+    pub(super) published: HashMap<String, PublishedPool>,
     /// Time until which each upstream has asked not to be called, by upstream name.
     backoffs: HashMap<String, MonotonicTime>,
     /// Section name of each batch call in flight.
--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -9,6 +9,10 @@
 /// urgent level goes first only if it is due earlier by more than this.
 const PRIORITY_LEVEL_DELAY: Duration = Duration::from_millis(400);
 
+/// Delay in the queue per priority level of promised jobs. The admission coordinator has already
+/// preferred the urgent ones, and a longer delay would make the others late.
+const PROMISED_LEVEL_DELAY: Duration = Duration::from_millis(50);
+
 /// Delay in the queue of jobs whose workspace floods the daemon. It exceeds the usual latency
 /// objectives, so that all other jobs go first.
 const FLOOD_DELAY: Duration = Duration::from_secs(3);
@@ -49,7 +53,9 @@
     /// with the earliest time goes first.
     pub(super) fn priority_time(&self) -> MonotonicTime {
         let flood_delay = if self.order.is_flood { FLOOD_DELAY } else { Duration::ZERO };
-        self.order.target_end + PRIORITY_LEVEL_DELAY * u32::from(self.order.level) + flood_delay
+        let is_promised = self.order.admission.is_promised();
+        let level_delay = if is_promised { PROMISED_LEVEL_DELAY } else { PRIORITY_LEVEL_DELAY };
+        self.order.target_end + level_delay * u32::from(self.order.level) + flood_delay
     }
 
     /// Whether the job is on time if its call ends at `end`. On-time jobs are served before late
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -6,6 +6,7 @@
 use super::batch_worker::BatchWorker;
 use super::in_flight_call::{InFlightCall, produced_results};
 use super::pool_forecast::LoadMeter;
+use super::pool_status::FullCallPace;
 use super::{BatchId, BatchOutcome, DispatchAction, ItemOutcome, PoolWait};
 use crate::configuration::BatchRules;
 use crate::identity::{AttemptId, MonotonicTime};
@@ -56,6 +57,8 @@
     pub(super) last_shed_at: Option<MonotonicTime>,
     /// Moving average of the number of pieces per call.
     pub(super) average_pieces: f64,
+    /// Pace of recent full calls.
+    pub(super) full_call_pace: FullCallPace,
     /// Load by submitted jobs that can be on time.
     pub(super) on_time_load: LoadMeter,
     /// Token buckets of the upstreams that have announced a rate limit.
@@ -86,6 +89,7 @@
             overload_until: None,
             last_shed_at: None,
             average_pieces: 1.0,
+            full_call_pace: FullCallPace::default(),
             on_time_load: LoadMeter::default(),
             limiter: Arc::default(),
             sole_dispatcher_since: None,
@@ -255,6 +259,9 @@
                 if let Some(worker) = worker {
                     worker.record_answer(&rules, pieces, call_time, now);
                 }
+                if let Some(call_time) = call_time {
+                    self.full_call_pace.record(&rules, pieces, call_time);
+                }
                 let failed = items.iter().filter(|item| **item == ItemOutcome::Failed).count();
                 if let Some(worker) = self.workers.get_mut(&call.upstream) {
                     worker.record_failed_pieces(
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -237,7 +237,13 @@
         self.paused_until = self.paused_until.max(now + duration);
     }
 
-    fn slowdown_at(&self, now: MonotonicTime) -> f64 {
+    /// Whether calls are paused, after failures or at the upstream's request.
+    pub(super) fn is_paused(&self, now: MonotonicTime) -> bool {
+        now < self.paused_until
+    }
+
+    /// Ratio of the observed to the declared duration of calls.
+    pub(super) fn slowdown_at(&self, now: MonotonicTime) -> f64 {
         let age = now.since(self.measured_at).as_secs_f64();
         1.0 + (self.slowdown - 1.0) * (-age / SLOWDOWN_DECAY_SECONDS).exp()
     }
--- a/crates/crocusdale_core/src/batching/pool_forecast.rs
+++ b/crates/crocusdale_core/src/batching/pool_forecast.rs
@@ -115,7 +115,9 @@
             let Some(job) = self.jobs.get(&attempt) else { continue };
             let work = upstream_time(&self.rules, job.waiting.len());
             let end = now + late_queue.wait(work_ahead) + shortest;
-            if !job.can_meet_due(now + shortest) && end > job.order.expires {
+            // Capacity is reserved for promised jobs, so they may still be served in time.
+            let is_promised = job.order.admission.is_promised();
+            if !is_promised && !job.can_meet_due(now + shortest) && end > job.order.expires {
                 unservable.push(attempt);
                 self.overload_until = Some(end);
                 self.cached_wait = None;
@@ -179,7 +181,7 @@
 
 /// Time that a single upstream needs to process as many work items as `pieces`, if all calls are
 /// full.
-fn upstream_time(rules: &BatchRules, pieces: usize) -> Duration {
+pub(super) fn upstream_time(rules: &BatchRules, pieces: usize) -> Duration {
     let calls = pieces as f64 / f64::from(rules.pieces.max(1));
     rules.call_time.mul_f64(calls) + rules.piece_time.mul_f64(pieces as f64)
 }
--- a/crates/crocusdale_core/src/batching/pool_section.rs
+++ b/crates/crocusdale_core/src/batching/pool_section.rs
@@ -63,6 +63,12 @@
         self.count == count
     }
 
+    /// Number of sections that the pool of this section is divided into.
+    #[must_use]
+    pub fn section_count(&self) -> usize {
+        self.count
+    }
+
     /// The two candidate sections for a request with `hash`, out of the `count` sections of `pool`.
     /// The caller sends the request to the one with the shorter wait.
     #[must_use]
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -2,7 +2,8 @@
 use std::sync::Arc;
 
 use super::{CounterName, StateChange, TimerKey};
-use crate::batching::{BatchId, BatchOrder, PoolWait};
+use crate::admission::AdmissionRequest;
+use crate::batching::{BatchId, BatchOrder, PoolStatus, PoolWait};
 use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{ExchangeMessage, WitnessSet};
 use crate::orders::EngineOrder;
@@ -47,6 +48,24 @@
         /// Items with their attempt, pool and deadline.
         order: Box<PieceOrder>,
     },
+    /// Ask the admission coordinator on another daemon about a request. The reply comes back as
+    /// [`super::DaemonEvent::AdmissionReplied`].
+    AskAdmission {
+        /// VM of the coordinator.
+        vm: String,
+        /// Caller's call that waits for the decision.
+        call: CallId,
+        /// Request with its steps.
+        request: Box<AdmissionRequest>,
+    },
+    /// Report the status of a section of a batched pool to the admission coordinator on another
+    /// daemon.
+    ReportPoolStatus {
+        /// VM of the coordinator.
+        vm: String,
+        /// Capacity and waiting work of the section.
+        status: Box<PoolStatus>,
+    },
     /// Tell the dispatcher of an attempt's pieces that the results are no longer needed.
     CancelPieces(AttemptId),
     /// Report the outcome of a batched step to the daemon that sent its pieces.
--- a/crates/crocusdale_core/src/daemon/coordination.rs
+++ b/crates/crocusdale_core/src/daemon/coordination.rs
@@ -1,8 +1,11 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use super::core_state::CoreState;
+use super::pending_admissions::PendingAdmissions;
+use crate::admission::AdmissionCoordinators;
 use crate::configuration::SchedulingSettings;
 use crate::identity::MonotonicTime;
 use crate::sync::lock;
@@ -16,13 +19,21 @@
 pub(super) struct Coordination {
     /// Decisions that coordinators make.
     pub(super) settings: SchedulingSettings,
+    /// Requests that wait for the decision of their admission coordinator.
+    pub(super) pending_admissions: Mutex<PendingAdmissions>,
+    /// Admission sections that this daemon coordinates.
+    pub(super) admission_coordinators: Mutex<AdmissionCoordinators>,
+    /// Sections of batched pools whose last report told of work.
+    pub(super) reported_sections: Mutex<HashSet<String>>,
+    /// Whether the timer for the next report of the batched pools is set.
+    pub(super) is_status_scheduled: AtomicBool,
     /// VMs whose coordinators did not answer, with the time until which they are not asked.
     backoffs: Mutex<HashMap<String, MonotonicTime>>,
 }
 
 impl Coordination {
     pub(super) fn new(settings: SchedulingSettings) -> Self {
-        Self { settings, backoffs: Mutex::default() }
+        Self { settings, ..Self::default() }
     }
 
     /// Records that the coordinator on `vm` did not answer.
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -16,6 +16,14 @@
 pub enum CounterName {
     /// Attempts dispatched to an upstream.
     AttemptsSent,
+    /// Requests that this daemon admitted at once as their admission coordinator.
+    AdmissionsStarted,
+    /// Requests that this daemon admitted for a later start as their admission coordinator.
+    AdmissionsDelayed,
+    /// Requests that this daemon refused as their admission coordinator.
+    AdmissionsRefused,
+    /// Requests that this daemon decided on by itself, because their admission coordinator did not.
+    AdmissionFallbacks,
     /// Attempts queued because the list of published upstreams was too old to choose from.
     AttemptsHeld,
     /// Requests queued before admission because the platform's data was too old to decide on.
--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -139,7 +139,8 @@
     ) {
         let Some(remaining) = self.remaining_quarantine(digest, now) else { return };
         let mut actions = Vec::new();
-        let queued = lock(&self.entry_backlog).take_matching(digest);
+        let mut queued = lock(&self.entry_backlog).take_matching(digest);
+        queued.extend(lock(&self.coordination.pending_admissions).take_matching(digest));
         for (call, plan) in queued {
             self.refuse_quarantined(call, &plan, remaining, &mut actions);
         }
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -6,6 +6,7 @@
 use super::core_state::CoreState;
 use super::held_work::HeldRequest;
 use super::{Command, CounterName, DaemonEvent, StateChange, StateDump, TimerKey};
+use crate::admission::{AdmissionDecision, AdmissionRequest};
 use crate::claims::RegisterReply;
 use crate::configuration::CallerLimits;
 use crate::identity::{CallId, InstanceId, MonotonicTime, RequestKey, StorePosition};
@@ -111,6 +112,12 @@
             DaemonEvent::PiecesCancelled { attempt, pool } => {
                 lock(&self.state.dispatcher).cancel_attempt(attempt, &pool);
             }
+            DaemonEvent::AdmissionReplied { call, vm, decision } => {
+                self.state.handle_admission_reply(call, &vm, decision, now, &mut actions);
+            }
+            DaemonEvent::PoolStatusReported(status) => {
+                self.state.record_pool_status(*status, now);
+            }
             DaemonEvent::PoolWaitReported { pool, wait } => {
                 lock(&self.state.pool_waits).record(&pool, wait, now);
             }
@@ -136,6 +143,7 @@
             self.state.check_staleness(now, out);
         }
         self.state.schedule_result_release(now, out);
+        self.state.schedule_pool_status(now, out);
     }
 
     /// Issues a ticket for `key` and returns it with its validity period. The ticket lets this
@@ -198,6 +206,17 @@
         self.state.witness(key, claimant, witnesses, now, out)
     }
 
+    /// Decides on a peer's request as the admission coordinator of its section. `None` if the peer
+    /// has to decide by itself.
+    pub fn admit(
+        &self,
+        request: &AdmissionRequest,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) -> Option<AdmissionDecision> {
+        self.state.decide_admission(request, now, out)
+    }
+
     /// Stores the outcome of the request `key` that the claiming process `holder` reported.
     pub fn record_outcome(
         &self,
@@ -347,7 +366,8 @@
         let started: usize =
             self.state.request_shards.iter().map(|shard| lock(shard).open_count()).sum();
         let held_count = lock(&self.state.held_work).request_count();
-        started + lock(&self.state.entry_backlog).len() + held_count
+        let pending_count = lock(&self.state.coordination.pending_admissions).len();
+        started + lock(&self.state.entry_backlog).len() + held_count + pending_count
     }
 
     /// Dispatches a timer that has fired to its handler.
@@ -368,6 +388,12 @@
                 self.state.release_unneeded_results(now, &mut actions, out);
                 self.state.run_actions(actions, now, out);
             }
+            TimerKey::ScheduledStart => {
+                let mut actions = Vec::new();
+                self.state.start_scheduled_requests(now, &mut actions);
+                self.state.run_actions(actions, now, out);
+            }
+            TimerKey::PoolStatus => self.state.report_pool_status(now, out),
             // Every event checks the age of the list of published upstreams. This timer only makes
             // sure that an event arrives in time.
             TimerKey::DirectoryReadDue => {}
@@ -460,6 +486,7 @@
         self.state.update_sole_dispatcher(now);
         self.state.advance_dispatcher(now, &mut actions, out);
         self.state.start_queued_requests(now, &mut actions);
+        self.state.expire_admissions(now, &mut actions);
         self.state.run_actions(actions, now, out);
         let is_idle = self.open_call_count() == 0 && lock(&self.state.dispatcher).is_idle();
         if self.state.is_drain_window_over.load(Ordering::Relaxed) && is_idle {
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use crate::batching::{BatchId, BatchOutcome, PoolWait};
+use crate::admission::AdmissionDecision;
+use crate::batching::{BatchId, BatchOutcome, PoolStatus, PoolWait};
 use crate::claims::RegisterReply;
 use crate::identity::{AttemptId, CallId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{ExchangeMessage, VmList};
@@ -134,6 +135,19 @@
         /// Expected queueing time of new pieces.
         wait: PoolWait,
     },
+    /// The admission coordinator that was asked about a request replied, or did not. The daemon
+    /// starts, schedules or refuses the request.
+    AdmissionReplied {
+        /// Caller's call that waits for the decision.
+        call: CallId,
+        /// VM of the coordinator.
+        vm: String,
+        /// Decision, or `None` if the daemon has to decide by itself.
+        decision: Option<AdmissionDecision>,
+    },
+    /// A dispatcher reported the status of a section of a batched pool to this daemon as an admission
+    /// coordinator.
+    PoolStatusReported(Box<PoolStatus>),
     /// Another daemon sent the pieces of a batched step to this daemon as their dispatcher, which
     /// queues them for its batches.
     PiecesReceived(Box<PieceOrder>),
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -33,6 +33,19 @@
             refuse_unstarted(call, &plan, (RefusalReason::Overload, wait), actions);
             return;
         }
+        if let Some(plan) = self.ask_admission(call, plan, now, actions) {
+            self.start_or_queue_locally(call, plan, now, actions);
+        }
+    }
+
+    /// Starts, queues or refuses a request by the verdict of this daemon alone.
+    pub(super) fn start_or_queue_locally(
+        &self,
+        call: CallId,
+        mut plan: RequestPlan,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) {
         plan.queueing_delays = self.expected_delays(&plan, now);
         match self.entry_verdict(&plan, now) {
             EntryVerdict::InTime => self.shard(call.0).start(call, plan, now, actions),
@@ -70,7 +83,9 @@
     /// Removes the queued request of `call`, whose caller has disconnected.
     pub(super) fn remove_queued_request(&self, call: CallId, actions: &mut Vec<ShardAction>) {
         lock(&self.held_work).remove_request(call);
-        if let Some(plan) = lock(&self.entry_backlog).remove(call) {
+        let pending = lock(&self.coordination.pending_admissions).remove(call);
+        let queued = lock(&self.entry_backlog).remove(call);
+        if let Some(plan) = queued.or(pending.map(|pending| pending.plan)) {
             actions.push(ShardAction::ReleasePermit(plan.permit));
         }
     }
@@ -81,7 +96,9 @@
         now: MonotonicTime,
         actions: &mut Vec<ShardAction>,
     ) {
-        for (call, plan) in lock(&self.entry_backlog).take_all() {
+        let mut queued = lock(&self.entry_backlog).take_all();
+        queued.extend(lock(&self.coordination.pending_admissions).take_all());
+        for (call, plan) in queued {
             self.refuse_overloaded(call, &plan, now, actions);
         }
     }
@@ -193,7 +210,7 @@
 }
 
 /// Releases the permit of a request that has not started, and answers its caller with a refusal.
-fn refuse_unstarted(
+pub(super) fn refuse_unstarted(
     call: CallId,
     plan: &RequestPlan,
     (reason, retry_after): (RefusalReason, Duration),
@@ -206,6 +223,6 @@
 }
 
 /// Whole milliseconds of `duration`.
-fn whole_millis(duration: Duration) -> u64 {
+pub(super) fn whole_millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -1,5 +1,6 @@
 //! State machine of a daemon: it consumes events and emits commands, and does no I/O itself.
 
+mod admission_flow;
 mod command;
 mod configuration_watch;
 mod coordination;
@@ -15,7 +16,9 @@
 mod held_work;
 mod limit_updates;
 mod pause_detector;
+mod pending_admissions;
 mod piece_flow;
+mod pool_status_flow;
 mod reader_election;
 mod request_flow;
 mod staleness_bounds;
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -103,6 +103,40 @@
         /// Whether the workspace sends much more than its usual share of the requests.
         is_flood: bool,
     },
+    /// This daemon, as an admission coordinator, delayed or refused a request.
+    AdmissionDecided {
+        /// Admission section of the request.
+        section: String,
+        /// Digest of caller, target and content, which every repeat of the request shares.
+        digest: RequestDigest,
+        /// Workspace of the request.
+        workspace: String,
+        /// Priority level of the request.
+        level: u8,
+        /// Verdict, as its snake-case name.
+        verdict: String,
+        /// Milliseconds until the start or until the caller should come back.
+        wait_ms: u64,
+        /// Expected milliseconds until the answer if the request started now as an on-time one.
+        forecast_ms: u64,
+        /// Milliseconds until the late queues have capacity for the request.
+        late_wait_ms: u64,
+        /// Milliseconds left until the latency objective.
+        objective_ms: u64,
+        /// Milliseconds left until the deadline.
+        deadline_ms: u64,
+        /// Age of the oldest status of the needed pools in milliseconds. `None` if one has none.
+        status_age_ms: Option<u64>,
+        /// Whether the workspace is over its share.
+        is_over_share: bool,
+    },
+    /// This daemon decides on a request by itself, because the admission coordinator did not reply.
+    AdmissionFellBack {
+        /// Idempotency key of the request.
+        request: RequestKey,
+        /// VM of the coordinator.
+        coordinator: String,
+    },
     /// An upstream broke off an attempt that it had started, or may have started.
     AttemptBroken {
         /// Idempotency key of the request.
--- a/crates/crocusdale_core/src/daemon/timer_key.rs
+++ b/crates/crocusdale_core/src/daemon/timer_key.rs
@@ -28,6 +28,10 @@
     DirectoryPoll,
     /// Time by which a healthy platform has responded to a pending read of the list of upstreams.
     DirectoryReadDue,
+    /// Start of an admitted late request.
+    ScheduledStart,
+    /// Next report of the batched pools that this daemon dispatches.
+    PoolStatus,
     /// Next release of results that are no longer needed.
     ResultRelease,
     /// Time to send new crash records and rate limits of upstreams to other daemons.
--- a/crates/crocusdale_core/src/pipeline/piece_order.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_order.rs
@@ -1,3 +1,4 @@
+use crate::admission::AdmissionClass;
 use crate::identity::{AttemptId, MonotonicTime, RequestDigest};
 
 use super::ResultHandle;
@@ -32,6 +33,8 @@
     pub level: u8,
     /// Whether the workspace sends far more than it usually does, so that others are served first.
     pub is_flood: bool,
+    /// How the request was admitted.
+    pub admission: AdmissionClass,
     /// Time by which the results are needed for the request to meet its latency objective.
     pub target_end: MonotonicTime,
     /// Latest time at which the step can end for the request to meet its deadline. The dispatcher
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -56,6 +56,7 @@
             zone: self.input_zone(position),
             level: self.plan.level,
             is_flood: self.plan.is_flood,
+            admission: self.plan.admission,
             target_end: self.plan.target_end(position),
             expires: self.plan.latest_end(position),
             is_resubmission: !self.step_runs[index].failed_targets.is_empty() || self.rebuilds > 0,
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::{CallerRequest, FinalOutcome, ForwardHead, OutcomeKind, RefusalReason, RequestContent};
-use crate::admission::AdmissionPermit;
+use crate::admission::{AdmissionClass, AdmissionPermit};
 use crate::configuration::{
     AllowedRegions, Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind,
     StageRules, StepWork, WeightedPool, WorkspaceRules,
@@ -45,6 +45,11 @@
     pub needs_claim: bool,
     /// Whether the workspace sends far more than it usually does.
     pub is_flood: bool,
+    /// How the request was admitted.
+    pub admission: AdmissionClass,
+    /// Time by which an admitted late request is expected to end, which takes the place of the
+    /// latency objective that it misses. `None` for other requests.
+    pub promised_end: Option<MonotonicTime>,
     /// Admission permit, which counts the request against the concurrency limits until it is
     /// released.
     pub permit: AdmissionPermit,
@@ -106,6 +111,8 @@
             repeatable,
             needs_claim: !repeatable,
             is_flood: false,
+            admission: AdmissionClass::Local,
+            promised_end: None,
             permit: AdmissionPermit::default(),
             allowed_regions: AllowedRegions::default(),
             queueing_delays: Vec::new(),
@@ -160,6 +167,8 @@
             repeatable,
             needs_claim: false,
             is_flood: false,
+            admission: AdmissionClass::Local,
+            promised_end: None,
             permit: AdmissionPermit::default(),
             allowed_regions,
             queueing_delays: Vec::new(),
@@ -226,7 +235,8 @@
             let delay = self.queueing_delays.get(position).copied().unwrap_or_default();
             self.step_time(position, step) + delay
         });
-        let since_start = self.objective.since_start().saturating_sub(time_after);
+        let end = self.promised_end.unwrap_or(self.objective);
+        let since_start = end.since_start().saturating_sub(time_after);
         MonotonicTime::from_start(since_start)
     }
 }
--- a/crates/crocusdale_core/src/wire/mod.rs
+++ b/crates/crocusdale_core/src/wire/mod.rs
@@ -1,7 +1,9 @@
 //! Conversions between core types and the Protocol Buffers messages that daemons exchange.
 
+mod admission_messages;
 mod claim_messages;
 mod exchange_messages;
 mod piece_messages;
 
+pub use admission_messages::AdmissionMessageError;
 pub use piece_messages::{pieces_reply, read_pieces_reply, read_pool_wait};
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -53,6 +53,7 @@
             result_bytes: self.result_bytes,
             inputs_pool: self.inputs_pool.clone().unwrap_or_default(),
             is_flood: self.is_flood,
+            admission: self.admission.to_string(),
             digest: self.digest.map(|digest| digest.0.to_vec()).unwrap_or_default(),
         }
     }
@@ -83,6 +84,7 @@
             zone: (!message.zone.is_empty()).then_some(message.zone),
             level: u8::try_from(message.level).unwrap_or(u8::MAX),
             is_flood: message.is_flood,
+            admission: message.admission.parse().unwrap_or_default(),
             target_end: MonotonicTime::from_start(due),
             expires: now + Duration::from_millis(message.left_ms),
             is_resubmission: message.repeated,
@@ -268,10 +270,10 @@
     }
 }
 
-fn saturating_millis(duration: Duration) -> u32 {
+pub(super) fn saturating_millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn signed_millis(duration: Duration) -> i64 {
+pub(super) fn signed_millis(duration: Duration) -> i64 {
     i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
 }
--- a/crates/crocusdale_core/tests/fleet_growth_test.rs
+++ b/crates/crocusdale_core/tests/fleet_growth_test.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crocusdale_core::admission::AdmissionClass;
 use crocusdale_core::batching::{BatchDispatcher, PoolSection};
 use crocusdale_core::configuration::{
     BatchRules, Declarations, DeclarationsBuilder, EngineRules, PoolKind, StageRules,
@@ -187,6 +188,7 @@
         expires: now + Duration::from_secs(2),
         inputs_pool: None,
         is_flood: false,
+        admission: AdmissionClass::Local,
         is_resubmission: false,
     }
 }
--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use crocusdale_core::admission::AdmissionClass;
 use crocusdale_core::batching::{
     BatchDispatcher, BatchId, BatchOrder, BatchOutcome, DispatchAction, ItemOutcome,
 };
@@ -134,6 +135,7 @@
             expires: self.now + Duration::from_secs(6),
             inputs_pool: None,
             is_flood: false,
+            admission: AdmissionClass::Local,
             is_resubmission: false,
         }
     }
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -204,6 +204,8 @@
             | Command::PingSeed { .. }
             | Command::SendPieces { .. }
             | Command::ReleaseRemoteResults { .. }
+            | Command::AskAdmission { .. }
+            | Command::ReportPoolStatus { .. }
             | Command::FetchDirectory { .. }
             | Command::FetchConfiguration { .. }) => self.peers.execute(self, command),
         }
--- a/crates/crocusdaled/src/peer/mod.rs
+++ b/crates/crocusdaled/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! gRPC calls between the daemons of a deployment.
 
+mod admission_client;
 mod peer_call;
 mod peer_client;
 mod peer_server;
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -16,6 +16,7 @@
 use tonic::codec::CompressionEncoding;
 use tonic::transport::{Channel, Endpoint};
 
+use super::admission_client::{ask_admission, report_pool_status};
 use super::peer_call::{call, call_at};
 use super::piece_client::send_pieces;
 use super::released_results::ReleasedResults;
@@ -75,6 +76,12 @@
                 Command::FetchConfiguration { vm, known } => pull_config(&engine, &vm, known).await,
                 Command::RecordOutcome { .. } => record_outcome(&engine, command).await,
                 Command::AskHolder { .. } => ask_holder(&engine, command).await,
+                Command::AskAdmission { vm, call, request } => {
+                    ask_admission(&engine, vm, call, *request).await;
+                }
+                Command::ReportPoolStatus { vm, status } => {
+                    report_pool_status(&engine, &vm, *status).await;
+                }
                 Command::AskWitness { .. } => ask_witness(&engine, command).await,
                 _ => debug_assert!(false, "the peer client accepts only commands that call a peer"),
             }
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -1,12 +1,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crocusdale_core::admission::AdmissionRequest;
+use crocusdale_core::batching::PoolStatus;
 use crocusdale_core::claims::RegisterReply as CoreRegisterReply;
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::{InstanceId, RequestKey, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage as CoreExchangeMessage, WitnessSet};
 use crocusdale_core::pipeline::{PieceOrder, ResultHandle};
-use crocusdale_core::wire::pieces_reply;
+use crocusdale_core::wire::{AdmissionMessageError, pieces_reply};
 use crocusdale_schema::peer::peer_service_server::{PeerService, PeerServiceServer};
 use crocusdale_schema::peer::{
     AdmitRequestReply, AdmitRequestRequest, AskOutcomeReply, AskOutcomeRequest, BuryRequest,
@@ -16,6 +18,8 @@
     RecordOutcomeReply, RecordOutcomeRequest, RegisterReply, ReportPlacementsReply,
     ReportPlacementsRequest, ReportPoolStatusReply, ReportPoolStatusRequest,
 };
+use prost::Message;
+use slog::warn;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::codec::CompressionEncoding;
@@ -69,6 +73,20 @@
         server.serve_with_incoming(TcpListenerStream::new(listener)).await
     }
 
+    /// Logs a message that is refused for its content, and returns the status of the refusal.
+    fn refuse_message(
+        &self,
+        call: &str,
+        sender: Option<SocketAddr>,
+        size: usize,
+        cause: &AdmissionMessageError,
+    ) -> Status {
+        let sender = sender.map(|address| address.to_string());
+        warn!(self.engine.telemetry.log, "message_refused"; "call" => call,
+            "peer" => sender.as_deref(), "bytes" => size, "cause" => cause.to_string());
+        Status::invalid_argument(cause.to_string())
+    }
+
     fn witness(
         &self,
         key: Option<crocusdale_schema::peer::RequestKey>,
@@ -195,16 +213,33 @@
 
     async fn admit_request(
         &self,
-        _request: Request<AdmitRequestRequest>,
+        request: Request<AdmitRequestRequest>,
     ) -> Result<Response<AdmitRequestReply>, Status> {
-        Err(Status::unimplemented("admit_request"))
+        let sender = request.remote_addr();
+        let message = request.into_inner();
+        let size = message.encoded_len();
+        let request = AdmissionRequest::try_from(message)
+            .map_err(|cause| self.refuse_message("admit_request", sender, size, &cause))?;
+        let mut commands = Vec::new();
+        let decision = self.engine.core.admit(&request, self.engine.now(), &mut commands);
+        self.engine.execute_commands(commands);
+        let decision = decision.ok_or_else(|| {
+            Status::unavailable("this daemon can't coordinate the section of the request")
+        })?;
+        Ok(Response::new(decision.into()))
     }
 
     async fn report_pool_status(
         &self,
-        _request: Request<ReportPoolStatusRequest>,
+        request: Request<ReportPoolStatusRequest>,
     ) -> Result<Response<ReportPoolStatusReply>, Status> {
-        Err(Status::unimplemented("report_pool_status"))
+        let sender = request.remote_addr();
+        let message = request.into_inner();
+        let size = message.encoded_len();
+        let status = PoolStatus::try_from(message)
+            .map_err(|cause| self.refuse_message("report_pool_status", sender, size, &cause))?;
+        self.engine.handle_event(DaemonEvent::PoolStatusReported(Box::new(status)));
+        Ok(Response::new(ReportPoolStatusReply {}))
     }
 }
 
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -111,6 +111,33 @@
                     "verdict" => verdict, "needed_ms" => needed_ms,
                     "objective_ms" => objective_ms, "flood" => is_flood);
             }
+            StateChange::AdmissionDecided {
+                section,
+                digest,
+                workspace,
+                level,
+                verdict,
+                wait_ms,
+                forecast_ms,
+                late_wait_ms,
+                objective_ms,
+                deadline_ms,
+                status_age_ms,
+                is_over_share,
+            } => {
+                info!(log, "{}", name;
+                    "section" => section, "digest" => digest.to_string(),
+                    "workspace" => workspace, "level" => level, "verdict" => verdict,
+                    "wait_ms" => wait_ms, "forecast_ms" => forecast_ms,
+                    "late_wait_ms" => late_wait_ms, "objective_ms" => objective_ms,
+                    "deadline_ms" => deadline_ms, "status_age_ms" => status_age_ms,
+                    "over_share" => is_over_share);
+            }
+            StateChange::AdmissionFellBack { request, coordinator } => {
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "coordinator" => coordinator);
+            }
             StateChange::AttemptBroken { request, digest, upstream, reason } => {
                 info!(log, "{}", name;
                     "request" => &request.key, "workspace" => &request.workspace,
