Leave promised late requests an eighth of each pool

A new coordinator admitted more late requests than the pools could serve.

Change: dispatchers count a credit of 12% of the pieces in calls, which promised late pieces may use before on-time ones. The coordinator paces late starts by the reserved part of the capacity as long as on-time work waits, and keeps the end of the late queue for urgent levels. Tests: a model of three pools with real dispatchers at three loads, with a lost coordinator, a partitioned fleet and a silent dispatcher; messages; an entry daemon that starts, schedules, refuses and falls back.

--- a/crates/crocusdale_core/src/admission/admission_coordinator.rs
+++ b/crates/crocusdale_core/src/admission/admission_coordinator.rs
@@ -2,8 +2,8 @@
 use std::time::Duration;
 
 use super::{
-    AdmissionDecision, AdmissionInputs, AdmissionLimits, AdmissionRequest, AdmissionVerdict,
-    PoolLedger,
+    AdmissionDecision, AdmissionInputs, AdmissionLimits, AdmissionRequest, AdmissionStep,
+    AdmissionVerdict, PoolLedger,
 };
 use crate::batching::PoolStatus;
 use crate::configuration::BatchRules;
@@ -11,7 +11,7 @@
 
 /// Fraction of the time to the deadline by which a late request must be expected to end. The rest
 /// is a margin for the error of the forecast.
-const DEADLINE_FRACTION: f64 = 0.95;
+const DEADLINE_FRACTION: f64 = 0.85;
 /// Smallest `Retry-After` of a refusal: the pools are overloaded at least for a call.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -68,9 +68,13 @@
                 ledger.record_demand(request.level, ledger.work(step.pieces), now);
             }
         }
-        let forecast = self.forecast(request, request.level, now);
+        let level = request.level;
+        let on_time_wait = |ledger: &PoolLedger, _: &AdmissionStep, arrival| {
+            ledger.on_time_wait(level, now + arrival, now)
+        };
+        let forecast = self.forecast(request, on_time_wait, now);
         let latest_end = request.objective_in.mul_f64(self.limits.objective_fraction);
-        let late_wait = self.late_wait(request, request.level, now);
+        let late_wait = self.late_wait(request, now);
         let inputs = AdmissionInputs {
             forecast: forecast.end,
             late_wait,
@@ -82,9 +86,15 @@
             let (verdict, step_delays) = (AdmissionVerdict::Start, forecast.delays);
             return AdmissionDecision { verdict, step_delays, inputs };
         }
-        // A late request is served behind the on-time requests of all levels.
-        let forecast = self.forecast(request, u8::MAX, now);
-        if late_wait + forecast.end > request.deadline_in.mul_f64(DEADLINE_FRACTION) {
+        let late_step_wait = |ledger: &PoolLedger, step: &AdmissionStep, _| {
+            ledger.late_step_wait(ledger.work(step.pieces), now)
+        };
+        let forecast = self.forecast(request, late_step_wait, now);
+        let longest_wait = request.deadline_in.mul_f64(DEADLINE_FRACTION).checked_sub(forecast.end);
+        // A promised start can't be taken back for a more urgent request that comes later. So the
+        // end of the late queue is kept for the urgent levels.
+        let queue_share = 1.0 / (1.0 + f64::from(level));
+        if longest_wait.is_none_or(|longest_wait| late_wait > longest_wait.mul_f64(queue_share)) {
             let verdict = AdmissionVerdict::Refuse(self.refusal_wait(request, now));
             return AdmissionDecision { verdict, step_delays: forecast.delays, inputs };
         }
@@ -97,10 +107,17 @@
     /// it needs is worked off. Nothing else determines it, so a reserved slot would replace it
     /// here.
     fn refusal_wait(&self, request: &AdmissionRequest, now: MonotonicTime) -> Duration {
-        self.late_wait(request, u8::MAX, now).max(MIN_RETRY_AFTER)
+        self.late_wait(request, now).max(MIN_RETRY_AFTER)
     }
 
-    fn forecast(&self, request: &AdmissionRequest, level: u8, now: MonotonicTime) -> ChainForecast {
+    /// Forecast of a request that starts now. `wait_of` returns the wait at a pool, given the step
+    /// and the time until the request reaches it.
+    fn forecast(
+        &self,
+        request: &AdmissionRequest,
+        wait_of: impl Fn(&PoolLedger, &AdmissionStep, Duration) -> Duration,
+        now: MonotonicTime,
+    ) -> ChainForecast {
         let mut forecast = ChainForecast::default();
         let mut ends: Vec<Duration> = Vec::with_capacity(request.steps.len());
         for step in &request.steps {
@@ -108,7 +125,7 @@
             let arrival = needed.max().copied().unwrap_or_default();
             let ledger = self.ledgers.get(&step.pool).filter(|_| step.pieces > 0);
             let delay = ledger.map_or(Duration::ZERO, |ledger| {
-                let wait = ledger.on_time_wait(level, now + arrival, now);
+                let wait = wait_of(ledger, step, arrival);
                 wait + ledger.call_delay(step.step_time, wait, now)
             });
             let end = arrival.saturating_add(delay).saturating_add(step.step_time);
@@ -137,8 +154,8 @@
         }
     }
 
-    fn late_wait(&self, request: &AdmissionRequest, level: u8, now: MonotonicTime) -> Duration {
-        let waits = self.needed_ledgers(request).map(|ledger| ledger.late_wait(level, now));
+    fn late_wait(&self, request: &AdmissionRequest, now: MonotonicTime) -> Duration {
+        let waits = self.needed_ledgers(request).map(|ledger| ledger.late_wait(now));
         waits.max().unwrap_or_default()
     }
 
--- a/crates/crocusdale_core/src/admission/pool_ledger.rs
+++ b/crates/crocusdale_core/src/admission/pool_ledger.rs
@@ -17,8 +17,14 @@
 const ARRIVAL_GRACE: Duration = Duration::from_millis(20);
 /// Time constant of the rates of promised work.
 const RATE_TIME_CONSTANT: Duration = Duration::from_secs(1);
+/// Time constant of the on-time load that late requests are admitted beside. They wait for seconds,
+/// so the gaps between bursts of some tenths of a second are no capacity for them.
+const LATE_TIME_CONSTANT: Duration = Duration::from_secs(3);
 /// Time constant of the demand, which must not follow the gaps between requests of a rare level.
 const DEMAND_TIME_CONSTANT: Duration = Duration::from_secs(5);
+/// Backlog of on-time work, as the time to work it off, above which late requests get their reserved
+/// part of the capacity only. It is less than half of a usual call.
+const MAX_SPARE_BACKLOG: Duration = Duration::from_millis(100);
 /// Smallest capacity that waits are computed with, in upstreams. It keeps them finite.
 const MIN_CAPACITY: f64 = 0.01;
 /// Load, as a fraction of the capacity, up to which calls are half full on average. Above it they
@@ -36,6 +42,12 @@
     promises: BTreeMap<u64, PromisedWork>,
     on_time_rate: WorkRate,
     late_rate: WorkRate,
+    /// Rate of promised on-time work over the time in which late requests wait.
+    on_time_load: WorkRate,
+    /// Work of admitted late requests that their part of the capacity has not done yet, as of
+    /// `late_queue_at`. The dispatchers may have done more, or less.
+    late_queue: f64,
+    late_queue_at: Option<MonotonicTime>,
     demand: WorkRate,
 }
 
@@ -57,6 +69,9 @@
             promises: BTreeMap::new(),
             on_time_rate: WorkRate::new(RATE_TIME_CONSTANT),
             late_rate: WorkRate::new(RATE_TIME_CONSTANT),
+            on_time_load: WorkRate::new(LATE_TIME_CONSTANT),
+            late_queue: 0.0,
+            late_queue_at: None,
             demand: WorkRate::new(DEMAND_TIME_CONSTANT),
         }
     }
@@ -110,6 +125,7 @@
         now: MonotonicTime,
     ) {
         self.on_time_rate.record(level, work, now);
+        self.on_time_load.record(level, work, now);
         self.promise_at(arrival, now).on_time.add(level, work);
     }
 
@@ -122,6 +138,8 @@
         now: MonotonicTime,
     ) {
         self.late_rate.record(level, work, now);
+        self.late_queue = self.late_queue(now) + work;
+        self.late_queue_at = Some(now);
         self.promise_at(arrival, now).late.add(level, work);
     }
 
@@ -134,7 +152,9 @@
         let Some(capacity) = self.capacity() else { return Duration::ZERO };
         let rates = self.on_time_rate.per_second(now);
         let floors = self.level_floors(capacity, now);
-        let late = self.late_rate.per_second(now).total().min(capacity * self.limits.late_share);
+        let waiting_late = self.reports.waiting(now).late.total() * self.limits.capacity_share;
+        let late = self.late_rate.per_second(now).total().max(waiting_late);
+        let late = late.min(capacity * self.limits.late_share);
         let reserved = floors.levels().zip(rates.levels());
         let reserved = reserved.filter(|((other, _), _)| *other > level);
         let reserved: f64 = reserved.map(|((_, floor), (_, rate))| floor.min(rate)).sum();
@@ -160,16 +180,46 @@
         call_time.saturating_sub(step_time).mul_f64(fullness) + busy_wait
     }
 
-    /// Time until the late work of `level` and of more urgent levels is worked off by the capacity
-    /// that the on-time load leaves.
+    /// Time until the admitted late work is worked off by the capacity that the on-time load leaves.
     #[must_use]
-    pub fn late_wait(&self, level: u8, now: MonotonicTime) -> Duration {
+    pub fn late_wait(&self, now: MonotonicTime) -> Duration {
         let Some(capacity) = self.capacity() else { return Duration::ZERO };
-        let on_time_rate = self.on_time_rate.per_second(now).total();
-        let left = (capacity - on_time_rate).max(capacity * self.limits.late_share);
-        let promised: f64 = self.promises.values().map(|promise| promise.late.up_to(level)).sum();
-        let waiting = self.reports.waiting(now).late.up_to(level) * self.limits.capacity_share;
-        Duration::from_secs_f64((waiting + promised) / left)
+        let waiting = self.reports.waiting(now).late.total() * self.limits.capacity_share;
+        let queued = self.late_queue(now).max(waiting);
+        Duration::from_secs_f64(queued / self.late_capacity(capacity, now))
+    }
+
+    /// Expected wait of `work` of a late request at the pool, behind the late work that waits there.
+    #[must_use]
+    pub fn late_step_wait(&self, work: f64, now: MonotonicTime) -> Duration {
+        let Some(capacity) = self.capacity() else { return Duration::ZERO };
+        let waiting = self.reports.waiting(now).late.total() * self.limits.capacity_share;
+        Duration::from_secs_f64((waiting + work) / self.late_capacity(capacity, now))
+    }
+
+    /// Capacity that the on-time load leaves to late requests.
+    fn late_capacity(&self, capacity: f64, now: MonotonicTime) -> f64 {
+        let reserved = capacity * self.limits.late_share;
+        // On-time work that waits will take all that is left. The average rate does not show that
+        // at the start of a burst, or at a new coordinator.
+        let waiting = self.backlog(now, now, capacity, LevelWork::total);
+        if waiting > capacity * MAX_SPARE_BACKLOG.as_secs_f64() {
+            return reserved;
+        }
+        let on_time_rate = self.on_time_load.per_second(now).total();
+        (capacity - on_time_rate).max(reserved)
+    }
+
+    /// Late work that is left at `now`. It is worked off at the pace of the late capacity, even if
+    /// the dispatchers are faster.
+    ///
+    /// Guards against late requests that displace on-time ones: the faster they are served, the
+    /// more of them would be admitted.
+    fn late_queue(&self, now: MonotonicTime) -> f64 {
+        let age = self.late_queue_at.map_or(Duration::ZERO, |at| now.since(at));
+        let capacity = self.capacity().unwrap_or(f64::INFINITY);
+        let worked_off = self.late_capacity(capacity, now) * age.as_secs_f64();
+        (self.late_queue - worked_off).max(0.0)
     }
 
     /// Capacity that each level gets at least, whatever the more urgent levels ask for.
--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::BatchItem;
+use crate::admission::AdmissionClass;
 use crate::identity::MonotonicTime;
 use crate::pipeline::{PieceOrder, PieceSource, PlacedResult};
 
@@ -62,7 +63,7 @@
     /// ones. Work already spent on the request does not count: otherwise, in a burst, each request
     /// would make the next one late.
     pub(super) fn can_meet_due(&self, end: MonotonicTime) -> bool {
-        end <= self.order.target_end
+        end <= self.order.target_end && self.order.admission != AdmissionClass::Late
     }
 
     /// Time that must remain between the end of a call and the due time for the job to wait for an
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -5,6 +5,7 @@
 use super::batch_job::BatchJob;
 use super::batch_worker::BatchWorker;
 use super::in_flight_call::{InFlightCall, produced_results};
+use super::late_share::LateCredit;
 use super::pool_forecast::LoadMeter;
 use super::pool_status::FullCallPace;
 use super::{BatchId, BatchOutcome, DispatchAction, ItemOutcome, PoolWait};
@@ -59,6 +60,8 @@
     pub(super) average_pieces: f64,
     /// Pace of recent full calls.
     pub(super) full_call_pace: FullCallPace,
+    /// Part of the calls that is left to promised late jobs.
+    pub(super) late_credit: LateCredit,
     /// Load by submitted jobs that can be on time.
     pub(super) on_time_load: LoadMeter,
     /// Token buckets of the upstreams that have announced a rate limit.
@@ -90,6 +93,7 @@
             last_shed_at: None,
             average_pieces: 1.0,
             full_call_pace: FullCallPace::default(),
+            late_credit: LateCredit::default(),
             on_time_load: LoadMeter::default(),
             limiter: Arc::default(),
             sole_dispatcher_since: None,
--- a/crates/crocusdale_core/src/batching/call_forming.rs
+++ b/crates/crocusdale_core/src/batching/call_forming.rs
@@ -72,6 +72,7 @@
             return None;
         }
         let pieces = u32::try_from(items.len()).unwrap_or(u32::MAX);
+        self.record_served_pieces(&item_refs, now);
         let worker = self.workers.get_mut(upstream)?;
         self.average_pieces += AVERAGE_PIECES_SMOOTHING * (f64::from(pieces) - self.average_pieces);
         let lost_at = now + worker.loss_timeout(&self.rules, pieces, now);
@@ -111,22 +112,25 @@
 
     /// Jobs in the order in which they are served. Jobs that can be on time come first, sorted by
     /// [`BatchJob::priority_time`]. Late jobs follow, those of a flood last, sorted by priority
-    /// level and expiry.
+    /// level and expiry. The first promised late jobs go before all others, as many as the part of
+    /// the calls that is theirs can hold.
     pub(super) fn service_order(&self, now: MonotonicTime) -> Vec<AttemptId> {
         let call_time = self.average_call_time();
         let can_be_on_time = |attempt: &AttemptId| {
             self.jobs.get(attempt).is_some_and(|job| job.can_meet_due(now + call_time))
         };
         let attempts = self.queue.keys().map(|(_, attempt)| *attempt);
-        let (mut on_time, mut late): (Vec<AttemptId>, Vec<AttemptId>) =
+        let (on_time, mut late): (Vec<AttemptId>, Vec<AttemptId>) =
             attempts.partition(can_be_on_time);
         late.sort_by_key(|attempt| {
             self.jobs
                 .get(attempt)
                 .map(|job| (job.order.is_flood, job.order.level, job.order.expires))
         });
-        on_time.extend(late);
-        on_time
+        let mut order = self.take_promised_late(&mut late);
+        order.extend(on_time);
+        order.extend(late);
+        order
     }
 
     /// Free upstreams, sorted by the expected end of a call. Excludes those for which it is better
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -23,6 +23,7 @@
 mod crash_suspicion;
 mod dispatcher_choice;
 mod in_flight_call;
+mod late_share;
 mod pool_changes;
 mod pool_forecast;
 mod pool_section;
--- a/crates/crocusdale_core/src/batching/pool_status.rs
+++ b/crates/crocusdale_core/src/batching/pool_status.rs
@@ -6,7 +6,7 @@
 use super::pool_forecast::upstream_time;
 use super::published_pool::PublishedPool;
 use super::{BatchDispatcher, BatchPool};
-use crate::admission::{AdmissionClass, LevelWork};
+use crate::admission::LevelWork;
 use crate::configuration::BatchRules;
 use crate::identity::MonotonicTime;
 
@@ -62,8 +62,7 @@
         for job in self.jobs.values().filter(|job| !job.waiting.is_empty()) {
             let seconds = upstream_time(&self.rules, job.waiting.len()).as_secs_f64();
             let order = &job.order;
-            let is_late = order.is_flood || order.admission == AdmissionClass::Late;
-            if is_late || !job.can_meet_due(now + shortest) {
+            if order.is_flood || !job.can_meet_due(now + shortest) {
                 late.add(order.level, seconds);
             } else {
                 on_time.add(order.level, seconds);
--- /dev/null
+++ b/crates/crocusdale_core/tests/chain_admission_test.rs
@@ -0,0 +1,91 @@
+//! Admission of requests that pass three batched pools in a row, at loads that the pools can't
+//! serve.
+
+#[path = "support/chain_model.rs"]
+mod chain_model;
+
+use chain_model::{ChainModel, KindCount, ModelFault, chain_capacity};
+
+/// Loads as multiples of what the chain can serve.
+const LOADS: [f64; 3] = [1.5, 2.0, 3.0];
+/// Seed of the runs.
+const SEED: u64 = 1;
+
+fn sum(model: &ChainModel, count: impl Fn(&KindCount) -> usize) -> usize {
+    model.kinds.iter().map(count).sum()
+}
+
+fn on_time_share(kind: &KindCount) -> f64 {
+    kind.on_time as f64 / kind.offered as f64
+}
+
+/// Guards against a chain that answers fewer requests on time the more it is asked for, because
+/// requests that will be late take the capacity of others. The more urgent kind gets at least as
+/// large a share on time, and none less than a quarter of the share of all.
+#[test]
+fn on_time_answers_do_not_fall_as_the_load_grows() {
+    for load in LOADS {
+        let model = ChainModel::run(load, ModelFault::None, SEED);
+        assert!(
+            model.on_time_rate() > 0.85 * chain_capacity(),
+            "load {load}: {} a second on time",
+            model.on_time_rate()
+        );
+        let shares = model.kinds.map(|kind| on_time_share(&kind));
+        assert!(shares.is_sorted_by(|urgent, other| urgent >= other), "load {load}: {shares:?}");
+        let mean =
+            sum(&model, |kind| kind.on_time) as f64 / sum(&model, |kind| kind.offered) as f64;
+        assert!(shares.iter().all(|share| *share >= mean / 4.0), "load {load}: {shares:?}");
+    }
+}
+
+/// Guards against refusals below the capacity of the chain.
+#[test]
+fn nobody_is_refused_while_the_chain_has_capacity() {
+    let model = ChainModel::run(0.8, ModelFault::None, SEED);
+    assert_eq!(sum(&model, |kind| kind.on_time), sum(&model, |kind| kind.offered));
+}
+
+/// Guards against requests that are refused for lack of capacity after a step of them has run.
+#[test]
+fn admitted_requests_end_with_an_answer() {
+    for load in [1.5, 2.0] {
+        let model = ChainModel::run(load, ModelFault::None, SEED);
+        assert_eq!(sum(&model, |kind| kind.lost + kind.expired), 0, "load {load}");
+    }
+}
+
+/// Guards against requests that are refused for lack of capacity after a step of them has run, at
+/// three times what the chain can serve.
+#[test]
+fn admitted_requests_end_with_an_answer_at_triple_load() {
+    let model = ChainModel::run(3.0, ModelFault::None, SEED);
+    assert_eq!(sum(&model, |kind| kind.lost + kind.expired), 0);
+}
+
+/// Guards against a new coordinator with empty ledgers that admits more than the pools can serve.
+#[test]
+fn new_coordinator_admits_no_more_than_the_pools_can_serve() {
+    let model = ChainModel::run(2.0, ModelFault::CoordinatorLost, SEED);
+    assert!(model.on_time_rate() > 0.85 * chain_capacity(), "{}", model.on_time_rate());
+    assert_eq!(sum(&model, |kind| kind.lost + kind.expired), 0);
+}
+
+/// Guards against two coordinators of a partitioned fleet that admit twice what the pools can
+/// serve. Neither knows what the other has promised, so a few late requests are lost.
+#[test]
+fn coordinators_of_a_partitioned_fleet_share_the_pools() {
+    let model = ChainModel::run(2.0, ModelFault::Partitioned, SEED);
+    assert!(model.on_time_rate() > 0.8 * chain_capacity(), "{}", model.on_time_rate());
+    let lost = sum(&model, |kind| kind.lost + kind.expired) as f64;
+    assert!(lost < 0.05 * sum(&model, |kind| kind.offered) as f64, "{lost} requests were lost");
+}
+
+/// Guards against a frozen dispatcher whose last status keeps requests out, or lets too many in.
+#[test]
+fn silent_dispatcher_counts_as_having_its_last_capacity() {
+    let model = ChainModel::run(2.0, ModelFault::SilentDispatcher, SEED);
+    assert!(model.on_time_rate() > 0.8 * chain_capacity(), "{}", model.on_time_rate());
+    let lost = sum(&model, |kind| kind.lost + kind.expired) as f64;
+    assert!(lost < 0.01 * sum(&model, |kind| kind.offered) as f64, "{lost} requests were lost");
+}
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -9,7 +9,7 @@
 use crocusdale_core::configuration::{
     AllowedRegions, BatchRules, ConfigurationError, Declarations, DeclarationsBuilder, EngineRules,
     ForwardRules, LabelSelector, LabelSet, PipelineRules, PlanStep, PoolKind, RegionMap,
-    RepeatRule, StagePlan, StageRules, StepWork, WeightedPool, WorkspaceRules,
+    RepeatRule, SchedulingSettings, StagePlan, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds, TimerKey};
 use crocusdale_core::identity::{
@@ -146,6 +146,11 @@
 
     /// Creates the daemon on `vm`, with the incarnation number 7, and starts it until it is ready.
     pub fn named(vm: &str, bounds: StalenessBounds) -> Self {
+        Self::scheduled(vm, bounds, SchedulingSettings::default())
+    }
+
+    /// Creates the daemon on `vm` in a fleet with coordinators as in `scheduling`.
+    pub fn scheduled(vm: &str, bounds: StalenessBounds, scheduling: SchedulingSettings) -> Self {
         let now = MonotonicTime::from_millis(0);
         let address = "127.0.0.1:1".parse().expect("an address");
         let published = DiscoverySettings {
@@ -164,7 +169,8 @@
             bounds,
         };
         let own = InstanceId::new(vm, 7);
-        let core = DaemonCoreBuilder::new(own, "a").discovery(published).seed(1).build(now);
+        let builder = DaemonCoreBuilder::new(own, "a").discovery(published).seed(1);
+        let core = builder.scheduling(scheduling).build(now);
         let mut daemon = Self {
             core,
             now,
