--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use super::BatchItem;
+use crate::admission::AdmissionClass;
 use crate::identity::MonotonicTime;
 use crate::pipeline::{PieceOrder, PieceSource, PlacedResult};
 
@@ -9,6 +10,10 @@
 /// urgent level goes first only if it is due earlier by more than this.
 const PRIORITY_LEVEL_DELAY: Duration = Duration::from_millis(400);
 
+/// Delay in the queue per priority level of promised jobs. The admission coordinator has already
+/// preferred the urgent ones, and a longer delay would make the others late.
+const PROMISED_LEVEL_DELAY: Duration = Duration::from_millis(50);
+
 /// Delay in the queue of jobs whose workspace floods the daemon. It exceeds the usual latency
 /// objectives, so that all other jobs go first.
 const FLOOD_DELAY: Duration = Duration::from_secs(3);
@@ -49,14 +54,16 @@
     /// with the earliest time goes first.
     pub(super) fn priority_time(&self) -> MonotonicTime {
         let flood_delay = if self.order.is_flood { FLOOD_DELAY } else { Duration::ZERO };
-        self.order.target_end + PRIORITY_LEVEL_DELAY * u32::from(self.order.level) + flood_delay
+        let is_promised = self.order.admission.is_promised();
+        let level_delay = if is_promised { PROMISED_LEVEL_DELAY } else { PRIORITY_LEVEL_DELAY };
+        self.order.target_end + level_delay * u32::from(self.order.level) + flood_delay
     }
 
     /// Whether the job is on time if its call ends at `end`. On-time jobs are served before late
     /// ones. Work already spent on the request does not count: otherwise, in a burst, each request
     /// would make the next one late.
     pub(super) fn can_meet_due(&self, end: MonotonicTime) -> bool {
-        end <= self.order.target_end
+        end <= self.order.target_end && self.order.admission != AdmissionClass::Late
     }
 
     /// Time that must remain between the end of a call and the due time for the job to wait for an
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::{CallerRequest, FinalOutcome, ForwardHead, OutcomeKind, RefusalReason, RequestContent};
-use crate::admission::AdmissionPermit;
+use crate::admission::{AdmissionClass, AdmissionPermit};
 use crate::configuration::{
     AllowedRegions, Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind,
     SchedulingSettings, StageRules, StepWork, WeightedPool, WorkspaceRules,
@@ -51,6 +51,11 @@
     pub needs_claim: bool,
     /// Whether the workspace sends far more than it usually does.
     pub is_flood: bool,
+    /// How the request was admitted.
+    pub admission: AdmissionClass,
+    /// Time by which an admitted late request is expected to end, which takes the place of the
+    /// latency objective that it misses. `None` for other requests.
+    pub promised_end: Option<MonotonicTime>,
     /// Admission permit, which counts the request against the concurrency limits until it is
     /// released.
     pub permit: AdmissionPermit,
@@ -118,6 +123,8 @@
             repeatable,
             needs_claim: !repeatable,
             is_flood: false,
+            admission: AdmissionClass::Local,
+            promised_end: None,
             permit: AdmissionPermit::default(),
             allowed_regions: AllowedRegions::default(),
             queueing_delays: Vec::new(),
@@ -175,6 +182,8 @@
             repeatable,
             needs_claim: false,
             is_flood: false,
+            admission: AdmissionClass::Local,
+            promised_end: None,
             permit: AdmissionPermit::default(),
             allowed_regions,
             queueing_delays: Vec::new(),
@@ -255,7 +264,8 @@
     #[must_use]
     pub fn target_end(&self, position: usize) -> MonotonicTime {
         let time_after = self.queued_time_after(position);
-        let since_start = self.objective.since_start().saturating_sub(time_after);
+        let end = self.promised_end.unwrap_or(self.objective);
+        let since_start = end.since_start().saturating_sub(time_after);
         MonotonicTime::from_start(since_start)
     }
 
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -206,6 +206,8 @@
             | Command::ReleaseRemoteResults { .. }
             | Command::PlaceRequest { .. }
             | Command::ReportPlacement { .. }
+            | Command::AskAdmission { .. }
+            | Command::ReportPoolStatus { .. }
             | Command::FetchDirectory { .. }
             | Command::FetchConfiguration { .. }) => self.peers.execute(self, command),
         }
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -117,6 +117,33 @@
                     "stage" => stage, "needed_ms" => needed_ms, "left_ms" => left_ms,
                     "delays_age_ms" => delays_age_ms);
             }
+            StateChange::AdmissionDecided {
+                section,
+                digest,
+                workspace,
+                level,
+                verdict,
+                wait_ms,
+                forecast_ms,
+                late_wait_ms,
+                objective_ms,
+                deadline_ms,
+                status_age_ms,
+                is_over_share,
+            } => {
+                info!(log, "{}", name;
+                    "section" => section, "digest" => digest.to_string(),
+                    "workspace" => workspace, "level" => level, "verdict" => verdict,
+                    "wait_ms" => wait_ms, "forecast_ms" => forecast_ms,
+                    "late_wait_ms" => late_wait_ms, "objective_ms" => objective_ms,
+                    "deadline_ms" => deadline_ms, "status_age_ms" => status_age_ms,
+                    "over_share" => is_over_share);
+            }
+            StateChange::AdmissionFellBack { request, coordinator } => {
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "coordinator" => coordinator);
+            }
             StateChange::AttemptBroken { request, digest, upstream, reason } => {
                 info!(log, "{}", name;
                     "request" => &request.key, "workspace" => &request.workspace,
