Decide locally if a coordinator delays a request beyond its deadline

Cause: the entry scheduled a request at the time in the reply of the admission coordinator. The deadline is watched only after the start, so a start after the deadline left the caller without an answer. This can also happen if the process was paused between question and reply.

Change: such a decision counts as no decision, and the daemon decides by itself.

Result: start_after_the_deadline_is_not_waited_for failed before (no answer 10 s after the request, whose deadline is shorter) and passes now.

--- a/crates/crocusdale_core/src/daemon/admission_flow.rs
+++ b/crates/crocusdale_core/src/daemon/admission_flow.rs
@@ -112,7 +112,7 @@
         }
         let pending = lock(&self.coordination.pending_admissions).remove(call);
         let Some(pending) = pending else { return };
-        match decision {
+        match decision.filter(|decision| can_be_kept(decision, &pending.plan, now)) {
             Some(decision) => self.apply_admission(call, pending.plan, decision, now, actions),
             None => self.fall_back(call, pending.plan, vm, now, actions),
         }
@@ -237,6 +237,17 @@
     }
 }
 
+/// Whether `decision` leaves the request time before its deadline.
+///
+/// Guards against a request that is never answered: its deadline is only watched once it has
+/// started.
+fn can_be_kept(decision: &AdmissionDecision, plan: &RequestPlan, now: MonotonicTime) -> bool {
+    match decision.verdict {
+        AdmissionVerdict::StartAfter(wait) => now + wait < plan.first_event_deadline,
+        AdmissionVerdict::Start | AdmissionVerdict::Refuse(_) => true,
+    }
+}
+
 /// Time by which a late request that starts at `start` is expected to end.
 fn promised_end(plan: &RequestPlan, start: MonotonicTime) -> MonotonicTime {
     let delay = |position| plan.queueing_delays.get(position).copied().unwrap_or(Duration::ZERO);
--- a/crates/crocusdale_core/tests/coordinated_entry_test.rs
+++ b/crates/crocusdale_core/tests/coordinated_entry_test.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crocusdale_core::admission::LevelWork;
+use crocusdale_core::admission::{AdmissionDecision, AdmissionInputs, AdmissionVerdict, LevelWork};
 use crocusdale_core::batching::PoolStatus;
 use crocusdale_core::configuration::SchedulingSettings;
 use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds};
@@ -141,3 +141,22 @@
     let (_, asked) = submit_to_coordinator(&mut daemon, "/digest/8");
     assert_eq!(asked, None, "the coordinator must not be asked again at once");
 }
+
+/// Guards against a request that waits for a start after its deadline, and is never answered.
+#[test]
+fn start_after_the_deadline_is_not_waited_for() {
+    let mut daemon = coordinated_daemon();
+    for index in 1..=8 {
+        introduce_peer(&mut daemon, &format!("entry-b{index}"));
+    }
+    let (call, asked) = submit_to_coordinator(&mut daemon, "/digest/7");
+    let vm = asked.expect("one of eight peers is the coordinator");
+    let decision = AdmissionDecision {
+        verdict: AdmissionVerdict::StartAfter(Duration::from_millis(u64::from(u32::MAX))),
+        step_delays: Vec::new(),
+        inputs: AdmissionInputs::default(),
+    };
+    daemon.feed(DaemonEvent::AdmissionReplied { call, vm, decision: Some(decision) });
+    daemon.advance(10_000);
+    assert!(daemon.answer(call).is_some(), "the request must end at its deadline");
+}
