Send only figures that admission coordinators accept

Cause: piece counts come from a caller's header field. A request with more than a million pieces made the coordinator refuse the message, which the daemon took as a lost coordinator: all its requests were decided locally for a second.

Change: pieces, step times and the deadline are limited when the message is built.

Result: sent_requests_are_within_the_accepted_ranges failed before (left_ms out of range) and passes now.

--- a/crates/crocusdale_core/src/wire/admission_messages.rs
+++ b/crates/crocusdale_core/src/wire/admission_messages.rs
@@ -40,6 +40,8 @@
 impl std::error::Error for AdmissionMessageError {}
 
 impl From<AdmissionRequest> for peer::AdmitRequestRequest {
+    /// Limits the figures to the accepted ranges. Callers choose some of them, and a daemon takes a
+    /// coordinator that refuses its message as lost.
     fn from(request: AdmissionRequest) -> Self {
         Self {
             attempt: Some(request.attempt.into()),
@@ -48,7 +50,7 @@
             workspace: request.workspace,
             level: u32::from(request.level),
             due_ms: signed_millis(request.objective_in),
-            left_ms: signed_millis(request.deadline_in).unsigned_abs(),
+            left_ms: signed_millis(request.deadline_in).unsigned_abs().min(MAX_MILLIS),
             steps: request.steps.into_iter().map(Into::into).collect(),
         }
     }
@@ -59,9 +61,9 @@
         let to_wire = |position| u32::try_from(position).unwrap_or(u32::MAX);
         Self {
             pool: step.pool,
-            pieces: step.pieces,
+            pieces: step.pieces.min(MAX_PIECES),
             after: step.after.into_iter().map(to_wire).collect(),
-            step_ms: saturating_millis(step.step_time),
+            step_ms: saturating_millis(step.step_time.min(Duration::from_millis(MAX_MILLIS))),
         }
     }
 }
--- a/crates/crocusdale_core/tests/admission_messages_test.rs
+++ b/crates/crocusdale_core/tests/admission_messages_test.rs
@@ -58,6 +58,19 @@
     }
 }
 
+/// Guards against a caller with extreme figures, for whose message the daemon would take its
+/// coordinator as lost.
+#[test]
+fn sent_requests_are_within_the_accepted_ranges() {
+    let mut extreme = AdmissionRequest::try_from(request()).expect("a valid message");
+    (extreme.objective_in, extreme.deadline_in) = (Duration::MAX, Duration::MAX);
+    for step in &mut extreme.steps {
+        (step.pieces, step.step_time) = (u32::MAX, Duration::MAX);
+    }
+    let message = peer::AdmitRequestRequest::from(extreme);
+    AdmissionRequest::try_from(message).expect("an accepted message");
+}
+
 /// Guards against a reply of a later version that is taken for a start.
 #[test]
 fn unknown_verdict_is_refused() {
