Drop idle admission sections without a status

Cause: idle sections were removed only when a pool status arrived. A daemon that gets none kept up to 256 sections forever, and then declined to coordinate any other.

Change: idle sections are also removed before a section is opened.

Result: idle_sections_are_dropped_without_any_status failed before and passes now.

--- a/crates/crocusdale_core/src/admission/admission_coordinators.rs
+++ b/crates/crocusdale_core/src/admission/admission_coordinators.rs
@@ -79,6 +79,7 @@
         now: MonotonicTime,
     ) -> Option<AdmissionDecision> {
         if !self.sections.contains_key(&request.section) {
+            self.sections.retain(|_, (_, at)| now.since(*at) < SECTION_IDLE_TIME);
             if self.sections.len() >= MAX_SECTIONS {
                 return None;
             }
--- a/crates/crocusdale_core/tests/chain_admission_test.rs
+++ b/crates/crocusdale_core/tests/chain_admission_test.rs
@@ -4,6 +4,11 @@
 #[path = "support/chain_model.rs"]
 mod chain_model;
 
+use std::time::Duration;
+
+use crocusdale_core::admission::{AdmissionCoordinators, AdmissionRequest};
+use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime, RequestDigest};
+
 use chain_model::{ChainModel, KindCount, ModelFault, chain_capacity};
 
 /// Loads as multiples of what the chain can serve.
@@ -89,3 +94,27 @@
     let lost = sum(&model, |kind| kind.lost) as f64;
     assert!(lost < 0.01 * sum(&model, |kind| kind.offered) as f64, "{lost} requests were lost");
 }
+
+/// Guards against sections that are kept forever, which would keep a daemon without statuses from
+/// coordinating new ones.
+#[test]
+fn idle_sections_are_dropped_without_any_status() {
+    let mut coordinators = AdmissionCoordinators::default();
+    let mut is_decided = |index: u64, at: u64| {
+        let request = AdmissionRequest {
+            attempt: AttemptId { incarnation: 1, call: CallId(index), sequence: 0 },
+            section: format!("admission#{index}/1024"),
+            digest: RequestDigest([0; 16]),
+            workspace: String::new(),
+            level: 0,
+            objective_in: Duration::from_secs(1),
+            deadline_in: Duration::from_secs(6),
+            steps: Vec::new(),
+        };
+        let now = MonotonicTime::from_millis(at);
+        coordinators.decide(&request, false, &|_| None, now).is_some()
+    };
+    assert!((0..256).all(|index| is_decided(index, 1_000)));
+    assert!(!is_decided(256, 2_000), "the number of sections is bounded");
+    assert!(is_decided(256, 40_000));
+}
