Avoid a panic on extreme expected times to a first event

Cause: Duration::mul_f64 and from_secs_f64 panic on overflow. The time for a prompt is computed from a coordinator's reply and the caller's token count, and the cost of an engine from reported times.

Change: both conversions saturate.

Result: expected_time_of_an_extreme_prompt_is_finite panicked before and passes now. The cost of an engine has no test of its own.

--- a/crates/crocusdale_core/src/placement/engine_placer.rs
+++ b/crates/crocusdale_core/src/placement/engine_placer.rs
@@ -120,7 +120,8 @@
             PlacementReply { first_event: self.pool_model.time(), ..PlacementReply::default() };
         if let Some((engine, estimate)) = chosen {
             reply.upstream = Some(engine.to_string());
-            reply.expected = Duration::from_secs_f64(estimate.cost_ms / 1e3);
+            let expected = Duration::try_from_secs_f64(estimate.cost_ms / 1e3);
+            reply.expected = expected.unwrap_or(Duration::MAX);
             self.open_at(engine, request, estimate, now);
         }
         reply
--- a/crates/crocusdale_core/src/placement/first_event_model.rs
+++ b/crates/crocusdale_core/src/placement/first_event_model.rs
@@ -27,7 +27,9 @@
     /// Expected time with a prompt of `tokens` tokens.
     #[must_use]
     pub fn for_prompt(&self, tokens: u64) -> Duration {
-        self.fixed + self.thousand_tokens.mul_f64(tokens as f64 / 1e3)
+        let tokens_time = self.thousand_tokens.as_secs_f64() * tokens as f64 / 1e3;
+        let tokens_time = Duration::try_from_secs_f64(tokens_time).unwrap_or(Duration::MAX);
+        self.fixed.saturating_add(tokens_time)
     }
 }
 
--- a/crates/crocusdale_core/tests/placement_messages_test.rs
+++ b/crates/crocusdale_core/tests/placement_messages_test.rs
@@ -76,6 +76,14 @@
     assert!(eternal.deadline <= now + Duration::from_secs(3_600), "state is kept for an hour");
 }
 
+/// Guards against an overflow of the time to the first event of an engine that hardly answers.
+#[test]
+fn expected_time_of_an_extreme_prompt_is_finite() {
+    let part = Duration::from_micros(u64::from(u32::MAX));
+    let time = FirstEventTime { fixed: part, thousand_tokens: part };
+    assert!(time.for_prompt(u64::MAX) > Duration::from_secs(3_600));
+}
+
 #[test]
 fn reports_are_read_whole_or_refused() {
     let report = PlacementReport {
