Send only figures that placement coordinators accept

Cause: the token counts and the prompt parts come from a caller's header fields. With more than 256 parts or 2^32 tokens the coordinator refused the message, which the daemon took as a lost coordinator: its requests were placed without a coordinator for a second. A daemon that coordinates the pool itself did not check the figures at all.

Change: the question is limited to the accepted ranges when it is built.

--- a/crates/crocusdale_core/src/daemon/placement_flow.rs
+++ b/crates/crocusdale_core/src/daemon/placement_flow.rs
@@ -184,7 +184,7 @@
         let attempt = self.placements.next_id(self.own_instance.process_hash(), request.call);
         let shared_parts = demand.shared_parts().to_vec();
         let hash = PlacementRequest::section_hash(&shared_parts, attempt);
-        Some(PlacementRequest {
+        let question = PlacementRequest {
             attempt,
             section: section_name(&request.stage, engines, hash),
             level: request.level,
@@ -197,7 +197,8 @@
             allowed_regions: request.allowed_regions.clone(),
             input_zone: inputs.zone,
             input_bytes: inputs.bytes,
-        })
+        };
+        Some(question.limited())
     }
 
     /// Chooses an engine as the coordinator of the request's section.
--- a/crates/crocusdale_core/src/placement/mod.rs
+++ b/crates/crocusdale_core/src/placement/mod.rs
@@ -18,6 +18,7 @@
 pub use engine_speed::EngineSpeed;
 pub use first_event_model::{FirstEventModel, FirstEventTime};
 pub use placement_report::{PlacementOutcome, PlacementReport};
+pub(crate) use placement_request::{MAX_NAMES, MAX_PARTS, MAX_TOKENS};
 pub use placement_request::{PlacementReply, PlacementRequest};
 pub use prompt_cache::PromptCache;
 pub use sample_mean::SampleMean;
--- a/crates/crocusdale_core/src/placement/placement_request.rs
+++ b/crates/crocusdale_core/src/placement/placement_request.rs
@@ -5,6 +5,13 @@
 use crate::identity::{AttemptId, MonotonicTime, stable_hash};
 use crate::pipeline::PromptPart;
 
+/// Maximum number of shared prompt parts of a request.
+pub(crate) const MAX_PARTS: usize = 256;
+/// Maximum number of excluded upstreams and of allowed regions of a request.
+pub(crate) const MAX_NAMES: usize = 256;
+/// Maximum number of tokens of a prompt or an answer.
+pub(crate) const MAX_TOKENS: u64 = 1 << 32;
+
 /// A request whose engine the placement coordinator is asked to choose.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlacementRequest {
@@ -35,6 +42,17 @@
 }
 
 impl PlacementRequest {
+    /// Limits the parts and the token counts to what a coordinator accepts. Callers choose them,
+    /// and a daemon takes a coordinator that refuses its message as lost.
+    #[must_use]
+    pub fn limited(mut self) -> Self {
+        self.shared_parts.truncate(MAX_PARTS);
+        self.excluded.truncate(MAX_NAMES);
+        self.prompt_tokens = self.prompt_tokens.min(MAX_TOKENS);
+        self.output_tokens = self.output_tokens.min(MAX_TOKENS);
+        self
+    }
+
     /// Text whose hash ranks the engines: the last shared prompt part, so that requests of one
     /// session prefer one engine. A request without shared parts ranks by its own identity.
     pub(super) fn affinity(&self) -> String {
--- a/crates/crocusdale_core/src/wire/placement_messages.rs
+++ b/crates/crocusdale_core/src/wire/placement_messages.rs
@@ -8,19 +8,14 @@
 use crate::identity::MonotonicTime;
 use crate::pipeline::PromptPart;
 use crate::placement::{
-    FirstEventTime, PlacementOutcome, PlacementReply, PlacementReport, PlacementRequest,
+    FirstEventTime, MAX_NAMES, MAX_PARTS, MAX_TOKENS, PlacementOutcome, PlacementReply,
+    PlacementReport, PlacementRequest,
 };
 
 /// Maximum length of a name, in bytes.
 const MAX_NAME_BYTES: usize = 512;
-/// Maximum number of shared prompt parts of a request.
-const MAX_PARTS: usize = 256;
-/// Maximum number of excluded upstreams and of allowed regions of a request.
-const MAX_NAMES: usize = 256;
 /// Maximum number of reports in one message.
 const MAX_REPORTS: usize = 16_384;
-/// Maximum number of tokens of a prompt or an answer.
-const MAX_TOKENS: u64 = 1 << 32;
 /// Longest time to the deadline. State about a request is kept until then.
 const MAX_TIME_LEFT: Duration = Duration::from_secs(3_600);
 
--- a/crates/crocusdale_core/tests/placement_flow_test.rs
+++ b/crates/crocusdale_core/tests/placement_flow_test.rs
@@ -76,7 +76,10 @@
 
 fn build(fleet: &mut VirtualFleet, path: &str) -> CallerRequest {
     let parts = vec![PromptPart { id: 5, tokens: 900 }, PromptPart { id: 6, tokens: 100 }];
-    let demand = EngineDemand { parts, prompt_tokens: 1_000, output_tokens: 50 };
+    build_with(fleet, path, EngineDemand { parts, prompt_tokens: 1_000, output_tokens: 50 })
+}
+
+fn build_with(fleet: &mut VirtualFleet, path: &str, demand: EngineDemand) -> CallerRequest {
     let head = ForwardHead {
         host: HOST.to_owned(),
         path: path.to_owned(),
@@ -220,6 +223,27 @@
     assert_eq!(reports[0].upstream, order.upstream);
 }
 
+/// Guards against a caller with extreme figures: the coordinator would refuse the message and be
+/// taken as lost, and sums of tokens would overflow.
+#[test]
+fn questions_about_extreme_requests_are_accepted() {
+    let mut fleet = placing_fleet();
+    for daemon in 0..SIZE {
+        let parts = (0..1_000).map(|id| PromptPart { id, tokens: u32::MAX }).collect();
+        let demand = EngineDemand { parts, prompt_tokens: 1 << 40, output_tokens: 1 << 40 };
+        let request = build_with(&mut fleet, "/tell/", demand);
+        fleet.submit(daemon, request);
+    }
+    assert!(!fleet.placement_commands.is_empty());
+    for (daemon, command) in std::mem::take(&mut fleet.placement_commands) {
+        let Command::PlaceRequest { vm, request } = command else { continue };
+        let message = request.to_wire(fleet.now);
+        PlacementRequest::from_wire(message, fleet.now).expect("an accepted message");
+        reply(&mut fleet, daemon, (vm, request), Some("r2"));
+    }
+    assert!(!fleet.relays.is_empty());
+}
+
 /// Guards against a retry at the engine that has failed.
 #[test]
 fn retry_asks_again_without_the_failed_engine() {
