Keep one timer for the reports of batched pools

Cause: the mark that the timer is set was cleared at the start of a report and set again at its end. Another thread that handled an event in between set a second timer. Each timer sets the next one, so reports multiplied while the dispatcher had work.

Change: the mark is cleared only by a report that sets no further timer.

Result: not reproduced by a test, because it needs two threads in a certain order.

--- a/crates/crocusdale_core/src/daemon/pool_status_flow.rs
+++ b/crates/crocusdale_core/src/daemon/pool_status_flow.rs
@@ -31,7 +31,6 @@
     /// Reports the sections that this daemon dispatches to the admission coordinators: those with
     /// work, and once those without.
     pub(super) fn report_pool_status(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        self.coordination.is_status_scheduled.store(false, Ordering::Relaxed);
         let (statuses, section_count) = {
             let dispatcher = lock(&self.dispatcher);
             (dispatcher.statuses(&self.own_instance.vm, now), dispatcher.max_section_count())
@@ -46,6 +45,9 @@
         *reported = busy.map(|(status, _)| status.section.clone()).collect();
         drop(reported);
         if due.is_empty() {
+            // The mark is set during the whole report. Otherwise another thread could set a second
+            // timer meanwhile, and each timer sets the next one.
+            self.coordination.is_status_scheduled.store(false, Ordering::Relaxed);
             return;
         }
         let vms: BTreeSet<String> = {
@@ -64,7 +66,6 @@
             }
         }
         out.push(Command::SetTimer { timer: TimerKey::PoolStatus, at: now + REPORT_INTERVAL });
-        self.coordination.is_status_scheduled.store(true, Ordering::Relaxed);
     }
 
     /// Records the status of a section of a batched pool as an admission coordinator.
