Let the admission coordinator apply workspace shares

Cause: WorkspaceShares was not called, so workspace_shares = on had no effect where a coordinator decides.

Change: with workspace_shares on, AdmissionCoordinator records each request, counts capacity as scarce when a request would be on time but for the queues of its pools, and treats requests of a workspace over its share as late. admissions_over_share counts them. Housekeeping drops idle sections once a second and logs dropped workspaces. Without the setting the coordinator holds no shares.

--- a/crates/crocusdale_core/src/admission/admission_coordinator.rs
+++ b/crates/crocusdale_core/src/admission/admission_coordinator.rs
@@ -3,10 +3,10 @@
 
 use super::{
     AdmissionDecision, AdmissionInputs, AdmissionLimits, AdmissionRequest, AdmissionStep,
-    AdmissionVerdict, PoolLedger,
+    AdmissionVerdict, PoolLedger, WorkspaceShares,
 };
 use crate::batching::PoolStatus;
-use crate::configuration::BatchRules;
+use crate::configuration::{BatchRules, SchedulingSettings};
 use crate::identity::MonotonicTime;
 
 /// Fraction of the time to the deadline by which a late request must be expected to end. The rest
@@ -22,6 +22,8 @@
     limits: AdmissionLimits,
     /// Ledgers of the batched pools, by name of the pool.
     ledgers: HashMap<String, PoolLedger>,
+    /// `None` if workspaces keep no share.
+    shares: Option<WorkspaceShares>,
 }
 
 /// When a request reaches each of its steps, and how long it is delayed there.
@@ -35,10 +37,11 @@
 }
 
 impl AdmissionCoordinator {
-    /// Creates a coordinator with empty ledgers.
+    /// Creates a coordinator with empty ledgers that applies the rules which `settings` turn on.
     #[must_use]
-    pub fn new(limits: AdmissionLimits) -> Self {
-        Self { limits, ledgers: HashMap::new() }
+    pub fn new(limits: AdmissionLimits, settings: SchedulingSettings) -> Self {
+        let shares = settings.workspace_shares.then(WorkspaceShares::default);
+        Self { limits, ledgers: HashMap::new(), shares }
     }
 
     /// Records the status of a section of `pool`.
@@ -53,35 +56,35 @@
     }
 
     /// Decides on `request` and enters what the decision promises. `rules_of` returns the declared
-    /// call of a batched pool, and `None` for other pools. A request that `is_over_share` is served
-    /// behind those that can be on time.
+    /// call of a batched pool, and `None` for other pools. A request of a workspace over its share
+    /// is served behind those that can be on time.
     pub fn decide(
         &mut self,
         request: &AdmissionRequest,
-        is_over_share: bool,
         rules_of: &impl Fn(&str) -> Option<BatchRules>,
         now: MonotonicTime,
     ) -> AdmissionDecision {
-        for step in request.steps.iter().filter(|step| step.pieces > 0) {
-            if let Some(rules) = rules_of(&step.pool) {
-                let ledger = self.ledger(&step.pool, rules);
-                ledger.record_demand(request.level, ledger.work(step.pieces), now);
-            }
-        }
+        self.record_demand(request, rules_of, now);
         let level = request.level;
         let on_time_wait = |ledger: &PoolLedger, _: &AdmissionStep, arrival| {
             ledger.on_time_wait(level, now + arrival, now)
         };
         let forecast = self.forecast(request, on_time_wait, now);
         let latest_end = request.objective_in.mul_f64(self.limits.objective_fraction);
+        let is_late = forecast.end > latest_end;
         let late_wait = self.late_wait(request, now);
+        let is_over_share = self.record_usage(request, is_late, latest_end, now);
         let inputs = AdmissionInputs {
             forecast: forecast.end,
             late_wait,
             status_age: self.status_age(request, now),
             is_over_share,
         };
-        if forecast.end <= latest_end && !is_over_share {
+        if !is_late && !is_over_share {
+            let work = self.request_work(request);
+            if let Some(shares) = &mut self.shares {
+                shares.record_admitted(&request.workspace, work, now);
+            }
             self.promise(request, &forecast, now, PoolLedger::promise_on_time, now);
             let (verdict, step_delays) = (AdmissionVerdict::Start, forecast.delays);
             return AdmissionDecision { verdict, step_delays, inputs };
@@ -103,6 +106,51 @@
         AdmissionDecision { verdict, step_delays: forecast.delays, inputs }
     }
 
+    /// Number of workspaces dropped because there are too many, if a log line is due.
+    pub fn take_dropped_workspaces(&mut self, now: MonotonicTime) -> Option<u64> {
+        self.shares.as_mut()?.take_dropped(now)
+    }
+
+    fn record_demand(
+        &mut self,
+        request: &AdmissionRequest,
+        rules_of: &impl Fn(&str) -> Option<BatchRules>,
+        now: MonotonicTime,
+    ) {
+        for step in request.steps.iter().filter(|step| step.pieces > 0) {
+            if let Some(rules) = rules_of(&step.pool) {
+                let ledger = self.ledger(&step.pool, rules);
+                ledger.record_demand(request.level, ledger.work(step.pieces), now);
+            }
+        }
+    }
+
+    /// Records the request for the share of its workspace, and returns whether the workspace is over
+    /// it. A request that would be late without any queue says nothing about the capacity.
+    fn record_usage(
+        &mut self,
+        request: &AdmissionRequest,
+        is_late: bool,
+        latest_end: Duration,
+        now: MonotonicTime,
+    ) -> bool {
+        let work = self.request_work(request);
+        let is_queued = is_late && chain_forecast(request, |_, _| Duration::ZERO).end <= latest_end;
+        let Some(shares) = &mut self.shares else { return false };
+        shares.record(&request.workspace, work, now);
+        if is_queued {
+            shares.record_scarcity(now);
+        }
+        shares.is_over_share(&request.workspace, now)
+    }
+
+    /// Upstream time of all pieces of a request.
+    fn request_work(&self, request: &AdmissionRequest) -> Duration {
+        let steps = request.steps.iter().filter(|step| step.pieces > 0);
+        let work = steps.filter_map(|step| Some(self.ledgers.get(&step.pool)?.work(step.pieces)));
+        Duration::from_secs_f64(work.sum())
+    }
+
     /// `Retry-After` of a refused request: the time until the late queue of the slowest pool that
     /// it needs is worked off. Nothing else determines it, so a reserved slot would replace it
     /// here.
@@ -118,23 +166,13 @@
         wait_of: impl Fn(&PoolLedger, &AdmissionStep, Duration) -> Duration,
         now: MonotonicTime,
     ) -> ChainForecast {
-        let mut forecast = ChainForecast::default();
-        let mut ends: Vec<Duration> = Vec::with_capacity(request.steps.len());
-        for step in &request.steps {
-            let needed = step.after.iter().filter_map(|position| ends.get(*position));
-            let arrival = needed.max().copied().unwrap_or_default();
+        chain_forecast(request, |step, arrival| {
             let ledger = self.ledgers.get(&step.pool).filter(|_| step.pieces > 0);
-            let delay = ledger.map_or(Duration::ZERO, |ledger| {
+            ledger.map_or(Duration::ZERO, |ledger| {
                 let wait = wait_of(ledger, step, arrival);
                 wait + ledger.call_delay(step.step_time, wait, now)
-            });
-            let end = arrival.saturating_add(delay).saturating_add(step.step_time);
-            forecast.arrivals.push(arrival);
-            forecast.delays.push(delay);
-            forecast.end = forecast.end.max(end);
-            ends.push(end);
-        }
-        forecast
+            })
+        })
     }
 
     /// Enters the work of a request that starts at `start` in the ledgers of its pools.
@@ -177,3 +215,24 @@
         ledger
     }
 }
+
+/// Forecast of a request that starts now. `delay_of` returns the delay of a step, given the time
+/// until the request reaches it.
+fn chain_forecast(
+    request: &AdmissionRequest,
+    delay_of: impl Fn(&AdmissionStep, Duration) -> Duration,
+) -> ChainForecast {
+    let mut forecast = ChainForecast::default();
+    let mut ends: Vec<Duration> = Vec::with_capacity(request.steps.len());
+    for step in &request.steps {
+        let needed = step.after.iter().filter_map(|position| ends.get(*position));
+        let arrival = needed.max().copied().unwrap_or_default();
+        let delay = delay_of(step, arrival);
+        let end = arrival.saturating_add(delay).saturating_add(step.step_time);
+        forecast.arrivals.push(arrival);
+        forecast.delays.push(delay);
+        forecast.end = forecast.end.max(end);
+        ends.push(end);
+    }
+    forecast
+}
--- a/crates/crocusdale_core/src/admission/admission_coordinators.rs
+++ b/crates/crocusdale_core/src/admission/admission_coordinators.rs
@@ -3,7 +3,7 @@
 
 use super::{AdmissionCoordinator, AdmissionDecision, AdmissionLimitsBuilder, AdmissionRequest};
 use crate::batching::{PoolSection, PoolStatus};
-use crate::configuration::BatchRules;
+use crate::configuration::{BatchRules, SchedulingSettings};
 use crate::identity::MonotonicTime;
 
 /// Base name of the admission sections, by whose rank their coordinators are chosen.
@@ -18,6 +18,9 @@
 /// Age up to which a status is handed to a new section.
 const STATUS_LIFETIME: Duration = Duration::from_secs(30);
 
+/// Interval at which old state is dropped and dropped entries are logged.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Admission sections that this daemon coordinates.
 #[derive(Debug, Default)]
 pub struct AdmissionCoordinators {
@@ -26,9 +29,25 @@
     /// Last status and its time, by section of the pool and VM of the dispatcher. A section that
     /// is opened later starts with them.
     statuses: BTreeMap<(String, String), (PoolStatus, MonotonicTime)>,
+    /// Rules that the sections apply.
+    settings: SchedulingSettings,
+    last_expiry: Option<MonotonicTime>,
+}
+
+/// What the admission sections dropped since the last report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DroppedAdmissions {
+    /// Workspaces dropped because there were too many.
+    pub workspaces: u64,
 }
 
 impl AdmissionCoordinators {
+    /// Coordinators without sections, whose sections apply the rules that `settings` turn on.
+    #[must_use]
+    pub fn new(settings: SchedulingSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
     /// Name of the admission section of a request with the hash `hash`, out of `section_count`.
     #[must_use]
     pub fn section_for(hash: u64, section_count: usize) -> String {
@@ -74,7 +93,6 @@
     pub fn decide(
         &mut self,
         request: &AdmissionRequest,
-        is_over_share: bool,
         rules_of: &impl Fn(&str) -> Option<BatchRules>,
         now: MonotonicTime,
     ) -> Option<AdmissionDecision> {
@@ -87,7 +105,22 @@
         }
         let (coordinator, last_request_at) = self.sections.get_mut(&request.section)?;
         *last_request_at = now;
-        Some(coordinator.decide(request, is_over_share, rules_of, now))
+        Some(coordinator.decide(request, rules_of, now))
+    }
+
+    /// Drops idle sections and old state, at most once a second. Returns what was dropped because of
+    /// a bound since the last call that did so, and `None` if it is too early.
+    pub fn expire(&mut self, now: MonotonicTime) -> Option<DroppedAdmissions> {
+        if self.last_expiry.is_some_and(|at| now.since(at) < EXPIRY_INTERVAL) {
+            return None;
+        }
+        self.last_expiry = Some(now);
+        self.sections.retain(|_, (_, at)| now.since(*at) < SECTION_IDLE_TIME);
+        let mut dropped = DroppedAdmissions::default();
+        for (coordinator, _) in self.sections.values_mut() {
+            dropped.workspaces += coordinator.take_dropped_workspaces(now).unwrap_or_default();
+        }
+        Some(dropped)
     }
 
     fn open_section(
@@ -97,7 +130,7 @@
     ) -> AdmissionCoordinator {
         let section_count = PoolSection::from_name(name).section_count();
         let limits = AdmissionLimitsBuilder::default().capacity_share(1.0 / section_count as f64);
-        let mut coordinator = AdmissionCoordinator::new(limits.build());
+        let mut coordinator = AdmissionCoordinator::new(limits.build(), self.settings);
         for (status, at) in self.statuses.values() {
             let pool = PoolSection::from_name(&status.section).pool;
             if let Some(rules) = rules_of(&pool) {
--- a/crates/crocusdale_core/src/admission/mod.rs
+++ b/crates/crocusdale_core/src/admission/mod.rs
@@ -25,7 +25,7 @@
 
 pub use admission_class::AdmissionClass;
 pub use admission_coordinator::AdmissionCoordinator;
-pub use admission_coordinators::AdmissionCoordinators;
+pub use admission_coordinators::{AdmissionCoordinators, DroppedAdmissions};
 pub use admission_decision::{AdmissionDecision, AdmissionInputs, AdmissionVerdict};
 pub use admission_gate::{AdmissionGate, AdmissionPermit};
 pub use admission_limits::{AdmissionLimits, AdmissionLimitsBuilder};
--- a/crates/crocusdale_core/src/daemon/admission_flow.rs
+++ b/crates/crocusdale_core/src/daemon/admission_flow.rs
@@ -69,7 +69,7 @@
         let declarations = snapshot.declarations.as_ref()?;
         let rules_of = |pool: &str| batch_rules(declarations, pool);
         let mut coordinators = lock(&self.coordination.admission_coordinators);
-        let decision = coordinators.decide(request, false, &rules_of, now)?;
+        let decision = coordinators.decide(request, &rules_of, now)?;
         drop(coordinators);
         out.push(Command::Count(match decision.verdict {
             AdmissionVerdict::Start => CounterName::AdmissionsStarted,
@@ -80,6 +80,9 @@
             AdmissionVerdict::Start => return Some(decision),
             AdmissionVerdict::StartAfter(wait) | AdmissionVerdict::Refuse(wait) => wait,
         };
+        if decision.inputs.is_over_share {
+            out.push(Command::Count(CounterName::AdmissionsOverShare));
+        }
         out.push(Command::LogStateChange(StateChange::AdmissionDecided {
             section: request.section.clone(),
             digest: request.digest,
@@ -97,6 +100,18 @@
         Some(decision)
     }
 
+    /// Drops old state of the admission sections that this daemon coordinates.
+    pub(super) fn expire_coordinated_admissions(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let dropped = lock(&self.coordination.admission_coordinators).expire(now);
+        let Some(dropped) = dropped else { return };
+        for (table, dropped) in [("workspaces", dropped.workspaces)] {
+            if dropped > 0 {
+                let change = StateChange::AdmissionEntriesDropped { table, dropped };
+                out.push(Command::LogStateChange(change));
+            }
+        }
+    }
+
     /// Handles the reply of the admission coordinator on `vm`. Without a decision this daemon
     /// decides by itself, and does not ask that coordinator for a while.
     pub(super) fn handle_admission_reply(
--- a/crates/crocusdale_core/src/daemon/coordination.rs
+++ b/crates/crocusdale_core/src/daemon/coordination.rs
@@ -33,7 +33,8 @@
 
 impl Coordination {
     pub(super) fn new(settings: SchedulingSettings) -> Self {
-        Self { settings, ..Self::default() }
+        let admission_coordinators = Mutex::new(AdmissionCoordinators::new(settings));
+        Self { settings, admission_coordinators, ..Self::default() }
     }
 
     /// Records that the coordinator on `vm` did not answer.
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -483,6 +483,7 @@
         self.state.expire_crash_records(now);
         self.state.expire_limits(now);
         self.state.expire_placements(now, out);
+        self.state.expire_coordinated_admissions(now, out);
         let has_dropped_entries = lock(&self.state.directory).drop_missing(now, out);
         if has_dropped_entries {
             self.propagate_directory(true, now, out);
--- a/crates/crocusdale_core/tests/chain_admission_test.rs
+++ b/crates/crocusdale_core/tests/chain_admission_test.rs
@@ -5,6 +5,7 @@
 mod chain_model;
 
 use chain_model::{ChainModel, KindCount, ModelFault, chain_capacity};
+use crocusdale_core::configuration::SchedulingSettings;
 
 /// Loads as multiples of what the chain can serve.
 const LOADS: [f64; 3] = [1.5, 2.0, 3.0];
@@ -89,3 +90,18 @@
     let lost = sum(&model, |kind| kind.lost) as f64;
     assert!(lost < 0.01 * sum(&model, |kind| kind.offered) as f64, "{lost} requests were lost");
 }
+
+/// Guards against a flood of one workspace that makes the requests of all others late. 41
+/// workspaces send 0.8 of what the chain can serve; then one sends ten times its usual rate, and all
+/// together send 1.5 times what the chain can serve.
+#[test]
+fn flood_of_one_workspace_is_served_behind_the_others() {
+    let settings = SchedulingSettings { workspace_shares: true, ..Default::default() };
+    let with_shares = ChainModel::run_flood(0.8, settings, SEED);
+    let small = with_shares.small;
+    assert!(on_time_share(&small) > 0.9, "{small:?}");
+    assert!(with_shares.on_time_rate() > 0.7 * chain_capacity(), "{}", with_shares.on_time_rate());
+    assert_eq!(sum(&with_shares, |kind| kind.lost), 0);
+    let without_shares = ChainModel::run_flood(0.8, SchedulingSettings::default(), SEED).small;
+    assert!(on_time_share(&without_shares) < 0.8, "{without_shares:?}");
+}
--- a/crates/crocusdale_core/tests/support/chain_model.rs
+++ b/crates/crocusdale_core/tests/support/chain_model.rs
@@ -12,7 +12,7 @@
     BatchDispatcher, BatchId, BatchOutcome, DispatchAction, ItemOutcome,
 };
 use crocusdale_core::configuration::{
-    BatchRules, Declarations, DeclarationsBuilder, PoolKind, StageRules,
+    BatchRules, Declarations, DeclarationsBuilder, PoolKind, SchedulingSettings, StageRules,
 };
 use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime, RequestDigest};
 use crocusdale_core::pipeline::{PieceFault, PieceOrder, PieceSource, ResultHandle};
@@ -50,6 +50,14 @@
     SilentDispatcher,
 }
 
+/// Factor on the requests of the workspace that floods the chain from half of the run on.
+const FLOOD_FACTOR: f64 = 10.0;
+const FLOOD_WORKSPACE: &str = "lab";
+/// Part of the usual requests that come from that workspace.
+const FLOOD_PART: f64 = 0.1;
+/// Number of the other workspaces.
+const SMALL_WORKSPACES: u32 = 40;
+
 /// What became of the requests of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KindCount {
@@ -76,6 +84,7 @@
 #[derive(Debug)]
 struct ModelRequest {
     kind: usize,
+    is_small: bool,
     arrived_at: MonotonicTime,
     class: AdmissionClass,
     /// Due time of the answer, and the delays in the coordinator's forecast.
@@ -90,6 +99,8 @@
     sequence: u64,
     random: StdRng,
     mean_gap: f64,
+    /// Whether one of many workspaces floods the chain.
+    has_flood: bool,
     fault: ModelFault,
     declarations: Declarations,
     dispatchers: Vec<BatchDispatcher>,
@@ -99,6 +110,8 @@
     requests: HashMap<u64, ModelRequest>,
     statuses: Vec<crocusdale_core::batching::PoolStatus>,
     pub kinds: [KindCount; 3],
+    /// Requests that the small workspaces send during the flood.
+    pub small: KindCount,
 }
 
 fn rules() -> BatchRules {
@@ -134,6 +147,20 @@
 impl ChainModel {
     /// Runs the chain with `load` times the requests that it can serve.
     pub fn run(load: f64, fault: ModelFault, seed: u64) -> Self {
+        let mut model = Self::new(load, fault, seed, SchedulingSettings::default());
+        model.run_to_end();
+        model
+    }
+
+    /// Runs the chain with a flood of one workspace from half of the run on.
+    pub fn run_flood(load: f64, settings: SchedulingSettings, seed: u64) -> Self {
+        let mut model = Self::new(load, ModelFault::None, seed, settings);
+        model.has_flood = true;
+        model.run_to_end();
+        model
+    }
+
+    fn new(load: f64, fault: ModelFault, seed: u64, settings: SchedulingSettings) -> Self {
         let mut builder = DeclarationsBuilder::new("model", Duration::from_secs(1));
         for (name, _) in POOLS {
             builder = builder.stage(name, StageRules::published(PoolKind::Batch(rules()), None));
@@ -144,28 +171,33 @@
             sequence: 0,
             random: StdRng::seed_from_u64(seed),
             mean_gap: 1.0 / (load * chain_capacity()),
+            has_flood: false,
             fault,
             declarations: builder.build(),
             dispatchers: Vec::new(),
             calls: HashMap::new(),
-            coordinators: Default::default(),
+            coordinators: [(); 2].map(|()| AdmissionCoordinators::new(settings)),
             requests: HashMap::new(),
             statuses: Vec::new(),
             kinds: Default::default(),
+            small: KindCount::default(),
         };
         model.open_pools();
-        model.push(Duration::ZERO, ModelEvent::Arrival);
-        model.push(Duration::ZERO, ModelEvent::Report);
-        model.push(Duration::ZERO, ModelEvent::Cycle);
-        let end = model.now + RUN + DEADLINE * 2;
-        while let Some(Reverse((at, _, event))) = model.events.pop() {
+        model
+    }
+
+    fn run_to_end(&mut self) {
+        self.push(Duration::ZERO, ModelEvent::Arrival);
+        self.push(Duration::ZERO, ModelEvent::Report);
+        self.push(Duration::ZERO, ModelEvent::Cycle);
+        let end = self.now + RUN + DEADLINE * 2;
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > end {
                 break;
             }
-            model.now = at;
-            model.handle(&event);
+            self.now = at;
+            self.handle(&event);
         }
-        model
     }
 
     /// Rate of answers on time, of all kinds.
@@ -252,15 +284,23 @@
         if self.elapsed() > RUN {
             return;
         }
-        let gap = -self.mean_gap * (1.0 - self.random.random::<f64>()).ln();
+        let is_flooded = self.has_flood && self.elapsed() >= RUN / 2;
+        let flood = FLOOD_PART * if is_flooded { FLOOD_FACTOR } else { 1.0 };
+        let all = if is_flooded { flood + 1.0 - FLOOD_PART } else { 1.0 };
+        let gap = -self.mean_gap / all * (1.0 - self.random.random::<f64>()).ln();
         self.push(Duration::from_secs_f64(gap), ModelEvent::Arrival);
         let call = self.sequence;
         let kind = self.random.random_range(0..KINDS.len());
         let is_counted = self.elapsed() >= RUN / 4;
-        let request = admission_request(call, kind);
+        let mut request = admission_request(call, kind);
+        if self.has_flood && self.random.random::<f64>() >= flood / all {
+            request.workspace = format!("desk-{}", self.random.random_range(0..SMALL_WORKSPACES));
+        }
+        // Rates are compared over 1.5 s, so that a flood is known some seconds after it began.
+        let is_small = request.workspace != FLOOD_WORKSPACE && self.elapsed() >= RUN * 11 / 20;
+        self.small.offered += usize::from(is_small);
         let coordinator = self.coordinator_of(call);
-        let decision =
-            self.coordinators[coordinator].decide(&request, false, &rules_of, self.now + HOP);
+        let decision = self.coordinators[coordinator].decide(&request, &rules_of, self.now + HOP);
         let decision = decision.expect("the coordinator has capacity for the section");
         let counts = &mut self.kinds[kind];
         counts.offered += usize::from(is_counted);
@@ -283,6 +323,7 @@
         };
         let request = ModelRequest {
             kind: if is_counted { kind } else { KINDS.len() },
+            is_small,
             arrived_at: self.now,
             class,
             due,
@@ -374,6 +415,7 @@
         let objective = Duration::from_millis(KINDS[request.kind].1);
         if self.now.since(request.arrived_at) <= objective {
             counts.on_time += 1;
+            self.small.on_time += usize::from(request.is_small);
         } else {
             counts.late += 1;
         }
@@ -417,7 +459,7 @@
         attempt: AttemptId { incarnation: 1, call: CallId(call), sequence: 0 },
         section: "admission".to_owned(),
         digest: RequestDigest::of(&[&call.to_le_bytes()]),
-        workspace: "lab".to_owned(),
+        workspace: FLOOD_WORKSPACE.to_owned(),
         level: KINDS[kind].0,
         objective_in: Duration::from_millis(KINDS[kind].1),
         deadline_in: DEADLINE,
