--- a/crates/crocusdale_core/src/admission/admission_coordinators.rs
+++ b/crates/crocusdale_core/src/admission/admission_coordinators.rs
@@ -36,9 +36,13 @@
 
 /// What the admission sections dropped since the last report.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct DroppedAdmissions {
+pub struct ExpiredAdmissions {
     /// Workspaces dropped because there were too many.
-    pub workspaces: u64,
+    pub dropped_workspaces: u64,
+    /// Refused requests that were not remembered because there were too many.
+    pub dropped_refusals: u64,
+    /// Return slots whose callers did not come back in time.
+    pub expired_slots: u64,
 }
 
 impl AdmissionCoordinators {
@@ -108,19 +112,19 @@
         Some(coordinator.decide(request, rules_of, now))
     }
 
-    /// Drops idle sections and old state, at most once a second. Returns what was dropped because of
-    /// a bound since the last call that did so, and `None` if it is too early.
-    pub fn expire(&mut self, now: MonotonicTime) -> Option<DroppedAdmissions> {
+    /// Drops idle sections and old state, at most once a second. Returns what was dropped since the
+    /// last call that did so, and `None` if it is too early.
+    pub fn expire(&mut self, now: MonotonicTime) -> Option<ExpiredAdmissions> {
         if self.last_expiry.is_some_and(|at| now.since(at) < EXPIRY_INTERVAL) {
             return None;
         }
         self.last_expiry = Some(now);
         self.sections.retain(|_, (_, at)| now.since(*at) < SECTION_IDLE_TIME);
-        let mut dropped = DroppedAdmissions::default();
+        let mut expired = ExpiredAdmissions::default();
         for (coordinator, _) in self.sections.values_mut() {
-            dropped.workspaces += coordinator.take_dropped_workspaces(now).unwrap_or_default();
+            coordinator.expire(&mut expired, now);
         }
-        Some(dropped)
+        Some(expired)
     }
 
     fn open_section(
--- a/crates/crocusdale_core/src/admission/admission_decision.rs
+++ b/crates/crocusdale_core/src/admission/admission_decision.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::SlotClaim;
+
 /// Decision of the admission coordinator on one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdmissionDecision {
@@ -34,4 +36,28 @@
     pub status_age: Option<Duration>,
     /// Whether the workspace is over its share.
     pub is_over_share: bool,
+    /// What the return slots had to do with the request. `None` if nothing.
+    pub return_slot: Option<SlotOutcome>,
+}
+
+/// What the return slots had to do with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotOutcome {
+    /// The request was refused, and capacity is reserved for its return.
+    Reserved,
+    /// The request was refused, and there was no capacity left to reserve.
+    Missing,
+    /// The request came back on time and took its slot.
+    Claimed,
+    /// The request came back before its slot and was refused until then.
+    Early,
+}
+
+impl From<SlotClaim> for SlotOutcome {
+    fn from(claim: SlotClaim) -> Self {
+        match claim {
+            SlotClaim::OnTime => Self::Claimed,
+            SlotClaim::Early { .. } => Self::Early,
+        }
+    }
 }
--- a/crates/crocusdale_core/src/admission/mod.rs
+++ b/crates/crocusdale_core/src/admission/mod.rs
@@ -25,8 +25,8 @@
 
 pub use admission_class::AdmissionClass;
 pub use admission_coordinator::AdmissionCoordinator;
-pub use admission_coordinators::{AdmissionCoordinators, DroppedAdmissions};
-pub use admission_decision::{AdmissionDecision, AdmissionInputs, AdmissionVerdict};
+pub use admission_coordinators::{AdmissionCoordinators, ExpiredAdmissions};
+pub use admission_decision::{AdmissionDecision, AdmissionInputs, AdmissionVerdict, SlotOutcome};
 pub use admission_gate::{AdmissionGate, AdmissionPermit};
 pub use admission_limits::{AdmissionLimits, AdmissionLimitsBuilder};
 pub use admission_request::{AdmissionRequest, AdmissionStep};
--- a/crates/crocusdale_core/src/admission/pool_ledger.rs
+++ b/crates/crocusdale_core/src/admission/pool_ledger.rs
@@ -197,6 +197,13 @@
         Duration::from_secs_f64((waiting + work) / self.late_capacity(capacity, now))
     }
 
+    /// Capacity that the on-time load leaves to late requests, in upstreams. `None` without any
+    /// status.
+    #[must_use]
+    pub fn spare_capacity(&self, now: MonotonicTime) -> Option<f64> {
+        self.capacity().map(|capacity| self.late_capacity(capacity, now))
+    }
+
     /// Capacity that the on-time load leaves to late requests.
     fn late_capacity(&self, capacity: f64, now: MonotonicTime) -> f64 {
         let reserved = capacity * self.limits.late_share;
--- a/crates/crocusdale_core/src/admission/return_slots.rs
+++ b/crates/crocusdale_core/src/admission/return_slots.rs
@@ -9,7 +9,7 @@
 /// Maximum number of refused requests that are remembered. Further ones get no slot.
 const MAX_SLOTS: usize = 4_096;
 /// Callers wait for `Retry-After`, but at most this fraction of the time that they have left.
-const CALLER_WAIT_DIVISOR: u32 = 3;
+pub(super) const CALLER_WAIT_DIVISOR: u32 = 3;
 /// Latest slot, for callers with very long deadlines. It bounds the search for a period.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 /// Time after the expected return for which a slot is kept.
@@ -42,6 +42,8 @@
     timers: BTreeSet<(MonotonicTime, RequestDigest)>,
     /// Recent part of the slots whose callers returned.
     return_part: f64,
+    /// Number of expired slots that were not reported yet.
+    unreported_expired: u64,
     dropped: DroppedEntries,
 }
 
@@ -106,6 +108,7 @@
             refusals: HashMap::new(),
             timers: BTreeSet::new(),
             return_part: 1.0,
+            unreported_expired: 0,
             dropped: DroppedEntries::default(),
         }
     }
@@ -192,9 +195,16 @@
                 self.insert(digest, record);
             }
         }
+        self.unreported_expired += expired as u64;
         expired
     }
 
+    /// Number of slots that expired since the last call, whichever function released them.
+    pub fn take_expired(&mut self, now: MonotonicTime) -> u64 {
+        self.expire(now);
+        std::mem::take(&mut self.unreported_expired)
+    }
+
     /// Number of refusals that got no slot because there are too many. `None` if there is nothing
     /// to log, or if the last log line is less than a second old.
     pub fn take_dropped(&mut self, now: MonotonicTime) -> Option<u64> {
--- a/crates/crocusdale_core/src/daemon/admission_flow.rs
+++ b/crates/crocusdale_core/src/daemon/admission_flow.rs
@@ -5,7 +5,7 @@
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::admission::{
     AdmissionClass, AdmissionCoordinators, AdmissionDecision, AdmissionRequest, AdmissionStep,
-    AdmissionVerdict,
+    AdmissionVerdict, SlotOutcome,
 };
 use crate::configuration::{BatchRules, Declarations, PlanStep, PoolKind, StepWork};
 use crate::identity::{AttemptId, CallId, MonotonicTime, stable_hash};
@@ -76,6 +76,7 @@
             AdmissionVerdict::StartAfter(_) => CounterName::AdmissionsDelayed,
             AdmissionVerdict::Refuse(_) => CounterName::AdmissionsRefused,
         }));
+        out.extend(decision.inputs.return_slot.map(slot_counter).map(Command::Count));
         let wait = match decision.verdict {
             AdmissionVerdict::Start => return Some(decision),
             AdmissionVerdict::StartAfter(wait) | AdmissionVerdict::Refuse(wait) => wait,
@@ -102,9 +103,12 @@
 
     /// Drops old state of the admission sections that this daemon coordinates.
     pub(super) fn expire_coordinated_admissions(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        let dropped = lock(&self.coordination.admission_coordinators).expire(now);
-        let Some(dropped) = dropped else { return };
-        for (table, dropped) in [("workspaces", dropped.workspaces)] {
+        let expired = lock(&self.coordination.admission_coordinators).expire(now);
+        let Some(expired) = expired else { return };
+        let slots = (0..expired.expired_slots).map(|_| CounterName::ReturnSlotsExpired);
+        out.extend(slots.map(Command::Count));
+        let (workspaces, refusals) = (expired.dropped_workspaces, expired.dropped_refusals);
+        for (table, dropped) in [("workspaces", workspaces), ("return_slots", refusals)] {
             if dropped > 0 {
                 let change = StateChange::AdmissionEntriesDropped { table, dropped };
                 out.push(Command::LogStateChange(change));
@@ -244,6 +248,15 @@
     }
 }
 
+fn slot_counter(outcome: SlotOutcome) -> CounterName {
+    match outcome {
+        SlotOutcome::Reserved => CounterName::ReturnSlotsReserved,
+        SlotOutcome::Missing => CounterName::ReturnSlotsMissing,
+        SlotOutcome::Claimed => CounterName::ReturnSlotsClaimed,
+        SlotOutcome::Early => CounterName::ReturnSlotsEarly,
+    }
+}
+
 /// Declared call of the batched pool `pool`, or `None` if it is not a batched pool.
 pub(super) fn batch_rules(declarations: &Declarations, pool: &str) -> Option<BatchRules> {
     match declarations.stage(pool)?.kind {
--- a/crates/crocusdale_core/tests/chain_admission_test.rs
+++ b/crates/crocusdale_core/tests/chain_admission_test.rs
@@ -105,3 +105,28 @@
     let without_shares = ChainModel::run_flood(0.8, SchedulingSettings::default(), SEED).small;
     assert!(on_time_share(&without_shares) < 0.8, "{without_shares:?}");
 }
+
+/// Guards against callers that wait as they are told and are refused again.
+#[test]
+fn callers_that_obey_are_served_when_they_come_back() {
+    let settings = SchedulingSettings { return_slots: true, ..Default::default() };
+    for load in LOADS {
+        let model = ChainModel::run_returns(load, settings, SEED);
+        let returned = sum(&model, |kind| kind.returned);
+        let refused_twice = sum(&model, |kind| kind.refused_twice);
+        assert!(returned >= 100, "load {load}: {returned} had a slot");
+        assert!(refused_twice * 20 < returned, "load {load}: {refused_twice} of {returned}");
+        assert!(model.on_time_rate() > 0.85 * chain_capacity(), "{}", model.on_time_rate());
+    }
+}
+
+/// Guards against slots that promise more than the pools can serve, so that requests expire after a
+/// step has run.
+#[test]
+fn requests_of_returning_callers_end_with_an_answer() {
+    let settings = SchedulingSettings { return_slots: true, ..Default::default() };
+    for load in [1.5, 2.0] {
+        let model = ChainModel::run_returns(load, settings, SEED);
+        assert_eq!(sum(&model, |kind| kind.lost), 0, "load {load}");
+    }
+}
--- a/crates/crocusdale_core/tests/support/chain_model.rs
+++ b/crates/crocusdale_core/tests/support/chain_model.rs
@@ -7,6 +7,7 @@
 
 use crocusdale_core::admission::{
     AdmissionClass, AdmissionCoordinators, AdmissionRequest, AdmissionStep, AdmissionVerdict,
+    SlotOutcome,
 };
 use crocusdale_core::batching::{
     BatchDispatcher, BatchId, BatchOutcome, DispatchAction, ItemOutcome,
@@ -66,6 +67,9 @@
     pub late: usize,
     /// Requests refused at the entry.
     pub refused: usize,
+    /// Requests whose callers obeyed the `Retry-After` of their slot, and those refused again.
+    pub returned: usize,
+    pub refused_twice: usize,
     /// Requests that were admitted and ended without an answer.
     pub lost: usize,
 }
@@ -73,6 +77,7 @@
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ModelEvent {
     Arrival,
+    Return(ReturningCaller),
     Start(u64),
     CallEnd(BatchId, usize),
     EngineEnd(u64),
@@ -81,6 +86,17 @@
     Cycle,
 }
 
+/// Caller that comes back after a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ReturningCaller {
+    call: u64,
+    kind: usize,
+    is_counted: bool,
+    /// Whether the refusal came with a slot.
+    has_slot: bool,
+    arrived_at: MonotonicTime,
+}
+
 #[derive(Debug)]
 struct ModelRequest {
     kind: usize,
@@ -101,6 +117,8 @@
     mean_gap: f64,
     /// Whether one of many workspaces floods the chain.
     has_flood: bool,
+    /// Whether refused callers come back once.
+    has_returns: bool,
     fault: ModelFault,
     declarations: Declarations,
     dispatchers: Vec<BatchDispatcher>,
@@ -160,6 +178,14 @@
         model
     }
 
+    /// Runs the chain with callers that come back once, as they are told.
+    pub fn run_returns(load: f64, settings: SchedulingSettings, seed: u64) -> Self {
+        let mut model = Self::new(load, ModelFault::None, seed, settings);
+        model.has_returns = true;
+        model.run_to_end();
+        model
+    }
+
     fn new(load: f64, fault: ModelFault, seed: u64, settings: SchedulingSettings) -> Self {
         let mut builder = DeclarationsBuilder::new("model", Duration::from_secs(1));
         for (name, _) in POOLS {
@@ -172,6 +198,7 @@
             random: StdRng::seed_from_u64(seed),
             mean_gap: 1.0 / (load * chain_capacity()),
             has_flood: false,
+            has_returns: false,
             fault,
             declarations: builder.build(),
             dispatchers: Vec::new(),
@@ -244,6 +271,13 @@
     fn handle(&mut self, event: &ModelEvent) {
         match *event {
             ModelEvent::Arrival => self.arrive(),
+            ModelEvent::Return(caller) => {
+                let mut request = admission_request(caller.call, caller.kind);
+                let waited = self.now.since(caller.arrived_at);
+                request.objective_in = request.objective_in.saturating_sub(waited);
+                request.deadline_in = request.deadline_in.saturating_sub(waited);
+                self.offer(&request, false, caller);
+            }
             ModelEvent::Start(call) => self.submit_step(call),
             ModelEvent::CallEnd(batch, pool) => {
                 let items = self.calls.remove(&(batch, pool)).unwrap_or_default();
@@ -299,15 +333,31 @@
         // Rates are compared over 1.5 s, so that a flood is known some seconds after it began.
         let is_small = request.workspace != FLOOD_WORKSPACE && self.elapsed() >= RUN * 11 / 20;
         self.small.offered += usize::from(is_small);
+        self.kinds[kind].offered += usize::from(is_counted);
+        let arrived_at = self.now;
+        let caller = ReturningCaller { call, kind, is_counted, has_slot: false, arrived_at };
+        self.offer(&request, is_small, caller);
+    }
+
+    /// Asks the coordinator about the request of `caller`, and carries out its decision.
+    fn offer(&mut self, request: &AdmissionRequest, is_small: bool, caller: ReturningCaller) {
+        let ReturningCaller { call, kind, is_counted, arrived_at, .. } = caller;
         let coordinator = self.coordinator_of(call);
-        let decision = self.coordinators[coordinator].decide(&request, &rules_of, self.now + HOP);
+        let decision = self.coordinators[coordinator].decide(request, &rules_of, self.now + HOP);
         let decision = decision.expect("the coordinator has capacity for the section");
         let counts = &mut self.kinds[kind];
-        counts.offered += usize::from(is_counted);
+        counts.returned += usize::from(is_counted && caller.has_slot);
         let (class, start) = match decision.verdict {
             AdmissionVerdict::Start => (AdmissionClass::OnTime, HOP * 2),
             AdmissionVerdict::StartAfter(wait) => (AdmissionClass::Late, HOP * 2 + wait),
+            AdmissionVerdict::Refuse(wait) if self.has_returns && arrived_at == self.now => {
+                let has_slot = decision.inputs.return_slot == Some(SlotOutcome::Reserved);
+                let caller = ReturningCaller { has_slot, ..caller };
+                self.push(wait.min(DEADLINE / 3) + HOP * 2, ModelEvent::Return(caller));
+                return;
+            }
             AdmissionVerdict::Refuse(_) => {
+                counts.refused_twice += usize::from(is_counted && caller.has_slot);
                 counts.refused += usize::from(is_counted);
                 return;
             }
@@ -317,14 +367,14 @@
             AdmissionClass::Late => {
                 let times = request.steps.iter().zip(&decision.step_delays);
                 let duration: Duration = times.map(|(step, delay)| step.step_time + *delay).sum();
-                (self.now + start + duration.mul_f64(1.1)).min(self.now + DEADLINE).max(objective)
+                (self.now + start + duration.mul_f64(1.1)).min(arrived_at + DEADLINE).max(objective)
             }
             _ => objective,
         };
         let request = ModelRequest {
             kind: if is_counted { kind } else { KINDS.len() },
             is_small,
-            arrived_at: self.now,
+            arrived_at,
             class,
             due,
             delays: decision.step_delays,
