--- a/crates/crocusdale_core/src/daemon/admission_flow.rs
+++ b/crates/crocusdale_core/src/daemon/admission_flow.rs
@@ -5,7 +5,7 @@
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::admission::{
     AdmissionClass, AdmissionCoordinators, AdmissionDecision, AdmissionRequest, AdmissionStep,
-    AdmissionVerdict,
+    AdmissionVerdict, SlotOutcome,
 };
 use crate::configuration::{BatchRules, Declarations, PlanStep, PoolKind, StepWork};
 use crate::identity::{AttemptId, CallId, MonotonicTime, stable_hash};
@@ -69,17 +69,21 @@
         let declarations = snapshot.declarations.as_ref()?;
         let rules_of = |pool: &str| batch_rules(declarations, pool);
         let mut coordinators = lock(&self.coordination.admission_coordinators);
-        let decision = coordinators.decide(request, false, &rules_of, now)?;
+        let decision = coordinators.decide(request, &rules_of, now)?;
         drop(coordinators);
         out.push(Command::Count(match decision.verdict {
             AdmissionVerdict::Start => CounterName::AdmissionsStarted,
             AdmissionVerdict::StartAfter(_) => CounterName::AdmissionsDelayed,
             AdmissionVerdict::Refuse(_) => CounterName::AdmissionsRefused,
         }));
+        out.extend(decision.inputs.return_slot.map(slot_counter).map(Command::Count));
         let wait = match decision.verdict {
             AdmissionVerdict::Start => return Some(decision),
             AdmissionVerdict::StartAfter(wait) | AdmissionVerdict::Refuse(wait) => wait,
         };
+        if decision.inputs.is_over_share {
+            out.push(Command::Count(CounterName::AdmissionsOverShare));
+        }
         out.push(Command::LogStateChange(StateChange::AdmissionDecided {
             section: request.section.clone(),
             digest: request.digest,
@@ -97,6 +101,21 @@
         Some(decision)
     }
 
+    /// Drops old state of the admission sections that this daemon coordinates.
+    pub(super) fn expire_coordinated_admissions(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+        let expired = lock(&self.coordination.admission_coordinators).expire(now);
+        let Some(expired) = expired else { return };
+        let slots = (0..expired.expired_slots).map(|_| CounterName::ReturnSlotsExpired);
+        out.extend(slots.map(Command::Count));
+        let (workspaces, refusals) = (expired.dropped_workspaces, expired.dropped_refusals);
+        for (table, dropped) in [("workspaces", workspaces), ("return_slots", refusals)] {
+            if dropped > 0 {
+                let change = StateChange::AdmissionEntriesDropped { table, dropped };
+                out.push(Command::LogStateChange(change));
+            }
+        }
+    }
+
     /// Handles the reply of the admission coordinator on `vm`. Without a decision this daemon
     /// decides by itself, and does not ask that coordinator for a while.
     pub(super) fn handle_admission_reply(
@@ -229,6 +248,15 @@
     }
 }
 
+fn slot_counter(outcome: SlotOutcome) -> CounterName {
+    match outcome {
+        SlotOutcome::Reserved => CounterName::ReturnSlotsReserved,
+        SlotOutcome::Missing => CounterName::ReturnSlotsMissing,
+        SlotOutcome::Claimed => CounterName::ReturnSlotsClaimed,
+        SlotOutcome::Early => CounterName::ReturnSlotsEarly,
+    }
+}
+
 /// Declared call of the batched pool `pool`, or `None` if it is not a batched pool.
 pub(super) fn batch_rules(declarations: &Declarations, pool: &str) -> Option<BatchRules> {
     match declarations.stage(pool)?.kind {
--- a/crates/crocusdale_core/tests/chain_admission_test.rs
+++ b/crates/crocusdale_core/tests/chain_admission_test.rs
@@ -10,6 +10,7 @@
 use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime, RequestDigest};
 
 use chain_model::{ChainModel, KindCount, ModelFault, chain_capacity};
+use crocusdale_core::configuration::SchedulingSettings;
 
 /// Loads as multiples of what the chain can serve.
 const LOADS: [f64; 3] = [1.5, 2.0, 3.0];
@@ -112,9 +113,49 @@
             steps: Vec::new(),
         };
         let now = MonotonicTime::from_millis(at);
-        coordinators.decide(&request, false, &|_| None, now).is_some()
+        coordinators.decide(&request, &|_| None, now).is_some()
     };
     assert!((0..256).all(|index| is_decided(index, 1_000)));
     assert!(!is_decided(256, 2_000), "the number of sections is bounded");
     assert!(is_decided(256, 40_000));
 }
+
+/// Guards against a flood of one workspace that makes the requests of all others late. 41
+/// workspaces send 0.8 of what the chain can serve; then one sends ten times its usual rate, and all
+/// together send 1.5 times what the chain can serve.
+#[test]
+fn flood_of_one_workspace_is_served_behind_the_others() {
+    let settings = SchedulingSettings { workspace_shares: true, ..Default::default() };
+    let with_shares = ChainModel::run_flood(0.8, settings, SEED);
+    let small = with_shares.small;
+    assert!(on_time_share(&small) > 0.9, "{small:?}");
+    assert!(with_shares.on_time_rate() > 0.7 * chain_capacity(), "{}", with_shares.on_time_rate());
+    assert_eq!(sum(&with_shares, |kind| kind.lost), 0);
+    let without_shares = ChainModel::run_flood(0.8, SchedulingSettings::default(), SEED).small;
+    assert!(on_time_share(&without_shares) < 0.8, "{without_shares:?}");
+}
+
+/// Guards against callers that wait as they are told and are refused again.
+#[test]
+fn callers_that_obey_are_served_when_they_come_back() {
+    let settings = SchedulingSettings { return_slots: true, ..Default::default() };
+    for load in LOADS {
+        let model = ChainModel::run_returns(load, settings, SEED);
+        let returned = sum(&model, |kind| kind.returned);
+        let refused_twice = sum(&model, |kind| kind.refused_twice);
+        assert!(returned >= 100, "load {load}: {returned} had a slot");
+        assert!(refused_twice * 20 < returned, "load {load}: {refused_twice} of {returned}");
+        assert!(model.on_time_rate() > 0.85 * chain_capacity(), "{}", model.on_time_rate());
+    }
+}
+
+/// Guards against slots that promise more than the pools can serve, so that requests expire after a
+/// step has run.
+#[test]
+fn requests_of_returning_callers_end_with_an_answer() {
+    let settings = SchedulingSettings { return_slots: true, ..Default::default() };
+    for load in [1.5, 2.0] {
+        let model = ChainModel::run_returns(load, settings, SEED);
+        assert_eq!(sum(&model, |kind| kind.lost), 0, "load {load}");
+    }
+}
