Coordinate admission only if the settings turn it on

Cause: a daemon with chain_admission off answered AdmitRequest of its peers, with ledgers that lack its own pools' work.

Change: it replies that it can't decide, so that the peer decides by itself.

Result: daemon_without_chain_admission_decides_for_nobody failed before and passes now.

--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -220,6 +220,9 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) -> Option<AdmissionDecision> {
+        if !self.state.coordination.settings.chain_admission {
+            return None;
+        }
         self.state.decide_admission(request, now, out)
     }
 
--- a/crates/crocusdale_core/tests/coordinated_entry_test.rs
+++ b/crates/crocusdale_core/tests/coordinated_entry_test.rs
@@ -6,11 +6,13 @@
 
 use std::time::Duration;
 
-use crocusdale_core::admission::{AdmissionDecision, AdmissionInputs, AdmissionVerdict, LevelWork};
+use crocusdale_core::admission::{
+    AdmissionDecision, AdmissionInputs, AdmissionRequest, AdmissionVerdict, LevelWork,
+};
 use crocusdale_core::batching::PoolStatus;
 use crocusdale_core::configuration::SchedulingSettings;
 use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds};
-use crocusdale_core::identity::{CallId, InstanceId};
+use crocusdale_core::identity::{AttemptId, CallId, InstanceId, RequestDigest};
 use crocusdale_core::membership::{
     ExchangeMessage, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
 };
@@ -160,3 +162,26 @@
     daemon.advance(10_000);
     assert!(daemon.answer(call).is_some(), "the request must end at its deadline");
 }
+
+/// Guards against a daemon that coordinates although its settings turn admission off. Its own
+/// dispatcher sends no status, so that it would admit everything.
+#[test]
+fn daemon_without_chain_admission_decides_for_nobody() {
+    let daemon = Daemon::scheduled(
+        "entry-a1",
+        StalenessBounds::default(),
+        SchedulingSettings { min_daemons: 1, ..Default::default() },
+    );
+    let request = AdmissionRequest {
+        attempt: AttemptId { incarnation: 1, call: CallId(1), sequence: 0 },
+        section: "admission".to_owned(),
+        digest: RequestDigest([0; 16]),
+        workspace: String::new(),
+        level: 0,
+        objective_in: Duration::from_secs(1),
+        deadline_in: Duration::from_secs(6),
+        steps: Vec::new(),
+    };
+    assert_eq!(daemon.core.admit(&request, daemon.now, &mut Vec::new()), None);
+    assert!(coordinated_daemon().core.admit(&request, daemon.now, &mut Vec::new()).is_some());
+}
