Check in the model that claimed requests start at once

Cause: no test checked the verdict of a request that came back to its slot.

Change: the model asserts that it starts at once, and as late if its objective has passed.

--- a/crates/crocusdale_core/tests/support/chain_model.rs
+++ b/crates/crocusdale_core/tests/support/chain_model.rs
@@ -345,6 +345,12 @@
         let coordinator = self.coordinator_of(call);
         let decision = self.coordinators[coordinator].decide(request, &rules_of, self.now + HOP);
         let decision = decision.expect("the coordinator has capacity for the section");
+        if decision.inputs.return_slot == Some(SlotOutcome::Claimed) {
+            // An on-time start after the objective would be ordered as if it could still be met.
+            let is_on_time = decision.verdict == AdmissionVerdict::Start;
+            assert!(is_on_time || decision.verdict == AdmissionVerdict::StartAfter(Duration::ZERO));
+            assert!(!(is_on_time && request.objective_in.is_zero()));
+        }
         let counts = &mut self.kinds[kind];
         counts.returned += usize::from(is_counted && caller.has_slot);
         let (class, start) = match decision.verdict {
