--- a/crates/crocusdale_core/src/configuration/mod.rs
+++ b/crates/crocusdale_core/src/configuration/mod.rs
@@ -1,6 +1,7 @@
 //! Process settings and operator declarations, which are validated completely before use, and the
 //! configuration revision in force.
 
+mod abandon_rules;
 mod allowed_regions;
 mod caller_limits;
 mod configuration_error;
@@ -12,9 +13,11 @@
 mod label_set;
 mod process_settings;
 mod route_table;
+mod scheduling_settings;
 mod section_reader;
 mod stage_plan;
 
+pub use abandon_rules::AbandonRules;
 pub use allowed_regions::{AllowedRegions, RegionMap};
 pub use caller_limits::CallerLimits;
 pub use configuration_error::{ConfigurationError, ConfigurationErrorKind};
@@ -36,6 +39,7 @@
     PublishedSettings,
 };
 pub use route_table::RouteTable;
+pub use scheduling_settings::SchedulingSettings;
 pub use stage_plan::{PlanStep, StagePlan, StepWork};
 
 /// Maximum size of the text of settings or declarations, in bytes.
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -2,13 +2,15 @@
 use std::sync::Arc;
 
 use super::{CounterName, StateChange, TimerKey};
-use crate::batching::{BatchId, BatchOrder, PoolWait};
+use crate::admission::AdmissionRequest;
+use crate::batching::{BatchId, BatchOrder, PoolStatus, PoolWait};
 use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{ExchangeMessage, WitnessSet};
 use crate::orders::EngineOrder;
 use crate::pipeline::{
     FinalAnswer, ForwardOrder, JsonCallOrder, PieceFault, PieceOrder, PlacedResult, ResultHandle,
 };
+use crate::placement::{PlacementReport, PlacementRequest};
 
 /// Side effect that the state machine of the daemon asks its surrounding process to perform.
 #[derive(Clone, Debug)]
@@ -47,6 +49,24 @@
         /// Items with their attempt, pool and deadline.
         order: Box<PieceOrder>,
     },
+    /// Ask the admission coordinator on another daemon about a request. The reply comes back as
+    /// [`super::DaemonEvent::AdmissionReplied`].
+    AskAdmission {
+        /// VM of the coordinator.
+        vm: String,
+        /// Caller's call that waits for the decision.
+        call: CallId,
+        /// Request with its steps.
+        request: Box<AdmissionRequest>,
+    },
+    /// Report the status of a section of a batched pool to the admission coordinator on another
+    /// daemon.
+    ReportPoolStatus {
+        /// VM of the coordinator.
+        vm: String,
+        /// Capacity and waiting work of the section.
+        status: Box<PoolStatus>,
+    },
     /// Tell the dispatcher of an attempt's pieces that the results are no longer needed.
     CancelPieces(AttemptId),
     /// Report the outcome of a batched step to the daemon that sent its pieces.
@@ -86,6 +106,23 @@
         /// Handles of the results to free.
         results: Vec<ResultHandle>,
     },
+    /// Ask the placement coordinator on `vm` for the engine of a request. The reply, or its absence
+    /// after a short time, comes back as [`super::DaemonEvent::PlacementReplied`].
+    PlaceRequest {
+        /// VM of the coordinator.
+        vm: String,
+        /// Request to place.
+        request: Box<PlacementRequest>,
+    },
+    /// Report the progress of a placed request to its coordinator. Reports may be coalesced.
+    ReportPlacement {
+        /// VM of the coordinator.
+        vm: String,
+        /// Section of the engine pool.
+        section: String,
+        /// The report.
+        report: Box<PlacementReport>,
+    },
     /// Close all idle connections to the named upstream.
     CloseIdleConnections(String),
     /// Close the idle connections to an address whose process has restarted.
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -16,6 +16,14 @@
 pub enum CounterName {
     /// Attempts dispatched to an upstream.
     AttemptsSent,
+    /// Requests that this daemon admitted at once as their admission coordinator.
+    AdmissionsStarted,
+    /// Requests that this daemon admitted for a later start as their admission coordinator.
+    AdmissionsDelayed,
+    /// Requests that this daemon refused as their admission coordinator.
+    AdmissionsRefused,
+    /// Requests that this daemon decided on by itself, because their admission coordinator did not.
+    AdmissionFallbacks,
     /// Attempts queued because the list of published upstreams was too old to choose from.
     AttemptsHeld,
     /// Requests queued before admission because the platform's data was too old to decide on.
@@ -34,6 +42,8 @@
     DispatchersLost,
     /// Batched steps that ran again because upstreams had lost or freed their results.
     StepsRemade,
+    /// Batched steps not begun because the rest of their request's path could not end in time.
+    StepsNotBegun,
     /// Batches sent to batched upstreams.
     BatchCalls,
     /// Queries to batched upstreams for their free result memory.
@@ -46,6 +56,19 @@
     ForeignAnswers,
     /// Answers dropped because they were truncated or could not be parsed.
     BrokenAnswers,
+    /// Requests that this daemon served as late, as their admission coordinator, because their
+    /// workspace was over its share.
+    AdmissionsOverShare,
+    /// Refused requests for which this daemon reserved a return slot.
+    ReturnSlotsReserved,
+    /// Refused requests that found no capacity for a return slot.
+    ReturnSlotsMissing,
+    /// Requests that came back on time and took their return slot.
+    ReturnSlotsClaimed,
+    /// Requests that came back before their return slot and had to wait for it.
+    ReturnSlotsEarly,
+    /// Return slots that were released because the caller did not come back in time.
+    ReturnSlotsExpired,
     /// Requests quarantined because upstreams crashed while they ran them.
     RequestsQuarantined,
     /// Attempts cancelled because the upstream sent nothing before the idle timeout.
@@ -89,12 +112,25 @@
     StoreRestores,
     /// Items of the platform's store that could not be parsed.
     StoreItemsUnreadable,
+    /// Answers of upstreams whose load figures could not be parsed.
+    LoadFiguresUnreadable,
     /// Engine orders sent to model engines.
     OrdersGiven,
     /// Engine orders that a model engine refused, for their fencing number or another reason.
     OrdersRefused,
     /// Engine orders withheld because the model engine already held one of a later revision.
     OrdersOutdated,
+    /// Requests that were sent to the engine that their placement coordinator had chosen.
+    PlacementsUsed,
+    /// Requests whose placement coordinator had chosen no engine, or one that this daemon's router
+    /// did not allow.
+    PlacementsUnused,
+    /// Requests whose engine this daemon chose by itself, because the placement coordinator did not
+    /// reply in time.
+    PlacementFallbacks,
+    /// Requests that this daemon counted at an engine until their deadline, because no report about
+    /// them came.
+    PlacementsExpired,
     /// Pauses of this process that it detected, such as a suspension or a lack of CPU time.
     PausesNoticed,
 }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -1,11 +1,13 @@
 use std::time::Duration;
 
-use crate::batching::{BatchId, BatchOutcome, PoolWait};
+use crate::admission::AdmissionDecision;
+use crate::batching::{BatchId, BatchOutcome, PoolStatus, PoolWait};
 use crate::claims::RegisterReply;
 use crate::identity::{AttemptId, CallId, MonotonicTime, RequestKey, StorePosition};
 use crate::membership::{ExchangeMessage, VmList};
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
+use crate::placement::{PlacementReply, PlacementRequest};
 use crate::routing::{ColdUpstream, DirectoryEntry, PeerDirectory, UpstreamNotice};
 
 use super::TimerKey;
@@ -134,6 +136,19 @@
         /// Expected queueing time of new pieces.
         wait: PoolWait,
     },
+    /// The admission coordinator that was asked about a request replied, or did not. The daemon
+    /// starts, schedules or refuses the request.
+    AdmissionReplied {
+        /// Caller's call that waits for the decision.
+        call: CallId,
+        /// VM of the coordinator.
+        vm: String,
+        /// Decision, or `None` if the daemon has to decide by itself.
+        decision: Option<AdmissionDecision>,
+    },
+    /// A dispatcher reported the status of a section of a batched pool to this daemon as an admission
+    /// coordinator.
+    PoolStatusReported(Box<PoolStatus>),
     /// Another daemon sent the pieces of a batched step to this daemon as their dispatcher, which
     /// queues them for its batches.
     PiecesReceived(Box<PieceOrder>),
@@ -168,6 +183,25 @@
         /// Outcome of each piece, or the reason why the batch failed.
         outcome: BatchOutcome,
     },
+    /// The placement coordinator on `vm` replied to a question of this daemon, or did not reply in
+    /// time.
+    PlacementReplied {
+        /// VM of the coordinator.
+        vm: String,
+        /// Request that was to be placed.
+        request: Box<PlacementRequest>,
+        /// Decision of the coordinator, or `None` if it did not reply in time.
+        reply: Option<PlacementReply>,
+    },
+    /// All events of a forwarded stream were passed on to the caller.
+    StreamForwarded {
+        /// Call that the stream belongs to.
+        call: CallId,
+        /// Number of events.
+        events: u32,
+        /// Time from the first to the last event.
+        time: Duration,
+    },
     /// The VM list was read; `None` if it is unchanged.
     VmListRead(Option<VmList>),
     /// A read of the VM list failed.
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -1,7 +1,9 @@
 //! State machine of a daemon: it consumes events and emits commands, and does no I/O itself.
 
+mod admission_flow;
 mod command;
 mod configuration_watch;
+mod coordination;
 mod core_state;
 mod counter_name;
 mod crash_flow;
@@ -14,7 +16,11 @@
 mod held_work;
 mod limit_updates;
 mod pause_detector;
+mod pending_admissions;
 mod piece_flow;
+mod placement_flow;
+mod placement_state;
+mod pool_status_flow;
 mod reader_election;
 mod request_flow;
 mod staleness_bounds;
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -103,6 +103,54 @@
         /// Whether the workspace sends much more than its usual share of the requests.
         is_flood: bool,
     },
+    /// A request was refused before one of its batched steps, because the rest of its path could
+    /// not end before the deadline.
+    StepNotBegun {
+        /// Idempotency key of the request.
+        request: RequestKey,
+        /// Stage of the step that was not begun.
+        stage: String,
+        /// Expected milliseconds of the step and those after it, with queueing delays.
+        needed_ms: u64,
+        /// Milliseconds left until the deadline.
+        left_ms: u64,
+        /// Age of the queueing delays, in milliseconds.
+        delays_age_ms: u64,
+    },
+    /// This daemon, as an admission coordinator, delayed or refused a request.
+    AdmissionDecided {
+        /// Admission section of the request.
+        section: String,
+        /// Digest of caller, target and content, which every repeat of the request shares.
+        digest: RequestDigest,
+        /// Workspace of the request.
+        workspace: String,
+        /// Priority level of the request.
+        level: u8,
+        /// Verdict, as its snake-case name.
+        verdict: String,
+        /// Milliseconds until the start or until the caller should come back.
+        wait_ms: u64,
+        /// Expected milliseconds until the answer if the request started now as an on-time one.
+        forecast_ms: u64,
+        /// Milliseconds until the late queues have capacity for the request.
+        late_wait_ms: u64,
+        /// Milliseconds left until the latency objective.
+        objective_ms: u64,
+        /// Milliseconds left until the deadline.
+        deadline_ms: u64,
+        /// Age of the oldest status of the needed pools in milliseconds. `None` if one has none.
+        status_age_ms: Option<u64>,
+        /// Whether the workspace is over its share.
+        is_over_share: bool,
+    },
+    /// This daemon decides on a request by itself, because the admission coordinator did not reply.
+    AdmissionFellBack {
+        /// Idempotency key of the request.
+        request: RequestKey,
+        /// VM of the coordinator.
+        coordinator: String,
+    },
     /// An upstream broke off an attempt that it had started, or may have started.
     AttemptBroken {
         /// Idempotency key of the request.
@@ -123,6 +171,14 @@
         /// Peer that reported the last crash, or `None` if this daemon observed it.
         peer: Option<String>,
     },
+    /// An admission coordinator dropped entries because a table was full. Logged once a second at
+    /// most.
+    AdmissionEntriesDropped {
+        /// Table that was full: `workspaces` or `return_slots`.
+        table: &'static str,
+        /// Number of entries dropped since the last line.
+        dropped: u64,
+    },
     /// A quarantine was lifted, because a request with the same digest was answered completely.
     QuarantineLifted {
         /// Digest of caller, target and content, which every repeat of the request shares.
@@ -165,6 +221,16 @@
         /// Name of the upstream.
         upstream: String,
     },
+    /// A placement coordinator did not reply in time. For a while, this daemon chooses engines by
+    /// itself.
+    PlacementCoordinatorLost {
+        /// VM of the coordinator.
+        vm: String,
+        /// Section of the engine pool.
+        section: String,
+        /// Number of other requests that wait for a reply of a coordinator.
+        pending: usize,
+    },
     /// This daemon has started to drain.
     Draining,
     /// This daemon has finished its drain.
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -12,13 +12,16 @@
 mod forward_steps;
 mod json_steps;
 mod key_table;
+mod lost_results;
 mod outcome_lookup;
 mod piece_order;
 mod piece_steps;
+mod placement_inputs;
 mod request_plan;
 mod request_run;
 mod request_shard;
 mod shard_action;
+mod step_forecast;
 mod step_run;
 mod stream_assembler;
 
@@ -33,8 +36,10 @@
 pub use forward_head::{EngineDemand, ForwardHead, PromptPart, ResultHandle};
 pub use outcome_lookup::{HolderReply, LookupStep, OutcomeLookup};
 pub use piece_order::{PieceOrder, PieceSource, PlacedResult};
+pub use placement_inputs::PlacementInputs;
 pub use request_plan::RequestPlan;
 pub use request_run::RequestRun;
 pub use request_shard::{LookupRetention, RequestShard};
 pub use shard_action::{RegisterCall, ShardAction};
+pub use step_forecast::{StepForecast, StepProgress};
 pub use stream_assembler::{StreamAssembler, StreamFault, StreamLine};
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -1,15 +1,17 @@
 //! Batched steps, whose pieces share upstream calls with those of other requests.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use super::request_run::{MAX_REBUILDS, count};
+use super::lost_results::RebuildStage;
+use super::request_run::count;
 use super::step_run::{AttemptFailure, AttemptKind, InFlightAttempt, StepOutput};
 use super::{
     FinalAnswer, PieceFault, PieceOrder, PieceSource, PlacedResult, RefusalReason, RequestRun,
-    ResultHandle, ShardAction,
+    ResultHandle, ShardAction, StepForecast, StepProgress,
 };
 use crate::configuration::{PoolKind, StepWork};
-use crate::daemon::CounterName;
+use crate::daemon::{Command, CounterName, StateChange};
 use crate::identity::{AttemptId, MonotonicTime};
 
 /// Maximum number of dispatchers that are tried for one batched step.
@@ -28,14 +30,24 @@
 const LARGE_TRANSFER_BYTES: u64 = 200_000;
 
 impl RequestRun {
+    /// Submits the pieces of the step run at `index`. Ends the request instead if the rest of its
+    /// path can't end before the deadline.
     pub(super) fn submit_pieces(
         &mut self,
         index: usize,
         now: MonotonicTime,
         actions: &mut Vec<ShardAction>,
-    ) {
-        let id = self.next_attempt_id();
+    ) -> Option<FinalAnswer> {
         let position = self.step_runs[index].step;
+        if self.is_awaiting_inputs(position) {
+            self.await_inputs(index, actions);
+            return None;
+        }
+        let needed_time = self.plan.queued_time_from(position);
+        if now + needed_time > self.plan.first_event_deadline {
+            return Some(self.refuse_step(position, needed_time, now, actions));
+        }
+        let id = self.next_attempt_id();
         let input_steps = &self.plan.pipeline.plan.steps()[position].after;
         let head = self.plan.request.forward_head();
         let source = if input_steps.is_empty() {
@@ -56,9 +68,11 @@
             zone: self.input_zone(position),
             level: self.plan.level,
             is_flood: self.plan.is_flood,
-            target_end: self.plan.target_end(position),
+            admission: self.plan.admission,
+            target_end: self.due(index, now),
             expires: self.plan.latest_end(position),
-            is_resubmission: !self.step_runs[index].failed_targets.is_empty() || self.rebuilds > 0,
+            is_resubmission: !self.step_runs[index].failed_targets.is_empty()
+                || self.rebuild_stage != RebuildStage::None,
         };
         let step_run = &mut self.step_runs[index];
         step_run.attempts += 1;
@@ -79,6 +93,53 @@
             tried: failed_dispatchers,
             target,
         });
+        None
+    }
+
+    /// Ends the request, because the step at `position` and those after it need `needed_time`, which
+    /// is not left. The caller should come back after the longest queueing delay in the plan.
+    fn refuse_step(
+        &mut self,
+        position: usize,
+        needed_time: Duration,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) -> FinalAnswer {
+        let since_start = self.step_runs.iter().map(|run| run.started_at).min();
+        actions.push(count(CounterName::StepsNotBegun));
+        actions.push(ShardAction::Command(Command::LogStateChange(StateChange::StepNotBegun {
+            request: self.plan.request.key.clone(),
+            stage: self.plan.pipeline.plan.steps()[position].stage.clone(),
+            needed_ms: whole_millis(needed_time),
+            left_ms: whole_millis(self.plan.first_event_deadline.since(now)),
+            delays_age_ms: since_start.map_or(0, |at| whole_millis(now.since(at))),
+        })));
+        self.retry_after = self.plan.queueing_delays.iter().copied().max().max(self.retry_after);
+        self.finish_unanswered(RefusalReason::Overload, now, actions)
+    }
+
+    /// Time by which the pieces of the step run at `index`, which are submitted at `now`, are due.
+    fn due(&self, index: usize, now: MonotonicTime) -> MonotonicTime {
+        let position = self.step_runs[index].step;
+        if self.plan.aligns_parallel_steps {
+            self.forecast(index, now).due(&self.plan, position)
+        } else {
+            self.plan.target_end(position)
+        }
+    }
+
+    /// Expected ends of all steps, if the step run at `index` starts at `now`.
+    fn forecast(&self, index: usize, now: MonotonicTime) -> StepForecast {
+        let progress = |position| {
+            let found = self.step_runs.iter().enumerate().find(|(_, run)| run.step == position);
+            match found {
+                None => StepProgress::Waiting,
+                Some((_, run)) if run.output.is_some() => StepProgress::Done,
+                Some((found_index, _)) if found_index == index => StepProgress::Started(now),
+                Some((_, run)) => StepProgress::Started(run.started_at),
+            }
+        };
+        StepForecast::new(&self.plan, progress, now)
     }
 
     /// Pool section that holds the inputs of the step at `position`, if these inputs can be freed
@@ -105,8 +166,14 @@
     }
 
     /// Availability zone that holds most input bytes of the step at `position`, if they are large.
-    /// Each piece of the step fetches all inputs.
     fn input_zone(&self, position: usize) -> Option<String> {
+        let (zone, fetched_bytes) = self.input_location(position)?;
+        (fetched_bytes >= LARGE_TRANSFER_BYTES).then(|| zone.to_owned())
+    }
+
+    /// Availability zone that holds most input bytes of the step at `position`, with the bytes that
+    /// the step fetches from there. Each piece of the step fetches all inputs.
+    pub(super) fn input_location(&self, position: usize) -> Option<(&str, u64)> {
         let input_steps = &self.plan.pipeline.plan.steps()[position].after;
         let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
         for step_run in
@@ -118,8 +185,7 @@
             }
         }
         let (zone, bytes) = zones.into_iter().max_by_key(|(_, bytes)| *bytes)?;
-        let fetched_bytes = bytes * u64::from(self.plan.pieces(position));
-        (fetched_bytes >= LARGE_TRANSFER_BYTES).then(|| zone.to_owned())
+        Some((zone, bytes * u64::from(self.plan.pieces(position))))
     }
 
     /// Whether the results of the step at `position` are large and read only by forwarded steps.
@@ -163,19 +229,22 @@
         actions.push(count(counter));
         self.step_runs[index].in_flight = None;
         let is_in_time = now < self.plan.deadline;
+        let position = self.step_runs[index].step;
         match fault {
             PieceFault::Moved
                 if is_in_time
                     && self.step_runs[index].dispatcher_changes < MAX_DISPATCHER_CHANGES =>
             {
                 self.step_runs[index].dispatcher_changes += 1;
-                self.submit_pieces(index, now, actions);
-                None
+                self.submit_pieces(index, now, actions)
             }
-            PieceFault::InputGone if is_in_time && self.rebuilds < MAX_REBUILDS => {
-                self.rebuild_inputs(now, actions);
+            PieceFault::InputGone if is_in_time && self.is_awaiting_inputs(position) => {
+                self.await_inputs(index, actions);
                 None
             }
+            PieceFault::InputGone if is_in_time && self.can_rebuild() => {
+                self.rebuild_inputs(position, now, actions)
+            }
             _ => Some(self.finish_unanswered(
                 AttemptFailure::Pieces(fault).refusal_reason(),
                 now,
@@ -199,23 +268,7 @@
             return Some(self.finish_unanswered(RefusalReason::NoUpstream, now, actions));
         }
         actions.push(count(CounterName::DispatchersLost));
-        self.submit_pieces(index, now, actions);
-        None
-    }
-
-    /// Starts all batched steps again, because a result that a later step needs was lost with the
-    /// upstream that stored it.
-    pub(super) fn rebuild_inputs(&mut self, now: MonotonicTime, actions: &mut Vec<ShardAction>) {
-        self.rebuilds += 1;
-        self.close_step_runs(actions);
-        self.free_all_results(actions);
-        self.has_freed_results = false;
-        let forward_run =
-            self.step_runs.drain(..).find(|step_run| step_run.work == StepWork::Forward);
-        self.forward_history =
-            forward_run.map(|step_run| (step_run.attempts, step_run.failed_targets));
-        actions.push(count(CounterName::StepsRemade));
-        self.start_ready_steps(now, actions);
+        self.submit_pieces(index, now, actions)
     }
 
     /// Frees every result. Either the results that were needed have been fetched, or no step will
@@ -258,3 +311,8 @@
     let results = results.into_iter().map(|result| result.handle).collect();
     ShardAction::FreeResults { pool: pool.to_owned(), results }
 }
+
+/// Whole milliseconds of `duration`.
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -2,15 +2,18 @@
 use std::time::Duration;
 
 use super::{CallerRequest, FinalOutcome, ForwardHead, OutcomeKind, RefusalReason, RequestContent};
-use crate::admission::AdmissionPermit;
+use crate::admission::{AdmissionClass, AdmissionPermit};
 use crate::configuration::{
     AllowedRegions, Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind,
-    StageRules, StepWork, WeightedPool, WorkspaceRules,
+    SchedulingSettings, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 use crate::identity::{MonotonicTime, RequestDigest, RequestKey};
 
 /// Expected time to first response of a forwarded request, before any was measured in its pool.
 const DEFAULT_FIRST_RESPONSE_TIME: Duration = Duration::from_millis(250);
+/// Number of pipeline levels that are told apart among workspaces with the same level. Less urgent
+/// pipelines share the last one.
+const PIPELINE_LEVELS: u8 = 3;
 /// Upper bound on a request's deadline, which keeps sums of times from overflowing.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
@@ -36,6 +39,9 @@
     pub objective: MonotonicTime,
     /// Time after which nothing is dispatched for the request.
     pub deadline: MonotonicTime,
+    /// Time by which the caller of a stream abandons it without a first event, at most
+    /// [`Self::deadline`].
+    pub first_event_deadline: MonotonicTime,
     /// Time until which the witnesses surely remember the key.
     pub remembered_until: MonotonicTime,
     /// Whether the request may run more than once.
@@ -45,6 +51,11 @@
     pub needs_claim: bool,
     /// Whether the workspace sends far more than it usually does.
     pub is_flood: bool,
+    /// How the request was admitted.
+    pub admission: AdmissionClass,
+    /// Time by which an admitted late request is expected to end, which takes the place of the
+    /// latency objective that it misses. `None` for other requests.
+    pub promised_end: Option<MonotonicTime>,
     /// Admission permit, which counts the request against the concurrency limits until it is
     /// released.
     pub permit: AdmissionPermit,
@@ -53,6 +64,11 @@
     /// Expected queueing delay of each step on top of [`Self::step_time`], by position, from the
     /// load of the pools when the request started. Missing entries count as zero.
     pub queueing_delays: Vec<Duration>,
+    /// Recent time to first response of requests like this one, from the placement coordinator of
+    /// the engine pool. `None` if it is not known.
+    pub first_response_time: Option<Duration>,
+    /// Whether parallel batched steps are due together.
+    pub aligns_parallel_steps: bool,
 }
 
 impl RequestPlan {
@@ -102,13 +118,18 @@
             arrived_at: now,
             objective: now + request.deadline,
             deadline: now + request.deadline,
+            first_event_deadline: now + request.deadline,
             remembered_until: now + declarations.deployment().key_life.saturating_sub(request.age),
             repeatable,
             needs_claim: !repeatable,
             is_flood: false,
+            admission: AdmissionClass::Local,
+            promised_end: None,
             permit: AdmissionPermit::default(),
             allowed_regions: AllowedRegions::default(),
             queueing_delays: Vec::new(),
+            first_response_time: None,
+            aligns_parallel_steps: false,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -156,19 +177,37 @@
             arrived_at: now,
             objective,
             deadline: now + timeout,
+            first_event_deadline: now + timeout,
             remembered_until: now,
             repeatable,
             needs_claim: false,
             is_flood: false,
+            admission: AdmissionClass::Local,
+            promised_end: None,
             permit: AdmissionPermit::default(),
             allowed_regions,
             queueing_delays: Vec::new(),
+            first_response_time: None,
+            aligns_parallel_steps: false,
             declarations: Arc::clone(declarations),
             labels,
             request,
         })
     }
 
+    /// Applies the settings for a fleet with coordinated scheduling.
+    pub fn apply_scheduling(&mut self, settings: &SchedulingSettings) {
+        let Some(forward) = &self.pipeline.forward else { return };
+        if settings.pipeline_levels {
+            let pipeline_level = forward.level.min(PIPELINE_LEVELS - 1);
+            self.level = self.level.saturating_mul(PIPELINE_LEVELS).saturating_add(pipeline_level);
+        }
+        if let Some(rules) = settings.abandon.filter(|_| forward.repeat.is_stream()) {
+            let timeout = rules.first_event_timeout(forward.objective, forward.gap_target);
+            self.first_event_deadline = self.deadline.min(self.arrived_at + timeout);
+        }
+    }
+
     /// Rules of `stage`. Validation of the configuration guarantees that every stage of a pipeline
     /// is declared.
     ///
@@ -202,7 +241,9 @@
                 // Pieces share calls, which are half full on average.
                 pieces => rules.expected(pieces.max(rules.pieces / 2)),
             },
-            (StepWork::Forward, PoolKind::Engine(_)) => DEFAULT_FIRST_RESPONSE_TIME,
+            (StepWork::Forward, PoolKind::Engine(_)) => {
+                self.first_response_time.unwrap_or(DEFAULT_FIRST_RESPONSE_TIME)
+            }
             _ => Duration::ZERO,
         }
     }
@@ -213,7 +254,8 @@
         let plan = &self.pipeline.plan;
         let time_after = plan
             .critical_path_time_after(position, |step, position| self.step_time(position, step));
-        MonotonicTime::from_start(self.deadline.since_start().saturating_sub(time_after))
+        let end = self.first_event_deadline.since_start();
+        MonotonicTime::from_start(end.saturating_sub(time_after))
     }
 
     /// Time by which the step at `position` should end for the request to meet its latency
@@ -221,14 +263,35 @@
     /// [`Self::queueing_delays`].
     #[must_use]
     pub fn target_end(&self, position: usize) -> MonotonicTime {
-        let plan = &self.pipeline.plan;
-        let time_after = plan.critical_path_time_after(position, |step, position| {
-            let delay = self.queueing_delays.get(position).copied().unwrap_or_default();
-            self.step_time(position, step) + delay
-        });
-        let since_start = self.objective.since_start().saturating_sub(time_after);
+        let time_after = self.queued_time_after(position);
+        let end = self.promised_end.unwrap_or(self.objective);
+        let since_start = end.since_start().saturating_sub(time_after);
         MonotonicTime::from_start(since_start)
     }
+
+    /// Expected duration of `step` with its delay in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_step_time(&self, position: usize, step: &PlanStep) -> Duration {
+        let delay = self.queueing_delays.get(position).copied().unwrap_or_default();
+        self.step_time(position, step) + delay
+    }
+
+    /// Expected time from the start of the step at `position` to the end of the request, with the
+    /// delays in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_time_from(&self, position: usize) -> Duration {
+        let step = &self.pipeline.plan.steps()[position];
+        self.queued_step_time(position, step) + self.queued_time_after(position)
+    }
+
+    /// Expected time from the end of the step at `position` to the end of the request, with the
+    /// delays in [`Self::queueing_delays`].
+    #[must_use]
+    pub fn queued_time_after(&self, position: usize) -> Duration {
+        self.pipeline.plan.critical_path_time_after(position, |step, position| {
+            self.queued_step_time(position, step)
+        })
+    }
 }
 
 fn refuse<T>(
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// Number of daemons that send work to the same upstreams, including this one.
+    #[must_use]
+    pub fn daemon_count(&self) -> usize {
+        self.daemons.load(Ordering::Relaxed)
+    }
+
     /// Suspends or resumes the choice of upstreams for all pools. While it is suspended, queued
     /// attempts stay in their queues. Returns whether the state has changed.
     pub fn set_suspended(&self, is_suspended: bool) -> bool {
@@ -197,6 +203,13 @@
         }
     }
 
+    /// Records that `upstream` reported `pace`, in percent of the usual time, at `now`.
+    pub fn record_pace(&self, upstream: &str, pace: u32, now: MonotonicTime) {
+        if let Some(upstream) = self.upstream(upstream) {
+            lock(&upstream.state).record_pace(pace, now);
+        }
+    }
+
     /// Records that the process `process` serves `upstream` and is not leaving.
     pub fn confirm_running(&self, upstream: &str, process: &str) {
         if let Some(upstream) = self.upstream(upstream) {
@@ -242,16 +255,7 @@
         now: MonotonicTime,
     ) -> Result<Option<SlotGrant>, SlotRequest> {
         let Some(routed) = self.pools.get(&request.stage) else { return Err(request) };
-        if request.failed_upstreams.is_empty() {
-            let mut queue = lock(&routed.queue);
-            queue.retry_budget.record_first_attempt(now);
-            // The subject is the last segment of the prompt prefix that other requests may share.
-            if let Some(prefix) =
-                request.demand.as_ref().and_then(|demand| demand.last_shared_part())
-            {
-                queue.prefixes.record(prefix.id, now);
-            }
-        }
+        Self::record_first_attempt(routed, &request, now);
         if let Some(position) = self.choose(routed, &request, now) {
             return Ok(Some(self.grant(position, request, now)));
         }
@@ -354,7 +358,12 @@
         self.regions.region(&self.upstreams[position].rules.zone)
     }
 
-    fn grant(&self, position: usize, request: SlotRequest, now: MonotonicTime) -> SlotGrant {
+    pub(super) fn grant(
+        &self,
+        position: usize,
+        request: SlotRequest,
+        now: MonotonicTime,
+    ) -> SlotGrant {
         let upstream = &self.upstreams[position];
         let min_answer_time = {
             let mut state = lock(&upstream.state);
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -9,7 +9,7 @@
 use crocusdale_core::configuration::{
     AllowedRegions, BatchRules, ConfigurationError, Declarations, DeclarationsBuilder, EngineRules,
     ForwardRules, LabelSelector, LabelSet, PipelineRules, PlanStep, PoolKind, RegionMap,
-    RepeatRule, StagePlan, StageRules, StepWork, WeightedPool, WorkspaceRules,
+    RepeatRule, SchedulingSettings, StagePlan, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds, TimerKey};
 use crocusdale_core::identity::{
@@ -56,6 +56,13 @@
         let scan = batched("scan", Vec::new(), result_bytes);
         vec![scan, batched("rank", vec![0], 1_000), forward("reader", vec![1])]
     };
+    // A chain of two batched steps beside a single one.
+    let join = vec![
+        batched("scan", Vec::new(), 1_000),
+        batched("rank", vec![0], 1_000),
+        batched("scan", Vec::new(), 1_000),
+        forward("reader", vec![1, 2]),
+    ];
     let key = if text == WITHOUT_KEYS { "another key" } else { KEY };
     let workspace = WorkspaceRules {
         labels: LabelSet::default(),
@@ -70,6 +77,7 @@
         .stage("reader", stage(PoolKind::Engine(engine)))
         .route(HOST, "/light/", pipeline(RepeatRule::ResumableStream, chain(1_000)))
         .route(HOST, "/heavy/", pipeline(RepeatRule::ResumableStream, chain(2_000_000)))
+        .route(HOST, "/join/", pipeline(RepeatRule::ResumableStream, join))
         .workspace("letters", workspace, [key.to_owned()])
         .route(HOST, "/ask/", pipeline(RepeatRule::Idempotent, vec![forward("notify", vec![])]))
         .route(HOST, "/shred/", pipeline(RepeatRule::AtMostOnce, vec![forward("notify", vec![])]))
@@ -93,6 +101,7 @@
             repeat,
             timeout: Duration::from_secs(30),
             objective: Duration::from_millis(900),
+            gap_target: Duration::ZERO,
             level: 1,
             attempts: 2,
             pools: vec![WeightedPool { pool, weight: 1 }],
@@ -146,6 +155,11 @@
 
     /// Creates the daemon on `vm`, with the incarnation number 7, and starts it until it is ready.
     pub fn named(vm: &str, bounds: StalenessBounds) -> Self {
+        Self::scheduled(vm, bounds, SchedulingSettings::default())
+    }
+
+    /// Creates the daemon on `vm` in a fleet with coordinators as in `scheduling`.
+    pub fn scheduled(vm: &str, bounds: StalenessBounds, scheduling: SchedulingSettings) -> Self {
         let now = MonotonicTime::from_millis(0);
         let address = "127.0.0.1:1".parse().expect("an address");
         let published = DiscoverySettings {
@@ -164,7 +178,8 @@
             bounds,
         };
         let own = InstanceId::new(vm, 7);
-        let core = DaemonCoreBuilder::new(own, "a").discovery(published).seed(1).build(now);
+        let builder = DaemonCoreBuilder::new(own, "a").discovery(published).seed(1);
+        let core = builder.scheduling(scheduling).build(now);
         let mut daemon = Self {
             core,
             now,
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -204,6 +204,10 @@
             | Command::PingSeed { .. }
             | Command::SendPieces { .. }
             | Command::ReleaseRemoteResults { .. }
+            | Command::PlaceRequest { .. }
+            | Command::ReportPlacement { .. }
+            | Command::AskAdmission { .. }
+            | Command::ReportPoolStatus { .. }
             | Command::FetchDirectory { .. }
             | Command::FetchConfiguration { .. }) => self.peers.execute(self, command),
         }
--- a/crates/crocusdaled/src/peer/mod.rs
+++ b/crates/crocusdaled/src/peer/mod.rs
@@ -1,10 +1,14 @@
 //! gRPC calls between the daemons of a deployment.
 
+mod admission_client;
 mod peer_call;
 mod peer_client;
 mod peer_server;
 mod piece_client;
 mod piece_table;
+mod placement_client;
+mod placement_reports;
+mod placement_service;
 mod released_results;
 
 pub use peer_client::PeerClient;
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -1,19 +1,25 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crocusdale_core::admission::AdmissionRequest;
+use crocusdale_core::batching::PoolStatus;
 use crocusdale_core::claims::RegisterReply as CoreRegisterReply;
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::{InstanceId, RequestKey, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage as CoreExchangeMessage, WitnessSet};
 use crocusdale_core::pipeline::{PieceOrder, ResultHandle};
-use crocusdale_core::wire::pieces_reply;
+use crocusdale_core::wire::{AdmissionMessageError, pieces_reply};
 use crocusdale_schema::peer::peer_service_server::{PeerService, PeerServiceServer};
 use crocusdale_schema::peer::{
-    AskOutcomeReply, AskOutcomeRequest, BuryRequest, ClaimRequest, ExchangeMessage,
-    FetchConfigurationReply, FetchConfigurationRequest, FetchDirectoryReply, FetchDirectoryRequest,
-    FreeResultsReply, FreeResultsRequest, MakePiecesReply, MakePiecesRequest, PoolResults,
-    RecordOutcomeReply, RecordOutcomeRequest, RegisterReply,
+    AdmitRequestReply, AdmitRequestRequest, AskOutcomeReply, AskOutcomeRequest, BuryRequest,
+    ClaimRequest, ExchangeMessage, FetchConfigurationReply, FetchConfigurationRequest,
+    FetchDirectoryReply, FetchDirectoryRequest, FreeResultsReply, FreeResultsRequest,
+    MakePiecesReply, MakePiecesRequest, PlaceRequestReply, PlaceRequestRequest, PoolResults,
+    RecordOutcomeReply, RecordOutcomeRequest, RegisterReply, ReportPlacementsReply,
+    ReportPlacementsRequest, ReportPoolStatusReply, ReportPoolStatusRequest,
 };
+use prost::Message;
+use slog::warn;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::codec::CompressionEncoding;
@@ -21,6 +27,7 @@
 
 use super::peer_call::MAX_MESSAGE_BYTES;
 use super::piece_table::ReceivedPieces;
+use super::placement_service;
 use crate::engine::DaemonEngine;
 
 /// Maximum number of calls that one peer may have open at a time. A peer needs one for each
@@ -67,6 +74,20 @@
         server.serve_with_incoming(TcpListenerStream::new(listener)).await
     }
 
+    /// Logs a message that is refused for its content, and returns the status of the refusal.
+    fn refuse_message(
+        &self,
+        call: &str,
+        sender: Option<SocketAddr>,
+        size: usize,
+        cause: &AdmissionMessageError,
+    ) -> Status {
+        let sender = sender.map(|address| address.to_string());
+        warn!(self.engine.telemetry.log, "message_refused"; "call" => call,
+            "peer" => sender.as_deref(), "bytes" => size, "cause" => cause.to_string());
+        Status::invalid_argument(cause.to_string())
+    }
+
     fn witness(
         &self,
         key: Option<crocusdale_schema::peer::RequestKey>,
@@ -176,6 +197,51 @@
         let holder: InstanceId = request.holder.ok_or_else(|| missing_field("holder"))?.into();
         Ok(Response::new(self.engine.core.holder_reply(&key, &holder).into()))
     }
+
+    async fn place_request(
+        &self,
+        request: Request<PlaceRequestRequest>,
+    ) -> Result<Response<PlaceRequestReply>, Status> {
+        placement_service::place_request(&self.engine, request)
+    }
+
+    async fn report_placements(
+        &self,
+        request: Request<ReportPlacementsRequest>,
+    ) -> Result<Response<ReportPlacementsReply>, Status> {
+        placement_service::report_placements(&self.engine, request)
+    }
+
+    async fn admit_request(
+        &self,
+        request: Request<AdmitRequestRequest>,
+    ) -> Result<Response<AdmitRequestReply>, Status> {
+        let sender = request.remote_addr();
+        let message = request.into_inner();
+        let size = message.encoded_len();
+        let request = AdmissionRequest::try_from(message)
+            .map_err(|cause| self.refuse_message("admit_request", sender, size, &cause))?;
+        let mut commands = Vec::new();
+        let decision = self.engine.core.admit(&request, self.engine.now(), &mut commands);
+        self.engine.execute_commands(commands);
+        let decision = decision.ok_or_else(|| {
+            Status::unavailable("this daemon can't coordinate the section of the request")
+        })?;
+        Ok(Response::new(decision.into()))
+    }
+
+    async fn report_pool_status(
+        &self,
+        request: Request<ReportPoolStatusRequest>,
+    ) -> Result<Response<ReportPoolStatusReply>, Status> {
+        let sender = request.remote_addr();
+        let message = request.into_inner();
+        let size = message.encoded_len();
+        let status = PoolStatus::try_from(message)
+            .map_err(|cause| self.refuse_message("report_pool_status", sender, size, &cause))?;
+        self.engine.handle_event(DaemonEvent::PoolStatusReported(Box::new(status)));
+        Ok(Response::new(ReportPoolStatusReply {}))
+    }
 }
 
 fn missing_field(field: &str) -> Status {
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -111,6 +111,39 @@
                     "verdict" => verdict, "needed_ms" => needed_ms,
                     "objective_ms" => objective_ms, "flood" => is_flood);
             }
+            StateChange::StepNotBegun { request, stage, needed_ms, left_ms, delays_age_ms } => {
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "stage" => stage, "needed_ms" => needed_ms, "left_ms" => left_ms,
+                    "delays_age_ms" => delays_age_ms);
+            }
+            StateChange::AdmissionDecided {
+                section,
+                digest,
+                workspace,
+                level,
+                verdict,
+                wait_ms,
+                forecast_ms,
+                late_wait_ms,
+                objective_ms,
+                deadline_ms,
+                status_age_ms,
+                is_over_share,
+            } => {
+                info!(log, "{}", name;
+                    "section" => section, "digest" => digest.to_string(),
+                    "workspace" => workspace, "level" => level, "verdict" => verdict,
+                    "wait_ms" => wait_ms, "forecast_ms" => forecast_ms,
+                    "late_wait_ms" => late_wait_ms, "objective_ms" => objective_ms,
+                    "deadline_ms" => deadline_ms, "status_age_ms" => status_age_ms,
+                    "over_share" => is_over_share);
+            }
+            StateChange::AdmissionFellBack { request, coordinator } => {
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "coordinator" => coordinator);
+            }
             StateChange::AttemptBroken { request, digest, upstream, reason } => {
                 info!(log, "{}", name;
                     "request" => &request.key, "workspace" => &request.workspace,
@@ -121,6 +154,9 @@
                 info!(log, "{}", name;
                     "digest" => digest.to_string(), "ends" => ends, "peer" => peer.as_deref());
             }
+            StateChange::AdmissionEntriesDropped { table, dropped } => {
+                info!(log, "{}", name; "table" => table, "dropped" => dropped);
+            }
             StateChange::QuarantineLifted { digest } => {
                 info!(log, "{}", name; "digest" => digest.to_string());
             }
@@ -142,6 +178,9 @@
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
             }
+            StateChange::PlacementCoordinatorLost { vm, section, pending } => {
+                info!(log, "{}", name; "peer" => vm, "section" => section, "pending" => pending);
+            }
             StateChange::Paused { millis } => info!(log, "{}", name; "paused_ms" => millis),
             StateChange::PeerStatus { vm, status } => {
                 info!(log, "{}", name; "peer" => vm, "status" => status);
