--- a/crates/crocusdale_core/src/wire/admission_messages.rs
+++ b/crates/crocusdale_core/src/wire/admission_messages.rs
@@ -7,7 +7,7 @@
     AdmissionCoordinators, AdmissionDecision, AdmissionInputs, AdmissionRequest, AdmissionStep,
     AdmissionVerdict, LevelWork,
 };
-use crate::batching::PoolStatus;
+use crate::batching::{PoolSection, PoolStatus};
 use crate::configuration::StagePlan;
 use crate::identity::RequestDigest;
 
@@ -17,6 +17,9 @@
 const MAX_PIECES: u32 = 1_000_000;
 /// Maximum time in a message: longer than any deadline.
 const MAX_MILLIS: u64 = 24 * 3_600 * 1_000;
+/// Largest accepted number of sections of one pool. The capacity that one section reports is
+/// multiplied by it, and the design size needs fewer.
+const MAX_POOL_SECTIONS: usize = 256;
 /// Maximum number of levels in a status.
 const MAX_LEVELS: usize = 256;
 /// Maximum capacity of a section, in thousandths of an upstream.
@@ -184,6 +187,8 @@
         let capacity = message.capacity_thousandths;
         check_range("capacity_thousandths", capacity, 0, MAX_CAPACITY_THOUSANDTHS)?;
         check_range("call_ms", u64::from(message.call_ms), 0, MAX_MILLIS)?;
+        let section_count = PoolSection::from_name(&message.pool).section_count();
+        check_range("section count of pool", section_count, 1, MAX_POOL_SECTIONS)?;
         let (mut on_time, mut late) = (LevelWork::default(), LevelWork::default());
         for waiting in message.waiting {
             check_range("waiting.on_time_ms", waiting.on_time_ms, 0, MAX_MILLIS * 1_000)?;
--- a/crates/crocusdale_core/tests/admission_messages_test.rs
+++ b/crates/crocusdale_core/tests/admission_messages_test.rs
@@ -71,6 +71,19 @@
     AdmissionRequest::try_from(message).expect("an accepted message");
 }
 
+/// Guards against one odd peer that makes a pool appear to have any capacity.
+#[test]
+fn pool_status_with_too_many_sections_is_refused() {
+    let status = |pool: &str| peer::ReportPoolStatusRequest {
+        pool: pool.to_owned(),
+        sender: "entry-a1".to_owned(),
+        capacity_thousandths: 5_000,
+        ..Default::default()
+    };
+    assert!(PoolStatus::try_from(status("embed#0/256")).is_ok());
+    assert!(PoolStatus::try_from(status("embed#0/18446744073709551615")).is_err());
+}
+
 /// Guards against a reply of a later version that is taken for a start.
 #[test]
 fn unknown_verdict_is_refused() {
