Log and measure pools that a daemon can't connect to

Nothing in logs or metrics told a VM that has lost its links from upstreams that have failed: both show as attempt_failed and no_upstream. So none of the hypotheses about the cut-off VMs could be told apart while a cut lasts.

After a connection to an upstream could not be opened, the daemon connects to two others of the same pool. If three in a row fail (all of a smaller pool), the pool counts as unreachable: pool_unreachable is logged, and pool_reachable with the time once a connection opens again, which is tried every 500 ms. The gauge unreachable_pools and the state dump show it. pieces_failed names the dispatcher that failed the pieces of a request. Answers on kept connections don't count, as they may live on while new connections are refused.

No decision uses it yet. The tests hold that single failed upstreams, failures far apart and a pool with one answering upstream don't count as a lost link. late_write_test calls the same check on an open connection, as batch calls now connect first.

--- a/crates/crocusdale_core/src/batching/published_pool.rs
+++ b/crates/crocusdale_core/src/batching/published_pool.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use super::PoolSection;
 use crate::configuration::BatchRules;
@@ -43,6 +44,21 @@
         self.upstreams.insert(name, (hash, entry));
     }
 
+    /// Whether the pool lists the upstream `name`.
+    pub(super) fn contains(&self, name: &str) -> bool {
+        self.upstreams.contains_key(name)
+    }
+
+    /// Number of upstreams.
+    pub(super) fn size(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Names and addresses of the upstreams.
+    pub(super) fn targets(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
+        self.upstreams.iter().map(|(name, (_, entry))| (name.as_str(), entry.address))
+    }
+
     /// Number of sections that the pool is divided into.
     pub(super) fn section_count(&self) -> usize {
         PoolSection::count(self.upstreams.len())
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -11,6 +11,7 @@
     FinalAnswer, ForwardOrder, JsonCallOrder, PieceFault, PieceOrder, PlacedResult, ResultHandle,
 };
 use crate::placement::{PlacementReport, PlacementRequest};
+use crate::reachability::LinkTarget;
 
 /// Side effect that the state machine of the daemon asks its surrounding process to perform.
 #[derive(Clone, Debug)]
@@ -201,6 +202,9 @@
         /// Address that the upstream listened on when the attempts were sent.
         address: SocketAddr,
     },
+    /// Open a connection to each of these upstreams and close it unused. The results come back as
+    /// [`super::DaemonEvent::LinkTested`].
+    TestLinks(Vec<LinkTarget>),
     /// Long-poll a configuration service or a store for a configuration other than `known`.
     WatchConfiguration {
         /// Configuration revision of the last successful read.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -4,6 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
 use super::coordination::Coordination;
 use super::directory_state::DirectoryState;
 use super::held_work::HeldWork;
@@ -22,6 +25,7 @@
 use crate::pipeline::RequestShard;
 use crate::quarantine::CrashDetector;
 use crate::rate_limiting::RateLimiter;
+use crate::reachability::LinkMonitor;
 use crate::retry::RetryLimits;
 use crate::routing::{ChangedUpstream, ColdLimits, UpstreamRouter};
 use crate::sync::lock;
@@ -58,6 +62,12 @@
     pub(super) limiter: Arc<RateLimiter>,
     /// End of the backoff that each upstream has asked this daemon for, by upstream name.
     pub(super) unavailable_until: Mutex<HashMap<String, MonotonicTime>>,
+    /// Pools that this daemon can't connect to over its own links.
+    pub(super) links: Mutex<LinkMonitor>,
+    pub(super) link_random: Mutex<SmallRng>,
+    /// Whether `links` has any failure, kept outside its lock so that it isn't locked for each
+    /// connection.
+    pub(super) has_failed_links: AtomicBool,
     /// Crashes of upstreams, by the request that they ran, and the resulting quarantines.
     pub(super) crash_detector: Mutex<CrashDetector>,
     /// Expected queueing time in each batched pool, as its dispatcher last reported it.
@@ -259,6 +269,9 @@
             is_release_scheduled: AtomicBool::new(false),
             limiter,
             unavailable_until: Mutex::default(),
+            links: Mutex::default(),
+            link_random: Mutex::new(SmallRng::seed_from_u64(self.seed.wrapping_add(4))),
+            has_failed_links: AtomicBool::new(false),
             crash_detector: Mutex::new(crash_detector),
             pool_waits: Mutex::default(),
             workspace_meter: Mutex::default(),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -136,6 +136,9 @@
             DaemonEvent::UpstreamNoticed { upstream, notice, sent } => {
                 self.state.apply_notice(&upstream, notice, sent, now, out);
             }
+            DaemonEvent::LinkTested { upstream, is_open } => {
+                self.state.record_link(&upstream, is_open, now, out);
+            }
             DaemonEvent::UpstreamProbed { upstream, has_ended } => {
                 self.state.handle_probe_result(&upstream, has_ended, now, out);
             }
@@ -327,6 +330,10 @@
             let zones = state.directory.evacuated_zones().map(str::to_owned).collect();
             (state.age(now), zones)
         };
+        let unreachable_pools: Vec<String> = {
+            let links = lock(&self.state.links);
+            links.unreachable_pools().into_iter().map(str::to_owned).collect()
+        };
         let fleet = lock(&self.state.fleet);
         let (revision, digest) = fleet.ledger.position();
         let rejected = fleet.ledger.rejected();
@@ -367,6 +374,7 @@
             upstreams: router.summaries(now),
             engine_speeds: lock(&self.state.placements.placers).speeds(now),
             limited_upstreams: self.state.limiter.summaries(),
+            unreachable_pools,
             quarantined: lock(&self.state.crash_detector).quarantined(now),
         }
     }
@@ -403,6 +411,7 @@
                 self.state.start_scheduled_requests(now, &mut actions);
                 self.state.run_actions(actions, now, out);
             }
+            TimerKey::LinkTest => self.state.test_links(now, out),
             TimerKey::PoolStatus => self.state.report_pool_status(now, out),
             // Every event checks the age of the list of published upstreams. This timer only makes
             // sure that an event arrives in time.
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -93,6 +93,13 @@
         /// Whether the upstream refused the connection, which means that its process has ended.
         has_ended: bool,
     },
+    /// A new connection to an upstream was opened, or could not be opened.
+    LinkTested {
+        /// Name of the upstream.
+        upstream: String,
+        /// Whether the connection was opened.
+        is_open: bool,
+    },
     /// The platform's store was read completely, as requested by [`super::Command::ReadDirectory`].
     DirectoryRead {
         /// Era and revision of the store at the read.
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 mod fleet_state;
 mod held_work;
 mod limit_updates;
+mod link_flow;
 mod pause_detector;
 mod pending_admissions;
 mod piece_flow;
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -216,6 +216,20 @@
         /// Peer that reported the change, or `None` if it came in an answer to this daemon.
         peer: Option<String>,
     },
+    /// This daemon can't connect to the upstreams of a pool over its own links.
+    PoolUnreachable {
+        /// Name of the pool.
+        pool: String,
+        /// Number of upstreams in a row that could not be connected to.
+        upstreams: usize,
+    },
+    /// This daemon can connect to the upstreams of a pool again.
+    PoolReachable {
+        /// Name of the pool.
+        pool: String,
+        /// Time for which the pool was unreachable, in milliseconds.
+        lost_ms: u64,
+    },
     /// An upstream announced that it is leaving.
     UpstreamLeaving {
         /// Name of the upstream.
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -69,6 +69,8 @@
     pub limited_upstreams: Vec<LimitSummary>,
     /// Speeds of the engines that this daemon places requests on as a coordinator, slowest first.
     pub engine_speeds: Vec<EngineSpeedSummary>,
+    /// Pools that the daemon can't connect to over its own links.
+    pub unreachable_pools: Vec<String>,
     /// Digests of quarantined requests, which are not dispatched because upstreams crashed while
     /// they ran them.
     pub quarantined: Vec<RequestDigest>,
--- a/crates/crocusdale_core/src/daemon/timer_key.rs
+++ b/crates/crocusdale_core/src/daemon/timer_key.rs
@@ -32,6 +32,8 @@
     ScheduledStart,
     /// Next report of the batched pools that this daemon dispatches.
     PoolStatus,
+    /// Next test of the links to unreachable pools.
+    LinkTest,
     /// Next release of results that are no longer needed.
     ResultRelease,
     /// Time to send new crash records and rate limits of upstreams to other daemons.
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -19,6 +19,7 @@
 //! * [`quarantine`]: quarantine of requests that crash the upstreams which run them.
 //! * [`rate_limiting`]: rate limits for upstreams that announce how many requests per second they
 //!   accept.
+//! * [`reachability`]: pools that this daemon can't connect to over its own links.
 //! * [`retry`]: retry budgets.
 //! * [`pipeline`]: execution of a single request through its stages.
 //! * [`sync`]: locking that tolerates poisoned mutexes.
@@ -50,6 +51,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod rate_limiting;
+pub mod reachability;
 pub mod retry;
 pub mod routing;
 pub mod sync;
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use rand::rngs::SmallRng;
-use rand::{Rng as _, SeedableRng as _};
+use rand::seq::IteratorRandom as _;
+use rand::{Rng, SeedableRng as _};
 
 use super::{AttemptQueue, AttemptReport, ColdLimits, SlotRequest, UpstreamState, UpstreamSummary};
 use crate::configuration::{
@@ -14,6 +15,7 @@
 use crate::identity::{CallId, MonotonicTime};
 use crate::membership::{LeavingUpstream, VmList};
 use crate::rate_limiting::{RateLimiter, RateUse};
+use crate::reachability::LinkTarget;
 use crate::retry::RetryLimits;
 use crate::sync::lock;
 
@@ -348,6 +350,40 @@
         waiting
     }
 
+    /// First pool of the upstream `name`. `None` if it is unknown or only in batched pools.
+    #[must_use]
+    pub fn pool_of(&self, name: &str) -> Option<&str> {
+        self.upstream(name)?.pools.first().map(String::as_str)
+    }
+
+    /// Number of upstreams in `pool`. `None` if the pool is unknown or batched.
+    #[must_use]
+    pub fn pool_size(&self, pool: &str) -> Option<usize> {
+        let routed = self.pools.get(pool)?;
+        Some(routed.same_zone.len() + routed.other_zones.len())
+    }
+
+    /// Up to `count` randomly chosen upstreams of `pool`, without `excluded`. `None` if the pool is
+    /// unknown or batched.
+    pub fn sample_pool(
+        &self,
+        pool: &str,
+        excluded: Option<&str>,
+        count: usize,
+        random: &mut impl Rng,
+    ) -> Option<Vec<LinkTarget>> {
+        let routed = self.pools.get(pool)?;
+        let positions = routed.same_zone.iter().chain(&routed.other_zones);
+        let rules = positions.map(|position| &self.upstreams[*position].rules);
+        let others = rules.filter(|rules| Some(rules.name.as_str()) != excluded);
+        let chosen = others.choose_multiple(random, count).into_iter();
+        let to_target = |rules: &UpstreamRules| LinkTarget {
+            upstream: rules.name.clone(),
+            address: rules.address,
+        };
+        Some(chosen.map(to_target).collect())
+    }
+
     pub(super) fn upstream(&self, name: &str) -> Option<&RoutedUpstream> {
         self.positions.get(name).map(|position| &self.upstreams[*position])
     }
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -12,7 +12,9 @@
 use crate::peer::{PeerClient, PieceTable};
 use crate::platform::PlatformReader;
 use crate::telemetry::Telemetry;
-use crate::upstream::{BatchClient, ConnectionPool, UpstreamClient, probe_upstream};
+use crate::upstream::{
+    BatchClient, ConnectionPool, LinkTests, UpstreamClient, probe_upstream, test_links,
+};
 
 /// The daemon core together with the clients, tables and timers that execute its commands.
 #[derive(Debug)]
@@ -29,6 +31,7 @@
     timers: TimerService,
     upstreams: UpstreamClient,
     connections: ConnectionPool,
+    link_tests: LinkTests,
     relays: RelayClient,
     batches: BatchClient,
     pieces: PieceTable,
@@ -55,6 +58,7 @@
             timers,
             upstreams: UpstreamClient::default(),
             connections: ConnectionPool::default(),
+            link_tests: LinkTests::default(),
             relays: RelayClient::default(),
             batches: BatchClient::default(),
             pieces: PieceTable::default(),
@@ -84,6 +88,11 @@
         &self.connections
     }
 
+    /// Connections to upstreams, with tests of the own links.
+    pub(crate) fn link_tests(&self) -> &LinkTests {
+        &self.link_tests
+    }
+
     /// Client that forwards callers' requests to upstreams.
     pub(crate) fn relays(&self) -> &RelayClient {
         &self.relays
@@ -184,6 +193,10 @@
             Command::ProbeUpstream { upstream, address } => {
                 probe_upstream(self, upstream, address);
             }
+            Command::TestLinks(targets) => {
+                let engine = Arc::clone(self);
+                tokio::spawn(async move { test_links(&engine, targets).await });
+            }
             Command::CloseStaleConnections(address) => self.connections.close_idle(address),
             Command::SetTimer { timer, at } => self.timers.set(timer, at),
             Command::Count(counter) => self.telemetry.count(counter),
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -104,7 +104,10 @@
 ) -> Option<AttemptEvent> {
     let attempt = order.attempt;
     let pool = engine.connections();
-    let mut connection = match pool.connect(order.address, order.needs_new_connection).await {
+    let links = engine.link_tests();
+    let connected =
+        links.connect(engine, &order.upstream, order.address, order.needs_new_connection);
+    let mut connection = match connected.await {
         Ok(connection) => connection,
         Err(fault) => return Some(send_failed(engine, call, order, &fault)),
     };
--- a/crates/crocusdaled/src/peer/piece_client.rs
+++ b/crates/crocusdaled/src/peer/piece_client.rs
@@ -5,6 +5,7 @@
 use crocusdale_core::identity::AttemptId;
 use crocusdale_core::pipeline::{AttemptEvent, PieceOrder};
 use crocusdale_core::wire::{read_pieces_reply, read_pool_wait};
+use slog::info;
 
 use super::peer_call::call;
 use crate::engine::DaemonEngine;
@@ -37,7 +38,12 @@
     }
     match reply.map(read_pieces_reply) {
         Ok(Ok(results)) => AttemptEvent::PiecesCompleted(results),
-        Ok(Err(fault)) => AttemptEvent::PiecesFailed { fault, retry_after },
+        Ok(Err(fault)) => {
+            info!(engine.telemetry.log, "pieces_failed";
+                "request" => &order.request, "pool" => &order.pool, "dispatcher" => vm,
+                "fault" => fault.to_string());
+            AttemptEvent::PiecesFailed { fault, retry_after }
+        }
         Err(_) => AttemptEvent::DispatcherLost(vm.to_owned()),
     }
 }
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -175,6 +175,12 @@
                 info!(log, "{}", name;
                     "upstream" => upstream, "sent" => sent, "peer" => peer.as_deref());
             }
+            StateChange::PoolUnreachable { pool, upstreams } => {
+                info!(log, "{}", name; "pool" => pool, "upstreams" => upstreams);
+            }
+            StateChange::PoolReachable { pool, lost_ms } => {
+                info!(log, "{}", name; "pool" => pool, "lost_ms" => lost_ms);
+            }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
             }
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -13,11 +13,12 @@
     read_free_memory, release_bodies,
 };
 use crocusdale_platform::notice::read_notice;
-use http::{HeaderMap, HeaderValue, Method, Request, header};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header};
 use http_body_util::Full;
 use slog::info;
 use tokio::task::AbortHandle;
 
+use super::SendFault;
 use crate::engine::DaemonEngine;
 
 /// Largest answer that is read, in bytes. An answer holds up to some hundred result handles.
@@ -102,7 +103,15 @@
     let request = empty_request(REPORT_PATH, address);
     let connections = engine.connections();
     let sent = engine.now();
-    let free = match connections.call(address, request, MAX_ANSWER_BYTES, REPORT_TIMEOUT).await {
+    let answer = match engine.link_tests().connect(engine, upstream, address, false).await {
+        Ok(connection) => {
+            connections
+                .call_on(connection, request, MAX_ANSWER_BYTES, REPORT_TIMEOUT, || true)
+                .await
+        }
+        Err(fault) => Err(fault),
+    };
+    let free = match answer {
         Ok(answer) => {
             engine.report_notice(upstream, read_notice(answer.status(), answer.headers()), sent);
             read_free_memory(answer.status(), answer.body())
@@ -119,12 +128,7 @@
     let body = batch_body(order, engine.now());
     let request = post_request(BATCH_PATH, order.address, batch_headers(&order.process), body);
     let sent = engine.now();
-    let may_write = || engine.now() <= order.write_by;
-    let answer = engine
-        .connections()
-        .call_if(order.address, request, MAX_ANSWER_BYTES, BATCH_TIMEOUT, may_write)
-        .await;
-    match answer {
+    match exchange_batch(engine, order, request).await {
         Ok(answer) => {
             let (parts, body) = answer.into_parts();
             engine.report_notice(&order.upstream, read_notice(parts.status, &parts.headers), sent);
@@ -139,6 +143,18 @@
     }
 }
 
+async fn exchange_batch(
+    engine: &Arc<DaemonEngine>,
+    order: &BatchOrder,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, SendFault> {
+    let links = engine.link_tests();
+    let connection = links.connect(engine, &order.upstream, order.address, false).await?;
+    let may_write = || engine.now() <= order.write_by;
+    let pool = engine.connections();
+    pool.call_on(connection, request, MAX_ANSWER_BYTES, BATCH_TIMEOUT, may_write).await
+}
+
 async fn free_results_at(engine: &Arc<DaemonEngine>, upstream_address: SocketAddr, body: Vec<u8>) {
     let request = post_request(RELEASE_PATH, upstream_address, HeaderMap::new(), body);
     // Results that could not be freed expire by themselves. Until then they occupy memory.
--- a/crates/crocusdaled/src/upstream/connection_pool.rs
+++ b/crates/crocusdaled/src/upstream/connection_pool.rs
@@ -45,6 +45,7 @@
 pub struct OpenConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    is_new: bool,
 }
 
 /// Reason why a request got no complete answer.
@@ -57,11 +58,11 @@
 }
 
 impl SendFault {
-    fn unwritten(cause: &impl ToString) -> Self {
+    pub(crate) fn unwritten(cause: &impl ToString) -> Self {
         Self { may_be_written: false, cause: cause.to_string() }
     }
 
-    fn broken(cause: &impl ToString) -> Self {
+    pub(crate) fn broken(cause: &impl ToString) -> Self {
         Self { may_be_written: true, cause: cause.to_string() }
     }
 }
@@ -78,11 +79,11 @@
         needs_new: bool,
     ) -> Result<OpenConnection, SendFault> {
         if !needs_new && let Some(sender) = self.take_idle(address) {
-            return Ok(OpenConnection { address, sender });
+            return Ok(OpenConnection { address, sender, is_new: false });
         }
         let sender = tokio::time::timeout(CONNECT_TIMEOUT, open(address)).await;
         match sender {
-            Ok(Ok(sender)) => Ok(OpenConnection { address, sender }),
+            Ok(Ok(sender)) => Ok(OpenConnection { address, sender, is_new: true }),
             Ok(Err(fault)) => Err(SendFault::unwritten(&fault)),
             Err(_) => Err(SendFault::unwritten(&"the connection did not open before the timeout")),
         }
@@ -127,36 +128,55 @@
         max_bytes: usize,
         timeout: Duration,
     ) -> Result<Response<Bytes>, SendFault> {
-        self.call_if(address, request, max_bytes, timeout, || true).await
+        let exchange = async {
+            let connection = self.connect(address, false).await?;
+            self.exchange(connection, request, max_bytes).await
+        };
+        self.within(address, timeout, exchange).await
     }
 
-    /// Like [`ConnectionPool::call`], but sends the request only if `may_write` returns true once
-    /// the connection is open.
+    /// Like [`ConnectionPool::call`], on a connection that is open already. The request is sent only
+    /// if `may_write` returns true at that time.
     ///
     /// # Errors
     ///
     /// Returns whether the request may have been written.
-    pub async fn call_if(
+    pub async fn call_on(
         &self,
-        address: SocketAddr,
+        connection: OpenConnection,
         request: Request<Full<Bytes>>,
         max_bytes: usize,
         timeout: Duration,
         may_write: impl Fn() -> bool,
     ) -> Result<Response<Bytes>, SendFault> {
-        let exchange = async {
-            let mut connection = self.connect(address, false).await?;
-            if !may_write() {
-                return Err(SendFault::unwritten(
-                    &"the upstream was chosen too long ago to send the request",
-                ));
-            }
-            let (parts, body) = connection.send(request).await?.into_parts();
-            let body = Limited::new(body, max_bytes).collect().await;
-            let body = body.map_err(|fault| SendFault::broken(&fault))?.to_bytes();
-            self.return_connection(connection, &parts.headers, MAX_IDLE_CONNECTIONS);
-            Ok(Response::from_parts(parts, body))
-        };
+        if !may_write() {
+            return Err(SendFault::unwritten(
+                &"the upstream was chosen too long ago to send the request",
+            ));
+        }
+        let address = connection.address;
+        self.within(address, timeout, self.exchange(connection, request, max_bytes)).await
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: OpenConnection,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<Response<Bytes>, SendFault> {
+        let (parts, body) = connection.send(request).await?.into_parts();
+        let body = Limited::new(body, max_bytes).collect().await;
+        let body = body.map_err(|fault| SendFault::broken(&fault))?.to_bytes();
+        self.return_connection(connection, &parts.headers, MAX_IDLE_CONNECTIONS);
+        Ok(Response::from_parts(parts, body))
+    }
+
+    async fn within(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+        exchange: impl Future<Output = Result<Response<Bytes>, SendFault>>,
+    ) -> Result<Response<Bytes>, SendFault> {
         match tokio::time::timeout(timeout, exchange).await {
             Ok(answer) => answer,
             Err(_) => {
@@ -184,6 +204,12 @@
 }
 
 impl OpenConnection {
+    /// Whether the connection was opened for this request, rather than kept from an earlier one.
+    #[must_use]
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
     /// Sends a request and returns the answer once its head has arrived. The body is still unread.
     ///
     /// # Errors
--- a/crates/crocusdaled/src/upstream/mod.rs
+++ b/crates/crocusdaled/src/upstream/mod.rs
@@ -4,10 +4,13 @@
 mod batch_client;
 mod connection_pool;
 mod engine_orders;
+mod link_tests;
 mod upstream_client;
 mod upstream_probe;
 
 pub use batch_client::BatchClient;
 pub use connection_pool::{ConnectionPool, OpenConnection, SendFault};
+pub use link_tests::LinkTests;
+pub(crate) use link_tests::test_links;
 pub use upstream_client::UpstreamClient;
 pub use upstream_probe::probe_upstream;
--- a/crates/crocusdaled/src/upstream/upstream_probe.rs
+++ b/crates/crocusdaled/src/upstream/upstream_probe.rs
@@ -28,6 +28,9 @@
         let has_ended = matches!(
             connect_result, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused
         );
+        if has_ended {
+            engine.link_tests().handle_failure(&engine, &upstream).await;
+        }
         engine.handle_event(DaemonEvent::UpstreamProbed { upstream, has_ended });
     });
 }
--- a/crates/crocusdaled/tests/late_write_test.rs
+++ b/crates/crocusdaled/tests/late_write_test.rs
@@ -28,7 +28,8 @@
     let request = Request::new(Full::new(Bytes::from_static(b"pieces")));
     let pool = ConnectionPool::default();
     let patience = Duration::from_secs(2);
-    let answer = pool.call_if(address, request, 1_000, patience, || false).await;
+    let connection = pool.connect(address, true).await.expect("a connection");
+    let answer = pool.call_on(connection, request, 1_000, patience, || false).await;
     assert!(!answer.expect_err("not sent").may_be_written, "the refusal is true");
     drop(pool);
     server.await.expect("the upstream saw the connection close");
