--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -12,6 +12,7 @@
 use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, ForwardOrder};
+use crocusdale_core::reachability::LinkTarget;
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::{ColdLimits, DirectoryEntry};
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, DiscoverySettings};
@@ -108,6 +109,11 @@
     pub answers: Vec<(usize, CallId, FinalAnswer)>,
     /// Questions and reports to placement coordinators that the test has not delivered.
     pub placement_commands: Vec<(usize, Command)>,
+    /// Daemons whose connections to upstreams are refused, while they reach each other and the
+    /// platform.
+    pub cut_off: HashSet<usize>,
+    /// Batches, pieces and cancellations that the test has not carried out.
+    pub work_commands: Vec<(usize, Command)>,
 }
 
 impl VirtualFleet {
@@ -170,6 +176,8 @@
             relays: Vec::new(),
             answers: Vec::new(),
             placement_commands: Vec::new(),
+            cut_off: HashSet::new(),
+            work_commands: Vec::new(),
         };
         for index in 0..size {
             // Distributes the start times over the spread. 7 is coprime to it, so that all offsets
@@ -349,11 +357,19 @@
             }
             Command::ProbeUpstream { upstream, .. } => {
                 let is_late = self.heartbeats_are_late;
-                let has_ended = self.ended.contains(&upstream);
+                let is_cut_off = self.cut_off.contains(&index);
+                if is_cut_off {
+                    self.refuse_connection(index, &upstream);
+                }
+                let has_ended = is_cut_off || self.ended.contains(&upstream);
                 let probed = DaemonEvent::UpstreamProbed { upstream, has_ended };
                 let time = if is_late { MAX_PROBE_TIME } else { ONE_WAY_LATENCY };
                 self.push(self.now + time, index, Delivery::Event(probed));
             }
+            Command::TestLinks(targets) => self.test_links(index, targets),
+            command @ (Command::CallBatch(_)
+            | Command::SendPieces { .. }
+            | Command::AnswerPieces { .. }) => self.work_commands.push((index, command)),
             Command::Relay(order) => self.relays.push((index, self.now, order)),
             Command::Reply { call, answer } => self.answers.push((index, call, answer)),
             command @ (Command::PlaceRequest { .. } | Command::ReportPlacement { .. }) => {
@@ -363,6 +379,24 @@
         }
     }
 
+    /// Reports that a connection of a daemon to `upstream` was refused, and tests the links to its
+    /// pool, as the daemon's process does.
+    pub fn refuse_connection(&mut self, index: usize, upstream: &str) {
+        let upstream = upstream.to_owned();
+        self.feed(index, DaemonEvent::LinkTested { upstream: upstream.clone(), is_open: false });
+        let core = &self.cores[index];
+        let pool = core.pool_of(&upstream);
+        let targets = pool.map(|pool| core.link_tests(&pool, &upstream)).unwrap_or_default();
+        self.test_links(index, targets);
+    }
+
+    fn test_links(&mut self, index: usize, targets: Vec<LinkTarget>) {
+        let is_open = !self.cut_off.contains(&index);
+        for LinkTarget { upstream, .. } in targets {
+            self.feed(index, DaemonEvent::LinkTested { upstream, is_open });
+        }
+    }
+
     /// Response time: `usual`, or a random time from `usual` to below `most` if responses are slow.
     fn delay(&mut self, usual: Duration, most: Duration) -> Duration {
         let Some(random) = &mut self.slowness else { return usual };
