--- a/crates/crocusdale_core/src/batching/batch_call.rs
+++ b/crates/crocusdale_core/src/batching/batch_call.rs
@@ -59,6 +59,17 @@
     Broken,
 }
 
+impl BatchOutcome {
+    /// Whether the upstream may have run any piece of the call.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Answered(_) | Self::Broken => true,
+            Self::Declined | Self::WrongProcess | Self::NotSent => false,
+        }
+    }
+}
+
 /// Outcome of one piece.
 #[derive(Clone, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -215,16 +215,16 @@
         self.published.get(pool).map_or(0, PublishedPool::size)
     }
 
-    /// Up to `count` randomly chosen upstreams of `pool`, without `excluded`.
+    /// Up to `count` randomly chosen upstreams of `pool` whose names `is_wanted` accepts.
     pub fn sample_pool(
         &self,
         pool: &str,
-        excluded: Option<&str>,
+        is_wanted: impl Fn(&str) -> bool,
         count: usize,
         random: &mut impl Rng,
     ) -> Vec<LinkTarget> {
         let Some(published) = self.published.get(pool) else { return Vec::new() };
-        let others = published.targets().filter(|(name, _)| Some(*name) != excluded);
+        let others = published.targets().filter(|(name, _)| is_wanted(name));
         let chosen = others.choose_multiple(random, count).into_iter();
         chosen.map(|(name, address)| LinkTarget { upstream: name.to_owned(), address }).collect()
     }
@@ -395,9 +395,10 @@
     }
 
     /// Returns the undispatched pieces of the section `pool`, which another daemon now dispatches.
-    pub fn hand_over(&mut self, pool: &str, actions: &mut Vec<DispatchAction>) {
+    /// `cut_off` tells whether this daemon can't connect to the upstreams of the pool.
+    pub fn hand_over(&mut self, pool: &str, cut_off: bool, actions: &mut Vec<DispatchAction>) {
         if let Some(pool) = self.pools.get_mut(pool) {
-            pool.hand_over(actions);
+            pool.hand_over(cut_off, actions);
         }
     }
 
--- a/crates/crocusdale_core/src/batching/batch_job.rs
+++ b/crates/crocusdale_core/src/batching/batch_job.rs
@@ -30,8 +30,10 @@
     pub(super) results: Vec<Option<PlacedResult>>,
     /// Indices of the pieces that are in no call.
     pub(super) waiting: VecDeque<u32>,
-    /// Whether any piece has been part of a call, at this or another dispatcher.
-    was_dispatched: bool,
+    /// Whether an upstream may have run any piece, at this or another dispatcher.
+    may_have_run: bool,
+    /// Number of pieces that are in calls.
+    in_calls: usize,
     /// Number of upstreams that crashed under the request, and of failed calls that contained its
     /// pieces.
     suspected_crashes: usize,
@@ -44,7 +46,8 @@
         Self {
             results,
             waiting,
-            was_dispatched: order.is_resubmission,
+            may_have_run: order.is_resubmission,
+            in_calls: 0,
             suspected_crashes: 0,
             order,
         }
@@ -95,10 +98,22 @@
         self.suspected_crashes >= RUN_ALONE_CRASHES
     }
 
-    /// Whether no piece has been part of a call, so that another dispatcher can take the job as a
-    /// new one.
+    /// Whether no upstream has run or may run any piece, so that another dispatcher can take the job
+    /// as a new one.
     pub(super) fn is_undispatched(&self) -> bool {
-        !self.was_dispatched
+        !self.may_have_run && self.in_calls == 0
+    }
+
+    /// Whether no piece is in a call.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.in_calls == 0
+    }
+
+    /// Records that a call with one of the pieces has ended. `may_have_run` tells whether the
+    /// upstream may have run the piece.
+    pub(super) fn end_piece(&mut self, may_have_run: bool) {
+        self.in_calls = self.in_calls.saturating_sub(1);
+        self.may_have_run |= may_have_run;
     }
 
     /// Whether all pieces have results.
@@ -109,7 +124,7 @@
     /// Removes up to `limit` waiting pieces and returns them as items of a call.
     pub(super) fn take_pieces(&mut self, limit: usize) -> Vec<BatchItem> {
         let count = limit.min(self.waiting.len());
-        self.was_dispatched |= count > 0;
+        self.in_calls += count;
         let pieces: Vec<u32> = self.waiting.drain(..count).collect();
         let item = |piece| BatchItem {
             request: self.order.request.clone(),
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -257,6 +257,12 @@
             self.release(produced_results(outcome));
             return;
         };
+        let may_have_run = outcome.may_have_run();
+        for (attempt, _) in &call.items {
+            if let Some(job) = self.jobs.get_mut(attempt) {
+                job.end_piece(may_have_run);
+            }
+        }
         let pieces = u32::try_from(call.items.len()).unwrap_or(u32::MAX);
         let call_time = call.started_at.map(|started_at| now.since(started_at));
         let rules = self.rules;
@@ -296,9 +302,14 @@
                 if matches!(outcome, BatchOutcome::Broken) {
                     self.suspect_requests(&call, actions);
                 }
+                let has_arrived = !matches!(outcome, BatchOutcome::NotSent);
                 self.release(produced_results(outcome));
                 for (job, piece) in call.items {
-                    self.retry_piece(job, piece, now, actions);
+                    if has_arrived {
+                        self.retry_piece(job, piece, now, actions);
+                    } else {
+                        self.requeue_piece(job, piece);
+                    }
                 }
             }
         }
@@ -438,6 +449,10 @@
             self.fail_job(attempt, PieceFault::Failed, actions);
             return;
         }
+        self.requeue_piece(attempt, piece);
+    }
+
+    fn requeue_piece(&mut self, attempt: AttemptId, piece: u32) {
         if let Some(job) = self.jobs.get_mut(&attempt) {
             job.requeue(piece);
             self.queue.insert((job.priority_time(), attempt), ());
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -36,7 +36,7 @@
 pub use batch_call::{BatchId, BatchItem, BatchOrder, BatchOutcome, ItemOutcome};
 pub use batch_dispatcher::{BatchDispatcher, DispatchAction};
 pub use batch_pool::BatchPool;
-pub use dispatcher_choice::{DispatcherCandidates, DispatcherChoice};
+pub use dispatcher_choice::{DispatcherCandidates, DispatcherChoice, RequiredLinks};
 pub use pool_section::PoolSection;
 pub use pool_status::PoolStatus;
 pub use pool_waits::{PoolWait, PoolWaits};
--- a/crates/crocusdale_core/src/batching/pool_changes.rs
+++ b/crates/crocusdale_core/src/batching/pool_changes.rs
@@ -69,12 +69,21 @@
     /// Guards against two queues for the same upstreams: each dispatcher would send small calls,
     /// which then queue up at the upstreams where no dispatcher sees them. In a rolling restart of
     /// the fleet, this also leaves no work behind in processes that are about to exit.
-    pub fn hand_over(&mut self, actions: &mut Vec<DispatchAction>) {
-        let undispatched = self.jobs.iter().filter(|(_, job)| job.is_undispatched());
-        let mut undispatched: Vec<AttemptId> = undispatched.map(|(attempt, _)| *attempt).collect();
-        undispatched.sort_unstable();
-        for attempt in undispatched {
-            self.fail_job(attempt, PieceFault::Moved, actions);
+    ///
+    /// If this daemon is `cut_off` from the upstreams, it also returns jobs whose pieces may have
+    /// run: it can't do anything for them any more.
+    pub fn hand_over(&mut self, cut_off: bool, actions: &mut Vec<DispatchAction>) {
+        let mut waiting: Vec<(AttemptId, PieceFault)> = Vec::new();
+        for (attempt, job) in &self.jobs {
+            if job.is_undispatched() {
+                waiting.push((*attempt, PieceFault::Moved));
+            } else if cut_off && job.is_waiting() {
+                waiting.push((*attempt, PieceFault::DispatcherCutOff));
+            }
+        }
+        waiting.sort_unstable_by_key(|(attempt, _)| *attempt);
+        for (attempt, fault) in waiting {
+            self.fail_job(attempt, fault, actions);
         }
     }
 }
--- a/crates/crocusdale_core/src/batching/pool_waits.rs
+++ b/crates/crocusdale_core/src/batching/pool_waits.rs
@@ -71,25 +71,46 @@
 /// section.
 #[derive(Debug, Default)]
 pub struct PoolWaits {
-    waits: HashMap<String, (PoolWait, MonotonicTime)>,
+    waits: HashMap<String, ReportedWait>,
+}
+
+#[derive(Debug)]
+struct ReportedWait {
+    wait: PoolWait,
+    reported_at: MonotonicTime,
+    /// VM of the dispatcher that reported the wait.
+    dispatcher: String,
 }
 
 impl PoolWaits {
-    /// Stores `wait` as the wait that the dispatcher of `pool` reported at `now`.
-    pub fn record(&mut self, pool: &str, wait: PoolWait, now: MonotonicTime) {
+    /// Stores `wait` as the wait that `dispatcher`, the dispatcher of `pool`, reported at `now`.
+    pub fn record(&mut self, pool: &str, wait: PoolWait, dispatcher: &str, now: MonotonicTime) {
         match self.waits.get_mut(pool) {
-            Some(known) => *known = (wait, now),
+            Some(known) => {
+                (known.wait, known.reported_at) = (wait, now);
+                dispatcher.clone_into(&mut known.dispatcher);
+            }
             None => {
-                self.waits.insert(pool.to_owned(), (wait, now));
+                let dispatcher = dispatcher.to_owned();
+                let reported = ReportedWait { wait, reported_at: now, dispatcher };
+                self.waits.insert(pool.to_owned(), reported);
             }
         }
     }
 
+    /// Drops the waits of sections that `is_valid` rejects, by the name of the section and the VM
+    /// of the dispatcher that reported its wait.
+    pub fn retain(&mut self, is_valid: impl Fn(&str, &str) -> bool) {
+        self.waits.retain(|section, reported| is_valid(section, &reported.dispatcher));
+    }
+
     /// Expected wait of new pieces in `pool`, zero if unknown. The last report is reduced by the
     /// time that has passed since.
     #[must_use]
     pub fn wait(&self, pool: &str, now: MonotonicTime) -> PoolWait {
         let known = self.waits.get(pool);
-        known.map_or(PoolWait::default(), |(wait, at)| wait.reduced_by(now.since(*at)))
+        known.map_or(PoolWait::default(), |known| {
+            known.wait.reduced_by(now.since(known.reported_at))
+        })
     }
 }
--- a/crates/crocusdale_core/src/daemon/coordination.rs
+++ b/crates/crocusdale_core/src/daemon/coordination.rs
@@ -61,7 +61,7 @@
         if !self.is_coordinated() {
             return None;
         }
-        let vm = lock(&self.fleet).dispatcher(name, &[]);
+        let vm = lock(&self.fleet).coordinator(name);
         (!self.coordination.is_backing_off(&vm, now)).then_some(vm)
     }
 }
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -118,8 +118,8 @@
             DaemonEvent::PoolStatusReported(status) => {
                 self.state.record_pool_status(*status, now);
             }
-            DaemonEvent::PoolWaitReported { pool, wait } => {
-                lock(&self.state.pool_waits).record(&pool, wait, now);
+            DaemonEvent::PoolWaitReported { pool, wait, vm } => {
+                lock(&self.state.pool_waits).record(&pool, wait, &vm, now);
             }
             DaemonEvent::ResultsReleased { pool, results } => {
                 lock(&self.state.dispatcher).release(&pool, results);
@@ -136,9 +136,13 @@
             DaemonEvent::UpstreamNoticed { upstream, notice, sent } => {
                 self.state.apply_notice(&upstream, notice, sent, now, out);
             }
-            DaemonEvent::LinkTested { upstream, is_open } => {
-                self.state.record_link(&upstream, is_open, now, out);
+            DaemonEvent::LinkUsed { upstream, result } => {
+                self.state.record_link(&upstream, result, false, now, &mut actions, out);
             }
+            DaemonEvent::LinkTested { upstream, result } => {
+                self.state.record_link(&upstream, result, true, now, &mut actions, out);
+            }
+            DaemonEvent::UpstreamDown { upstream } => self.state.record_down(&upstream, now),
             DaemonEvent::UpstreamProbed { upstream, has_ended } => {
                 self.state.handle_probe_result(&upstream, has_ended, now, out);
             }
@@ -330,10 +334,7 @@
             let zones = state.directory.evacuated_zones().map(str::to_owned).collect();
             (state.age(now), zones)
         };
-        let unreachable_pools: Vec<String> = {
-            let links = lock(&self.state.links);
-            links.unreachable_pools().into_iter().map(str::to_owned).collect()
-        };
+        let impaired_pools = lock(&self.state.links).impaired_pools();
         let fleet = lock(&self.state.fleet);
         let (revision, digest) = fleet.ledger.position();
         let rejected = fleet.ledger.rejected();
@@ -374,7 +375,7 @@
             upstreams: router.summaries(now),
             engine_speeds: lock(&self.state.placements.placers).speeds(now),
             limited_upstreams: self.state.limiter.summaries(),
-            unreachable_pools,
+            impaired_pools,
             quarantined: lock(&self.state.crash_detector).quarantined(now),
         }
     }
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -8,6 +8,7 @@
 use crate::orders::EngineOrder;
 use crate::pipeline::{AttemptEvent, CallerRequest, HolderReply, PieceOrder, ResultHandle};
 use crate::placement::{PlacementReply, PlacementRequest};
+use crate::reachability::LinkResult;
 use crate::routing::{ColdUpstream, DirectoryEntry, PeerDirectory, UpstreamNotice};
 
 use super::TimerKey;
@@ -93,12 +94,25 @@
         /// Whether the upstream refused the connection, which means that its process has ended.
         has_ended: bool,
     },
-    /// A new connection to an upstream was opened, or could not be opened.
+    /// A new connection to an upstream was opened for a request, or could not be opened.
+    LinkUsed {
+        /// Name of the upstream.
+        upstream: String,
+        /// Whether the connection was opened.
+        result: LinkResult,
+    },
+    /// A test connection to an upstream has ended, as requested by
+    /// [`super::Command::TestLinks`].
     LinkTested {
         /// Name of the upstream.
         upstream: String,
         /// Whether the connection was opened.
-        is_open: bool,
+        result: LinkResult,
+    },
+    /// A daemon that was to relay a request to an upstream can't connect to the upstream either.
+    UpstreamDown {
+        /// Name of the upstream.
+        upstream: String,
     },
     /// The platform's store was read completely, as requested by [`super::Command::ReadDirectory`].
     DirectoryRead {
@@ -142,6 +156,8 @@
         pool: String,
         /// Expected queueing time of new pieces.
         wait: PoolWait,
+        /// VM of the dispatcher.
+        vm: String,
     },
     /// The admission coordinator that was asked about a request replied, or did not. The daemon
     /// starts, schedules or refuses the request.
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -199,6 +199,7 @@
             self.refresh_fleet_snapshot();
         }
         self.state.router().set_daemons(daemon_count);
+        self.state.drop_waits_of_cut_off();
         lock(&self.state.directory).fetch_newer_list(vm, message.directory, now, out);
     }
 
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -12,7 +12,7 @@
 };
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{
-    DirectoryVersion, ExchangeMessage, KnownDaemons, MemberStatus, MemberView, VmList,
+    DirectoryVersion, ExchangeMessage, KnownDaemons, MemberLinks, MemberStatus, MemberView, VmList,
     VmListHistory,
 };
 use crate::orders::{EngineOrder, OrderReconciler, ReconcileAction};
@@ -100,6 +100,8 @@
     /// Version of the member view and time of the last update of `known_daemons`.
     known_daemons_at: Option<(u64, MonotonicTime)>,
     dispatcher_candidates: DispatcherCandidates,
+    /// Version of the members' links at the last call of [`Self::take_links_change`].
+    seen_links_version: u64,
     /// Whether this daemon's last computed share of upstream request rates was withheld. `None`
     /// before the first one.
     was_share_withheld: Option<bool>,
@@ -137,6 +139,7 @@
             known_daemons: KnownDaemons::default(),
             known_daemons_at: None,
             dispatcher_candidates: DispatcherCandidates::default(),
+            seen_links_version: 0,
             was_share_withheld: None,
             random: SmallRng::seed_from_u64(seed),
         }
@@ -505,6 +508,30 @@
         self.dispatcher_candidates.dispatcher(roster, &self.view, pool, tried)
     }
 
+    /// VM name of the coordinator with the name `name`.
+    pub(super) fn coordinator(&mut self, name: &str) -> String {
+        let roster = self.history.current();
+        self.dispatcher_candidates.coordinator(roster, &self.view, name)
+    }
+
+    /// Whether the links of a member have changed since the last call.
+    pub(super) fn take_links_change(&mut self) -> bool {
+        let version = self.view.links_version();
+        std::mem::replace(&mut self.seen_links_version, version) != version
+    }
+
+    /// Announces the pools that this daemon reaches over its own links.
+    pub(super) fn announce_links(
+        &mut self,
+        links: MemberLinks,
+        now: MonotonicTime,
+        out: &mut Vec<Command>,
+    ) {
+        self.view.set_links(links);
+        let partners = self.view.random_partners(ANNOUNCEMENT_FANOUT);
+        self.send_heartbeats_to(partners, now, out);
+    }
+
     /// Sends a heartbeat to each of `partners`.
     pub fn send_heartbeats_to(
         &mut self,
--- a/crates/crocusdale_core/src/daemon/link_flow.rs
+++ b/crates/crocusdale_core/src/daemon/link_flow.rs
@@ -1,107 +1,168 @@
-//! Tests of this daemon's network links to the upstreams.
+//! Network links of this daemon to the upstreams: tests, announcements to peers, and the effects of
+//! failed links.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::core_state::CoreState;
 use super::{Command, DaemonCore, StateChange, TimerKey};
+use crate::batching::PoolSection;
 use crate::identity::MonotonicTime;
-use crate::reachability::{LinkChange, LinkTarget};
+use crate::membership::MemberLinks;
+use crate::pipeline::ShardAction;
+use crate::reachability::{LinkChange, LinkResult, LinkTarget};
 use crate::sync::lock;
 
-/// Time between two tests of an unreachable pool.
-pub(super) const LINK_TEST_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of upstreams of a pool that are tested at once.
-const LINK_TEST_SIZE: usize = 2;
+/// Time between two rounds of tests of a pool with failed links.
+const LINK_TEST_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of links in a round of tests.
+const LINK_TEST_SIZE: usize = 4;
 
 impl DaemonCore {
-    /// Whether a connection to an upstream has failed and none to its pool was opened since.
-    /// Successful connections need to be reported only in this case.
+    /// Whether a link has failed. Successful connections need to be reported only in this case.
     #[must_use]
     pub fn has_failed_links(&self) -> bool {
         self.state.has_failed_links.load(Ordering::Relaxed)
     }
 
-    /// Pool of `upstream`. `None` if the upstream is not listed any more.
+    /// Other upstreams of the pool of `upstream`, by which a failed link is told from a failed
+    /// upstream. Chosen at random.
     #[must_use]
-    pub fn pool_of(&self, upstream: &str) -> Option<String> {
-        self.state.pool_of(upstream)
-    }
-
-    /// Upstreams of `pool` to connect to after a connection to `upstream`, one of them, has failed.
-    /// Empty if it is known whether the upstream or the link has failed.
-    #[must_use]
-    pub fn link_tests(&self, pool: &str, upstream: &str) -> Vec<LinkTarget> {
-        if !lock(&self.state.links).is_undecided(pool) {
-            return Vec::new();
-        }
-        self.state.link_targets(pool, Some(upstream))
+    pub fn control_targets(&self, upstream: &str) -> Vec<LinkTarget> {
+        let pool = self.state.pool_of(upstream);
+        pool.map(|pool| self.state.link_targets(&pool, |name| name != upstream)).unwrap_or_default()
     }
 }
 
 impl CoreState {
-    /// Records whether a new connection to `upstream` could be opened.
+    /// Records the result of a new connection to `upstream`, for a request or a test.
     pub(super) fn record_link(
         &self,
         upstream: &str,
-        is_open: bool,
+        result: LinkResult,
+        is_test: bool,
         now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
         out: &mut Vec<Command>,
     ) {
         let Some(pool) = self.pool_of(upstream) else { return };
         let size = self.pool_size(&pool);
-        let mut links = lock(&self.links);
-        let change = links.record(&pool, upstream, is_open, size, now);
-        self.has_failed_links.store(!links.is_empty(), Ordering::Relaxed);
-        let is_first_loss =
-            matches!(change, Some(LinkChange::Lost(_))) && links.unreachable_pools().len() == 1;
-        drop(links);
-        match change {
-            None => {}
-            Some(LinkChange::Lost(upstreams)) => {
-                out.push(Command::LogStateChange(StateChange::PoolUnreachable { pool, upstreams }));
-            }
-            Some(LinkChange::Restored(time)) => {
-                let lost_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-                out.push(Command::LogStateChange(StateChange::PoolReachable { pool, lost_ms }));
-            }
-        }
-        if is_first_loss {
+        let (change, needs_round, has_failed) = {
+            let mut links = lock(&self.links);
+            let change = if is_test {
+                links.record_test(&pool, upstream, result, size, now)
+            } else {
+                links.record(&pool, upstream, result, size, now)
+            };
+            let needs_round = result == LinkResult::Failed && links.needs_round(&pool, now);
+            (change, needs_round, !links.is_empty())
+        };
+        let had_failed = self.has_failed_links.swap(has_failed, Ordering::Relaxed);
+        if has_failed && !had_failed {
             out.push(Command::SetTimer { timer: TimerKey::LinkTest, at: now + LINK_TEST_INTERVAL });
         }
+        if needs_round {
+            self.start_round(&pool, now, out);
+        }
+        let Some(change) = change else { return };
+        out.push(Command::LogStateChange(match change {
+            LinkChange::Impaired(reach) => StateChange::LinksImpaired { pool: pool.clone(), reach },
+            LinkChange::Restored(time) => {
+                let impaired_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+                StateChange::LinksRestored { pool: pool.clone(), impaired_ms }
+            }
+        }));
+        self.announce_links(now, actions, out);
     }
 
-    /// Tests the links to all unreachable pools, and schedules the next tests.
+    /// Records that other daemons can't connect to `upstream` either.
+    pub(super) fn record_down(&self, upstream: &str, now: MonotonicTime) {
+        if let Some(pool) = self.pool_of(upstream) {
+            lock(&self.links).record_down(&pool, upstream, now);
+        }
+    }
+
+    /// Tests links of all pools with failed ones, and schedules the next tests.
     pub(super) fn test_links(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        let pools: Vec<String> =
-            lock(&self.links).unreachable_pools().into_iter().map(str::to_owned).collect();
+        let is_listed = |_: &str, upstream: &str| self.pool_of(upstream).is_some();
+        let pools = {
+            let mut links = lock(&self.links);
+            links.retain(is_listed);
+            self.has_failed_links.store(!links.is_empty(), Ordering::Relaxed);
+            links.failed_pools()
+        };
         if pools.is_empty() {
             return;
         }
         for pool in pools {
-            out.push(Command::TestLinks(self.link_targets(&pool, None)));
+            self.start_round(&pool, now, out);
         }
         out.push(Command::SetTimer { timer: TimerKey::LinkTest, at: now + LINK_TEST_INTERVAL });
     }
 
+    /// Whether the links to most upstreams of the pool of `upstream` have failed, so that a failed
+    /// connection proves nothing about the upstream.
+    pub(super) fn is_cut_off_from(&self, upstream: &str) -> bool {
+        self.has_failed_links.load(Ordering::Relaxed)
+            && self.pool_of(upstream).is_some_and(|pool| lock(&self.links).is_impaired(&pool))
+    }
+
+    /// Drops the waits that dispatchers reported which can't connect to their pool any more, if the
+    /// links of a member have changed.
+    ///
+    /// Guards against requests that are refused for the last report of a dispatcher that is not
+    /// used any more, and so never reports a shorter wait.
+    pub(super) fn drop_waits_of_cut_off(&self) {
+        let mut fleet = lock(&self.fleet);
+        if !fleet.take_links_change() {
+            return;
+        }
+        let view = &fleet.view;
+        lock(&self.pool_waits).retain(|section, vm| {
+            let pool = PoolSection::from_name(section).pool;
+            view.links(vm).is_none_or(|links| links.reaches(&pool))
+        });
+    }
+
     /// Pool of `upstream`. `None` if the upstream is not listed any more.
     pub(super) fn pool_of(&self, upstream: &str) -> Option<String> {
         let routed = self.router().pool_of(upstream).map(str::to_owned);
         routed.or_else(|| lock(&self.dispatcher).pool_of(upstream).map(str::to_owned))
     }
 
+    /// Starts a round of tests of links to `pool` that are not known to work.
+    fn start_round(&self, pool: &str, now: MonotonicTime, out: &mut Vec<Command>) {
+        let targets = self.link_targets(pool, |name| !lock(&self.links).is_open(pool, name));
+        lock(&self.links).start_round(pool, targets.len(), now);
+        out.push(Command::TestLinks(targets));
+    }
+
+    /// Tells peers which pools this daemon reaches, and hands the pools that others dispatch now
+    /// over to them.
+    fn announce_links(
+        &self,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+        out: &mut Vec<Command>,
+    ) {
+        let links = MemberLinks::new(lock(&self.links).impaired_pools());
+        lock(&self.fleet).announce_links(links, now, out);
+        self.drop_waits_of_cut_off();
+        self.hand_over_pools(now, actions, out);
+    }
+
     fn pool_size(&self, pool: &str) -> usize {
         let routed = self.router().pool_size(pool);
         routed.unwrap_or_else(|| lock(&self.dispatcher).pool_size(pool))
     }
 
-    /// Randomly chosen upstreams of `pool`, without `excluded`.
-    fn link_targets(&self, pool: &str, excluded: Option<&str>) -> Vec<LinkTarget> {
+    /// Randomly chosen upstreams of `pool` whose names `is_wanted` accepts.
+    fn link_targets(&self, pool: &str, is_wanted: impl Fn(&str) -> bool) -> Vec<LinkTarget> {
         let mut random = lock(&self.link_random);
-        let routed = self.router().sample_pool(pool, excluded, LINK_TEST_SIZE, &mut *random);
+        let routed = self.router().sample_pool(pool, &is_wanted, LINK_TEST_SIZE, &mut *random);
         routed.unwrap_or_else(|| {
             let dispatcher = lock(&self.dispatcher);
-            dispatcher.sample_pool(pool, excluded, LINK_TEST_SIZE, &mut *random)
+            dispatcher.sample_pool(pool, &is_wanted, LINK_TEST_SIZE, &mut *random)
         })
     }
 }
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -170,8 +170,10 @@
             pools.retain(|pool| fleet.dispatcher(pool, &[]) != self.own_instance.vm);
         }
         let mut dispatch_actions = Vec::new();
-        for pool in pools {
-            lock(&self.dispatcher).hand_over(&pool, &mut dispatch_actions);
+        for section in pools {
+            let pool = PoolSection::from_name(&section).pool;
+            let cut_off = lock(&self.links).is_impaired(&pool);
+            lock(&self.dispatcher).hand_over(&section, cut_off, &mut dispatch_actions);
         }
         self.run_dispatch_actions(dispatch_actions, now, actions, out);
     }
@@ -256,9 +258,12 @@
             return;
         }
         let retry_after = wait.retry_after();
-        lock(&self.pool_waits).record(pool, wait, now);
+        lock(&self.pool_waits).record(pool, wait, &self.own_instance.vm, now);
         let event = match outcome {
             Ok(results) => AttemptEvent::PiecesCompleted(results),
+            Err(PieceFault::DispatcherCutOff) => {
+                AttemptEvent::DispatcherLost(self.own_instance.vm.clone())
+            }
             Err(fault) => AttemptEvent::PiecesFailed { fault, retry_after },
         };
         self.shard(attempt.call.0).handle_attempt_event(attempt, event, now, actions);
--- a/crates/crocusdale_core/src/daemon/pool_status_flow.rs
+++ b/crates/crocusdale_core/src/daemon/pool_status_flow.rs
@@ -53,7 +53,7 @@
         let vms: BTreeSet<String> = {
             let mut fleet = lock(&self.fleet);
             let sections = AdmissionCoordinators::all_sections(section_count);
-            sections.map(|section| fleet.dispatcher(&section, &[])).collect()
+            sections.map(|section| fleet.coordinator(&section)).collect()
         };
         for (status, _) in due {
             for vm in &vms {
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -1,4 +1,5 @@
 use crate::identity::{RequestDigest, RequestKey, StorePosition};
+use crate::membership::PoolReach;
 use crate::pipeline::BreakReason;
 use crate::rate_limiting::RequestRate;
 
@@ -216,19 +217,19 @@
         /// Peer that reported the change, or `None` if it came in an answer to this daemon.
         peer: Option<String>,
     },
-    /// This daemon can't connect to the upstreams of a pool over its own links.
-    PoolUnreachable {
+    /// This daemon can't connect to most upstreams of a pool over its own links.
+    LinksImpaired {
         /// Name of the pool.
         pool: String,
-        /// Number of upstreams in a row that could not be connected to.
-        upstreams: usize,
+        /// Which upstreams it can still connect to.
+        reach: PoolReach,
     },
-    /// This daemon can connect to the upstreams of a pool again.
-    PoolReachable {
+    /// This daemon can connect to most upstreams of a pool again.
+    LinksRestored {
         /// Name of the pool.
         pool: String,
-        /// Time for which the pool was unreachable, in milliseconds.
-        lost_ms: u64,
+        /// Time for which the links were impaired, in milliseconds.
+        impaired_ms: u64,
     },
     /// An upstream announced that it is leaving.
     UpstreamLeaving {
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 
 use crate::identity::{InstanceId, RequestDigest};
-use crate::membership::MemberRecord;
+use crate::membership::{MemberRecord, PoolReach};
 use crate::placement::EngineSpeedSummary;
 use crate::rate_limiting::LimitSummary;
 use crate::routing::UpstreamSummary;
@@ -69,8 +71,8 @@
     pub limited_upstreams: Vec<LimitSummary>,
     /// Speeds of the engines that this daemon places requests on as a coordinator, slowest first.
     pub engine_speeds: Vec<EngineSpeedSummary>,
-    /// Pools that the daemon can't connect to over its own links.
-    pub unreachable_pools: Vec<String>,
+    /// Pools with most upstreams out of reach of the daemon's own links.
+    pub impaired_pools: BTreeMap<String, PoolReach>,
     /// Digests of quarantined requests, which are not dispatched because upstreams crashed while
     /// they ran them.
     pub quarantined: Vec<RequestDigest>,
--- a/crates/crocusdale_core/src/membership/member_record.rs
+++ b/crates/crocusdale_core/src/membership/member_record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::MemberLinks;
 use crate::identity::InstanceId;
 
 /// Thousandths of a processor core that a dispatcher uses per megabit per second of its traffic.
@@ -49,6 +50,9 @@
     pub status: MemberStatus,
     /// Location of the member, or `None` if the VM list provides it.
     pub place: Option<MemberPlace>,
+    /// Pools that the member reaches. `None` if the member, or the one that passed the record on,
+    /// is a daemon of an older version, which tells nothing about its links.
+    pub links: Option<MemberLinks>,
 }
 
 /// Location, addresses and capacity of a member.
@@ -95,7 +99,8 @@
     #[must_use]
     pub fn new(instance: InstanceId, place: Option<MemberPlace>) -> Self {
         let generation = instance.incarnation;
-        Self { instance, generation, refutation: 0, status: MemberStatus::Starting, place }
+        let links = Some(MemberLinks::default());
+        Self { instance, generation, refutation: 0, status: MemberStatus::Starting, place, links }
     }
 
     /// Whether the record reports a suspected or unreachable member. A live member should refute
@@ -110,12 +115,16 @@
 
     /// Whether `self` supersedes `other`, a record about the same VM.
     ///
-    /// A higher generation wins first, then a higher refutation counter, then the worse status. The
-    /// order is total, so daemons that receive the same records in different orders converge.
+    /// A higher generation wins first, then a higher refutation counter, then the worse status, then
+    /// a record that tells of the member's links: daemons of older versions pass records on without
+    /// them. The order is total, so daemons that receive the same records in different orders
+    /// converge.
     #[must_use]
     pub fn is_newer_than(&self, other: &Self) -> bool {
         debug_assert_eq!(self.instance.vm, other.instance.vm);
-        let rank = |record: &Self| (record.generation, record.refutation, record.status);
+        let rank = |record: &Self| {
+            (record.generation, record.refutation, record.status, record.links.is_some())
+        };
         rank(self) > rank(other)
     }
 }
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -7,8 +7,8 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{
-    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
-    VmEntry, VmList, VmRole, VmState,
+    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberLinks, MemberPlace, MemberRecord,
+    MemberStatus, VmEntry, VmList, VmRole, VmState,
 };
 use crate::identity::{InstanceId, MonotonicTime};
 
@@ -44,8 +44,10 @@
     pub(super) peers: BTreeMap<String, PeerState>,
     /// Number of changes of the members and their locations so far.
     places_version: u64,
-    /// Number of changes of the members, their locations and their statuses so far.
+    /// Number of changes of the members, their locations, their statuses and their links so far.
     version: u64,
+    /// Number of changes of the members' links so far.
+    links_version: u64,
     /// Peers whose record still has to be sent, those with the most remaining sends first.
     pub(super) unsent: BTreeSet<(Reverse<u32>, String)>,
     /// Names of the peers that are suspected or unreachable.
@@ -151,6 +153,7 @@
             peers: BTreeMap::new(),
             places_version: 0,
             version: 0,
+            links_version: 0,
             unsent: BTreeSet::new(),
             failed: BTreeSet::new(),
             names: Vec::new(),
@@ -203,6 +206,14 @@
         }
     }
 
+    /// Sets the pools that this daemon reaches over its own links.
+    pub fn set_links(&mut self, links: MemberLinks) {
+        self.own.links = Some(links);
+        self.own.refutation += 1;
+        self.version += 1;
+        self.links_version += 1;
+    }
+
     /// Marks this daemon as leaving, until its process ends.
     pub fn leave(&mut self) {
         self.own_leaving = true;
@@ -340,6 +351,20 @@
         record.place.as_ref().map(|place| place.capacity)
     }
 
+    /// Links that the daemon on `vm` has announced. `None` if it has announced none, like daemons of
+    /// older versions.
+    #[must_use]
+    pub fn links(&self, vm: &str) -> Option<&MemberLinks> {
+        let own = (vm == self.own.instance.vm).then_some(&self.own);
+        own.or_else(|| self.peers.get(vm)?.record.as_ref())?.links.as_ref()
+    }
+
+    /// Number of changes of the links of all members, including this daemon.
+    #[must_use]
+    pub fn links_version(&self) -> u64 {
+        self.links_version
+    }
+
     /// Records of all peers for which a record has arrived.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
         self.peers.values().filter_map(|peer| peer.record.as_ref())
@@ -351,7 +376,7 @@
         self.peers.len()
     }
 
-    /// Number that changes whenever a member, its location or its status changes.
+    /// Number that changes whenever a member, its location, its status or its links change.
     #[must_use]
     pub fn version(&self) -> u64 {
         self.version
@@ -462,6 +487,10 @@
             if known_place != Some(&record.place) {
                 self.places_version += 1;
             }
+            let known_links = peer.record.as_ref().and_then(|known| known.links.as_ref());
+            if known_links != record.links.as_ref() {
+                self.links_version += 1;
+            }
             self.version += 1;
             peer.record = Some(record.clone());
             peer.changed_at = now;
--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -174,8 +174,10 @@
     Failed,
     /// The pool has no upstreams.
     NoUpstream,
-    /// Another daemon now dispatches the pool, and no piece had been sent in a call.
+    /// Another daemon now dispatches the pool, and no upstream may have run a piece.
     Moved,
+    /// The dispatcher can't connect to the upstreams, some of which may have run pieces.
+    DispatcherCutOff,
     /// Upstreams crashed while they ran this request, so it is quarantined.
     Quarantined,
 }
--- a/crates/crocusdale_core/src/pipeline/step_run.rs
+++ b/crates/crocusdale_core/src/pipeline/step_run.rs
@@ -141,6 +141,7 @@
             Self::NotRun | Self::Pieces(PieceFault::Late | PieceFault::Moved) => {
                 RefusalReason::Overload
             }
+            Self::Pieces(PieceFault::DispatcherCutOff) => RefusalReason::NoUpstream,
             Self::Pieces(PieceFault::Quarantined) => RefusalReason::Quarantined,
             Self::Declined | Self::Pieces(PieceFault::Failed) => RefusalReason::UpstreamError,
             Self::Broken(_) | Self::Pieces(PieceFault::InputGone) => RefusalReason::UpstreamBroken,
--- a/crates/crocusdale_core/src/reachability/link_monitor.rs
+++ b/crates/crocusdale_core/src/reachability/link_monitor.rs
@@ -3,13 +3,20 @@
 use std::time::Duration;
 
 use crate::identity::MonotonicTime;
+use crate::membership::PoolReach;
 
-/// Number of upstreams of a pool that must fail, without a success in between, before the pool
-/// counts as unreachable. In a smaller pool, all upstreams must fail.
-const UNREACHABLE_FAILURES: usize = 3;
-/// Time after which a failed connection no longer counts, so that single failures far apart don't
-/// add up.
-const FAILURE_TTL: Duration = Duration::from_secs(3);
+/// Number of upstreams whose links must be known before a pool can count as impaired. In a smaller
+/// pool, the links to all upstreams.
+const MIN_KNOWN_LINKS: usize = 5;
+/// Part of the links in a round of tests, one in this many, that may fail if an impaired pool is to
+/// count as sound again.
+const FAILED_TESTS_DIVISOR: usize = 4;
+/// Time after which the result of a connection no longer counts.
+const LINK_TTL: Duration = Duration::from_secs(3);
+/// Time for which an upstream that other daemons can't connect to either counts as failed itself.
+const UPSTREAM_DOWN_TIME: Duration = Duration::from_secs(1);
+/// Minimum time between two rounds of tests of a pool that is not impaired.
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
 /// An upstream to which a test connection is opened.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,91 +27,255 @@
     pub address: SocketAddr,
 }
 
-/// Change of whether a pool is reachable.
+/// Change of the reach of a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkChange {
-    /// The pool became unreachable: this many upstreams in a row could not be connected to.
-    Lost(usize),
-    /// The pool became reachable again, after this time.
+    /// The links to most upstreams of the pool, or to all of them, have failed.
+    Impaired(PoolReach),
+    /// The links to most upstreams of the pool work again, after this time.
     Restored(Duration),
 }
 
-/// Tracks for each pool whether this daemon can open connections to its upstreams.
+/// Way to send a request to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkPath {
+    /// Over the own link.
+    Direct,
+    /// By way of another daemon, because the own link has failed, or because those to most upstreams
+    /// of the pool have.
+    Relay,
+}
+
+/// Tracks to which upstreams this daemon can open connections.
 ///
 /// Only new connections count. An answer on a kept connection doesn't prove that new connections
 /// can be opened, and a kept connection that breaks doesn't prove that they can't.
 #[derive(Debug, Default)]
 pub struct LinkMonitor {
+    /// Pools with a failed link, and their state.
     pools: HashMap<String, PoolLinks>,
 }
 
 #[derive(Debug, Default)]
 struct PoolLinks {
-    /// Upstreams that could not be connected to since the last success, with the time of that.
-    failures: BTreeMap<String, MonotonicTime>,
-    /// Time at which the pool became unreachable. `None` while it is reachable.
-    unreachable_since: Option<MonotonicTime>,
+    links: BTreeMap<String, UpstreamLink>,
+    /// State of the pool while it is impaired.
+    impairment: Option<Impairment>,
+    last_round: Option<MonotonicTime>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct UpstreamLink {
+    is_open: bool,
+    /// Time of the last new connection, or of the last failure to open one.
+    known_at: MonotonicTime,
+    /// Time until which the upstream counts as failed itself. `None` if other daemons may be able
+    /// to connect to it.
+    down_until: Option<MonotonicTime>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Impairment {
+    since: MonotonicTime,
+    reach: PoolReach,
+    /// Tests of the current round.
+    round: TestRound,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct TestRound {
+    size: usize,
+    ended: usize,
+    failed: usize,
+}
+
+impl TestRound {
+    fn has_passed(self) -> bool {
+        self.size > 0 && self.ended == self.size && self.failed * FAILED_TESTS_DIVISOR <= self.size
+    }
+}
+
+/// Result of a new connection to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum LinkResult {
+    /// The connection was opened.
+    Open,
+    /// The connection could not be opened.
+    Failed,
 }
 
 impl LinkMonitor {
-    /// Records whether a connection to `upstream`, one of the `size` upstreams of `pool`, could be
-    /// opened. Returns the change of the pool's state, if there is one.
+    /// Records the result of a new connection to `upstream`, one of the `size` upstreams of `pool`.
+    /// Returns the change of the pool's reach, if there is one.
     pub fn record(
         &mut self,
         pool: &str,
         upstream: &str,
-        is_open: bool,
+        result: LinkResult,
         size: usize,
         now: MonotonicTime,
     ) -> Option<LinkChange> {
-        if is_open {
-            let since = self.pools.remove(pool)?.unreachable_since?;
-            return Some(LinkChange::Restored(now.since(since)));
+        if result == LinkResult::Open && !self.pools.contains_key(pool) {
+            return None;
         }
         let links = self.pools.entry(pool.to_owned()).or_default();
-        links.failures.retain(|_, failed_at| now.since(*failed_at) < FAILURE_TTL);
-        links.failures.insert(upstream.to_owned(), now);
-        let failures = links.failures.len();
-        if links.unreachable_since.is_some() || failures < UNREACHABLE_FAILURES.min(size) {
-            return None;
+        links.record_link(upstream, result, now);
+        let change = links.update_impairment(size, now);
+        if links.is_sound() {
+            self.pools.remove(pool);
+        }
+        change
+    }
+
+    /// Records the result of a test in the current round of tests, like [`Self::record`].
+    pub fn record_test(
+        &mut self,
+        pool: &str,
+        upstream: &str,
+        result: LinkResult,
+        size: usize,
+        now: MonotonicTime,
+    ) -> Option<LinkChange> {
+        let impairment = self.pools.get_mut(pool).and_then(|links| links.impairment.as_mut());
+        if let Some(Impairment { round, .. }) = impairment {
+            round.ended += 1;
+            round.failed += usize::from(result == LinkResult::Failed);
+        }
+        self.record(pool, upstream, result, size, now)
+    }
+
+    /// Records that another daemon, whose links to `pool` work, can't connect to `upstream` either.
+    pub fn record_down(&mut self, pool: &str, upstream: &str, now: MonotonicTime) {
+        let links = self.pools.get_mut(pool).map(|links| &mut links.links);
+        if let Some(link) = links.and_then(|links| links.get_mut(upstream)) {
+            link.down_until = Some(now + UPSTREAM_DOWN_TIME);
         }
-        links.unreachable_since = Some(now);
-        Some(LinkChange::Lost(failures))
     }
 
-    /// Whether the daemon can't connect to any upstream of `pool`, as far as it knows.
+    /// Way to send a request to `upstream`, an upstream of `pool`.
     #[must_use]
-    pub fn is_unreachable(&self, pool: &str) -> bool {
-        self.pools.get(pool).is_some_and(|links| links.unreachable_since.is_some())
+    pub fn path(&self, pool: &str, upstream: &str, now: MonotonicTime) -> LinkPath {
+        let Some(links) = self.pools.get(pool) else { return LinkPath::Direct };
+        match links.links.get(upstream) {
+            Some(link) if link.is_open => LinkPath::Direct,
+            Some(link) if link.down_until.is_some_and(|until| now < until) => LinkPath::Direct,
+            Some(_) => LinkPath::Relay,
+            None if links.impairment.is_some() => LinkPath::Relay,
+            None => LinkPath::Direct,
+        }
     }
 
-    /// Whether a connection to `pool` has failed that is not yet known to be the fault of the
-    /// upstream or of the link.
+    /// Whether the links to most upstreams of `pool` have failed.
     #[must_use]
-    pub fn is_undecided(&self, pool: &str) -> bool {
-        self.pools.get(pool).is_some_and(|links| links.unreachable_since.is_none())
+    pub fn is_impaired(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_some_and(|links| links.impairment.is_some())
     }
 
-    /// Names of the unreachable pools, in ascending order.
+    /// Impaired pools with their reach, in ascending order of their names.
     #[must_use]
-    pub fn unreachable_pools(&self) -> Vec<&str> {
-        let unreachable = self.pools.iter().filter(|(_, links)| links.unreachable_since.is_some());
-        let mut names: Vec<&str> = unreachable.map(|(pool, _)| pool.as_str()).collect();
-        names.sort_unstable();
-        names
+    pub fn impaired_pools(&self) -> BTreeMap<String, PoolReach> {
+        let impaired = self.pools.iter().filter_map(|(pool, links)| {
+            links.impairment.map(|impairment| (pool.clone(), impairment.reach))
+        });
+        impaired.collect()
     }
 
-    /// Whether no connection has failed since the last success in its pool.
+    /// Whether no link has failed.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.pools.is_empty()
     }
 
-    /// Drops the state of pools that `is_known` rejects, which no longer exist. Returns whether one
-    /// of them was unreachable.
-    pub fn retain_pools(&mut self, is_known: impl Fn(&str) -> bool) -> bool {
-        let before = self.unreachable_pools().len();
-        self.pools.retain(|pool, _| is_known(pool));
-        self.unreachable_pools().len() < before
+    /// Whether the links of `pool` should be tested now, after one of them has failed. Impaired
+    /// pools are tested at regular times instead.
+    #[must_use]
+    pub fn needs_round(&self, pool: &str, now: MonotonicTime) -> bool {
+        self.pools.get(pool).is_some_and(|links| {
+            links.impairment.is_none()
+                && links.last_round.is_none_or(|last| now.since(last) >= MIN_ROUND_INTERVAL)
+        })
+    }
+
+    /// Names of the pools with failed links.
+    #[must_use]
+    pub fn failed_pools(&self) -> Vec<String> {
+        self.pools.keys().cloned().collect()
+    }
+
+    /// Whether the link to `upstream`, an upstream of `pool`, is known to work.
+    #[must_use]
+    pub fn is_open(&self, pool: &str, upstream: &str) -> bool {
+        let link = self.pools.get(pool).and_then(|links| links.links.get(upstream));
+        link.is_some_and(|link| link.is_open)
+    }
+
+    /// Records that the links to `size` upstreams of `pool` are being tested.
+    pub fn start_round(&mut self, pool: &str, size: usize, now: MonotonicTime) {
+        let Some(links) = self.pools.get_mut(pool) else { return };
+        links.last_round = Some(now);
+        if let Some(impairment) = &mut links.impairment {
+            impairment.round = TestRound { size, ..TestRound::default() };
+        }
+    }
+
+    /// Drops links to upstreams that `is_listed` rejects. Returns whether an impaired pool was
+    /// dropped.
+    pub fn retain(&mut self, is_listed: impl Fn(&str, &str) -> bool) -> bool {
+        let before = self.impaired_pools().len();
+        self.pools.retain(|pool, links| {
+            links.links.retain(|upstream, _| is_listed(pool, upstream));
+            links.links.values().any(|link| !link.is_open)
+        });
+        self.impaired_pools().len() < before
+    }
+}
+
+impl PoolLinks {
+    fn record_link(&mut self, upstream: &str, result: LinkResult, now: MonotonicTime) {
+        if self.impairment.is_none() {
+            self.links.retain(|_, link| now.since(link.known_at) < LINK_TTL);
+        }
+        let is_open = result == LinkResult::Open;
+        let known = self.links.get(upstream);
+        let down_until = known.and_then(|link| link.down_until).filter(|_| !is_open);
+        let link = UpstreamLink { is_open, known_at: now, down_until };
+        self.links.insert(upstream.to_owned(), link);
+    }
+
+    fn update_impairment(&mut self, size: usize, now: MonotonicTime) -> Option<LinkChange> {
+        let failed = self.failed_count();
+        let reach = if failed == self.links.len() { PoolReach::None } else { PoolReach::Partial };
+        match &mut self.impairment {
+            None => {
+                let is_impaired =
+                    self.links.len() >= MIN_KNOWN_LINKS.min(size) && failed * 2 > self.links.len();
+                is_impaired.then(|| {
+                    let round = TestRound::default();
+                    self.impairment = Some(Impairment { since: now, reach, round });
+                    LinkChange::Impaired(reach)
+                })
+            }
+            Some(Impairment { since, round, .. }) if round.has_passed() => {
+                let time = now.since(*since);
+                self.impairment = None;
+                self.links.clear();
+                Some(LinkChange::Restored(time))
+            }
+            Some(impairment) => {
+                let has_changed = impairment.reach != reach;
+                impairment.reach = reach;
+                has_changed.then_some(LinkChange::Impaired(reach))
+            }
+        }
+    }
+
+    fn failed_count(&self) -> usize {
+        self.links.values().filter(|link| !link.is_open).count()
+    }
+
+    /// Whether no link is known to have failed.
+    fn is_sound(&self) -> bool {
+        self.impairment.is_none() && self.failed_count() == 0
     }
 }
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -363,19 +363,19 @@
         Some(routed.same_zone.len() + routed.other_zones.len())
     }
 
-    /// Up to `count` randomly chosen upstreams of `pool`, without `excluded`. `None` if the pool is
-    /// unknown or batched.
+    /// Up to `count` randomly chosen upstreams of `pool` whose names `is_wanted` accepts. `None` if
+    /// the pool is unknown or batched.
     pub fn sample_pool(
         &self,
         pool: &str,
-        excluded: Option<&str>,
+        is_wanted: impl Fn(&str) -> bool,
         count: usize,
         random: &mut impl Rng,
     ) -> Option<Vec<LinkTarget>> {
         let routed = self.pools.get(pool)?;
         let positions = routed.same_zone.iter().chain(&routed.other_zones);
         let rules = positions.map(|position| &self.upstreams[*position].rules);
-        let others = rules.filter(|rules| Some(rules.name.as_str()) != excluded);
+        let others = rules.filter(|rules| is_wanted(&rules.name));
         let chosen = others.choose_multiple(random, count).into_iter();
         let to_target = |rules: &UpstreamRules| LinkTarget {
             upstream: rules.name.clone(),
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -4,7 +4,8 @@
 
 use crate::identity::{InstanceId, RequestDigest, StorePosition};
 use crate::membership::{
-    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
+    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberLinks, MemberPlace, MemberRecord,
+    MemberStatus, PoolReach,
 };
 use crate::quarantine::{CrashRecord, UpstreamCrash};
 use crate::rate_limiting::{LimitRecord, RequestRate};
@@ -47,6 +48,7 @@
             refutation: record.refutation,
             status: status.into(),
             place: record.place.map(Into::into),
+            links: record.links.map(Into::into),
         }
     }
 }
@@ -88,7 +90,33 @@
         let instance = message.instance.ok_or(InvalidField("the instance of a record"))?;
         let place = message.place.map(MemberPlace::try_from).transpose()?;
         let (generation, refutation) = (message.generation, message.refutation);
-        Ok(Self { instance: instance.into(), generation, refutation, status, place })
+        let links = message.links.map(Into::into);
+        Ok(Self { instance: instance.into(), generation, refutation, status, place, links })
+    }
+}
+
+impl From<MemberLinks> for peer::MemberLinks {
+    fn from(links: MemberLinks) -> Self {
+        let MemberLinks::AllExcept(impaired) = links else {
+            return Self { no_pool: true, ..Self::default() };
+        };
+        let pools_with = |reach: PoolReach| {
+            let pools = impaired.iter().filter(|(_, known)| **known == reach);
+            pools.map(|(pool, _)| pool.clone()).collect()
+        };
+        let (partial, unreachable) = (pools_with(PoolReach::Partial), pools_with(PoolReach::None));
+        Self { partial, unreachable, no_pool: false }
+    }
+}
+
+impl From<peer::MemberLinks> for MemberLinks {
+    fn from(message: peer::MemberLinks) -> Self {
+        if message.no_pool {
+            return Self::NoPool;
+        }
+        let partial = message.partial.into_iter().map(|pool| (pool, PoolReach::Partial));
+        let unreachable = message.unreachable.into_iter().map(|pool| (pool, PoolReach::None));
+        Self::new(partial.chain(unreachable).collect())
     }
 }
 
--- a/crates/crocusdale_core/tests/coordinated_entry_test.rs
+++ b/crates/crocusdale_core/tests/coordinated_entry_test.rs
@@ -14,7 +14,7 @@
 use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds};
 use crocusdale_core::identity::{AttemptId, CallId, InstanceId, RequestDigest};
 use crocusdale_core::membership::{
-    ExchangeMessage, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
+    ExchangeMessage, MemberCapacity, MemberLinks, MemberPlace, MemberRecord, MemberStatus,
 };
 use crocusdale_core::pipeline::{OutcomeKind, RefusalReason};
 
@@ -88,6 +88,7 @@
             peer: address,
             capacity: MemberCapacity::new(1.0, 1_000.0),
         }),
+        links: Some(MemberLinks::default()),
     };
     let message = ExchangeMessage {
         sender,
--- a/crates/crocusdale_core/tests/late_request_test.rs
+++ b/crates/crocusdale_core/tests/late_request_test.rs
@@ -35,7 +35,11 @@
 fn late_request_starts_once_the_pool_has_capacity() {
     let mut daemon = Daemon::new();
     let wait = pool_wait(1_500);
-    daemon.feed(DaemonEvent::PoolWaitReported { pool: "scan".to_owned(), wait });
+    daemon.feed(DaemonEvent::PoolWaitReported {
+        pool: "scan".to_owned(),
+        wait,
+        vm: "entry-b1".to_owned(),
+    });
     let call = daemon.submit("/digest/7");
     daemon.advance(700);
     assert!(daemon.batches.is_empty(), "no piece may be sent while the pool is full");
@@ -54,7 +58,11 @@
 fn request_that_would_wait_too_long_is_refused_at_once() {
     let mut daemon = Daemon::new();
     let wait = pool_wait(9_000);
-    daemon.feed(DaemonEvent::PoolWaitReported { pool: "scan".to_owned(), wait });
+    daemon.feed(DaemonEvent::PoolWaitReported {
+        pool: "scan".to_owned(),
+        wait,
+        vm: "entry-b1".to_owned(),
+    });
     let call = daemon.submit("/digest/7");
     assert_eq!(daemon.answer(call), Some((OutcomeKind::Refused, Some(RefusalReason::Overload))));
     assert!(daemon.batches.is_empty());
@@ -87,7 +95,11 @@
 fn delayed_request_of_a_disconnected_caller_never_starts() {
     let mut daemon = Daemon::new();
     let wait = pool_wait(1_000);
-    daemon.feed(DaemonEvent::PoolWaitReported { pool: "scan".to_owned(), wait });
+    daemon.feed(DaemonEvent::PoolWaitReported {
+        pool: "scan".to_owned(),
+        wait,
+        vm: "entry-b1".to_owned(),
+    });
     let call = daemon.submit("/digest/7");
     daemon.feed(DaemonEvent::CallerDisconnected(call));
     daemon.advance(1_900);
--- a/crates/crocusdale_core/tests/link_monitor_test.rs
+++ b/crates/crocusdale_core/tests/link_monitor_test.rs
@@ -3,58 +3,114 @@
 use std::time::Duration;
 
 use crocusdale_core::identity::MonotonicTime;
-use crocusdale_core::reachability::{LinkChange, LinkMonitor};
+use crocusdale_core::membership::PoolReach;
+use crocusdale_core::reachability::{LinkChange, LinkMonitor, LinkPath, LinkResult};
 
 const POOL: &str = "notify";
+/// Number of upstreams in the pool.
+const SIZE: usize = 9;
 
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
 }
 
+/// Records results of connections to `n1`, `n2` and so on, `true` for an opened one. Returns the
+/// last change.
+fn record(links: &mut LinkMonitor, results: &[bool], millis: u64) -> Option<LinkChange> {
+    let mut last_change = None;
+    for (index, is_open) in results.iter().enumerate() {
+        let result = if *is_open { LinkResult::Open } else { LinkResult::Failed };
+        let change = links.record(POOL, &format!("n{}", index + 1), result, SIZE, at(millis));
+        last_change = change.or(last_change);
+    }
+    last_change
+}
+
 /// Guards against a lost link that is taken for failed upstreams.
 #[test]
-fn pool_is_unreachable_after_three_upstreams_in_a_row() {
+fn pool_is_impaired_if_most_links_fail() {
     let mut links = LinkMonitor::default();
-    assert_eq!(links.record(POOL, "n1", false, 9, at(0)), None);
-    assert_eq!(links.record(POOL, "n1", false, 9, at(1)), None, "the same upstream");
-    assert_eq!(links.record(POOL, "n2", false, 9, at(2)), None);
-    assert!(links.is_undecided(POOL) && !links.is_unreachable(POOL));
-    assert_eq!(links.record(POOL, "n3", false, 9, at(3)), Some(LinkChange::Lost(3)));
-    assert_eq!(links.record(POOL, "n4", false, 9, at(4)), None, "reported once");
-    assert_eq!(links.unreachable_pools(), [POOL]);
-    let restored = links.record(POOL, "n2", true, 9, at(503));
-    assert_eq!(restored, Some(LinkChange::Restored(Duration::from_millis(500))));
-    assert!(links.is_empty());
+    assert_eq!(record(&mut links, &[false; 4], 0), None, "too few to tell");
+    assert_eq!(links.path(POOL, "n1", at(1)), LinkPath::Relay);
+    assert_eq!(links.path(POOL, "n9", at(1)), LinkPath::Direct, "not known to have failed");
+    let change = record(&mut links, &[false; 5], 1);
+    assert_eq!(change, Some(LinkChange::Impaired(PoolReach::None)));
+    assert_eq!(links.path(POOL, "n9", at(2)), LinkPath::Relay, "most links have failed");
+    let change = record(&mut links, &[false, false, true], 2);
+    assert_eq!(change, Some(LinkChange::Impaired(PoolReach::Partial)));
+    assert_eq!(links.path(POOL, "n3", at(3)), LinkPath::Direct, "its link works");
 }
 
-/// Guards against failed upstreams that are taken for a lost link: another one of the pool answers.
+/// Guards against failed upstreams that are taken for a lost link: most others can be connected to.
 #[test]
-fn pool_with_one_open_connection_stays_reachable() {
+fn pool_with_few_failed_upstreams_is_not_impaired() {
     let mut links = LinkMonitor::default();
-    for round in 0..20 {
-        for upstream in ["n1", "n2"] {
-            assert_eq!(links.record(POOL, upstream, false, 9, at(round)), None);
-        }
-        assert_eq!(links.record(POOL, "n3", true, 9, at(round)), None);
-        assert!(!links.is_undecided(POOL));
+    for millis in 0..20 {
+        assert_eq!(record(&mut links, &[false, false, true, true, true], millis), None);
     }
+    assert!(!links.is_impaired(POOL));
+    assert_eq!(record(&mut links, &[true, true], 20), None);
+    assert!(links.is_empty());
 }
 
 /// Guards against single failures, far apart, that add up to a lost link.
 #[test]
 fn old_failures_do_not_count() {
     let mut links = LinkMonitor::default();
-    for (index, upstream) in ["n1", "n2", "n3", "n4"].into_iter().enumerate() {
-        assert_eq!(links.record(POOL, upstream, false, 9, at(index as u64 * 2_000)), None);
+    for index in 0..9 {
+        let (upstream, now) = (format!("n{index}"), at(index * 2_000));
+        assert_eq!(links.record(POOL, &upstream, LinkResult::Failed, SIZE, now), None);
     }
 }
 
-/// Guards against a small pool that never counts as unreachable, as it has fewer than three
-/// upstreams.
+/// Guards against a small pool that never counts as impaired, as it has too few upstreams.
+#[test]
+fn links_of_a_small_pool_are_all_counted() {
+    let mut links = LinkMonitor::default();
+    let change = |links: &mut LinkMonitor, upstream| {
+        links.record(POOL, upstream, LinkResult::Failed, 2, at(0))
+    };
+    assert_eq!(change(&mut links, "n1"), None);
+    assert_eq!(change(&mut links, "n2"), Some(LinkChange::Impaired(PoolReach::None)));
+    let single = links.record("reader", "r1", LinkResult::Failed, 1, at(0));
+    assert_eq!(single, Some(LinkChange::Impaired(PoolReach::None)));
+}
+
+/// Guards against a pool that counts as sound again because of the only upstream that can be
+/// reached, and against one that never does.
+#[test]
+fn pool_is_restored_by_a_whole_round_of_tests() {
+    let mut links = LinkMonitor::default();
+    record(&mut links, &[false; 5], 0);
+    for millis in 0..9 {
+        assert_eq!(
+            links.record(POOL, "n6", LinkResult::Open, SIZE, at(millis)),
+            (millis == 0).then_some(LinkChange::Impaired(PoolReach::Partial)),
+        );
+    }
+    let test = |links: &mut LinkMonitor, results: [LinkResult; 4], millis| {
+        links.start_round(POOL, 4, at(millis));
+        let mut last_change = None;
+        for (index, result) in results.into_iter().enumerate() {
+            let upstream = format!("n{}", index + 1);
+            last_change = links.record_test(POOL, &upstream, result, SIZE, at(millis));
+        }
+        last_change
+    };
+    let (open, failed) = (LinkResult::Open, LinkResult::Failed);
+    assert_eq!(test(&mut links, [open, failed, open, failed], 500), None);
+    let restored = test(&mut links, [open, open, failed, open], 1_000);
+    assert_eq!(restored, Some(LinkChange::Restored(Duration::from_millis(1_000))));
+    assert!(links.is_empty());
+}
+
+/// Guards against requests to a failed upstream that are passed on through daemon after daemon.
 #[test]
-fn all_upstreams_of_a_small_pool_must_fail() {
+fn upstream_that_no_daemon_reaches_gets_no_relayed_requests() {
     let mut links = LinkMonitor::default();
-    assert_eq!(links.record(POOL, "n1", false, 2, at(0)), None);
-    assert_eq!(links.record(POOL, "n2", false, 2, at(1)), Some(LinkChange::Lost(2)));
-    assert_eq!(links.record("reader", "r1", false, 1, at(2)), Some(LinkChange::Lost(1)));
+    record(&mut links, &[false], 0);
+    assert_eq!(links.path(POOL, "n1", at(0)), LinkPath::Relay);
+    links.record_down(POOL, "n1", at(0));
+    assert_eq!(links.path(POOL, "n1", at(999)), LinkPath::Direct);
+    assert_eq!(links.path(POOL, "n1", at(1_000)), LinkPath::Relay, "it may be back");
 }
--- a/crates/crocusdale_core/tests/pool_handover_test.rs
+++ b/crates/crocusdale_core/tests/pool_handover_test.rs
@@ -32,7 +32,7 @@
         })
         .collect();
     let mut steps = Vec::new();
-    bench.dispatcher.hand_over(batch_bench::POOL, &mut steps);
+    bench.dispatcher.hand_over(batch_bench::POOL, false, &mut steps);
     bench.take(steps);
     let moved: Vec<AttemptId> = bench.outcomes.iter().map(|(attempt, _)| *attempt).collect();
     assert_eq!(moved, queued, "the queued pieces must be moved");
@@ -54,7 +54,7 @@
     bench.submit_pieces(order);
     bench.end_call_as(crocusdale_core::batching::BatchOutcome::Broken);
     let mut steps = Vec::new();
-    bench.dispatcher.hand_over(batch_bench::POOL, &mut steps);
+    bench.dispatcher.hand_over(batch_bench::POOL, false, &mut steps);
     bench.take(steps);
     assert!(bench.outcomes.is_empty(), "pieces of a failed call must not be moved");
     bench.advance(1_500);
--- a/crates/crocusdale_core/tests/support/cut_fleet.rs
+++ b/crates/crocusdale_core/tests/support/cut_fleet.rs
@@ -11,7 +11,8 @@
 use crocusdale_core::identity::{CallId, MonotonicTime, RequestDigest, RequestKey};
 use crocusdale_core::pipeline::{
     AttemptEvent, BreakReason, CallerRequest, EngineDemand, ExecutionStatus, FinalAnswer,
-    ForwardHead, ForwardOrder, OutcomeKind, PromptPart, RequestContent, ResponseHead, ResultHandle,
+    ForwardHead, ForwardOrder, OutcomeKind, PieceFault, PromptPart, RequestContent, ResponseHead,
+    ResultHandle,
 };
 use crocusdale_core::routing::DirectoryEntry;
 
@@ -186,6 +187,9 @@
                 let retry_after = wait.retry_after();
                 let event = match outcome {
                     Ok(results) => AttemptEvent::PiecesCompleted(results),
+                    Err(PieceFault::DispatcherCutOff) => {
+                        AttemptEvent::DispatcherLost(vm_name(index))
+                    }
                     Err(fault) => AttemptEvent::PiecesFailed { fault, retry_after },
                 };
                 let owner = self
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -12,7 +12,7 @@
 use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, ForwardOrder};
-use crocusdale_core::reachability::LinkTarget;
+use crocusdale_core::reachability::{LinkResult, LinkTarget};
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::{ColdLimits, DirectoryEntry};
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, DiscoverySettings};
@@ -360,6 +360,8 @@
                 let is_cut_off = self.cut_off.contains(&index);
                 if is_cut_off {
                     self.refuse_connection(index, &upstream);
+                    let targets = self.cores[index].control_targets(&upstream);
+                    self.test_links(index, targets);
                 }
                 let has_ended = is_cut_off || self.ended.contains(&upstream);
                 let probed = DaemonEvent::UpstreamProbed { upstream, has_ended };
@@ -379,21 +381,17 @@
         }
     }
 
-    /// Reports that a connection of a daemon to `upstream` was refused, and tests the links to its
-    /// pool, as the daemon's process does.
+    /// Reports that a connection of a daemon to `upstream` was refused.
     pub fn refuse_connection(&mut self, index: usize, upstream: &str) {
-        let upstream = upstream.to_owned();
-        self.feed(index, DaemonEvent::LinkTested { upstream: upstream.clone(), is_open: false });
-        let core = &self.cores[index];
-        let pool = core.pool_of(&upstream);
-        let targets = pool.map(|pool| core.link_tests(&pool, &upstream)).unwrap_or_default();
-        self.test_links(index, targets);
+        let (upstream, result) = (upstream.to_owned(), LinkResult::Failed);
+        self.feed(index, DaemonEvent::LinkUsed { upstream, result });
     }
 
     fn test_links(&mut self, index: usize, targets: Vec<LinkTarget>) {
-        let is_open = !self.cut_off.contains(&index);
+        let is_cut_off = self.cut_off.contains(&index);
+        let result = if is_cut_off { LinkResult::Failed } else { LinkResult::Open };
         for LinkTarget { upstream, .. } in targets {
-            self.feed(index, DaemonEvent::LinkTested { upstream, is_open });
+            self.feed(index, DaemonEvent::LinkTested { upstream, result });
         }
     }
 
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -12,9 +12,7 @@
 use crate::peer::{PeerClient, PieceTable};
 use crate::platform::PlatformReader;
 use crate::telemetry::Telemetry;
-use crate::upstream::{
-    BatchClient, ConnectionPool, LinkTests, UpstreamClient, probe_upstream, test_links,
-};
+use crate::upstream::{BatchClient, ConnectionPool, UpstreamClient, probe_upstream, test_links};
 
 /// The daemon core together with the clients, tables and timers that execute its commands.
 #[derive(Debug)]
@@ -31,7 +29,6 @@
     timers: TimerService,
     upstreams: UpstreamClient,
     connections: ConnectionPool,
-    link_tests: LinkTests,
     relays: RelayClient,
     batches: BatchClient,
     pieces: PieceTable,
@@ -58,7 +55,6 @@
             timers,
             upstreams: UpstreamClient::default(),
             connections: ConnectionPool::default(),
-            link_tests: LinkTests::default(),
             relays: RelayClient::default(),
             batches: BatchClient::default(),
             pieces: PieceTable::default(),
@@ -88,11 +84,6 @@
         &self.connections
     }
 
-    /// Connections to upstreams, with tests of the own links.
-    pub(crate) fn link_tests(&self) -> &LinkTests {
-        &self.link_tests
-    }
-
     /// Client that forwards callers' requests to upstreams.
     pub(crate) fn relays(&self) -> &RelayClient {
         &self.relays
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -21,7 +21,7 @@
 use super::relay_call::RelayCall;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::upstream::SendFault;
+use crate::upstream::{SendFault, connect_upstream};
 
 /// Largest answer without a stream that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -104,9 +104,8 @@
 ) -> Option<AttemptEvent> {
     let attempt = order.attempt;
     let pool = engine.connections();
-    let links = engine.link_tests();
     let connected =
-        links.connect(engine, &order.upstream, order.address, order.needs_new_connection);
+        connect_upstream(engine, &order.upstream, order.address, order.needs_new_connection);
     let mut connection = match connected.await {
         Ok(connection) => connection,
         Err(fault) => return Some(send_failed(engine, call, order, &fault)),
--- a/crates/crocusdaled/src/telemetry/metric_set.rs
+++ b/crates/crocusdaled/src/telemetry/metric_set.rs
@@ -36,7 +36,7 @@
     evacuated_zones: IntGauge,
     cold_upstreams: IntGauge,
     limited_upstreams: IntGauge,
-    unreachable_pools: IntGauge,
+    impaired_pools: IntGauge,
     peers: IntGauge,
     running: IntGauge,
     registers: IntGauge,
@@ -153,10 +153,10 @@
                 "limited_upstreams",
                 "Upstreams that have named how many requests a second they take",
             ),
-            unreachable_pools: register_gauge(
+            impaired_pools: register_gauge(
                 registry,
-                "unreachable_pools",
-                "Pools that the daemon can't connect to over its own links",
+                "impaired_pools",
+                "Pools with most upstreams out of reach of the daemon's own links",
             ),
             peers: register_gauge(registry, "peers", "Daemons in the VM list, without this one"),
             running: register_gauge(registry, "running", "Requests that run"),
@@ -177,7 +177,7 @@
         let cold = dump.upstreams.iter().filter(|upstream| upstream.cold).count();
         self.cold_upstreams.set(saturating_i64(cold as u64));
         self.limited_upstreams.set(saturating_i64(dump.limited_upstreams.len() as u64));
-        self.unreachable_pools.set(saturating_i64(dump.unreachable_pools.len() as u64));
+        self.impaired_pools.set(saturating_i64(dump.impaired_pools.len() as u64));
         self.peers.set(saturating_i64(dump.peers as u64));
         self.running.set(saturating_i64(dump.running as u64));
         self.registers.set(saturating_i64(dump.registers as u64));
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -175,11 +175,11 @@
                 info!(log, "{}", name;
                     "upstream" => upstream, "sent" => sent, "peer" => peer.as_deref());
             }
-            StateChange::PoolUnreachable { pool, upstreams } => {
-                info!(log, "{}", name; "pool" => pool, "upstreams" => upstreams);
+            StateChange::LinksImpaired { pool, reach } => {
+                info!(log, "{}", name; "pool" => pool, "reach" => reach.to_string());
             }
-            StateChange::PoolReachable { pool, lost_ms } => {
-                info!(log, "{}", name; "pool" => pool, "lost_ms" => lost_ms);
+            StateChange::LinksRestored { pool, impaired_ms } => {
+                info!(log, "{}", name; "pool" => pool, "impaired_ms" => impaired_ms);
             }
             StateChange::UpstreamLeaving { upstream } => {
                 info!(log, "{}", name; "upstream" => upstream);
--- a/crates/crocusdaled/src/upstream/batch_client.rs
+++ b/crates/crocusdaled/src/upstream/batch_client.rs
@@ -18,7 +18,7 @@
 use slog::info;
 use tokio::task::AbortHandle;
 
-use super::SendFault;
+use super::{SendFault, connect_upstream};
 use crate::engine::DaemonEngine;
 
 /// Largest answer that is read, in bytes. An answer holds up to some hundred result handles.
@@ -103,7 +103,7 @@
     let request = empty_request(REPORT_PATH, address);
     let connections = engine.connections();
     let sent = engine.now();
-    let answer = match engine.link_tests().connect(engine, upstream, address, false).await {
+    let answer = match connect_upstream(engine, upstream, address, false).await {
         Ok(connection) => {
             connections
                 .call_on(connection, request, MAX_ANSWER_BYTES, REPORT_TIMEOUT, || true)
@@ -148,8 +148,7 @@
     order: &BatchOrder,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Bytes>, SendFault> {
-    let links = engine.link_tests();
-    let connection = links.connect(engine, &order.upstream, order.address, false).await?;
+    let connection = connect_upstream(engine, &order.upstream, order.address, false).await?;
     let may_write = || engine.now() <= order.write_by;
     let pool = engine.connections();
     pool.call_on(connection, request, MAX_ANSWER_BYTES, BATCH_TIMEOUT, may_write).await
--- a/crates/crocusdaled/src/upstream/mod.rs
+++ b/crates/crocusdaled/src/upstream/mod.rs
@@ -10,7 +10,6 @@
 
 pub use batch_client::BatchClient;
 pub use connection_pool::{ConnectionPool, OpenConnection, SendFault};
-pub use link_tests::LinkTests;
-pub(crate) use link_tests::test_links;
+pub(crate) use link_tests::{connect_upstream, test_links};
 pub use upstream_client::UpstreamClient;
 pub use upstream_probe::probe_upstream;
--- a/crates/stand_ins/src/fleet_model/daemon_commands.rs
+++ b/crates/stand_ins/src/fleet_model/daemon_commands.rs
@@ -74,7 +74,8 @@
                 let Some(offered) = self.offered.remove(&attempt) else { return };
                 let to = self.life_of(attempt);
                 let retry_after = wait.retry_after();
-                let told = DaemonEvent::PoolWaitReported { pool: offered.pool, wait };
+                let vm = vm_name(offered.dispatcher);
+                let told = DaemonEvent::PoolWaitReported { pool: offered.pool, wait, vm };
                 self.push_core(HOP, to, told);
                 let event = match outcome {
                     Ok(results) => AttemptEvent::PiecesCompleted(results),
