Send requests through other daemons where the own links fail

Cause: a daemon calls an upstream by its own links or not at all, and takes what it can't reach for gone. Ruled out: upstreams out of order (the other daemons' answers), a lack of retries (each retry met the same links).

An attempt whose connection can't be opened now goes through another daemon in transit (SendTransit): one that announces links to the pool, in the own zone first, the less loaded of two. While most links of a pool have failed, attempts go in transit at once. Links are tested every 500 ms and used again when a round of tests passes.

* The daemon that sends judges: its list of upstreams, unless the sender's is newer and has the upstream; leaving, evacuation, backoff, rate and cold-start shares; route and access key, if its configuration is newer; the age of its own list.
It sends over its own links only, so there are no chains.
* At most once: what breaks off after the other daemon may have written counts as possibly run.
Only a refusal, an unknown call and a failed connect to the daemon count as not written.
* The retry budget counts the attempt once, at the caller's daemon.
A cancelled call closes the connection to the upstream.
* Open transits are limited by capacity (16 to 512); a daemon at its limit gets none for 200 ms, one that is lost none for 1 s.
* Of a pool that nobody reaches, requests are refused at entry with Retry-After 1 s.
* Daemons of older versions announce no links and get no transits.

--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -1,6 +1,6 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use super::pause_detector::PauseDetector;
 use super::placement_state::PlacementState;
 use super::staleness_bounds::RefreshIntervals;
+use super::transit_flow::transit_limit;
 use super::{DaemonCore, FleetState, StalenessBounds};
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
 use crate::batching::{BatchDispatcher, PoolWaits};
@@ -25,7 +26,7 @@
 use crate::pipeline::RequestShard;
 use crate::quarantine::CrashDetector;
 use crate::rate_limiting::RateLimiter;
-use crate::reachability::LinkMonitor;
+use crate::reachability::{LinkMonitor, TransitTable};
 use crate::retry::RetryLimits;
 use crate::routing::{ChangedUpstream, ColdLimits, UpstreamRouter};
 use crate::sync::lock;
@@ -68,6 +69,11 @@
     /// Whether `links` has any failure, kept outside its lock so that it isn't locked for each
     /// connection.
     pub(super) has_failed_links: AtomicBool,
+    /// Requests that are sent to upstreams through other daemons.
+    pub(super) transits: Mutex<TransitTable>,
+    /// Number of open requests that this daemon sends on behalf of others, and its limit.
+    pub(super) open_transits: AtomicUsize,
+    pub(super) transit_limit: usize,
     /// Crashes of upstreams, by the request that they ran, and the resulting quarantines.
     pub(super) crash_detector: Mutex<CrashDetector>,
     /// Expected queueing time in each batched pool, as its dispatcher last reported it.
@@ -235,6 +241,8 @@
         dispatcher.set_limiter(Arc::clone(&limiter));
         let grace_period = self.discovery.as_ref().map(|discovery| discovery.grace);
         let crash_detector = CrashDetector::new(&self.own_instance.vm, self.discovery.is_some());
+        let capacity = self.discovery.as_ref().map(|discovery| discovery.place.capacity);
+        let transit_limit = transit_limit(capacity.map_or(0, |capacity| capacity.0));
         let mut directory = DirectoryState::default();
         if let Some(discovery) = self.discovery {
             let intervals = RefreshIntervals::from(discovery.bounds);
@@ -272,6 +280,9 @@
             links: Mutex::default(),
             link_random: Mutex::new(SmallRng::seed_from_u64(self.seed.wrapping_add(4))),
             has_failed_links: AtomicBool::new(false),
+            transits: Mutex::default(),
+            open_transits: AtomicUsize::new(0),
+            transit_limit,
             crash_detector: Mutex::new(crash_detector),
             pool_waits: Mutex::default(),
             workspace_meter: Mutex::default(),
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -34,6 +34,12 @@
     AttemptsDeclined,
     /// Attempts that an upstream reports as not executed.
     AttemptsNotRun,
+    /// Attempts that were sent to their upstream through another daemon.
+    AttemptsInTransit,
+    /// Attempts that another daemon refused to send to their upstream.
+    TransitsRefused,
+    /// Attempts of other daemons that this daemon sent to their upstream.
+    TransitsServed,
     /// Batched steps that their dispatcher failed.
     PiecesFailed,
     /// Batched steps handed over to the pool's next dispatcher before any batch held their pieces.
--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -38,10 +38,7 @@
     ) {
         // An upstream that had announced its departure has not crashed: it exited as planned, with
         // requests still running.
-        // A connection that is refused for a fault of this daemon's links proves nothing either.
-        let has_crashed = has_ended
-            && !self.is_cut_off_from(upstream)
-            && !lock(&self.directory).directory.is_leaving(upstream);
+        let has_crashed = has_ended && !lock(&self.directory).directory.is_leaving(upstream);
         let verdict = lock(&self.crash_detector).finish_probe(upstream, has_crashed, now);
         self.apply_verdict(verdict, None, now, out);
     }
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::core_state::CoreState;
+use super::transit_flow::NO_PATH_RETRY_AFTER;
 use super::{Command, StateChange};
 use crate::admission::EntryVerdict;
 use crate::batching::PoolWait;
@@ -33,6 +34,11 @@
             refuse_unstarted(call, &plan, (RefusalReason::Overload, wait), actions);
             return;
         }
+        if self.has_unreachable_pool(&plan) {
+            let refusal = (RefusalReason::NoUpstream, NO_PATH_RETRY_AFTER);
+            refuse_unstarted(call, &plan, refusal, actions);
+            return;
+        }
         plan.first_response_time = self.placed_first_response(&plan, now);
         plan.aligns_parallel_steps =
             self.is_coordinated() && self.coordination.settings.align_parallel_steps;
--- a/crates/crocusdale_core/src/daemon/link_flow.rs
+++ b/crates/crocusdale_core/src/daemon/link_flow.rs
@@ -10,7 +10,7 @@
 use crate::identity::MonotonicTime;
 use crate::membership::MemberLinks;
 use crate::pipeline::ShardAction;
-use crate::reachability::{LinkChange, LinkResult, LinkTarget};
+use crate::reachability::{LinkChange, LinkResult, LinkTarget, TransitGoal};
 use crate::sync::lock;
 
 /// Time between two rounds of tests of a pool with failed links.
@@ -25,12 +25,27 @@
         self.state.has_failed_links.load(Ordering::Relaxed)
     }
 
-    /// Other upstreams of the pool of `upstream`, by which a failed link is told from a failed
-    /// upstream. Chosen at random.
+    /// Other upstreams by which a failed link is told from a failed upstream, chosen at random: some
+    /// of the pool of `upstream`, and one of each other pool.
     #[must_use]
-    pub fn control_targets(&self, upstream: &str) -> Vec<LinkTarget> {
-        let pool = self.state.pool_of(upstream);
-        pool.map(|pool| self.state.link_targets(&pool, |name| name != upstream)).unwrap_or_default()
+    pub fn control_targets(&self, upstream: &str) -> (Vec<LinkTarget>, Vec<LinkTarget>) {
+        let Some(pool) = self.state.pool_of(upstream) else { return Default::default() };
+        let same_pool = self.state.link_targets(&pool, LINK_TEST_SIZE, |name| name != upstream);
+        let snapshot = self.state.fleet_snapshot();
+        let stages = snapshot.declarations.iter().flat_map(|declarations| declarations.stages());
+        let others = stages.map(|(stage, _)| stage).filter(|stage| *stage != pool);
+        let others = others.flat_map(|stage| self.state.link_targets(stage, 1, |_| true));
+        (same_pool, others.collect())
+    }
+
+    /// VM of another daemon that is asked whether it can connect to `upstream`. Counts as a request
+    /// in transit until [`DaemonCore::finish_transit`].
+    #[must_use]
+    pub fn choose_witness_of(&self, upstream: &str, now: MonotonicTime) -> Option<String> {
+        let pool = self.state.pool_of(upstream)?;
+        let router = self.state.router();
+        let goal = TransitGoal { pool: &pool, zone: router.upstream_zone(upstream), tried: &[] };
+        self.state.choose_transit(goal, now)
     }
 }
 
@@ -47,6 +62,9 @@
     ) {
         let Some(pool) = self.pool_of(upstream) else { return };
         let size = self.pool_size(&pool);
+        if self.has_failed_links.load(Ordering::Relaxed) {
+            self.drop_unlisted_links();
+        }
         let (change, needs_round, has_failed) = {
             let mut links = lock(&self.links);
             let change = if is_test {
@@ -84,13 +102,9 @@
 
     /// Tests links of all pools with failed ones, and schedules the next tests.
     pub(super) fn test_links(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        let is_listed = |_: &str, upstream: &str| self.pool_of(upstream).is_some();
-        let pools = {
-            let mut links = lock(&self.links);
-            links.retain(is_listed);
-            self.has_failed_links.store(!links.is_empty(), Ordering::Relaxed);
-            links.failed_pools()
-        };
+        self.drop_unlisted_links();
+        let pools = lock(&self.links).failed_pools();
+        self.has_failed_links.store(!pools.is_empty(), Ordering::Relaxed);
         if pools.is_empty() {
             return;
         }
@@ -100,11 +114,9 @@
         out.push(Command::SetTimer { timer: TimerKey::LinkTest, at: now + LINK_TEST_INTERVAL });
     }
 
-    /// Whether the links to most upstreams of the pool of `upstream` have failed, so that a failed
-    /// connection proves nothing about the upstream.
-    pub(super) fn is_cut_off_from(&self, upstream: &str) -> bool {
-        self.has_failed_links.load(Ordering::Relaxed)
-            && self.pool_of(upstream).is_some_and(|pool| lock(&self.links).is_impaired(&pool))
+    /// Drops the links to upstreams that are not listed any more.
+    fn drop_unlisted_links(&self) {
+        lock(&self.links).retain(|upstream| self.pool_of(upstream).is_some());
     }
 
     /// Drops the waits that dispatchers reported which can't connect to their pool any more, if the
@@ -132,7 +144,8 @@
 
     /// Starts a round of tests of links to `pool` that are not known to work.
     fn start_round(&self, pool: &str, now: MonotonicTime, out: &mut Vec<Command>) {
-        let targets = self.link_targets(pool, |name| !lock(&self.links).is_open(pool, name));
+        let targets =
+            self.link_targets(pool, LINK_TEST_SIZE, |name| !lock(&self.links).is_open(pool, name));
         lock(&self.links).start_round(pool, targets.len(), now);
         out.push(Command::TestLinks(targets));
     }
@@ -156,13 +169,18 @@
         routed.unwrap_or_else(|| lock(&self.dispatcher).pool_size(pool))
     }
 
-    /// Randomly chosen upstreams of `pool` whose names `is_wanted` accepts.
-    fn link_targets(&self, pool: &str, is_wanted: impl Fn(&str) -> bool) -> Vec<LinkTarget> {
+    /// Up to `count` randomly chosen upstreams of `pool` whose names `is_wanted` accepts.
+    fn link_targets(
+        &self,
+        pool: &str,
+        count: usize,
+        is_wanted: impl Fn(&str) -> bool,
+    ) -> Vec<LinkTarget> {
         let mut random = lock(&self.link_random);
-        let routed = self.router().sample_pool(pool, &is_wanted, LINK_TEST_SIZE, &mut *random);
+        let routed = self.router().sample_pool(pool, &is_wanted, count, &mut *random);
         routed.unwrap_or_else(|| {
             let dispatcher = lock(&self.dispatcher);
-            dispatcher.sample_pool(pool, &is_wanted, LINK_TEST_SIZE, &mut *random)
+            dispatcher.sample_pool(pool, &is_wanted, count, &mut *random)
         })
     }
 }
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -29,6 +29,7 @@
 mod state_change;
 mod state_dump;
 mod timer_key;
+mod transit_flow;
 mod upstream_notices;
 
 pub use command::Command;
@@ -41,3 +42,4 @@
 pub use state_change::StateChange;
 pub use state_dump::StateDump;
 pub use timer_key::TimerKey;
+pub use transit_flow::AttemptPath;
--- a/crates/crocusdale_core/src/pipeline/attempt.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt.rs
@@ -37,6 +37,8 @@
     pub attempt: AttemptId,
     /// Name of the upstream.
     pub upstream: String,
+    /// Pool of the upstream.
+    pub pool: String,
     /// Identity of the upstream's process. Another process that listens at the same address must
     /// not run the request.
     pub process: String,
@@ -117,6 +119,9 @@
     DispatcherLost(String),
     /// No byte of the call was written.
     NotSent,
+    /// No byte of the call was written, because no daemon is known to reach the pool. Callers should
+    /// retry after this time.
+    NoPath(Duration),
     /// The response head arrived, with the identity of the upstream process that sent it.
     ProcessIdentified {
         /// Identity of the process behind the upstream.
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -22,6 +22,7 @@
         ForwardOrder {
             attempt,
             upstream: grant.upstream.clone(),
+            pool: grant.request.stage.clone(),
             process: grant.process.clone(),
             address: grant.address,
             workspace: (!workspace.is_empty()).then(|| workspace.clone()),
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -193,6 +193,14 @@
                 self.step_runs[index].attempts -= 1;
                 self.handle_attempt_failure(index, AttemptFailure::NotSent, now, actions)
             }
+            AttemptEvent::NoPath(retry_after) => {
+                self.attempt_counts.possibly_sent -= 1;
+                self.step_runs[index].attempts -= 1;
+                self.release_slot(index, AttemptReport::Cancelled, actions);
+                self.step_runs[index].in_flight = None;
+                let refusal = (RefusalReason::NoUpstream, retry_after);
+                self.handle_lasting_refusal(refusal, now, actions)
+            }
             AttemptEvent::ProcessIdentified { process, is_leaving } => {
                 let upstream = self.record_progress(index, now).to_owned();
                 actions.push(ShardAction::RecordProcess { upstream, process, is_leaving });
--- a/crates/crocusdale_core/src/reachability/link_monitor.rs
+++ b/crates/crocusdale_core/src/reachability/link_monitor.rs
@@ -43,7 +43,7 @@
     Direct,
     /// By way of another daemon, because the own link has failed, or because those to most upstreams
     /// of the pool have.
-    Relay,
+    Transit,
 }
 
 /// Tracks to which upstreams this daemon can open connections.
@@ -160,8 +160,8 @@
         match links.links.get(upstream) {
             Some(link) if link.is_open => LinkPath::Direct,
             Some(link) if link.down_until.is_some_and(|until| now < until) => LinkPath::Direct,
-            Some(_) => LinkPath::Relay,
-            None if links.impairment.is_some() => LinkPath::Relay,
+            Some(_) => LinkPath::Transit,
+            None if links.impairment.is_some() => LinkPath::Transit,
             None => LinkPath::Direct,
         }
     }
@@ -197,6 +197,14 @@
         })
     }
 
+    /// Whether the link to any upstream of `pool` works, as far as is known.
+    #[must_use]
+    pub fn has_open(&self, pool: &str) -> bool {
+        self.pools.get(pool).is_none_or(|links| {
+            links.impairment.is_none_or(|impairment| impairment.reach == PoolReach::Partial)
+        })
+    }
+
     /// Names of the pools with failed links.
     #[must_use]
     pub fn failed_pools(&self) -> Vec<String> {
@@ -219,15 +227,12 @@
         }
     }
 
-    /// Drops links to upstreams that `is_listed` rejects. Returns whether an impaired pool was
-    /// dropped.
-    pub fn retain(&mut self, is_listed: impl Fn(&str, &str) -> bool) -> bool {
-        let before = self.impaired_pools().len();
-        self.pools.retain(|pool, links| {
-            links.links.retain(|upstream, _| is_listed(pool, upstream));
-            links.links.values().any(|link| !link.is_open)
-        });
-        self.impaired_pools().len() < before
+    /// Drops links to upstreams that `is_listed` rejects.
+    pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
+        for links in self.pools.values_mut() {
+            links.links.retain(|upstream, _| is_listed(upstream));
+        }
+        self.pools.retain(|_, links| !links.is_sound());
     }
 }
 
--- a/crates/crocusdale_core/src/reachability/mod.rs
+++ b/crates/crocusdale_core/src/reachability/mod.rs
@@ -6,5 +6,11 @@
 //! still be reached by others.
 
 mod link_monitor;
+mod probe_evidence;
+mod transit_request;
+mod transit_table;
 
 pub use link_monitor::{LinkChange, LinkMonitor, LinkPath, LinkResult, LinkTarget};
+pub use probe_evidence::{ProbeConnection, ProbeEvidence};
+pub use transit_request::{TransitGrant, TransitRefusal, TransitRequest};
+pub use transit_table::{TransitEnd, TransitGoal, TransitTable};
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod pool_availability;
 mod prefix_counter;
 mod router_update;
+mod transit_choice;
 mod upstream_choice;
 mod upstream_directory;
 mod upstream_notice;
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -437,7 +437,7 @@
     /// upstream resets the next new connection, and the request on it may not be safe to repeat.
     /// All daemons together keep up to half of the limit idle; the other half remains for
     /// connections in use.
-    fn max_idle_connections(&self, stage: &str) -> usize {
+    pub(super) fn max_idle_connections(&self, stage: &str) -> usize {
         let connection_limit = self.pools.get(stage).and_then(|routed| routed.connections);
         let daemons = self.daemons.load(Ordering::Relaxed).max(1);
         connection_limit.map_or(usize::MAX, |connections| connections as usize / 2 / daemons)
--- a/crates/crocusdale_core/tests/link_monitor_test.rs
+++ b/crates/crocusdale_core/tests/link_monitor_test.rs
@@ -31,11 +31,11 @@
 fn pool_is_impaired_if_most_links_fail() {
     let mut links = LinkMonitor::default();
     assert_eq!(record(&mut links, &[false; 4], 0), None, "too few to tell");
-    assert_eq!(links.path(POOL, "n1", at(1)), LinkPath::Relay);
+    assert_eq!(links.path(POOL, "n1", at(1)), LinkPath::Transit);
     assert_eq!(links.path(POOL, "n9", at(1)), LinkPath::Direct, "not known to have failed");
     let change = record(&mut links, &[false; 5], 1);
     assert_eq!(change, Some(LinkChange::Impaired(PoolReach::None)));
-    assert_eq!(links.path(POOL, "n9", at(2)), LinkPath::Relay, "most links have failed");
+    assert_eq!(links.path(POOL, "n9", at(2)), LinkPath::Transit, "most links have failed");
     let change = record(&mut links, &[false, false, true], 2);
     assert_eq!(change, Some(LinkChange::Impaired(PoolReach::Partial)));
     assert_eq!(links.path(POOL, "n3", at(3)), LinkPath::Direct, "its link works");
@@ -109,8 +109,8 @@
 fn upstream_that_no_daemon_reaches_gets_no_relayed_requests() {
     let mut links = LinkMonitor::default();
     record(&mut links, &[false], 0);
-    assert_eq!(links.path(POOL, "n1", at(0)), LinkPath::Relay);
+    assert_eq!(links.path(POOL, "n1", at(0)), LinkPath::Transit);
     links.record_down(POOL, "n1", at(0));
     assert_eq!(links.path(POOL, "n1", at(999)), LinkPath::Direct);
-    assert_eq!(links.path(POOL, "n1", at(1_000)), LinkPath::Relay, "it may be back");
+    assert_eq!(links.path(POOL, "n1", at(1_000)), LinkPath::Transit, "it may be back");
 }
--- a/crates/crocusdale_core/tests/support/cut_fleet.rs
+++ b/crates/crocusdale_core/tests/support/cut_fleet.rs
@@ -7,13 +7,14 @@
 
 use crocusdale_core::batching::{BatchOrder, BatchOutcome, ItemOutcome};
 use crocusdale_core::configuration::LabelSet;
-use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds};
+use crocusdale_core::daemon::{AttemptPath, Command, DaemonEvent, StalenessBounds};
 use crocusdale_core::identity::{CallId, MonotonicTime, RequestDigest, RequestKey};
 use crocusdale_core::pipeline::{
     AttemptEvent, BreakReason, CallerRequest, EngineDemand, ExecutionStatus, FinalAnswer,
     ForwardHead, ForwardOrder, OutcomeKind, PieceFault, PromptPart, RequestContent, ResponseHead,
     ResultHandle,
 };
+use crocusdale_core::reachability::{TransitEnd, TransitRefusal};
 use crocusdale_core::routing::DirectoryEntry;
 
 use crate::forward_daemon::{HOST, KEY, read};
@@ -144,21 +145,72 @@
         }
     }
 
+    /// Sends a request on the ways that the daemon chooses, as its process does.
     fn forward(&mut self, index: usize, order: &ForwardOrder) {
         let attempt = order.attempt;
-        let is_kept =
-            !order.needs_new_connection && self.kept.remove(&(index, order.upstream.clone()));
+        let (mut tried, mut has_failed) = (Vec::new(), false);
+        let event = loop {
+            match self.fleet.cores[index].attempt_path(order, &tried, self.fleet.now) {
+                AttemptPath::Direct if has_failed => break AttemptEvent::NotSent,
+                AttemptPath::Direct => match self.send_directly(index, order) {
+                    Ok(()) => return,
+                    Err(Some(event)) => break event,
+                    Err(None) => has_failed = true,
+                },
+                AttemptPath::Transit(vm) => match self.send_in_transit(index, &vm, order) {
+                    Ok(()) => return,
+                    Err(TransitRefusal::ConnectFailed) => {
+                        let upstream = order.upstream.clone();
+                        self.fleet.feed(index, DaemonEvent::UpstreamDown { upstream });
+                        break AttemptEvent::NotSent;
+                    }
+                    Err(_) => tried.push(vm),
+                },
+                AttemptPath::OtherUpstream => break AttemptEvent::NotSent,
+                AttemptPath::NoPath(retry_after) => break AttemptEvent::NoPath(retry_after),
+            }
+        };
+        self.fleet.feed(index, DaemonEvent::Attempt { attempt, event });
+    }
+
+    /// Returns the event that ends the attempt, or `None` if the connection was refused.
+    fn send_directly(
+        &mut self,
+        index: usize,
+        order: &ForwardOrder,
+    ) -> Result<(), Option<AttemptEvent>> {
+        let connection = (index, order.upstream.clone());
+        let is_kept = !order.needs_new_connection && self.kept.remove(&connection);
         if !self.fleet.cut_off.contains(&index) {
-            self.kept.insert((index, order.upstream.clone()));
+            self.kept.insert(connection);
             self.answer_attempt(index, index, order);
-        } else if is_kept {
+            return Ok(());
+        }
+        if is_kept {
             // The kept connection is reset.
-            let event = AttemptEvent::Broken(BreakReason::Cut);
-            self.fleet.feed(index, DaemonEvent::Attempt { attempt, event });
-        } else {
-            self.fleet.refuse_connection(index, &order.upstream);
-            self.fleet.feed(index, DaemonEvent::Attempt { attempt, event: AttemptEvent::NotSent });
+            return Err(Some(AttemptEvent::Broken(BreakReason::Cut)));
+        }
+        self.fleet.refuse_connection(index, &order.upstream);
+        Err(None)
+    }
+
+    fn send_in_transit(
+        &mut self,
+        index: usize,
+        vm: &str,
+        order: &ForwardOrder,
+    ) -> Result<(), TransitRefusal> {
+        let (now, sender) = (self.fleet.now, vm_index(vm));
+        let request = self.fleet.cores[index].transit_request(order, (HOST, "/ask/7"), Some(KEY));
+        self.fleet.cores[index].finish_transit(vm, TransitEnd::Done, now);
+        self.fleet.cores[sender].admit_transit(&request, now)?;
+        self.fleet.cores[sender].end_transit();
+        if self.fleet.cut_off.contains(&sender) {
+            self.fleet.refuse_connection(sender, &order.upstream);
+            return Err(self.fleet.cores[sender].connect_refusal(&order.pool));
         }
+        self.answer_attempt(index, sender, order);
+        Ok(())
     }
 
     /// Lets the upstream answer a request of daemon `index` that the daemon `sender` has sent.
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -12,7 +12,7 @@
 use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, ForwardOrder};
-use crocusdale_core::reachability::{LinkResult, LinkTarget};
+use crocusdale_core::reachability::{LinkResult, LinkTarget, ProbeConnection, ProbeEvidence};
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::{ColdLimits, DirectoryEntry};
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, DiscoverySettings};
@@ -357,13 +357,10 @@
             }
             Command::ProbeUpstream { upstream, .. } => {
                 let is_late = self.heartbeats_are_late;
-                let is_cut_off = self.cut_off.contains(&index);
-                if is_cut_off {
-                    self.refuse_connection(index, &upstream);
-                    let targets = self.cores[index].control_targets(&upstream);
-                    self.test_links(index, targets);
-                }
-                let has_ended = is_cut_off || self.ended.contains(&upstream);
+                let peer = (0..self.cores.len()).find(|each| !self.cut_off.contains(each));
+                let own = self.evidence(index, &upstream);
+                let peer = peer.map(|peer| self.evidence(peer, &upstream));
+                let has_ended = own.verdict_with(peer.as_ref());
                 let probed = DaemonEvent::UpstreamProbed { upstream, has_ended };
                 let time = if is_late { MAX_PROBE_TIME } else { ONE_WAY_LATENCY };
                 self.push(self.now + time, index, Delivery::Event(probed));
@@ -387,6 +384,15 @@
         self.feed(index, DaemonEvent::LinkUsed { upstream, result });
     }
 
+    /// What a daemon sees when it connects to `upstream` and to four others of its pool.
+    fn evidence(&self, index: usize, upstream: &str) -> ProbeEvidence {
+        let is_cut_off = self.cut_off.contains(&index);
+        let is_refused = is_cut_off || self.ended.contains(upstream);
+        let connection = if is_refused { ProbeConnection::Refused } else { ProbeConnection::Open };
+        let pool_open = if is_cut_off { 0 } else { 4 };
+        ProbeEvidence { connection, pool_tests: 4, pool_open, has_open_link: !is_cut_off }
+    }
+
     fn test_links(&mut self, index: usize, targets: Vec<LinkTarget>) {
         let is_cut_off = self.cut_off.contains(&index);
         let result = if is_cut_off { LinkResult::Failed } else { LinkResult::Open };
--- a/crates/crocusdaled/src/forwarding/forward_service.rs
+++ b/crates/crocusdaled/src/forwarding/forward_service.rs
@@ -76,9 +76,8 @@
         };
         request.set_content(content_digest(&parts, &body));
         let mut call = OpenCall::open(&self.engine, &request.key);
-        let attempt = request.key.key.clone();
         let target = (parts.method, parts.uri);
-        let relayed = RelayCall::new(target, headers, body, attempt, last_event);
+        let relayed = RelayCall::new(target, headers, body, &request, last_event);
         self.engine.relays().open(call.id, relayed);
         let event = DaemonEvent::Submitted { call: call.id, request: Box::new(request) };
         self.engine.handle_event(event);
--- a/crates/crocusdaled/src/forwarding/mod.rs
+++ b/crates/crocusdaled/src/forwarding/mod.rs
@@ -8,6 +8,7 @@
 mod ready_service;
 mod relay_call;
 mod relay_client;
+mod upstream_exchange;
 
 pub use forward_service::ForwardService;
 pub use ready_service::ReadyService;
--- a/crates/crocusdaled/src/forwarding/relay_call.rs
+++ b/crates/crocusdaled/src/forwarding/relay_call.rs
@@ -1,7 +1,7 @@
 use std::sync::Mutex;
 
 use bytes::Bytes;
-use crocusdale_core::pipeline::EventSequence;
+use crocusdale_core::pipeline::{CallerRequest, EventSequence};
 use crocusdale_core::sync::lock;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::mpsc;
@@ -15,6 +15,10 @@
 pub(super) struct RelayCall {
     pub(super) method: Method,
     pub(super) uri: Uri,
+    /// Host that the caller named.
+    pub(super) host: String,
+    /// Access key of the caller. `None` if it showed none.
+    pub(super) access: Option<String>,
     /// Request headers that are forwarded to upstreams.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
@@ -51,11 +55,21 @@
         (method, uri): (Method, Uri),
         headers: HeaderMap,
         body: Bytes,
-        attempt: String,
+        request: &CallerRequest,
         last_event: Option<u64>,
     ) -> Self {
-        let sequence = Mutex::new(EventSequence::after(last_event));
-        Self { method, uri, headers, body, attempt, sequence, events: Mutex::new(None) }
+        let head = request.forward_head();
+        Self {
+            method,
+            uri,
+            host: head.map(|head| head.host.clone()).unwrap_or_default(),
+            access: head.and_then(|head| head.access.clone()),
+            headers,
+            body,
+            attempt: request.key.key.clone(),
+            sequence: Mutex::new(EventSequence::after(last_event)),
+            events: Mutex::new(None),
+        }
     }
 
     /// Returns the sender of events to the caller. The receiver comes with it for the first answer
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -9,19 +9,18 @@
 };
 use crocusdale_core::sync::lock;
 use crocusdale_platform::notice::read_notice;
-use crocusdale_platform::relay::{RelayedHead, read_head, request_headers};
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
-use slog::info;
+use crocusdale_platform::relay::{RelayedHead, read_head};
+use http::StatusCode;
+use http_body_util::{BodyExt as _, Limited};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
 use super::event_reader::EventReader;
 use super::relay_call::RelayCall;
+use super::upstream_exchange::UpstreamExchange;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::upstream::{SendFault, connect_upstream};
+use crate::upstream::AnswerBody;
 
 /// Largest answer without a stream that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -103,24 +102,16 @@
     release_receiver: oneshot::Receiver<()>,
 ) -> Option<AttemptEvent> {
     let attempt = order.attempt;
-    let pool = engine.connections();
-    let connected =
-        connect_upstream(engine, &order.upstream, order.address, order.needs_new_connection);
-    let mut connection = match connected.await {
-        Ok(connection) => connection,
-        Err(fault) => return Some(send_failed(engine, call, order, &fault)),
+    let exchange = match UpstreamExchange::start(engine, call, order).await {
+        Ok(exchange) => exchange,
+        Err(event) => return Some(event),
     };
-    let time_left = engine.clock.time_until(order.expires);
-    // The process may have been paused since the core created the order. No request may be sent
-    // after its deadline, or to an upstream that may have shut down since it was chosen.
-    if time_left.is_zero() || engine.now() > order.write_by {
-        return Some(AttemptEvent::NotSent);
-    }
-    let headers = request_headers(&call.headers, order, time_left, call.resume_after());
-    let sent = engine.now();
-    let response = match connection.send(upstream_request(call, headers)).await {
-        Ok(response) => response,
-        Err(fault) => return Some(send_failed(engine, call, order, &fault)),
+    // The request counts as open at another daemon until this attempt ends.
+    let UpstreamExchange { response, connection, sent, transit: _transit } = exchange;
+    let return_connection = |headers: &http::HeaderMap| {
+        if let Some(connection) = connection {
+            engine.connections().return_connection(connection, headers, order.kept_connections);
+        }
     };
     let (parts, body) = response.into_parts();
     let head = read_head(parts.status, &parts.headers, &call.attempt);
@@ -143,7 +134,7 @@
         let end_event = forwarder.run(body).await;
         forwarder.report_progress();
         if matches!(end_event, AttemptEvent::ResponseForwarded) {
-            pool.return_connection(connection, &parts.headers, order.kept_connections);
+            return_connection(&parts.headers);
         }
         return Some(end_event);
     }
@@ -151,7 +142,7 @@
         return Some(AttemptEvent::Broken(BreakReason::Cut));
     };
     let body = body.to_bytes();
-    pool.return_connection(connection, &parts.headers, order.kept_connections);
+    return_connection(&parts.headers);
     if head.head.execution != ExecutionStatus::Ran {
         // The core never forwards an answer without execution. An attempt that waited for this
         // would keep its call, and the event channel of another attempt, open forever.
@@ -168,33 +159,6 @@
     Some(AttemptEvent::ResponseForwarded)
 }
 
-/// Logs the cause of a failed send, and returns the event with which the attempt ends.
-fn send_failed(
-    engine: &DaemonEngine,
-    call: &RelayCall,
-    order: &ForwardOrder,
-    fault: &SendFault,
-) -> AttemptEvent {
-    info!(engine.telemetry.log, "attempt_failed";
-        "request" => &call.attempt, "upstream" => &order.upstream,
-        "written" => fault.may_be_written, "cause" => &fault.cause);
-    if fault.may_be_written {
-        AttemptEvent::Broken(BreakReason::Cut)
-    } else {
-        AttemptEvent::NotSent
-    }
-}
-
-fn upstream_request(call: &RelayCall, headers: http::HeaderMap) -> Request<Full<Bytes>> {
-    let path = call.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    // The path was parsed from the caller's request, so it is valid here as well.
-    *request.uri_mut() = path.parse().unwrap_or_default();
-    *request.headers_mut() = headers;
-    request
-}
-
 /// Opens the event channel to the caller. For the first answer the caller also gets the head.
 fn open_events(
     engine: &Arc<DaemonEngine>,
@@ -223,7 +187,7 @@
 }
 
 impl EventForwarder<'_> {
-    async fn run(&mut self, mut body: Incoming) -> AttemptEvent {
+    async fn run(&mut self, mut body: AnswerBody) -> AttemptEvent {
         let mut reader = EventReader::default();
         loop {
             let frame = match body.frame().await {
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -16,7 +16,8 @@
     FetchDirectoryReply, FetchDirectoryRequest, FreeResultsReply, FreeResultsRequest,
     MakePiecesReply, MakePiecesRequest, PlaceRequestReply, PlaceRequestRequest, PoolResults,
     RecordOutcomeReply, RecordOutcomeRequest, RegisterReply, ReportPlacementsReply,
-    ReportPlacementsRequest, ReportPoolStatusReply, ReportPoolStatusRequest,
+    ReportPlacementsRequest, ReportPoolStatusReply, ReportPoolStatusRequest, SendTransitRequest,
+    TestUpstreamReply, TestUpstreamRequest,
 };
 use prost::Message;
 use slog::warn;
@@ -28,7 +29,9 @@
 use super::peer_call::MAX_MESSAGE_BYTES;
 use super::piece_table::ReceivedPieces;
 use super::placement_service;
+use super::transit_service::{TransitFrames, serve_transit};
 use crate::engine::DaemonEngine;
+use crate::upstream::collect_evidence;
 
 /// Maximum number of calls that one peer may have open at a time. A peer needs one for each
 /// running step of its requests.
@@ -230,6 +233,27 @@
         Ok(Response::new(decision.into()))
     }
 
+    async fn test_upstream(
+        &self,
+        request: Request<TestUpstreamRequest>,
+    ) -> Result<Response<TestUpstreamReply>, Status> {
+        let TestUpstreamRequest { upstream, address } = request.into_inner();
+        let address = address.parse().map_err(|_| {
+            Status::invalid_argument(format!("`{address}` is not the address of an upstream"))
+        })?;
+        let evidence = collect_evidence(&self.engine, &upstream, address).await;
+        Ok(Response::new(evidence.into()))
+    }
+
+    type SendTransitStream = TransitFrames;
+
+    async fn send_transit(
+        &self,
+        request: Request<SendTransitRequest>,
+    ) -> Result<Response<Self::SendTransitStream>, Status> {
+        serve_transit(&self.engine, request.into_inner()).map(Response::new)
+    }
+
     async fn report_pool_status(
         &self,
         request: Request<ReportPoolStatusRequest>,
--- a/crates/crocusdaled/src/upstream/connection_pool.rs
+++ b/crates/crocusdaled/src/upstream/connection_pool.rs
@@ -8,6 +8,7 @@
 use crocusdale_core::routing::CONNECT_TIMEOUT;
 use crocusdale_core::sync::lock;
 use http::{HeaderMap, Request, Response, header};
+use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -30,6 +31,27 @@
 /// Number of unanswered TCP keepalive probes after which a connection counts as lost.
 const MAX_KEEPALIVE_PROBES: u32 = 2;
 
+/// Unread body of an upstream's answer.
+pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Error that ends the body of an answer early, with its cause.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BodyError(String);
+
+impl BodyError {
+    pub(crate) fn new(cause: &impl ToString) -> Self {
+        Self(cause.to_string())
+    }
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for BodyError {}
+
 /// Pool of HTTP/1.1 connections, which are kept open between requests.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -218,9 +240,9 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendFault> {
+    ) -> Result<Response<AnswerBody>, SendFault> {
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Ok(response.map(box_body)),
             // Hyper returns the request in its error only if no byte of it was written.
             Err(mut fault) => match fault.take_message() {
                 Some(_) => Err(SendFault::unwritten(&fault.error())),
@@ -230,6 +252,10 @@
     }
 }
 
+fn box_body(body: Incoming) -> AnswerBody {
+    body.map_err(|error| BodyError::new(&error)).boxed_unsync()
+}
+
 async fn open(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Box<dyn std::error::Error>> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
--- a/crates/crocusdaled/src/upstream/link_tests.rs
+++ b/crates/crocusdaled/src/upstream/link_tests.rs
@@ -35,16 +35,20 @@
 }
 
 /// Connects to each of `targets`, closes the connections unused, and reports the results to the
-/// core.
-pub(crate) async fn test_links(engine: &Arc<DaemonEngine>, targets: Vec<LinkTarget>) {
-    join_all(targets.into_iter().map(|target| test_link(engine, target))).await;
+/// core. Returns them in the order of the targets.
+pub(crate) async fn test_links(
+    engine: &Arc<DaemonEngine>,
+    targets: Vec<LinkTarget>,
+) -> Vec<LinkResult> {
+    join_all(targets.into_iter().map(|target| test_link(engine, target))).await
 }
 
-async fn test_link(engine: &Arc<DaemonEngine>, target: LinkTarget) {
+async fn test_link(engine: &Arc<DaemonEngine>, target: LinkTarget) -> LinkResult {
     let connect = TcpStream::connect(target.address);
     let result = match tokio::time::timeout(CONNECT_TIMEOUT, connect).await {
         Ok(Ok(_)) => LinkResult::Open,
         Ok(Err(_)) | Err(_) => LinkResult::Failed,
     };
     engine.handle_event(DaemonEvent::LinkTested { upstream: target.upstream, result });
+    result
 }
