Learn nothing of upstreams behind failed links

Cause: a failed attempt counted against the upstream whatever had failed. Ruled out: waits of cut-off dispatchers, which are dropped already.

When most links to a pool have failed, and when they work again, the failures of its upstreams are forgotten: ejections, possible starts, pauses and slowdowns. In between, failed attempts at them don't count.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -394,6 +394,15 @@
         }
     }
 
+    /// Forgets the failed calls to all upstreams of `pool`.
+    pub fn forget_failures(&mut self, pool: &str, now: MonotonicTime) {
+        for (section, open) in &mut self.pools {
+            if PoolSection::from_name(section).pool == pool {
+                open.forget_failures(now);
+            }
+        }
+    }
+
     /// Returns the undispatched pieces of the section `pool`, which another daemon now dispatches.
     /// `cut_off` tells whether this daemon can't connect to the upstreams of the pool.
     pub fn hand_over(&mut self, pool: &str, cut_off: bool, actions: &mut Vec<DispatchAction>) {
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -198,6 +198,13 @@
         self.pause(FAILURE_PAUSE * 2_u32.pow(doublings), now);
     }
 
+    /// Forgets all failed calls, because the links of this daemon have failed and not the upstream.
+    pub(super) fn forget_failures(&mut self, now: MonotonicTime) {
+        self.consecutive_failures = 0;
+        self.paused_until = self.backoff_until;
+        (self.slowdown, self.measured_at) = (1.0, now);
+    }
+
     /// Pauses the upstream if too many of the `pieces` pieces of an answered call `failed`.
     ///
     /// Guards against an upstream that answers in time but fails much of its work: judged by its
--- a/crates/crocusdale_core/src/batching/pool_changes.rs
+++ b/crates/crocusdale_core/src/batching/pool_changes.rs
@@ -64,6 +64,13 @@
         self.last_shed_at = Some(now);
     }
 
+    /// Forgets the failed calls to all upstreams, because the links of this daemon have failed.
+    pub fn forget_failures(&mut self, now: MonotonicTime) {
+        for worker in self.workers.values_mut() {
+            worker.forget_failures(now);
+        }
+    }
+
     /// Returns all undispatched jobs, because another daemon now dispatches the pool.
     ///
     /// Guards against two queues for the same upstreams: each dispatcher would send small calls,
--- a/crates/crocusdale_core/src/daemon/link_flow.rs
+++ b/crates/crocusdale_core/src/daemon/link_flow.rs
@@ -11,6 +11,7 @@
 use crate::membership::MemberLinks;
 use crate::pipeline::ShardAction;
 use crate::reachability::{LinkChange, LinkResult, LinkTarget, TransitGoal};
+use crate::routing::AttemptReport;
 use crate::sync::lock;
 
 /// Time between two rounds of tests of a pool with failed links.
@@ -90,9 +91,25 @@
                 StateChange::LinksRestored { pool: pool.clone(), impaired_ms }
             }
         }));
+        // What was learned of the upstreams in the meantime says something of the links.
+        self.router().forget_failures(&pool);
+        lock(&self.dispatcher).forget_failures(&pool, now);
         self.announce_links(now, actions, out);
     }
 
+    /// Outcome of an attempt at `upstream` for the router. While most links to the pool have failed,
+    /// a failed attempt proves nothing about the upstream.
+    pub(super) fn exclude_link_failure(
+        &self,
+        report: AttemptReport,
+        upstream: &str,
+    ) -> AttemptReport {
+        let is_excluded = report == AttemptReport::Failed
+            && self.has_failed_links.load(Ordering::Relaxed)
+            && self.pool_of(upstream).is_some_and(|pool| lock(&self.links).is_impaired(&pool));
+        if is_excluded { AttemptReport::Cancelled } else { report }
+    }
+
     /// Records that other daemons can't connect to `upstream` either.
     pub(super) fn record_down(&self, upstream: &str, now: MonotonicTime) {
         if let Some(pool) = self.pool_of(upstream) {
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -332,6 +332,7 @@
             }
             ShardAction::ReleaseSlot { upstream, call, report } => {
                 let report = self.exclude_paused_time(report, now);
+                let report = self.exclude_link_failure(report, &upstream);
                 self.report_placement_end(call, &upstream, report, now, out);
                 actions = self
                     .assign_granted_slots(self.router().release(&upstream, call, report, now), now);
--- a/crates/crocusdale_core/src/routing/transit_choice.rs
+++ b/crates/crocusdale_core/src/routing/transit_choice.rs
@@ -1,4 +1,5 @@
-//! Upstreams that this daemon sends requests to on behalf of other daemons.
+//! Upstreams behind failed links, and those that this daemon sends requests to on behalf of other
+//! daemons.
 
 use super::UpstreamRouter;
 use crate::identity::MonotonicTime;
@@ -19,6 +20,14 @@
         self.upstream(name).is_some_and(|upstream| lock(&upstream.state).is_leaving())
     }
 
+    /// Forgets the failed attempts at all upstreams of `pool`.
+    pub fn forget_failures(&self, pool: &str) {
+        let Some(routed) = self.pools.get(pool) else { return };
+        for position in routed.same_zone.iter().chain(&routed.other_zones) {
+            lock(&self.upstreams[*position].state).forget_failures();
+        }
+    }
+
     /// Address of the upstream `name` for a request of another daemon, which counts against this
     /// daemon's share of the upstream's limits. Returns `None` if the upstream is not in `pool`.
     ///
--- a/crates/crocusdale_core/src/routing/upstream_state.rs
+++ b/crates/crocusdale_core/src/routing/upstream_state.rs
@@ -68,9 +68,12 @@
     full_until: Option<MonotonicTime>,
     /// Time until which the upstream has asked this daemon to send nothing.
     backoff_until: Option<MonotonicTime>,
-    /// Latest time at which the process may have started: when it was added to a known pool, or
-    /// when an attempt last failed. `None` if there was neither.
-    possible_start: Option<MonotonicTime>,
+    /// Time at which the process was added to a known pool. It may have started then. `None` if it
+    /// was part of the pool from the start.
+    added_at: Option<MonotonicTime>,
+    /// Time of the last failed attempt, after which the process may have started again. `None` if
+    /// there was none.
+    failed_at: Option<MonotonicTime>,
     /// End of the cold start, as the upstream reported it.
     cold_until: Option<MonotonicTime>,
     /// Times of the recent requests to this upstream, recorded only if its pool has cold starts.
@@ -117,7 +120,8 @@
             leaving_process: None,
             full_until: None,
             backoff_until: None,
-            possible_start: None,
+            added_at: None,
+            failed_at: None,
             cold_until: None,
             recent_sends: VecDeque::new(),
             reported_pace: ReportedPace::default(),
@@ -201,7 +205,7 @@
 
     /// Marks the upstream as possibly started at `now`, because it was added to a known pool.
     pub fn set_possible_start(&mut self, now: MonotonicTime) {
-        self.possible_start = Some(now);
+        self.added_at = Some(now);
     }
 
     /// Sets the end of the cold start that the upstream reported, or `None`.
@@ -214,7 +218,8 @@
     /// A process that was added or failed recently is therefore treated as cold.
     #[must_use]
     pub fn may_be_cold(&self, lasts: Duration, now: MonotonicTime) -> bool {
-        let is_new = self.possible_start.is_some_and(|start| now.since(start) < lasts);
+        let possible_start = self.added_at.max(self.failed_at);
+        let is_new = possible_start.is_some_and(|start| now.since(start) < lasts);
         is_new || self.cold_until.is_some_and(|until| now < until)
     }
 
@@ -306,6 +311,13 @@
         }
     }
 
+    /// Forgets all failed attempts, because the links of this daemon have failed and not the
+    /// upstream.
+    pub fn forget_failures(&mut self) {
+        self.clear_failures();
+        self.failed_at = None;
+    }
+
     /// Clears all failures after an answer.
     fn clear_failures(&mut self) {
         self.consecutive_failures = 0;
@@ -343,7 +355,7 @@
     /// Guards against an upstream that fails fast: it always has free slots, and would attract the
     /// work of its whole pool.
     fn record_failure(&mut self, now: MonotonicTime) {
-        self.possible_start = Some(now);
+        self.failed_at = Some(now);
         self.adjust_window(true);
         self.consecutive_failures += 1;
         if self.consecutive_failures >= EJECTION_FAILURES {
