End requests in transit before a drained process exits

A draining daemon exits once its own calls are over. Requests that it sends on behalf of other daemons were not among them, and would have broken off as possibly run.

--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -510,7 +510,9 @@
         self.state.start_queued_requests(now, &mut actions);
         self.state.expire_admissions(now, &mut actions);
         self.state.run_actions(actions, now, out);
-        let is_idle = self.open_call_count() == 0 && lock(&self.state.dispatcher).is_idle();
+        let is_idle = self.open_call_count() == 0
+            && self.state.open_transits.load(Ordering::Relaxed) == 0
+            && lock(&self.state.dispatcher).is_idle();
         if self.state.is_drain_window_over.load(Ordering::Relaxed) && is_idle {
             out.push(Command::LogStateChange(StateChange::Drained));
             out.push(Command::Exit);
--- a/crates/crocusdale_core/src/reachability/transit_table.rs
+++ b/crates/crocusdale_core/src/reachability/transit_table.rs
@@ -11,8 +11,10 @@
 const BUSY_BACKOFF: Duration = Duration::from_millis(200);
 /// Time for which a daemon that did not answer gets no request in transit.
 const LOST_BACKOFF: Duration = Duration::from_secs(1);
-/// Number of daemons of which the one with the least load is chosen.
+/// Number of usable daemons of which the one with the least load is chosen.
 const SAMPLE_SIZE: usize = 2;
+/// Number of random draws by which usable daemons are looked for.
+const DRAW_COUNT: usize = 6;
 
 /// Upstream that a request in transit is meant for.
 #[derive(Clone, Copy, Debug)]
@@ -78,26 +80,15 @@
             .candidates
             .entry(goal.pool.to_owned())
             .or_insert_with(|| TransitCandidates::new(goal.pool, roster, view));
-        let (open, backoffs) = (&self.open, &self.backoffs);
-        let is_usable =
-            |vm: &&String| !goal.tried.contains(*vm) && !backoffs.contains_key(vm.as_str());
-        let least_loaded = |vms: Vec<&String>, random: &mut _| {
-            let load = |vm: &&&String| {
-                let open = open.get(vm.as_str()).copied().unwrap_or_default();
-                let capacity = view.capacity(vm).map_or(1, |capacity| capacity.0.max(1));
-                (u64::from(open) << 20) / u64::from(capacity)
-            };
-            vms.choose_multiple(random, SAMPLE_SIZE).min_by_key(load).map(|vm| (*vm).clone())
+        let choice = LoadChoice { goal, open: &self.open, backoffs: &self.backoffs, view };
+        let in_zone = || {
+            let partial = candidates.partial.iter();
+            partial.filter(|(_, zone)| Some(&**zone) == goal.zone).map(|(vm, _)| vm.clone())
         };
-        let same_zone = candidates.same_zone.iter().filter(is_usable).collect();
-        let chosen = least_loaded(same_zone, random).or_else(|| {
-            let other_zones = candidates.other_zones.iter().filter(is_usable).collect();
-            least_loaded(other_zones, random)
-        });
-        let chosen = chosen.or_else(|| {
-            let in_zone = candidates.partial.iter().filter(|(_, zone)| Some(&**zone) == goal.zone);
-            least_loaded(in_zone.map(|(vm, _)| vm).filter(is_usable).collect(), random)
-        })?;
+        let chosen = choice
+            .least_loaded(&candidates.same_zone, random)
+            .or_else(|| choice.least_loaded(&candidates.other_zones, random))
+            .or_else(|| choice.least_loaded(&in_zone().collect::<Vec<_>>(), random))?;
         *self.open.entry(chosen.clone()).or_default() += 1;
         Some(chosen)
     }
@@ -139,6 +130,36 @@
     }
 }
 
+/// Chooses a daemon with little load.
+struct LoadChoice<'a> {
+    goal: TransitGoal<'a>,
+    open: &'a HashMap<String, u32>,
+    backoffs: &'a HashMap<String, MonotonicTime>,
+    view: &'a MemberView,
+}
+
+impl LoadChoice<'_> {
+    /// The less loaded of two usable daemons that are drawn at random, so that the choice does not
+    /// walk over all of them. They are only searched if no draw finds a usable one.
+    fn least_loaded(&self, vms: &[String], random: &mut impl Rng) -> Option<String> {
+        let drawn: Vec<&String> = (0..DRAW_COUNT).filter_map(|_| vms.choose(random)).collect();
+        let usable = drawn.into_iter().filter(|vm| self.is_usable(vm)).take(SAMPLE_SIZE);
+        let chosen = usable.min_by_key(|vm| self.load(vm));
+        chosen.or_else(|| vms.iter().find(|vm| self.is_usable(vm))).cloned()
+    }
+
+    fn is_usable(&self, vm: &String) -> bool {
+        !self.goal.tried.contains(vm) && !self.backoffs.contains_key(vm)
+    }
+
+    /// Open requests in transit in relation to the capacity of the daemon.
+    fn load(&self, vm: &str) -> u64 {
+        let open = self.open.get(vm).copied().unwrap_or_default();
+        let capacity = self.view.capacity(vm).map_or(1, |capacity| capacity.0.max(1));
+        (u64::from(open) << 20) / u64::from(capacity)
+    }
+}
+
 impl TransitCandidates {
     /// Daemons other than the own one that are alive, not leaving, announce their links and reach
     /// upstreams of `pool`. Daemons of older versions announce no links and take no requests in
