Keep brittle upstreams from rejecting many requests

Upstreams may say in all their answers that they are brittle (Server-Brittle: N): one that has to reject more than N requests in a second for lack of capacity fails for some seconds.

Of a pool that has announced it within 3 s, a daemon has no more requests in flight than its share of all slots. With fewer slots than daemons it sends one at a time, at most as often as its share of four fifths of what the slots process. An upstream that rejects a request gets nothing from that daemon for the time in which all daemons together stay below half of N, at most 10 s. Batched upstreams that reject a call pause for the same reason; their dispatchers send no more calls than slots anyway.

--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -363,6 +363,14 @@
         }
     }
 
+    /// Records that `upstream` announced at `now` that it fails if it has to reject more than
+    /// `max_rejections` calls in a second.
+    pub fn record_brittle(&mut self, upstream: &str, max_rejections: u32, now: MonotonicTime) {
+        for pool in self.pools.values_mut() {
+            pool.record_brittle(upstream, max_rejections, now);
+        }
+    }
+
     /// Adjusts all timeouts after this process was paused for `pause`, which ended at `now`.
     pub fn resume_after_pause(&mut self, pause: Duration, now: MonotonicTime) {
         for pool in self.pools.values_mut() {
--- a/crates/crocusdale_core/src/batching/batch_pool.rs
+++ b/crates/crocusdale_core/src/batching/batch_pool.rs
@@ -217,6 +217,14 @@
         }
     }
 
+    /// Records that `upstream` announced at `now` that it fails if it has to reject more than
+    /// `max_rejections` calls in a second.
+    pub fn record_brittle(&mut self, upstream: &str, max_rejections: u32, now: MonotonicTime) {
+        if let Some(worker) = self.workers.get_mut(upstream) {
+            worker.record_brittle(max_rejections, now);
+        }
+    }
+
     /// Records the free memory for results at `upstream`, in bytes, or `None` if it did not answer
     /// the query.
     pub fn record_free_memory(
--- a/crates/crocusdale_core/src/batching/batch_worker.rs
+++ b/crates/crocusdale_core/src/batching/batch_worker.rs
@@ -4,7 +4,7 @@
 use super::result_memory::ResultMemory;
 use crate::configuration::BatchRules;
 use crate::identity::MonotonicTime;
-use crate::routing::{DirectoryEntry, ReportedPace};
+use crate::routing::{DirectoryEntry, ReportedPace, brittle_backoff};
 
 /// Weight of the newest call in the moving average of the slowdown.
 const SLOWDOWN_SMOOTHING: f64 = 0.4;
@@ -27,6 +27,11 @@
 /// Share of the pieces of a call that may fail before the upstream is paused. At a healthy
 /// upstream, one piece in several hundred fails.
 const MAX_FAILED_SHARE: f64 = 0.2;
+/// Number of daemons that may call an upstream at the same time, while they disagree on its
+/// dispatcher.
+const MAX_CALLERS: usize = 2;
+/// Time for which an announced limit on rejections counts. The upstream repeats it in each answer.
+const BRITTLE_TTL: Duration = Duration::from_secs(3);
 /// Pause of an upstream whose address belongs to another process. By its end, the published
 /// upstream list should reflect the change.
 const WRONG_PROCESS_PAUSE: Duration = Duration::from_secs(3);
@@ -56,6 +61,9 @@
     paused_until: MonotonicTime,
     /// Time until which the upstream has asked not to be called.
     backoff_until: MonotonicTime,
+    /// Time that the upstream gets no calls after it has rejected one, and the end of that rule.
+    /// `None` if it has announced no limit on its rejections.
+    brittle_pause: Option<(Duration, MonotonicTime)>,
     /// Times at which calls are allowed, if the upstream has a rate limit.
     pub(super) rate_limit: Option<CallLimit>,
     /// Memory of the upstream that stores results.
@@ -86,6 +94,7 @@
             consecutive_failures: 0,
             paused_until: now,
             backoff_until: now,
+            brittle_pause: None,
             rate_limit: None,
             result_memory: ResultMemory::default(),
         }
@@ -218,7 +227,15 @@
     /// Records that the upstream had no capacity for a call.
     pub(super) fn record_declined(&mut self, now: MonotonicTime) {
         self.open_calls = self.open_calls.saturating_sub(1);
-        self.pause(NO_CAPACITY_PAUSE, now);
+        let brittle_pause = self.brittle_pause.filter(|(_, until)| now < *until);
+        self.pause(brittle_pause.map_or(NO_CAPACITY_PAUSE, |(pause, _)| pause), now);
+    }
+
+    /// Records that the upstream announced at `now` that it fails if it has to reject more than
+    /// `max_rejections` calls in a second. Few daemons call it at the same time.
+    pub(super) fn record_brittle(&mut self, max_rejections: u32, now: MonotonicTime) {
+        let pause = brittle_backoff(MAX_CALLERS, max_rejections);
+        self.brittle_pause = Some((pause, now + BRITTLE_TTL));
     }
 
     /// Sends nothing to the upstream until `until`, as it has requested.
--- a/crates/crocusdale_core/src/daemon/upstream_notices.rs
+++ b/crates/crocusdale_core/src/daemon/upstream_notices.rs
@@ -51,6 +51,10 @@
                 self.route_changed_upstreams(&declarations, now, out);
             }
         }
+        if let Some(max_rejections) = notice.max_rejections {
+            self.router().record_brittle(upstream, max_rejections, now);
+            lock(&self.dispatcher).record_brittle(upstream, max_rejections, now);
+        }
         self.apply_load_notice(upstream, notice.load, now, out);
         self.apply_rate_notice(upstream, notice.rate, sent, now, out);
     }
--- a/crates/crocusdale_core/src/routing/attempt_queue.rs
+++ b/crates/crocusdale_core/src/routing/attempt_queue.rs
@@ -82,6 +82,12 @@
         self.last_answer = Some(now);
     }
 
+    /// Moving average of the answer time. `None` before the first answer.
+    #[must_use]
+    pub fn answer_time(&self) -> Option<Duration> {
+        self.mean_answer_time
+    }
+
     /// Expected time that a new attempt with priority `level` needs. Includes the wait behind
     /// queued attempts of the same and of more urgent levels.
     #[must_use]
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Chooses the upstream for each attempt.
 
 mod attempt_queue;
+mod brittle_pool;
 mod cold_limit;
 mod cold_upstreams;
 mod directory_change;
@@ -21,6 +22,7 @@
 mod zone_evacuations;
 
 pub use attempt_queue::{AttemptQueue, SlotRequest};
+pub use brittle_pool::brittle_backoff;
 pub use cold_limit::{ColdLimits, SEND_WINDOW};
 pub use cold_upstreams::ColdUpstream;
 pub use directory_change::{ChangedUpstream, DirectoryChange};
--- a/crates/crocusdale_core/src/routing/placed_choice.rs
+++ b/crates/crocusdale_core/src/routing/placed_choice.rs
@@ -66,7 +66,8 @@
             |position: &usize| self.upstreams[*position].pools.contains(&request.stage);
         let position = self.positions.get(upstream).copied().filter(is_in_pool);
         let usable = position.filter(|position| {
-            self.cost_if_usable(routed, *position, &request, true, now).is_some()
+            self.has_brittle_capacity(routed, now)
+                && self.cost_if_usable(routed, *position, &request, true, now).is_some()
         });
         let Some(position) = usable else { return Err(request) };
         Self::record_first_attempt(routed, &request, now);
--- a/crates/crocusdale_core/src/routing/router_update.rs
+++ b/crates/crocusdale_core/src/routing/router_update.rs
@@ -152,6 +152,7 @@
                 self.retries.budget(self.daemons.load(Ordering::Relaxed)).seed(seed);
             Arc::new(Mutex::new(queue))
         };
+        let current_brittle = self.pools.get(stage).map(|routed| Arc::clone(&routed.brittle));
         let current_queue = self.pools.get(stage).map(|routed| Arc::clone(&routed.queue));
         let queue = current_queue.unwrap_or_else(new_queue);
         router.pools.insert(
@@ -162,6 +163,7 @@
                 engine,
                 cold: rules.cold,
                 connections: rules.connections,
+                brittle: current_brittle.unwrap_or_default(),
                 queue,
             },
         );
--- a/crates/crocusdale_core/src/routing/transit_choice.rs
+++ b/crates/crocusdale_core/src/routing/transit_choice.rs
@@ -48,6 +48,7 @@
             return Ok(None);
         };
         if !self.is_within_cold_limit(routed, position, now)
+            || !self.has_brittle_capacity(routed, now)
             || !self.limiter.allows(name, RateUse::Shared, now)
         {
             return Err(TransitRefusal::OverLimit);
--- a/crates/crocusdale_core/src/routing/upstream_notice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_notice.rs
@@ -17,6 +17,9 @@
     pub rate: RateNotice,
     /// Load of the upstream.
     pub load: LoadNotice,
+    /// Number of requests that the upstream bears to reject in a second for lack of capacity. It
+    /// fails if it has to reject more. `None` if it reports no such limit.
+    pub max_rejections: Option<u32>,
 }
 
 impl UpstreamNotice {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -8,6 +8,7 @@
 use rand::seq::IteratorRandom as _;
 use rand::{Rng, SeedableRng as _};
 
+use super::brittle_pool::BrittleNotice;
 use super::{AttemptQueue, AttemptReport, ColdLimits, SlotRequest, UpstreamState, UpstreamSummary};
 use crate::configuration::{
     ColdRules, EngineRules, RegionMap, RoutingPolicy, StagePlan, UpstreamRules,
@@ -76,6 +77,8 @@
     /// Number of connections that one upstream accepts from all daemons together. `None` if it is
     /// not declared.
     pub(super) connections: Option<u32>,
+    /// Whether the upstreams fail if they have to reject many requests.
+    pub(super) brittle: Arc<Mutex<BrittleNotice>>,
     pub(super) queue: Arc<Mutex<AttemptQueue>>,
 }
 
@@ -258,7 +261,9 @@
     ) -> Result<Option<SlotGrant>, SlotRequest> {
         let Some(routed) = self.pools.get(&request.stage) else { return Err(request) };
         Self::record_first_attempt(routed, &request, now);
-        if let Some(position) = self.choose(routed, &request, now) {
+        let has_capacity = self.has_brittle_capacity(routed, now);
+        let chosen = has_capacity.then(|| self.choose(routed, &request, now)).flatten();
+        if let Some(position) = chosen {
             return Ok(Some(self.grant(position, request, now)));
         }
         if !self.is_servable(routed, &request, now) {
@@ -284,6 +289,13 @@
                 engine.end_request(call);
             }
         }
+        if report == AttemptReport::Declined {
+            let routed = upstream.pools.iter().filter_map(|stage| self.pools.get(stage));
+            if let Some(backoff) = routed.filter_map(|pool| self.rejection_backoff(pool, now)).max()
+            {
+                lock(&upstream.state).back_off(now + backoff);
+            }
+        }
         if let AttemptReport::Answered(time) = report {
             for routed in upstream.pools.iter().filter_map(|stage| self.pools.get(stage)) {
                 lock(&routed.queue).record_answer(time, now);
@@ -406,6 +418,7 @@
             state.start_attempt();
             if let Some(routed) = self.pools.get(&request.stage) {
                 Self::record_send(routed, &mut state, now);
+                Self::record_brittle_send(routed, now);
             }
             match (&mut state.engine, &request.demand) {
                 (Some(engine), Some(demand)) => {
@@ -452,7 +465,8 @@
     ) {
         let upstream = &self.upstreams[position];
         loop {
-            let is_usable = self.is_within_cold_limit(routed, position, now)
+            let is_usable = self.has_brittle_capacity(routed, now)
+                && self.is_within_cold_limit(routed, position, now)
                 && self.limiter.allows(&upstream.rules.name, RateUse::Shared, now)
                 && {
                     let state = lock(&upstream.state);
--- a/crates/crocusdale_core/tests/upstream_notice_test.rs
+++ b/crates/crocusdale_core/tests/upstream_notice_test.rs
@@ -33,6 +33,7 @@
     backoff: None,
     cold_remaining: None,
     rate: RateNotice::Unlimited,
+    max_rejections: None,
     load: LoadNotice::Missing,
 };
 
