Let connections survive a silent second of a sound upstream

An upstream may fall silent for a second or so and go on. The sockets set TCP_USER_TIMEOUT (2 s) beside keepalive probes (after 1 s, each second, two), and on Linux that timeout also decides when the probes give up: at the first one due after it, counted from the last segment before the silence. A connection that had been idle for up to a second was given up after 1 s of silence: a stream broke off, and a request that must not repeat was answered as possibly run.

Ruled out: the number of probes, which doesn't matter then.

The timeout is 2.5 s now, so that an idle connection survives 2 s and a lost one is noticed after 3 s at the latest, the time from which callers must be served again after a cut.

--- a/crates/crocusdaled/src/upstream/connection_pool.rs
+++ b/crates/crocusdaled/src/upstream/connection_pool.rs
@@ -24,12 +24,15 @@
 /// Maximum number of idle connections that are kept to one address.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Time for which sent bytes may stay unacknowledged before a connection counts as lost
-/// (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// (`TCP_USER_TIMEOUT`). Keepalive probes give up by it too, whatever their number: at the first probe
+/// that is due this long after the last segment of the peer. A sound upstream may be silent for a
+/// second or more, after a pause of up to [`KEEPALIVE_INTERVAL`] in which it had nothing to send.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Idle time of a connection before the first TCP keepalive probe, and the time between two probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Number of unanswered TCP keepalive probes after which a connection counts as lost.
-const MAX_KEEPALIVE_PROBES: u32 = 2;
+/// Number of unanswered TCP keepalive probes after which a connection counts as lost. Only reached
+/// where the platform ignores [`UNACKNOWLEDGED_TIMEOUT`].
+const MAX_KEEPALIVE_PROBES: u32 = 3;
 
 /// Unread body of an upstream's answer.
 pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
@@ -256,14 +259,23 @@
     body.map_err(|error| BodyError::new(&error)).boxed_unsync()
 }
 
-async fn open(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Box<dyn std::error::Error>> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
+/// Sets after which silence of its peer the connection `stream` counts as lost.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if it doesn't know an option.
+pub fn limit_silence(stream: &TcpStream) -> std::io::Result<()> {
+    let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&keepalive.with_retries(MAX_KEEPALIVE_PROBES))?;
+    socket.set_tcp_keepalive(&keepalive.with_retries(MAX_KEEPALIVE_PROBES))
+}
+
+async fn open(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, Box<dyn std::error::Error>> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    limit_silence(&stream)?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     // This task drives the connection. It ends once the sender and the answer are dropped.
     tokio::spawn(connection);
--- a/crates/crocusdaled/src/upstream/mod.rs
+++ b/crates/crocusdaled/src/upstream/mod.rs
@@ -9,7 +9,9 @@
 mod upstream_probe;
 
 pub use batch_client::BatchClient;
-pub use connection_pool::{AnswerBody, BodyError, ConnectionPool, OpenConnection, SendFault};
+pub use connection_pool::{
+    AnswerBody, BodyError, ConnectionPool, OpenConnection, SendFault, limit_silence,
+};
 pub(crate) use link_tests::{connect_upstream, test_links};
 pub use upstream_client::UpstreamClient;
 pub(crate) use upstream_probe::collect_evidence;
