Rank daemons with lost links last for callers

Callers were sent to VMs without links to the upstreams as often as to others. These VMs serve them through other daemons now, which costs two daemons' processor time for each request and traffic between them.

The order of addresses depended on status and zone alone. Daemons that announce lost links now come after the others of their region, and stay in the answer: callers keep addresses for a while, and without links everywhere the order is as before. daemon_with_lost_links_comes_last holds both.

--- a/crates/crocusdale_core/src/membership/address_order.rs
+++ b/crates/crocusdale_core/src/membership/address_order.rs
@@ -42,9 +42,9 @@
     }
 
     /// Addresses for the caller `caller` in the availability zone `zone`. Alive daemons come before
-    /// suspected ones, and daemons in the caller's zone before others. Daemons that tie are ordered
-    /// by a hash of the caller and the VM, which spreads callers over the daemons without shared
-    /// state. Leaving daemons are excluded, and so are daemons in other regions while the caller's
+    /// suspected ones, daemons that can connect to all pools before others, and daemons in the
+    /// caller's zone before others. Daemons that tie are ordered by a hash of the caller and the VM,
+    /// which spreads callers over the daemons without shared state. Leaving daemons are excluded, and so are daemons in other regions while the caller's
     /// region has a usable one.
     ///
     /// Guards against an empty answer, which would leave the caller without a daemon to call: a
@@ -77,12 +77,15 @@
                 let status = self.view.status(&vm.name).filter(|status| is_usable(*status))?;
                 let weight = stable_hash(&[caller, &vm.name]);
                 let is_other_region = self.regions.region(&vm.zone) != self.regions.region(zone);
-                Some((is_other_region, status, vm.zone != zone, weight, vm.caller?))
+                let links = self.view.links(&vm.name);
+                let has_lost_links = links.is_some_and(|links| !links.is_complete());
+                let rank = (is_other_region, status, has_lost_links, vm.zone != zone);
+                Some((rank, weight, vm.caller?))
             })
             .collect();
         ranked.sort_unstable();
         let same_region_count =
-            ranked.iter().filter(|(is_other_region, ..)| !is_other_region).count();
+            ranked.iter().filter(|((is_other_region, ..), ..)| !is_other_region).count();
         if same_region_count > 0 {
             ranked.truncate(same_region_count);
         }
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -7,8 +7,8 @@
 use crocusdale_core::configuration::{LabelSet, RegionMap};
 use crocusdale_core::identity::{InstanceId, MonotonicTime};
 use crocusdale_core::membership::{
-    AddressOrder, ExchangeMessage, MemberRecord, MemberStatus, MemberView, MemberViewBuilder,
-    VmList,
+    AddressOrder, ExchangeMessage, MemberLinks, MemberRecord, MemberStatus, MemberView,
+    MemberViewBuilder, VmList,
 };
 use support::{entry, vm_name};
 
@@ -51,6 +51,21 @@
     AddressOrder::new(&roster(), view, Duration::ZERO).answer(caller, zone).addresses
 }
 
+/// Guards against callers that are sent to a daemon without links to the upstreams while others have
+/// them. It stays in the answer, as it can serve callers through the others.
+#[test]
+fn daemon_with_lost_links_comes_last() {
+    let mut view = view(MemberStatus::Alive);
+    view.set_links(MemberLinks::NoPool);
+    for zone in ["z0", "z1", "z2"] {
+        let addresses = answer(&view, "caller", zone);
+        assert_eq!(addresses.len(), DAEMONS);
+        assert_eq!(addresses.last().copied(), entry(0).caller, "{zone}");
+    }
+    view.set_links(MemberLinks::default());
+    assert_ne!(answer(&view, "caller", "z0").last().copied(), entry(0).caller);
+}
+
 #[test]
 fn daemons_of_the_callers_zone_come_first_and_callers_spread() {
     let view = view(MemberStatus::Alive);
