Remove two circles of imports

daemon/coordination.rs and daemon/core_state.rs imported each other, and so did pipeline/lost_results.rs and pipeline/request_run.rs: the first held a part of CoreState beside the state that it consists of, the second the state of a request beside the code that changes it. The choice of coordinators and the enum RebuildStage have files of their own now. The limit of open transits is a figure of a member's capacity, and stands there. Nothing changes in behaviour.

--- a/crates/crocusdale_core/src/daemon/coordination.rs
+++ b/crates/crocusdale_core/src/daemon/coordination.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use super::core_state::CoreState;
 use super::pending_admissions::PendingAdmissions;
 use crate::admission::AdmissionCoordinators;
 use crate::configuration::SchedulingSettings;
@@ -42,26 +41,10 @@
         lock(&self.backoffs).insert(vm.to_owned(), now + COORDINATOR_BACKOFF);
     }
 
-    fn is_backing_off(&self, vm: &str, now: MonotonicTime) -> bool {
+    /// Whether the coordinator on `vm` is not asked now.
+    pub(super) fn is_backing_off(&self, vm: &str, now: MonotonicTime) -> bool {
         let mut backoffs = lock(&self.backoffs);
         backoffs.retain(|_, until| *until > now);
         backoffs.contains_key(vm)
     }
 }
-
-impl CoreState {
-    /// Whether the fleet is large enough for coordinators.
-    pub(super) fn is_coordinated(&self) -> bool {
-        self.coordination.settings.is_coordinated(self.router().daemon_count())
-    }
-
-    /// VM of the coordinator with the given name. `None` if this daemon has to decide by itself,
-    /// because the fleet has no coordinators or this one recently did not answer.
-    pub(super) fn coordinator(&self, name: &str, now: MonotonicTime) -> Option<String> {
-        if !self.is_coordinated() {
-            return None;
-        }
-        let vm = lock(&self.fleet).coordinator(name);
-        (!self.coordination.is_backing_off(&vm, now)).then_some(vm)
-    }
-}
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -13,7 +13,6 @@
 use super::pause_detector::PauseDetector;
 use super::placement_state::PlacementState;
 use super::staleness_bounds::RefreshIntervals;
-use super::transit_flow::transit_limit;
 use super::{DaemonCore, FleetState, StalenessBounds};
 use crate::admission::{AdmissionGate, EntryBacklog, WorkspaceMeter};
 use crate::batching::{BatchDispatcher, PoolWaits};
@@ -242,7 +241,7 @@
         let grace_period = self.discovery.as_ref().map(|discovery| discovery.grace);
         let crash_detector = CrashDetector::new(&self.own_instance.vm, self.discovery.is_some());
         let capacity = self.discovery.as_ref().map(|discovery| discovery.place.capacity);
-        let transit_limit = transit_limit(capacity.map_or(0, |capacity| capacity.0));
+        let transit_limit = capacity.unwrap_or_default().transit_limit();
         let mut directory = DirectoryState::default();
         if let Some(discovery) = self.discovery {
             let intervals = RefreshIntervals::from(discovery.bounds);
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod configuration_watch;
 mod coordination;
+mod coordinator_choice;
 mod core_state;
 mod counter_name;
 mod crash_flow;
--- a/crates/crocusdale_core/src/daemon/transit_flow.rs
+++ b/crates/crocusdale_core/src/daemon/transit_flow.rs
@@ -17,12 +17,6 @@
 /// Retry delay of callers whose request no daemon can send to an upstream. It covers one round of
 /// tests of the links and the announcement of the result.
 pub(super) const NO_PATH_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Number of requests that a daemon sends on behalf of others at a time, for each thousandth of a
-/// processor core of its capacity.
-const TRANSITS_PER_CAPACITY: f64 = 0.5;
-/// Bounds of the number of requests that a daemon sends on behalf of others at a time.
-const TRANSIT_LIMITS: (usize, usize) = (16, 512);
-
 /// Way of a request to its upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AttemptPath {
@@ -218,13 +212,6 @@
     }
 }
 
-/// Number of requests that a daemon with `capacity` thousandths of a processor core sends on behalf
-/// of others at a time.
-pub(super) fn transit_limit(capacity: u32) -> usize {
-    let limit = f64::from(capacity) * TRANSITS_PER_CAPACITY;
-    (limit as usize).clamp(TRANSIT_LIMITS.0, TRANSIT_LIMITS.1)
-}
-
 /// Whether `declarations` allow the request: its route leads to the pool, and its access key belongs
 /// to the workspace.
 fn allows_transit(declarations: &Declarations, request: &TransitRequest) -> bool {
--- a/crates/crocusdale_core/src/membership/member_record.rs
+++ b/crates/crocusdale_core/src/membership/member_record.rs
@@ -10,6 +10,12 @@
 /// megabits per second.
 const CPU_PER_LINK_MBPS: f64 = 6.0;
 
+/// Number of requests that a daemon sends on behalf of others at a time, for each thousandth of a
+/// processor core of its capacity.
+const TRANSITS_PER_CAPACITY: f64 = 0.5;
+/// Bounds of the number of requests that a daemon sends on behalf of others at a time.
+const TRANSIT_LIMITS: (usize, usize) = (16, 512);
+
 /// Status of a member, as its peers see it.
 #[derive(
     Clone,
@@ -70,7 +76,7 @@
 
 /// Capacity of a member's VM, relative to other members: that of its processor or of its network
 /// link, whichever is smaller. In thousandths of a processor core.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct MemberCapacity(pub u32);
 
 impl MemberCapacity {
@@ -82,6 +88,13 @@
             as u32)
     }
 
+    /// Number of requests that a daemon on a VM of this capacity sends on behalf of others at a time.
+    #[must_use]
+    pub fn transit_limit(self) -> usize {
+        let limit = f64::from(self.0) * TRANSITS_PER_CAPACITY;
+        (limit as usize).clamp(TRANSIT_LIMITS.0, TRANSIT_LIMITS.1)
+    }
+
     /// Whether a VM of this capacity may do work on behalf of others, such as the dispatch of a
     /// pool: it needs at least half of `largest`, the capacity of the largest VM.
     #[must_use]
--- a/crates/crocusdale_core/src/pipeline/lost_results.rs
+++ b/crates/crocusdale_core/src/pipeline/lost_results.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::rebuild_stage::RebuildStage;
 use super::request_run::count;
 use super::step_run::{StepOutput, StepRun};
 use super::{FinalAnswer, RequestRun, ShardAction};
@@ -9,18 +10,6 @@
 use crate::daemon::CounterName;
 use crate::identity::MonotonicTime;
 
-/// Steps of a request that are run again because results were lost.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum RebuildStage {
-    /// No step was run again.
-    #[default]
-    None,
-    /// The steps whose results were known or assumed to be lost.
-    LostSteps,
-    /// All batched steps. A further loss fails the request.
-    AllSteps,
-}
-
 impl RequestRun {
     /// Whether lost results may be computed again.
     ///
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 mod piece_order;
 mod piece_steps;
 mod placement_inputs;
+mod rebuild_stage;
 mod request_plan;
 mod request_run;
 mod request_shard;
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::lost_results::RebuildStage;
+use super::rebuild_stage::RebuildStage;
 use super::request_run::count;
 use super::step_run::{AttemptFailure, AttemptKind, InFlightAttempt, StepOutput};
 use super::{
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::lost_results::RebuildStage;
+use super::rebuild_stage::RebuildStage;
 use super::step_run::{AttemptFailure, AttemptKind, InFlightAttempt, StepOutput, StepRun};
 use super::{
     AttemptCounts, AttemptEvent, BreakReason, FinalAnswer, FinalOutcome, OutcomeKind,
