Hold one lock at a time around failed links, and end impairments

A test of links locked the links while the dispatcher was locked, and the removal of unlisted upstreams the other way round, so that two threads could wait for each other for good. The rule that no lock is held while another part is called holds again: names are copied first, the table of transits is a part of the fleet's state, and random numbers of a test come from a generator of its own.

A pool stayed impaired for good if no link was left to test: all its upstreams were gone, or all links worked again by requests alone. Such a round restores the pool at once; pool_without_links_to_test_is_restored.

--- a/crates/crocusdale_core/src/batching/pool_waits.rs
+++ b/crates/crocusdale_core/src/batching/pool_waits.rs
@@ -98,10 +98,20 @@
         }
     }
 
-    /// Drops the waits of sections that `is_valid` rejects, by the name of the section and the VM
-    /// of the dispatcher that reported its wait.
-    pub fn retain(&mut self, is_valid: impl Fn(&str, &str) -> bool) {
-        self.waits.retain(|section, reported| is_valid(section, &reported.dispatcher));
+    /// Sections with a known wait, each with the VM of the dispatcher that reported it.
+    #[must_use]
+    pub fn reports(&self) -> Vec<(String, String)> {
+        let waits = self.waits.iter();
+        waits.map(|(section, wait)| (section.clone(), wait.dispatcher.clone())).collect()
+    }
+
+    /// Drops waits by their section and the VM of the dispatcher that reported them.
+    pub fn remove_reports(&mut self, reports: &[(String, String)]) {
+        for (section, vm) in reports {
+            if self.waits.get(section).is_some_and(|wait| wait.dispatcher == *vm) {
+                self.waits.remove(section);
+            }
+        }
     }
 
     /// Expected wait of new pieces in `pool`, zero if unknown. The last report is reduced by the
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -25,7 +25,7 @@
 use crate::pipeline::RequestShard;
 use crate::quarantine::CrashDetector;
 use crate::rate_limiting::RateLimiter;
-use crate::reachability::{LinkMonitor, TransitTable};
+use crate::reachability::LinkMonitor;
 use crate::retry::RetryLimits;
 use crate::routing::{ChangedUpstream, ColdLimits, UpstreamRouter};
 use crate::sync::lock;
@@ -68,8 +68,6 @@
     /// Whether `links` has any failure, kept outside its lock so that it isn't locked for each
     /// connection.
     pub(super) has_failed_links: AtomicBool,
-    /// Requests that are sent to upstreams through other daemons.
-    pub(super) transits: Mutex<TransitTable>,
     /// Number of open requests that this daemon sends on behalf of others, and its limit.
     pub(super) open_transits: AtomicUsize,
     pub(super) transit_limit: usize,
@@ -279,7 +277,6 @@
             links: Mutex::default(),
             link_random: Mutex::new(SmallRng::seed_from_u64(self.seed.wrapping_add(4))),
             has_failed_links: AtomicBool::new(false),
-            transits: Mutex::default(),
             open_transits: AtomicUsize::new(0),
             transit_limit,
             crash_detector: Mutex::new(crash_detector),
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -412,7 +412,11 @@
                 self.state.start_scheduled_requests(now, &mut actions);
                 self.state.run_actions(actions, now, out);
             }
-            TimerKey::LinkTest => self.state.test_links(now, out),
+            TimerKey::LinkTest => {
+                let mut actions = Vec::new();
+                self.state.test_links(now, &mut actions, out);
+                self.state.run_actions(actions, now, out);
+            }
             TimerKey::PoolStatus => self.state.report_pool_status(now, out),
             // Every event checks the age of the list of published upstreams. This timer only makes
             // sure that an event arrives in time.
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -18,6 +18,7 @@
 use crate::orders::{EngineOrder, OrderReconciler, ReconcileAction};
 use crate::quarantine::CrashRecord;
 use crate::rate_limiting::{LimitRecord, RateShare};
+use crate::reachability::{TransitGoal, TransitTable};
 
 /// Number of peers that receive a heartbeat at once after a change, ahead of the regular period.
 const UPDATE_FANOUT: usize = 4;
@@ -100,6 +101,8 @@
     /// Version of the member view and time of the last update of `known_daemons`.
     known_daemons_at: Option<(u64, MonotonicTime)>,
     dispatcher_candidates: DispatcherCandidates,
+    /// Requests that are sent to upstreams through other daemons.
+    pub(super) transits: TransitTable,
     /// Version of the members' links at the last call of [`Self::take_links_change`].
     seen_links_version: u64,
     /// Whether this daemon's last computed share of upstream request rates was withheld. `None`
@@ -139,6 +142,7 @@
             known_daemons: KnownDaemons::default(),
             known_daemons_at: None,
             dispatcher_candidates: DispatcherCandidates::default(),
+            transits: TransitTable::default(),
             seen_links_version: 0,
             was_share_withheld: None,
             random: SmallRng::seed_from_u64(seed),
@@ -520,6 +524,21 @@
         std::mem::replace(&mut self.seen_links_version, version) != version
     }
 
+    /// VM name of the daemon to send a request for `goal` through.
+    pub(super) fn choose_transit(
+        &mut self,
+        goal: TransitGoal<'_>,
+        now: MonotonicTime,
+    ) -> Option<String> {
+        let members = (self.history.current().as_ref(), &self.view);
+        self.transits.choose(goal, members, &mut self.random, now)
+    }
+
+    /// Whether any other daemon is known to reach an upstream of `pool`.
+    pub(super) fn has_transit_to(&mut self, pool: &str) -> bool {
+        self.transits.has_candidates(pool, self.history.current(), &self.view)
+    }
+
     /// Announces the pools that this daemon reaches over its own links.
     pub(super) fn announce_links(
         &mut self,
--- a/crates/crocusdale_core/src/daemon/link_flow.rs
+++ b/crates/crocusdale_core/src/daemon/link_flow.rs
@@ -4,6 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rand::SeedableRng as _;
+use rand::rngs::SmallRng;
+
 use super::core_state::CoreState;
 use super::{Command, DaemonCore, StateChange, TimerKey};
 use crate::batching::PoolSection;
@@ -46,7 +49,7 @@
         let pool = self.state.pool_of(upstream)?;
         let router = self.state.router();
         let goal = TransitGoal { pool: &pool, zone: router.upstream_zone(upstream), tried: &[] };
-        self.state.choose_transit(goal, now)
+        lock(&self.state.fleet).choose_transit(goal, now)
     }
 }
 
@@ -81,19 +84,32 @@
             out.push(Command::SetTimer { timer: TimerKey::LinkTest, at: now + LINK_TEST_INTERVAL });
         }
         if needs_round {
-            self.start_round(&pool, now, out);
+            self.start_round(&pool, now, actions, out);
+        }
+        if let Some(change) = change {
+            self.apply_link_change(&pool, change, now, actions, out);
         }
-        let Some(change) = change else { return };
+    }
+
+    fn apply_link_change(
+        &self,
+        pool: &str,
+        change: LinkChange,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+        out: &mut Vec<Command>,
+    ) {
+        let pool_name = pool.to_owned();
         out.push(Command::LogStateChange(match change {
-            LinkChange::Impaired(reach) => StateChange::LinksImpaired { pool: pool.clone(), reach },
+            LinkChange::Impaired(reach) => StateChange::LinksImpaired { pool: pool_name, reach },
             LinkChange::Restored(time) => {
                 let impaired_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-                StateChange::LinksRestored { pool: pool.clone(), impaired_ms }
+                StateChange::LinksRestored { pool: pool_name, impaired_ms }
             }
         }));
         // What was learned of the upstreams in the meantime says something of the links.
-        self.router().forget_failures(&pool);
-        lock(&self.dispatcher).forget_failures(&pool, now);
+        self.router().forget_failures(pool);
+        lock(&self.dispatcher).forget_failures(pool, now);
         self.announce_links(now, actions, out);
     }
 
@@ -118,7 +134,12 @@
     }
 
     /// Tests links of all pools with failed ones, and schedules the next tests.
-    pub(super) fn test_links(&self, now: MonotonicTime, out: &mut Vec<Command>) {
+    pub(super) fn test_links(
+        &self,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+        out: &mut Vec<Command>,
+    ) {
         self.drop_unlisted_links();
         let pools = lock(&self.links).failed_pools();
         self.has_failed_links.store(!pools.is_empty(), Ordering::Relaxed);
@@ -126,14 +147,17 @@
             return;
         }
         for pool in pools {
-            self.start_round(&pool, now, out);
+            self.start_round(&pool, now, actions, out);
         }
         out.push(Command::SetTimer { timer: TimerKey::LinkTest, at: now + LINK_TEST_INTERVAL });
     }
 
     /// Drops the links to upstreams that are not listed any more.
     fn drop_unlisted_links(&self) {
-        lock(&self.links).retain(|upstream| self.pool_of(upstream).is_some());
+        let known = lock(&self.links).upstreams();
+        let is_unlisted = |upstream: &String| self.pool_of(upstream).is_none();
+        let unlisted: Vec<String> = known.into_iter().filter(is_unlisted).collect();
+        lock(&self.links).remove(&unlisted);
     }
 
     /// Drops the waits that dispatchers reported which can't connect to their pool any more, if the
@@ -142,15 +166,18 @@
     /// Guards against requests that are refused for the last report of a dispatcher that is not
     /// used any more, and so never reports a shorter wait.
     pub(super) fn drop_waits_of_cut_off(&self) {
-        let mut fleet = lock(&self.fleet);
-        if !fleet.take_links_change() {
+        if !lock(&self.fleet).take_links_change() {
             return;
         }
-        let view = &fleet.view;
-        lock(&self.pool_waits).retain(|section, vm| {
-            let pool = PoolSection::from_name(section).pool;
-            view.links(vm).is_none_or(|links| links.reaches(&pool))
-        });
+        let mut reports = lock(&self.pool_waits).reports();
+        {
+            let fleet = lock(&self.fleet);
+            reports.retain(|(section, vm)| {
+                let pool = PoolSection::from_name(section).pool;
+                fleet.view.links(vm).is_some_and(|links| !links.reaches(&pool))
+            });
+        }
+        lock(&self.pool_waits).remove_reports(&reports);
     }
 
     /// Pool of `upstream`. `None` if the upstream is not listed any more.
@@ -160,11 +187,22 @@
     }
 
     /// Starts a round of tests of links to `pool` that are not known to work.
-    fn start_round(&self, pool: &str, now: MonotonicTime, out: &mut Vec<Command>) {
-        let targets =
-            self.link_targets(pool, LINK_TEST_SIZE, |name| !lock(&self.links).is_open(pool, name));
-        lock(&self.links).start_round(pool, targets.len(), now);
-        out.push(Command::TestLinks(targets));
+    fn start_round(
+        &self,
+        pool: &str,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+        out: &mut Vec<Command>,
+    ) {
+        let open = lock(&self.links).open_upstreams(pool);
+        let targets = self.link_targets(pool, LINK_TEST_SIZE, |name| !open.contains(name));
+        let change = lock(&self.links).start_round(pool, targets.len(), now);
+        if !targets.is_empty() {
+            out.push(Command::TestLinks(targets));
+        }
+        if let Some(change) = change {
+            self.apply_link_change(pool, change, now, actions, out);
+        }
     }
 
     /// Tells peers which pools this daemon reaches, and hands the pools that others dispatch now
@@ -193,11 +231,11 @@
         count: usize,
         is_wanted: impl Fn(&str) -> bool,
     ) -> Vec<LinkTarget> {
-        let mut random = lock(&self.link_random);
-        let routed = self.router().sample_pool(pool, &is_wanted, count, &mut *random);
+        let mut random = SmallRng::from_rng(&mut *lock(&self.link_random));
+        let routed = self.router().sample_pool(pool, &is_wanted, count, &mut random);
         routed.unwrap_or_else(|| {
             let dispatcher = lock(&self.dispatcher);
-            dispatcher.sample_pool(pool, &is_wanted, count, &mut *random)
+            dispatcher.sample_pool(pool, &is_wanted, count, &mut random)
         })
     }
 }
--- a/crates/crocusdale_core/src/daemon/transit_flow.rs
+++ b/crates/crocusdale_core/src/daemon/transit_flow.rs
@@ -48,7 +48,7 @@
 
     /// Records that a request that was sent through the daemon on `vm` has ended there.
     pub fn finish_transit(&self, vm: &str, end: TransitEnd, now: MonotonicTime) {
-        lock(&self.state.transits).finish(vm, end, now);
+        lock(&self.state.fleet).transits.finish(vm, end, now);
     }
 
     /// Request in transit for the request of `order`, whose caller named `host` and `path` and showed
@@ -125,26 +125,14 @@
             return AttemptPath::OtherUpstream;
         }
         let goal = TransitGoal { pool, zone: router.upstream_zone(upstream), tried };
-        match self.choose_transit(goal, now) {
+        let chosen = lock(&self.fleet).choose_transit(goal, now);
+        match chosen {
             Some(vm) => AttemptPath::Transit(vm),
             None if has_open => AttemptPath::OtherUpstream,
             None => AttemptPath::NoPath(NO_PATH_RETRY_AFTER),
         }
     }
 
-    /// VM of the daemon to send a request for `goal` through. Ends with
-    /// [`DaemonCore::finish_transit`].
-    pub(super) fn choose_transit(
-        &self,
-        goal: TransitGoal<'_>,
-        now: MonotonicTime,
-    ) -> Option<String> {
-        let fleet = lock(&self.fleet);
-        let members = (fleet.history.current().as_ref(), &fleet.view);
-        let mut random = lock(&self.link_random);
-        lock(&self.transits).choose(goal, members, &mut *random, now)
-    }
-
     fn admit_transit(
         &self,
         request: &TransitRequest,
@@ -203,11 +191,8 @@
             StepWork::Json => false,
         });
         needed.any(|(_, step)| {
-            !lock(&self.links).has_open(&step.stage) && {
-                let fleet = lock(&self.fleet);
-                let mut transits = lock(&self.transits);
-                !transits.has_candidates(&step.stage, fleet.history.current(), &fleet.view)
-            }
+            let has_open = lock(&self.links).has_open(&step.stage);
+            !has_open && !lock(&self.fleet).has_transit_to(&step.stage)
         })
     }
 }
--- a/crates/crocusdale_core/src/reachability/link_monitor.rs
+++ b/crates/crocusdale_core/src/reachability/link_monitor.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -211,26 +211,46 @@
         self.pools.keys().cloned().collect()
     }
 
-    /// Whether the link to `upstream`, an upstream of `pool`, is known to work.
+    /// Names of the upstreams of `pool` to which the links are known to work.
     #[must_use]
-    pub fn is_open(&self, pool: &str, upstream: &str) -> bool {
-        let link = self.pools.get(pool).and_then(|links| links.links.get(upstream));
-        link.is_some_and(|link| link.is_open)
+    pub fn open_upstreams(&self, pool: &str) -> HashSet<String> {
+        let links = self.pools.get(pool).into_iter().flat_map(|links| &links.links);
+        links.filter(|(_, link)| link.is_open).map(|(upstream, _)| upstream.clone()).collect()
     }
 
-    /// Records that the links to `size` upstreams of `pool` are being tested.
-    pub fn start_round(&mut self, pool: &str, size: usize, now: MonotonicTime) {
-        let Some(links) = self.pools.get_mut(pool) else { return };
+    /// Names of all upstreams with a known link.
+    #[must_use]
+    pub fn upstreams(&self) -> Vec<String> {
+        self.pools.values().flat_map(|links| links.links.keys().cloned()).collect()
+    }
+
+    /// Records that the links to `size` upstreams of `pool` are being tested, all that are not known
+    /// to work. The pool is sound if there are none.
+    pub fn start_round(
+        &mut self,
+        pool: &str,
+        size: usize,
+        now: MonotonicTime,
+    ) -> Option<LinkChange> {
+        if size == 0 {
+            let impairment = self.pools.remove(pool)?.impairment?;
+            return Some(LinkChange::Restored(now.since(impairment.since)));
+        }
+        let links = self.pools.get_mut(pool)?;
         links.last_round = Some(now);
         if let Some(impairment) = &mut links.impairment {
             impairment.round = TestRound { size, ..TestRound::default() };
         }
+        None
     }
 
-    /// Drops links to upstreams that `is_listed` rejects.
-    pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
+    /// Drops the links to `upstreams`, which are not listed any more.
+    pub fn remove(&mut self, upstreams: &[String]) {
+        if upstreams.is_empty() {
+            return;
+        }
         for links in self.pools.values_mut() {
-            links.links.retain(|upstream, _| is_listed(upstream));
+            links.links.retain(|upstream, _| !upstreams.contains(upstream));
         }
         self.pools.retain(|_, links| !links.is_sound());
     }
--- a/crates/crocusdale_core/tests/link_monitor_test.rs
+++ b/crates/crocusdale_core/tests/link_monitor_test.rs
@@ -89,7 +89,7 @@
         );
     }
     let test = |links: &mut LinkMonitor, results: [LinkResult; 4], millis| {
-        links.start_round(POOL, 4, at(millis));
+        assert_eq!(links.start_round(POOL, 4, at(millis)), None);
         let mut last_change = None;
         for (index, result) in results.into_iter().enumerate() {
             let upstream = format!("n{}", index + 1);
@@ -104,6 +104,20 @@
     assert!(links.is_empty());
 }
 
+/// Guards against a pool that stays impaired although all its links work, or all its upstreams are
+/// gone: there is nothing left to test.
+#[test]
+fn pool_without_links_to_test_is_restored() {
+    let mut links = LinkMonitor::default();
+    record(&mut links, &[false; 5], 0);
+    assert_eq!(links.start_round(POOL, 3, at(500)), None);
+    let gone: Vec<String> = links.upstreams();
+    links.remove(&gone);
+    let restored = links.start_round(POOL, 0, at(1_000));
+    assert_eq!(restored, Some(LinkChange::Restored(Duration::from_millis(1_000))));
+    assert!(links.is_empty());
+}
+
 /// Guards against requests to a failed upstream that are passed on through daemon after daemon.
 #[test]
 fn upstream_that_no_daemon_reaches_gets_no_relayed_requests() {
--- a/crates/crocusdale_core/tests/transit_test.rs
+++ b/crates/crocusdale_core/tests/transit_test.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use crocusdale_core::daemon::{AttemptPath, Command, DaemonEvent};
+use crocusdale_core::daemon::{AttemptPath, Command, DaemonEvent, TimerKey};
 use crocusdale_core::identity::StorePosition;
 use crocusdale_core::pipeline::{
     AttemptEvent, BreakReason, ExecutionStatus, ForwardOrder, OutcomeKind, RefusalReason,
@@ -158,7 +158,7 @@
         for _ in 0..20 {
             let mut commands = Vec::new();
             daemon.now = daemon.now + Duration::from_millis(100);
-            let event = DaemonEvent::Timer(crocusdale_core::daemon::TimerKey::Housekeeping);
+            let event = DaemonEvent::Timer(TimerKey::Housekeeping);
             daemon.core.handle(event, daemon.now, &mut commands);
             exits += commands.iter().filter(|each| matches!(each, Command::Exit)).count();
         }
@@ -166,7 +166,7 @@
     };
     daemon.feed(DaemonEvent::DrainRequested);
     assert_eq!(admit(&daemon, &asked), Err(TransitRefusal::Draining));
-    let event = DaemonEvent::Timer(crocusdale_core::daemon::TimerKey::DrainWindowEnd);
+    let event = DaemonEvent::Timer(TimerKey::DrainWindowEnd);
     daemon.feed(event);
     assert_eq!(exits(&mut daemon), 0, "a request in transit is open");
     daemon.core.end_transit();
@@ -197,3 +197,40 @@
     daemon.attempt(order.attempt, AttemptEvent::ResponseForwarded);
     assert_eq!(daemon.answer(served), Some((OutcomeKind::Answered, None)));
 }
+
+/// Guards against threads that wait for each other: tests of links, announcements, attempts and
+/// housekeeping use the same parts of the state.
+#[test]
+fn links_change_while_other_threads_use_them() {
+    let daemon = Daemon::new();
+    let (core, now) = (&daemon.core, daemon.now);
+    let asked = request(&daemon);
+    let handle = |event: DaemonEvent, round: u64| {
+        let mut commands = Vec::new();
+        core.handle(event, now + Duration::from_millis(round), &mut commands);
+    };
+    std::thread::scope(|scope| {
+        for thread in 0..4_u64 {
+            let (handle, asked) = (&handle, &asked);
+            scope.spawn(move || {
+                for round in 0..1_500 {
+                    let upstream = ["n1", "n2", "s1", "s2"][(round % 4) as usize].to_owned();
+                    let result =
+                        if (round / 8) % 2 == 0 { LinkResult::Failed } else { LinkResult::Open };
+                    match thread {
+                        0 => handle(DaemonEvent::LinkUsed { upstream, result }, round),
+                        1 => handle(DaemonEvent::LinkTested { upstream, result }, round),
+                        2 => handle(DaemonEvent::Timer(TimerKey::LinkTest), round),
+                        _ => {
+                            handle(DaemonEvent::Timer(TimerKey::Housekeeping), round);
+                            if core.admit_transit(asked, now).is_ok() {
+                                core.end_transit();
+                            }
+                            let _ = core.choose_witness_of("n1", now);
+                        }
+                    }
+                }
+            });
+        }
+    });
+}
