--- a/crates/crocusdale_core/src/batching/batch_dispatcher.rs
+++ b/crates/crocusdale_core/src/batching/batch_dispatcher.rs
@@ -3,16 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::Rng;
-use rand::seq::IteratorRandom as _;
-
 use super::published_pool::PublishedPool;
 use super::{BatchId, BatchOrder, BatchOutcome, BatchPool, PoolSection, PoolWait};
 use crate::configuration::{Declarations, PoolKind};
 use crate::identity::{AttemptId, MonotonicTime, RequestDigest, stable_hash};
 use crate::pipeline::{PieceFault, PieceOrder, PlacedResult, ResultHandle};
 use crate::rate_limiting::RateLimiter;
-use crate::reachability::LinkTarget;
 use crate::retry::RetryLimits;
 use crate::routing::{ChangedUpstream, UpstreamDirectory};
 
@@ -202,33 +198,6 @@
         self.pools.len()
     }
 
-    /// Batched pool that lists the upstream `name`.
-    #[must_use]
-    pub fn pool_of(&self, name: &str) -> Option<&str> {
-        let mut pools = self.published.iter();
-        pools.find(|(_, pool)| pool.contains(name)).map(|(pool, _)| pool.as_str())
-    }
-
-    /// Number of upstreams in `pool`, 0 if it is unknown.
-    #[must_use]
-    pub fn pool_size(&self, pool: &str) -> usize {
-        self.published.get(pool).map_or(0, PublishedPool::size)
-    }
-
-    /// Up to `count` randomly chosen upstreams of `pool` whose names `is_wanted` accepts.
-    pub fn sample_pool(
-        &self,
-        pool: &str,
-        is_wanted: impl Fn(&str) -> bool,
-        count: usize,
-        random: &mut impl Rng,
-    ) -> Vec<LinkTarget> {
-        let Some(published) = self.published.get(pool) else { return Vec::new() };
-        let others = published.targets().filter(|(name, _)| is_wanted(name));
-        let chosen = others.choose_multiple(random, count).into_iter();
-        chosen.map(|(name, address)| LinkTarget { upstream: name.to_owned(), address }).collect()
-    }
-
     /// Opens the section `name`, unless it is open or its pool is unknown. A daemon with a
     /// different list of upstreams may name a section of another section count.
     fn open_section(&mut self, name: &str, now: MonotonicTime) {
@@ -402,15 +371,6 @@
         }
     }
 
-    /// Forgets the failed calls to all upstreams of `pool`.
-    pub fn forget_failures(&mut self, pool: &str, now: MonotonicTime) {
-        for (section, open) in &mut self.pools {
-            if PoolSection::from_name(section).pool == pool {
-                open.forget_failures(now);
-            }
-        }
-    }
-
     /// Returns the undispatched pieces of the section `pool`, which another daemon now dispatches.
     /// `cut_off` tells whether this daemon can't connect to the upstreams of the pool.
     pub fn hand_over(&mut self, pool: &str, cut_off: bool, actions: &mut Vec<DispatchAction>) {
--- a/crates/crocusdale_core/src/batching/mod.rs
+++ b/crates/crocusdale_core/src/batching/mod.rs
@@ -24,6 +24,7 @@
 mod dispatcher_choice;
 mod in_flight_call;
 mod late_share;
+mod link_targets;
 mod pool_changes;
 mod pool_forecast;
 mod pool_section;
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -12,19 +12,19 @@
 };
 use crate::identity::{MonotonicTime, StorePosition};
 use crate::membership::{
-    DirectoryVersion, ExchangeMessage, KnownDaemons, MemberLinks, MemberStatus, MemberView, VmList,
+    DirectoryVersion, ExchangeMessage, KnownDaemons, MemberStatus, MemberView, VmList,
     VmListHistory,
 };
 use crate::orders::{EngineOrder, OrderReconciler, ReconcileAction};
 use crate::quarantine::CrashRecord;
 use crate::rate_limiting::{LimitRecord, RateShare};
-use crate::reachability::{TransitGoal, TransitTable};
+use crate::reachability::TransitTable;
 
 /// Number of peers that receive a heartbeat at once after a change, ahead of the regular period.
 const UPDATE_FANOUT: usize = 4;
 /// Number of peers that receive a heartbeat at once when this daemon starts to drain or has
 /// received its first VM list.
-const ANNOUNCEMENT_FANOUT: usize = 16;
+pub(super) const ANNOUNCEMENT_FANOUT: usize = 16;
 /// Interval between two reads of the VM list, unless the configuration of the process sets one.
 const DEFAULT_VM_LIST_INTERVAL: Duration = Duration::from_secs(2);
 /// Lower limit of the interval between two reads of the VM list, for each daemon in the fleet. It
@@ -100,15 +100,15 @@
     known_daemons: KnownDaemons,
     /// Version of the member view and time of the last update of `known_daemons`.
     known_daemons_at: Option<(u64, MonotonicTime)>,
-    dispatcher_candidates: DispatcherCandidates,
+    pub(super) dispatcher_candidates: DispatcherCandidates,
     /// Requests that are sent to upstreams through other daemons.
     pub(super) transits: TransitTable,
-    /// Version of the members' links at the last call of [`Self::take_links_change`].
-    seen_links_version: u64,
+    /// Version of the members' links at the last call of `take_links_change`.
+    pub(super) seen_links_version: u64,
     /// Whether this daemon's last computed share of upstream request rates was withheld. `None`
     /// before the first one.
     was_share_withheld: Option<bool>,
-    random: SmallRng,
+    pub(super) random: SmallRng,
 }
 
 impl FleetState {
@@ -506,51 +506,6 @@
         announced_time + self.view.period() * 4
     }
 
-    /// VM name of the daemon that dispatches the pool section `pool`, except those in `tried`.
-    pub(super) fn dispatcher(&mut self, pool: &str, tried: &[String]) -> String {
-        let roster = self.history.current();
-        self.dispatcher_candidates.dispatcher(roster, &self.view, pool, tried)
-    }
-
-    /// VM name of the coordinator with the name `name`.
-    pub(super) fn coordinator(&mut self, name: &str) -> String {
-        let roster = self.history.current();
-        self.dispatcher_candidates.coordinator(roster, &self.view, name)
-    }
-
-    /// Whether the links of a member have changed since the last call.
-    pub(super) fn take_links_change(&mut self) -> bool {
-        let version = self.view.links_version();
-        std::mem::replace(&mut self.seen_links_version, version) != version
-    }
-
-    /// VM name of the daemon to send a request for `goal` through.
-    pub(super) fn choose_transit(
-        &mut self,
-        goal: TransitGoal<'_>,
-        now: MonotonicTime,
-    ) -> Option<String> {
-        let members = (self.history.current().as_ref(), &self.view);
-        self.transits.choose(goal, members, &mut self.random, now)
-    }
-
-    /// Whether any other daemon is known to reach an upstream of `pool`.
-    pub(super) fn has_transit_to(&mut self, pool: &str) -> bool {
-        self.transits.has_candidates(pool, self.history.current(), &self.view)
-    }
-
-    /// Announces the pools that this daemon reaches over its own links.
-    pub(super) fn announce_links(
-        &mut self,
-        links: MemberLinks,
-        now: MonotonicTime,
-        out: &mut Vec<Command>,
-    ) {
-        self.view.set_links(links);
-        let partners = self.view.random_partners(ANNOUNCEMENT_FANOUT);
-        self.send_heartbeats_to(partners, now, out);
-    }
-
     /// Sends a heartbeat to each of `partners`.
     pub fn send_heartbeats_to(
         &mut self,
--- a/crates/crocusdale_core/src/daemon/link_flow.rs
+++ b/crates/crocusdale_core/src/daemon/link_flow.rs
@@ -45,7 +45,7 @@
     /// VM of another daemon that is asked whether it can connect to `upstream`. Counts as a request
     /// in transit until [`DaemonCore::finish_transit`].
     #[must_use]
-    pub fn choose_witness_of(&self, upstream: &str, now: MonotonicTime) -> Option<String> {
+    pub fn choose_probe_peer(&self, upstream: &str, now: MonotonicTime) -> Option<String> {
         let pool = self.state.pool_of(upstream)?;
         let router = self.state.router();
         let goal = TransitGoal { pool: &pool, zone: router.upstream_zone(upstream), tried: &[] };
--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -13,6 +13,7 @@
 mod directory_state;
 mod entry_flow;
 mod fleet_events;
+mod fleet_links;
 mod fleet_state;
 mod held_work;
 mod limit_updates;
--- a/crates/crocusdale_core/src/membership/member_view.rs
+++ b/crates/crocusdale_core/src/membership/member_view.rs
@@ -7,8 +7,8 @@
 use rand::{Rng as _, SeedableRng as _};
 
 use super::{
-    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberLinks, MemberPlace, MemberRecord,
-    MemberStatus, VmEntry, VmList, VmRole, VmState,
+    ExchangeMessage, LeavingUpstream, MemberCapacity, MemberPlace, MemberRecord, MemberStatus,
+    VmEntry, VmList, VmRole, VmState,
 };
 use crate::identity::{InstanceId, MonotonicTime};
 
@@ -45,9 +45,9 @@
     /// Number of changes of the members and their locations so far.
     places_version: u64,
     /// Number of changes of the members, their locations, their statuses and their links so far.
-    version: u64,
+    pub(super) version: u64,
     /// Number of changes of the members' links so far.
-    links_version: u64,
+    pub(super) links_version: u64,
     /// Peers whose record still has to be sent, those with the most remaining sends first.
     pub(super) unsent: BTreeSet<(Reverse<u32>, String)>,
     /// Names of the peers that are suspected or unreachable.
@@ -206,14 +206,6 @@
         }
     }
 
-    /// Sets the pools that this daemon reaches over its own links.
-    pub fn set_links(&mut self, links: MemberLinks) {
-        self.own.links = Some(links);
-        self.own.refutation += 1;
-        self.version += 1;
-        self.links_version += 1;
-    }
-
     /// Marks this daemon as leaving, until its process ends.
     pub fn leave(&mut self) {
         self.own_leaving = true;
@@ -351,20 +343,6 @@
         record.place.as_ref().map(|place| place.capacity)
     }
 
-    /// Links that the daemon on `vm` has announced. `None` if it has announced none, like daemons of
-    /// older versions.
-    #[must_use]
-    pub fn links(&self, vm: &str) -> Option<&MemberLinks> {
-        let own = (vm == self.own.instance.vm).then_some(&self.own);
-        own.or_else(|| self.peers.get(vm)?.record.as_ref())?.links.as_ref()
-    }
-
-    /// Number of changes of the links of all members, including this daemon.
-    #[must_use]
-    pub fn links_version(&self) -> u64 {
-        self.links_version
-    }
-
     /// Records of all peers for which a record has arrived.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
         self.peers.values().filter_map(|peer| peer.record.as_ref())
--- a/crates/crocusdale_core/src/membership/mod.rs
+++ b/crates/crocusdale_core/src/membership/mod.rs
@@ -8,6 +8,7 @@
 mod member_links;
 mod member_record;
 mod member_view;
+mod view_links;
 mod vm_list;
 mod vm_list_history;
 mod witness_set;
--- a/crates/crocusdale_core/src/reachability/transit_request.rs
+++ b/crates/crocusdale_core/src/reachability/transit_request.rs
@@ -51,6 +51,8 @@
     NoLink,
     /// The daemon, whose links to the pool work, could not connect to the upstream.
     ConnectFailed,
+    /// A kept connection was closed before the request was written to it.
+    ConnectionClosed,
     /// The daemon doesn't know the upstream, and its list is at least as new as the sender's.
     UnknownUpstream,
     /// The upstream is leaving, or its availability zone is evacuated.
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod directory_change;
 mod engine_choice;
 mod engine_load;
+mod link_targets;
 mod load_figures;
 mod peer_directory;
 mod placed_choice;
--- a/crates/crocusdale_core/tests/transit_test.rs
+++ b/crates/crocusdale_core/tests/transit_test.rs
@@ -226,7 +226,7 @@
                             if core.admit_transit(asked, now).is_ok() {
                                 core.end_transit();
                             }
-                            let _ = core.choose_witness_of("n1", now);
+                            let _ = core.choose_probe_peer("n1", now);
                         }
                     }
                 }
--- a/crates/crocusdaled/src/forwarding/upstream_exchange.rs
+++ b/crates/crocusdaled/src/forwarding/upstream_exchange.rs
@@ -158,6 +158,7 @@
                 TransitRefusal::Draining
                 | TransitRefusal::StaleList
                 | TransitRefusal::NoLink
+                | TransitRefusal::ConnectionClosed
                 | TransitRefusal::OverLimit
                 | TransitRefusal::NotAllowed => {}
             }
--- a/crates/crocusdaled/src/peer/evidence_client.rs
+++ b/crates/crocusdaled/src/peer/evidence_client.rs
@@ -18,7 +18,7 @@
     upstream: &str,
     address: SocketAddr,
 ) -> Option<ProbeEvidence> {
-    let vm = engine.core.choose_witness_of(upstream, engine.now())?;
+    let vm = engine.core.choose_probe_peer(upstream, engine.now())?;
     let request =
         TestUpstreamRequest { upstream: upstream.to_owned(), address: address.to_string() };
     let reply = call(engine, &vm, REPLY_TIMEOUT, |mut client| async move {
--- a/crates/crocusdaled/src/peer/transit_service.rs
+++ b/crates/crocusdaled/src/peer/transit_service.rs
@@ -105,7 +105,7 @@
     let sent = engine.now();
     let response = match connection.send(upstream_request).await {
         Ok(response) => response,
-        Err(fault) if !fault.may_be_written => return Err(TransitRefusal::ConnectFailed),
+        Err(fault) if !fault.may_be_written => return Err(TransitRefusal::ConnectionClosed),
         // Without a frame, the asking daemon takes the request as possibly written.
         Err(_) => return Ok(()),
     };
