Test frozen senders and broken streams in transit

Two of the cases that were not proved, with real processes: a sending daemon that is frozen (the caller gets 502 within 4 s, the request runs once, also after the daemon goes on), and a stream in transit whose engine breaks off in the middle of an event (it goes on at the other engine, without gap or repeat).

--- a/crates/crocusdaled/tests/cut_off_test.rs
+++ b/crates/crocusdaled/tests/cut_off_test.rs
@@ -1,6 +1,6 @@
 //! A real daemon whose connections to all workers are refused, beside others that reach them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Result;
 use platform_stand_ins::{
@@ -85,6 +85,51 @@
     Ok(())
 }
 
+/// Guards against callers that wait for a daemon which is frozen while it sends their request, and
+/// against a request that runs again once it goes on.
+#[tokio::test]
+async fn request_in_transit_ends_soon_if_its_daemon_is_frozen() -> Result<()> {
+    let fleet = fleet(2).await?;
+    let caller = fleet.daemons[0].caller;
+    IngressCaller::once(caller, &IngressRequest::new("/shred/7", "first")).await?;
+    for worker in &fleet.plain_workers {
+        worker.set_fault(WorkerFault::Silent);
+    }
+    let request = IngressRequest::new("/shred/7", "open");
+    let answer = tokio::spawn(async move { IngressCaller::once(caller, &request).await });
+    wait_for(SOON, "the worker runs it", async || runs(&fleet.plain_workers, "open") == 1).await?;
+    let started = Instant::now();
+    fleet.daemons[1].process.signal("STOP")?;
+    let answer = answer.await??;
+    assert_eq!(answer.status, 502, "it may have run");
+    assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
+    fleet.daemons[1].process.signal("CONT")?;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(runs(&fleet.plain_workers, "open"), 1);
+    Ok(())
+}
+
+/// Guards against a stream in transit that ends with a gap, a repeated event or half an event when
+/// its engine breaks off.
+#[tokio::test]
+async fn broken_stream_in_transit_goes_on_at_another_engine() -> Result<()> {
+    let fleet = fleet(2).await?;
+    let caller = fleet.daemons[0].caller;
+    // A process begins without retries and earns them with its requests.
+    for index in 0..40 {
+        IngressCaller::once(caller, &digest(&format!("earlier{index}"))).await?;
+    }
+    let is_used = |engine: &WorkerStandIn| !engine.executed_requests().is_empty();
+    let used = fleet.engine_workers.iter().position(is_used).unwrap_or(0);
+    fleet.engine_workers[used].set_fault(WorkerFault::TruncatedStream(2));
+    let answer = IngressCaller::once(caller, &digest("broken")).await?;
+    assert_eq!((answer.status, answer.body, answer.is_complete), (200, events(), true));
+    let executed = fleet.engine_workers[1 - used].executed_requests();
+    let resumed = executed.iter().find(|each| each.attempt == "broken").expect("it went on there");
+    assert_eq!(resumed.headers["last-event-id"], "1");
+    Ok(())
+}
+
 /// Guards against requests that wait, or get no true retry delay, once no daemon reaches a worker.
 #[tokio::test]
 async fn caller_is_refused_if_no_daemon_is_left_to_ask() -> Result<()> {
@@ -93,7 +138,7 @@
     IngressCaller::once(caller, &IngressRequest::new("/shred/7", "first")).await?;
     fleet.daemons[1].process.kill();
     wait_for(SOON, "callers are refused at once", async || {
-        let started = std::time::Instant::now();
+        let started = Instant::now();
         let request = IngressRequest::new("/shred/7", "alone");
         let answer = IngressCaller::once(caller, &request).await;
         answer.is_ok_and(|answer| {
