Name the module of links to upstreams after them

link_tests.rs in crocusdaled read like a file of tests. Two tests of requests in transit shared ten lines; they have one function for them.

--- a/crates/crocusdaled/src/upstream/mod.rs
+++ b/crates/crocusdaled/src/upstream/mod.rs
@@ -4,15 +4,15 @@
 mod batch_client;
 mod connection_pool;
 mod engine_orders;
-mod link_tests;
 mod upstream_client;
+mod upstream_links;
 mod upstream_probe;
 
 pub use batch_client::BatchClient;
 pub use connection_pool::{
     AnswerBody, BodyError, ConnectionPool, OpenConnection, SendFault, limit_silence,
 };
-pub(crate) use link_tests::{connect_upstream, test_links};
 pub use upstream_client::UpstreamClient;
+pub(crate) use upstream_links::{connect_upstream, test_links};
 pub(crate) use upstream_probe::collect_evidence;
 pub use upstream_probe::probe_upstream;
--- a/crates/crocusdaled/tests/cut_off_test.rs
+++ b/crates/crocusdaled/tests/cut_off_test.rs
@@ -4,9 +4,10 @@
 
 use anyhow::Result;
 use platform_stand_ins::{
-    IngressCaller, IngressRequest, PublishedFleet, WorkerFault, WorkerStandIn,
+    IngressAnswer, IngressCaller, IngressRequest, PublishedFleet, WorkerFault, WorkerStandIn,
 };
 use stand_ins::wait_for;
+use tokio::task::JoinHandle;
 
 /// Time within which something that is due within seconds must have happened on a busy machine.
 const SOON: Duration = Duration::from_secs(15);
@@ -21,6 +22,20 @@
     executed.filter(|request| request.attempt == attempt).count()
 }
 
+/// Sends the request `open`, which must not repeat, to the cut-off daemon, and waits until a worker
+/// runs it that does not answer.
+async fn start_in_transit(fleet: &PublishedFleet) -> Result<JoinHandle<Result<IngressAnswer>>> {
+    let caller = fleet.daemons[0].caller;
+    IngressCaller::once(caller, &IngressRequest::new("/shred/7", "first")).await?;
+    for worker in &fleet.plain_workers {
+        worker.set_fault(WorkerFault::Silent);
+    }
+    let request = IngressRequest::new("/shred/7", "open");
+    let answer = tokio::spawn(async move { IngressCaller::once(caller, &request).await });
+    wait_for(SOON, "the worker runs it", async || runs(&fleet.plain_workers, "open") == 1).await?;
+    Ok(answer)
+}
+
 fn digest(attempt: &str) -> IngressRequest {
     IngressRequest::new("/digest/7", attempt)
         .field("x-pieces", "3")
@@ -70,14 +85,7 @@
 #[tokio::test]
 async fn request_in_transit_runs_once_if_its_daemon_is_killed() -> Result<()> {
     let mut fleet = fleet(2).await?;
-    let caller = fleet.daemons[0].caller;
-    IngressCaller::once(caller, &IngressRequest::new("/shred/7", "first")).await?;
-    for worker in &fleet.plain_workers {
-        worker.set_fault(WorkerFault::Silent);
-    }
-    let request = IngressRequest::new("/shred/7", "open");
-    let answer = tokio::spawn(async move { IngressCaller::once(caller, &request).await });
-    wait_for(SOON, "the worker runs it", async || runs(&fleet.plain_workers, "open") == 1).await?;
+    let answer = start_in_transit(&fleet).await?;
     fleet.daemons[1].process.kill();
     let answer = answer.await??;
     assert_eq!(answer.status, 502, "it may have run");
@@ -90,14 +98,7 @@
 #[tokio::test]
 async fn request_in_transit_ends_soon_if_its_daemon_is_frozen() -> Result<()> {
     let fleet = fleet(2).await?;
-    let caller = fleet.daemons[0].caller;
-    IngressCaller::once(caller, &IngressRequest::new("/shred/7", "first")).await?;
-    for worker in &fleet.plain_workers {
-        worker.set_fault(WorkerFault::Silent);
-    }
-    let request = IngressRequest::new("/shred/7", "open");
-    let answer = tokio::spawn(async move { IngressCaller::once(caller, &request).await });
-    wait_for(SOON, "the worker runs it", async || runs(&fleet.plain_workers, "open") == 1).await?;
+    let answer = start_in_transit(&fleet).await?;
     let started = Instant::now();
     fleet.daemons[1].process.signal("STOP")?;
     let answer = answer.await??;
