Keep coordinators whose links to one pool have failed

A coordinator needs no upstream itself, but one that is cut off from all of them should not decide for others. It gives way now if its links to two pools or more have failed. coordinator_changes_only_if_it_is_cut_off holds both sides.

--- a/crates/crocusdale_core/src/batching/dispatcher_choice.rs
+++ b/crates/crocusdale_core/src/batching/dispatcher_choice.rs
@@ -9,8 +9,10 @@
 pub enum RequiredLinks {
     /// Links to the upstreams of this pool.
     Pool(String),
-    /// Links to the upstreams of all pools.
-    AllPools,
+    /// Links to the upstreams of all pools but one at most. A single pool is impaired most often
+    /// because its upstreams have failed, and a new coordinator begins without what the one before
+    /// knew.
+    MostPools,
 }
 
 impl RequiredLinks {
@@ -19,7 +21,7 @@
     fn are_met_by(&self, links: Option<&MemberLinks>) -> bool {
         links.is_none_or(|links| match self {
             Self::Pool(pool) => links.reaches(pool),
-            Self::AllPools => links.is_complete(),
+            Self::MostPools => links.impaired_count() <= 1,
         })
     }
 }
@@ -122,9 +124,9 @@
     }
 
     /// VM name of the daemon that coordinates the section with the name `name`. Daemons that can't
-    /// connect to all pools are only chosen if there are no others.
+    /// connect to most pools are only chosen if there are no others.
     pub fn coordinator(&mut self, roster: &VmList, view: &MemberView, name: &str) -> String {
-        let vms = self.linked_vms(roster, view, || RequiredLinks::AllPools).iter();
+        let vms = self.linked_vms(roster, view, || RequiredLinks::MostPools).iter();
         let chosen = highest_ranked(name, vms.map(String::as_str));
         chosen.unwrap_or(view.own().instance.vm.as_str()).to_owned()
     }
--- a/crates/crocusdale_core/src/membership/member_links.rs
+++ b/crates/crocusdale_core/src/membership/member_links.rs
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Number of pools that the member doesn't reach.
+    #[must_use]
+    pub fn impaired_count(&self) -> usize {
+        match self {
+            Self::AllExcept(impaired) => impaired.len(),
+            Self::NoPool => usize::MAX,
+        }
+    }
+
     /// Whether the member reaches all pools.
     #[must_use]
     pub fn is_complete(&self) -> bool {
--- a/crates/crocusdale_core/tests/member_links_test.rs
+++ b/crates/crocusdale_core/tests/member_links_test.rs
@@ -145,6 +145,26 @@
     assert_ne!(chosen(&view), "", "nobody reaches the pool, and somebody still decides");
 }
 
+/// Guards against a coordinator that can't work for the fleet, and against coordinators that change,
+/// and lose what they know, each time that the upstreams of one pool fail.
+#[test]
+fn coordinator_changes_only_if_it_is_cut_off() {
+    let mut view = view(9);
+    let mut candidates = DispatcherCandidates::default();
+    let mut chosen = |view: &MemberView| candidates.coordinator(&vm_list(view), view, "admission");
+    let first = chosen(&view);
+    let index: usize = first.trim_start_matches("entry-").parse().expect("the name of a VM");
+    assert_ne!(index, 0, "the own VM is not the coordinator of this name");
+    let one = impaired(&[("notify", PoolReach::None)]);
+    merge(&mut view, MemberRecord { refutation: 2, ..record(index, one) });
+    assert_eq!(chosen(&view), first);
+    let two = impaired(&[("notify", PoolReach::None), ("reader", PoolReach::None)]);
+    merge(&mut view, MemberRecord { refutation: 3, ..record(index, two) });
+    assert_ne!(chosen(&view), first);
+    merge(&mut view, MemberRecord { refutation: 4, ..record(index, Some(MemberLinks::default())) });
+    assert_eq!(chosen(&view), first);
+}
+
 /// Guards against a record that a daemon of an older version passes on without the links, and that
 /// hides that the member has lost them.
 #[test]
