Tell crashed upstreams from failed links by a sample

Cause: two biases in the evidence. Attempts that crashed upstreams break are all repeated at once, and their failures were five of five known links before any other link was tested. And a round tests only links that aren't known to work, so that after some rounds it consists of the crashed upstreams alone and can't pass until they are back.

Now, unless all links of the pool are known, most links of a random round must fail too; and a pool is sound again when at most a quarter of all known links have failed. Both tests fail on the code before. A VM that reaches one upstream of twelve still counts as impaired.

--- a/crates/crocusdale_core/src/reachability/link_monitor.rs
+++ b/crates/crocusdale_core/src/reachability/link_monitor.rs
@@ -8,8 +8,8 @@
 /// Number of upstreams whose links must be known before a pool can count as impaired. In a smaller
 /// pool, the links to all upstreams.
 const MIN_KNOWN_LINKS: usize = 5;
-/// Part of the links in a round of tests, one in this many, that may fail if an impaired pool is to
-/// count as sound again.
+/// Part of the links in a round of tests, or of all known links, one in this many, that may fail if an
+/// impaired pool is to count as sound again.
 const FAILED_TESTS_DIVISOR: usize = 4;
 /// Time after which the result of a connection no longer counts.
 const LINK_TTL: Duration = Duration::from_secs(3);
@@ -61,6 +61,8 @@
     links: BTreeMap<String, UpstreamLink>,
     /// State of the pool while it is impaired.
     impairment: Option<Impairment>,
+    /// Tests of the last round.
+    round: TestRound,
     last_round: Option<MonotonicTime>,
 }
 
@@ -78,8 +80,6 @@
 struct Impairment {
     since: MonotonicTime,
     reach: PoolReach,
-    /// Tests of the current round.
-    round: TestRound,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -93,6 +93,12 @@
     fn has_passed(self) -> bool {
         self.size > 0 && self.ended == self.size && self.failed * FAILED_TESTS_DIVISOR <= self.size
     }
+
+    /// Whether the results are those of a failed link. Failed attempts alone don't tell: they meet
+    /// the failed upstreams of a pool more often than the others.
+    fn admits_impairment(self) -> bool {
+        self.size == 0 || (self.ended >= self.size && self.failed * 2 > self.size)
+    }
 }
 
 /// Result of a new connection to an upstream.
@@ -137,10 +143,9 @@
         size: usize,
         now: MonotonicTime,
     ) -> Option<LinkChange> {
-        let impairment = self.pools.get_mut(pool).and_then(|links| links.impairment.as_mut());
-        if let Some(Impairment { round, .. }) = impairment {
-            round.ended += 1;
-            round.failed += usize::from(result == LinkResult::Failed);
+        if let Some(links) = self.pools.get_mut(pool) {
+            links.round.ended += 1;
+            links.round.failed += usize::from(result == LinkResult::Failed);
         }
         self.record(pool, upstream, result, size, now)
     }
@@ -238,9 +243,7 @@
         }
         let links = self.pools.get_mut(pool)?;
         links.last_round = Some(now);
-        if let Some(impairment) = &mut links.impairment {
-            impairment.round = TestRound { size, ..TestRound::default() };
-        }
+        links.round = TestRound { size, ..TestRound::default() };
         None
     }
 
@@ -273,20 +276,28 @@
         let reach = if failed == self.links.len() { PoolReach::None } else { PoolReach::Partial };
         match &mut self.impairment {
             None => {
+                let known = self.links.len();
+                // Links that are all known need no sample.
+                let is_sampled = known >= size || self.round.admits_impairment();
                 let is_impaired =
-                    self.links.len() >= MIN_KNOWN_LINKS.min(size) && failed * 2 > self.links.len();
+                    known >= MIN_KNOWN_LINKS.min(size) && failed * 2 > known && is_sampled;
                 is_impaired.then(|| {
-                    let round = TestRound::default();
-                    self.impairment = Some(Impairment { since: now, reach, round });
+                    self.impairment = Some(Impairment { since: now, reach });
                     LinkChange::Impaired(reach)
                 })
             }
-            Some(Impairment { since, round, .. }) if round.has_passed() => {
+            Some(Impairment { since, .. }) if self.round.has_passed() => {
                 let time = now.since(*since);
                 self.impairment = None;
                 self.links.clear();
                 Some(LinkChange::Restored(time))
             }
+            // Links that work are not tested again: a round may consist of failed upstreams alone.
+            Some(Impairment { since, .. }) if failed * FAILED_TESTS_DIVISOR <= self.links.len() => {
+                let time = now.since(*since);
+                self.impairment = None;
+                Some(LinkChange::Restored(time))
+            }
             Some(impairment) => {
                 let has_changed = impairment.reach != reach;
                 impairment.reach = reach;
--- a/crates/crocusdale_core/tests/link_monitor_test.rs
+++ b/crates/crocusdale_core/tests/link_monitor_test.rs
@@ -9,6 +9,8 @@
 const POOL: &str = "notify";
 /// Number of upstreams in the pool.
 const SIZE: usize = 9;
+/// Number of upstreams in a large pool.
+const LARGE_SIZE: usize = 24;
 
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
@@ -104,6 +106,64 @@
     assert!(links.is_empty());
 }
 
+/// Records the results of a round of tests of the links to `upstreams`. Returns the last change.
+fn test_round(
+    links: &mut LinkMonitor,
+    upstreams: std::ops::RangeInclusive<usize>,
+    result: LinkResult,
+    millis: u64,
+) -> Option<LinkChange> {
+    let mut last_change = links.start_round(POOL, upstreams.clone().count(), at(millis));
+    for index in upstreams {
+        let upstream = format!("n{index}");
+        let change = links.record_test(POOL, &upstream, result, LARGE_SIZE, at(millis));
+        last_change = change.or(last_change);
+    }
+    last_change
+}
+
+/// Guards against crashed upstreams, a fifth of the pool, that are taken for a lost link because
+/// the attempts that they broke fail at the same moment.
+#[test]
+fn crashed_upstreams_do_not_impair_a_large_pool() {
+    let mut links = LinkMonitor::default();
+    assert_eq!(record(&mut links, &[false], 0), None);
+    assert_eq!(links.start_round(POOL, 4, at(0)), None);
+    assert_eq!(record(&mut links, &[false; 5], 1), None, "the tests have not ended");
+    for (upstream, result) in [
+        ("n5", LinkResult::Failed),
+        ("n9", LinkResult::Open),
+        ("n14", LinkResult::Open),
+        ("n21", LinkResult::Open),
+    ] {
+        assert_eq!(links.record_test(POOL, upstream, result, LARGE_SIZE, at(2)), None);
+    }
+    assert_eq!(record(&mut links, &[false; 5], 3), None, "most tested links work");
+    assert!(!links.is_impaired(POOL));
+}
+
+/// Guards against a pool that stays impaired until its last failed upstreams are back: links that
+/// work are not tested again, so that the rounds consist of the failed ones.
+#[test]
+fn pool_is_restored_if_few_known_links_have_failed() {
+    let mut links = LinkMonitor::default();
+    record(&mut links, &[false; 5], 0);
+    assert!(links.is_impaired(POOL));
+    let open = LinkResult::Open;
+    assert_eq!(
+        test_round(&mut links, 1..=4, LinkResult::Failed, 500),
+        None,
+        "no tested link works"
+    );
+    for index in 6..=19 {
+        links.record(POOL, &format!("n{index}"), open, LARGE_SIZE, at(501));
+        assert!(links.is_impaired(POOL), "5 of {index} links have failed");
+    }
+    let restored = links.record(POOL, "n20", open, LARGE_SIZE, at(502));
+    assert_eq!(restored, Some(LinkChange::Restored(Duration::from_millis(502))));
+    assert_eq!(record(&mut links, &[false; 5], 503), None, "most known links work");
+}
+
 /// Guards against a pool that stays impaired although all its links work, or all its upstreams are
 /// gone: there is nothing left to test.
 #[test]
