Test a random part of the links while a pool is not impaired

Cause: the results of working links, all of 12.02 s, expired together at 15.02 s, 3 s later. A round tests only links not known to work, so that the rounds before had consisted of the five crashed upstreams, whose failures were new. The dispatcher counted as impaired for 500 ms, and its pool was handed over twice (220 pieces "moved").

Now only impaired pools leave working links out. In the others, a round is a random sample, so that one VM in thirty or so draws three of four from a fifth that has crashed, and its other results speak against it. The test fails on the code before, which left the two open links out. A link that failed alone is tested again less often; its requests go in transit for up to 3 s meanwhile.

--- a/crates/crocusdale_core/src/daemon/link_flow.rs
+++ b/crates/crocusdale_core/src/daemon/link_flow.rs
@@ -186,7 +186,7 @@
         routed.or_else(|| lock(&self.dispatcher).pool_of(upstream).map(str::to_owned))
     }
 
-    /// Starts a round of tests of links to `pool` that are not known to work.
+    /// Starts a round of tests of links to `pool`.
     fn start_round(
         &self,
         pool: &str,
@@ -194,8 +194,8 @@
         actions: &mut Vec<ShardAction>,
         out: &mut Vec<Command>,
     ) {
-        let open = lock(&self.links).open_upstreams(pool);
-        let targets = self.link_targets(pool, LINK_TEST_SIZE, |name| !open.contains(name));
+        let untested = lock(&self.links).untested_upstreams(pool);
+        let targets = self.link_targets(pool, LINK_TEST_SIZE, |name| !untested.contains(name));
         let change = lock(&self.links).start_round(pool, targets.len(), now);
         if !targets.is_empty() {
             out.push(Command::TestLinks(targets));
--- a/crates/crocusdale_core/src/reachability/link_monitor.rs
+++ b/crates/crocusdale_core/src/reachability/link_monitor.rs
@@ -216,10 +216,12 @@
         self.pools.keys().cloned().collect()
     }
 
-    /// Names of the upstreams of `pool` to which the links are known to work.
+    /// Names of the upstreams of `pool` that a round of tests leaves out: those to which the links
+    /// are known to work, if the pool is impaired. In other pools, a round is a sample of all links.
     #[must_use]
-    pub fn open_upstreams(&self, pool: &str) -> HashSet<String> {
-        let links = self.pools.get(pool).into_iter().flat_map(|links| &links.links);
+    pub fn untested_upstreams(&self, pool: &str) -> HashSet<String> {
+        let impaired = self.pools.get(pool).filter(|links| links.impairment.is_some());
+        let links = impaired.into_iter().flat_map(|links| &links.links);
         links.filter(|(_, link)| link.is_open).map(|(upstream, _)| upstream.clone()).collect()
     }
 
@@ -229,8 +231,8 @@
         self.pools.values().flat_map(|links| links.links.keys().cloned()).collect()
     }
 
-    /// Records that the links to `size` upstreams of `pool` are being tested, all that are not known
-    /// to work. The pool is sound if there are none.
+    /// Records that the links to `size` upstreams of `pool` are being tested. The pool is sound if
+    /// there are none to test.
     pub fn start_round(
         &mut self,
         pool: &str,
--- a/crates/crocusdale_core/tests/link_monitor_test.rs
+++ b/crates/crocusdale_core/tests/link_monitor_test.rs
@@ -142,6 +142,18 @@
     assert!(!links.is_impaired(POOL));
 }
 
+/// Guards against rounds of tests that consist of crashed upstreams alone, and make their pool
+/// count as impaired once the other results are too old.
+#[test]
+fn round_of_a_pool_that_is_not_impaired_leaves_no_link_out() {
+    let mut links = LinkMonitor::default();
+    record(&mut links, &[false, true, true], 0);
+    assert!(links.untested_upstreams(POOL).is_empty());
+    record(&mut links, &[false, false, true, false, false], 1);
+    assert!(links.is_impaired(POOL));
+    assert_eq!(links.untested_upstreams(POOL), ["n3".to_owned()].into());
+}
+
 /// Guards against a pool that stays impaired until its last failed upstreams are back: links that
 /// work are not tested again, so that the rounds consist of the failed ones.
 #[test]
