Log streams that go on, with their software version

What callers saw: streams with events of two software versions. Logs could not tell whether a daemon chose an upstream of another version for a stream of its own, or for one that a caller took up, or by an old list.

The line `stream_resumed` and its counter name both. A daemon that tells no versions does not make known ones unknown. No decision depends on any of this yet.

--- a/crates/crocusdale_core/examples/directory_slopes.rs
+++ b/crates/crocusdale_core/examples/directory_slopes.rs
@@ -69,6 +69,7 @@
         zone: format!("z{}", number % 5),
         slots: 128,
         leaving: number as u64 == revision % upstreams as u64,
+        software_version: None,
     };
     (0..upstreams).map(|number| (revision, entry(number))).collect()
 }
--- a/crates/crocusdale_core/src/configuration/declarations.rs
+++ b/crates/crocusdale_core/src/configuration/declarations.rs
@@ -5,6 +5,7 @@
 use crocusdale_schema::sections::DECLARATIONS;
 
 use super::section_reader::{CheckedSection, ErrorCollector, read_sections};
+use crate::identity::SoftwareVersion;
 use crate::orders::EngineOrder;
 
 use super::{
@@ -96,6 +97,8 @@
     pub labels: LabelSet,
     /// Maximum number of concurrent calls.
     pub concurrency: u32,
+    /// Version of the upstream's software. `None` if it is not known.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Configuration of one workspace, which holds the requests of one customer.
@@ -392,6 +395,7 @@
             address,
             labels: section.labels("labels"),
             concurrency: section.get("concurrency").unwrap_or(1),
+            software_version: Some(SoftwareVersion::default()),
         });
     }
     upstreams
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -54,6 +54,8 @@
     BatchCalls,
     /// Queries to batched upstreams for their free result memory.
     RoomQuestions,
+    /// Attempts that take up a stream which has begun before.
+    StreamsResumed,
     /// Attempts that retry a failed attempt.
     Retries,
     /// Retries denied because the retry budget was spent.
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -1,7 +1,8 @@
-use crate::identity::{RequestDigest, RequestKey, StorePosition};
+use crate::identity::{RequestDigest, RequestKey, SoftwareVersion, StorePosition};
 use crate::membership::PoolReach;
 use crate::pipeline::BreakReason;
 use crate::rate_limiting::RequestRate;
+use crate::streams::StreamOrigin;
 
 /// State change of the daemon that is written to the log as a structured event.
 #[derive(Clone, Debug, strum::IntoStaticStr, strum::Display)]
@@ -185,6 +186,19 @@
         /// Digest of caller, target and content, which every repeat of the request shares.
         digest: RequestDigest,
     },
+    /// A stream that has begun before goes on at an upstream.
+    StreamResumed {
+        /// Workspace and id of the attempt that takes it up.
+        request: RequestKey,
+        /// Caller's attempt that brought the first event, or `None` if the caller did not name it.
+        first_attempt: Option<String>,
+        /// Where the first event came from, or `None` if that is not known.
+        began_at: Option<StreamOrigin>,
+        /// Name of the upstream that the stream goes on at.
+        upstream: String,
+        /// Version of that upstream's software, or `None` if it is not known.
+        software_version: Option<SoftwareVersion>,
+    },
     /// An upstream rejected a request and asked this daemon to back off.
     UpstreamAway {
         /// Name of the upstream.
--- a/crates/crocusdale_core/src/identity/mod.rs
+++ b/crates/crocusdale_core/src/identity/mod.rs
@@ -1,15 +1,18 @@
-//! Identifiers of processes, requests, attempts and store positions; stable hashes; monotonic time.
+//! Identifiers of processes, requests, attempts and store positions; software versions; stable hashes; monotonic
+//! time.
 
 mod instance_id;
 mod monotonic_time;
 mod request_digest;
 mod request_key;
+mod software_version;
 mod store_position;
 
 pub use instance_id::InstanceId;
 pub use monotonic_time::MonotonicTime;
 pub use request_digest::RequestDigest;
 pub use request_key::{AttemptId, CallId, RequestKey};
+pub use software_version::SoftwareVersion;
 pub use store_position::StorePosition;
 
 /// Length up to which the input of a hash is collected on the stack, in bytes.
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -22,6 +22,7 @@
 //! * [`reachability`]: pools that this daemon can't connect to over its own links.
 //! * [`retry`]: retry budgets.
 //! * [`pipeline`]: execution of a single request through its stages.
+//! * [`streams`]: streams that go on where they began, whichever daemon takes them up.
 //! * [`sync`]: locking that tolerates poisoned mutexes.
 //! * [`wire`]: conversions between core types and the messages that daemons exchange.
 //! * [`daemon`]: the state machine that combines all other modules.
@@ -54,6 +55,7 @@
 pub mod reachability;
 pub mod retry;
 pub mod routing;
+pub mod streams;
 pub mod sync;
 pub mod tickets;
 pub mod wire;
--- a/crates/crocusdale_core/src/pipeline/forward_head.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_head.rs
@@ -21,6 +21,18 @@
     pub piece_source: String,
     /// Tokens that the request needs from a model engine; `None` if the request does not say.
     pub demand: Option<Arc<EngineDemand>>,
+    /// The stream that the request takes up. `None` if it begins a new one.
+    pub resumed: Option<ResumedStream>,
+}
+
+/// A stream of which the caller already has events, and which it takes up with a new attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// Id of the last event that the caller received.
+    pub last_event: u64,
+    /// Id of the caller's attempt that brought the first event. `None` if the caller did not name
+    /// it.
+    pub first_attempt: Option<String>,
 }
 
 /// Tokens that a request needs from a model engine.
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -7,9 +7,10 @@
     ResponseHead, ShardAction,
 };
 use crate::configuration::{PlanStep, StepWork};
-use crate::daemon::{Command, CounterName};
+use crate::daemon::{Command, CounterName, StateChange};
 use crate::identity::{AttemptId, MonotonicTime};
 use crate::routing::{AttemptReport, CONNECT_TIMEOUT, SlotGrant, SlotRequest};
+use crate::streams::StreamOrigin;
 
 impl RequestRun {
     pub(super) fn forward_order(
@@ -143,6 +144,38 @@
         None
     }
 
+    /// Records where the first event of the forwarded stream came from.
+    pub(super) fn record_stream_origin(&mut self, index: usize) {
+        let step_run = &self.step_runs[index];
+        let Some(in_flight) = &step_run.in_flight else { return };
+        self.stream_origin.get_or_insert_with(|| StreamOrigin {
+            pool: step_run.stage.clone(),
+            software_version: in_flight.software_version.clone(),
+        });
+    }
+
+    /// Logs that a stream which has begun before goes on at the upstream of `grant`.
+    pub(super) fn log_resumption(&self, grant: &SlotGrant, actions: &mut Vec<ShardAction>) {
+        let request = &self.plan.request;
+        let resumed = request.forward_head().and_then(|head| head.resumed.as_ref());
+        if resumed.is_none() && self.stream_origin.is_none() {
+            return;
+        }
+        let first_attempt = match resumed {
+            Some(resumed) => resumed.first_attempt.clone(),
+            None => Some(request.key.key.clone()),
+        };
+        let change = StateChange::StreamResumed {
+            request: request.key.clone(),
+            first_attempt,
+            began_at: self.stream_origin.clone(),
+            upstream: grant.upstream.clone(),
+            software_version: grant.software_version.clone(),
+        };
+        actions.push(count(CounterName::StreamsResumed));
+        actions.push(ShardAction::Command(Command::LogStateChange(change)));
+    }
+
     pub(super) fn forward_response(&mut self, attempt: AttemptId, actions: &mut Vec<ShardAction>) {
         self.has_sent_response = true;
         actions.push(ShardAction::Command(Command::ReleaseAnswer { call: self.call, attempt }));
--- a/crates/crocusdale_core/src/pipeline/mod.rs
+++ b/crates/crocusdale_core/src/pipeline/mod.rs
@@ -34,7 +34,7 @@
 pub use caller_request::{CallerRequest, MAX_KEY_BYTES, RequestContent, SubmittedRequest};
 pub use event_sequence::{EventSequence, EventVerdict};
 pub use final_answer::{FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason, StageCost};
-pub use forward_head::{EngineDemand, ForwardHead, PromptPart, ResultHandle};
+pub use forward_head::{EngineDemand, ForwardHead, PromptPart, ResultHandle, ResumedStream};
 pub use outcome_lookup::{HolderReply, LookupStep, OutcomeLookup};
 pub use piece_order::{PieceOrder, PieceSource, PlacedResult};
 pub use placement_inputs::PlacementInputs;
--- a/crates/crocusdale_core/src/pipeline/piece_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/piece_steps.rs
@@ -81,6 +81,7 @@
             id,
             upstream,
             address: None,
+            software_version: None,
             sent_at: now,
             last_progress: now,
             kind,
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -10,6 +10,7 @@
 use crate::daemon::{Command, CounterName, TimerKey};
 use crate::identity::{AttemptId, CallId, MonotonicTime};
 use crate::routing::{AttemptReport, SlotGrant, SlotRequest};
+use crate::streams::StreamOrigin;
 
 /// Minimum retry delay that the caller of a refused forwarded request receives. If less time
 /// remains until the request's deadline, that time is the minimum instead. A batched call takes a
@@ -42,6 +43,8 @@
     /// Time after which the reason of the latest refusal or piece failure is expected to be over: a
     /// pool has capacity again, or a quarantine has ended. `None` if none has stated such a time.
     pub(super) retry_after: Option<Duration>,
+    /// Where the first event of the forwarded stream came from. `None` before it.
+    pub(super) stream_origin: Option<StreamOrigin>,
 }
 
 impl RequestRun {
@@ -62,6 +65,7 @@
             has_freed_results: false,
             forward_history: None,
             retry_after: None,
+            stream_origin: None,
         }
     }
 
@@ -117,6 +121,7 @@
         let kind = match self.step_runs[index].work {
             StepWork::Forward => {
                 let order = self.forward_order(id, &grant, now);
+                self.log_resumption(&grant, actions);
                 actions.push(ShardAction::Command(Command::Relay(order)));
                 AttemptKind::Forward
             }
@@ -138,6 +143,7 @@
             id,
             upstream: grant.upstream,
             address: Some(grant.address),
+            software_version: grant.software_version,
             sent_at: now,
             last_progress: now,
             kind,
@@ -165,6 +171,7 @@
                 id: held_attempt,
                 upstream: String::new(),
                 address: None,
+                software_version: None,
                 sent_at: now,
                 last_progress: now,
                 kind: AttemptKind::Forward,
@@ -227,6 +234,7 @@
                 self.handle_response_head(index, id, head, now, actions)
             }
             AttemptEvent::StreamStarted => {
+                self.record_stream_origin(index);
                 let upstream = self.record_progress(index, now).to_owned();
                 actions.push(ShardAction::RecordStreamStart { upstream, call: self.call });
                 self.free_all_results(actions);
--- a/crates/crocusdale_core/src/pipeline/step_run.rs
+++ b/crates/crocusdale_core/src/pipeline/step_run.rs
@@ -5,7 +5,7 @@
 use super::{BreakReason, PieceFault, PlacedResult, RefusalReason, StreamAssembler};
 use crate::configuration::StepWork;
 use crate::daemon::CounterName;
-use crate::identity::{AttemptId, MonotonicTime};
+use crate::identity::{AttemptId, MonotonicTime, SoftwareVersion};
 
 /// One started step of a request.
 #[derive(Debug)]
@@ -41,6 +41,8 @@
     pub(super) upstream: String,
     /// Socket address of the upstream; `None` unless this daemon calls the upstream itself.
     pub(super) address: Option<SocketAddr>,
+    /// Version of the upstream's software. `None` if it is not known.
+    pub(super) software_version: Option<SoftwareVersion>,
     pub(super) sent_at: MonotonicTime,
     pub(super) last_progress: MonotonicTime,
     pub(super) kind: AttemptKind,
--- a/crates/crocusdale_core/src/routing/router_update.rs
+++ b/crates/crocusdale_core/src/routing/router_update.rs
@@ -231,6 +231,7 @@
         address: entry.address,
         labels: LabelSet::default(),
         concurrency: entry.slots.max(1),
+        software_version: entry.software_version.clone(),
     }
 }
 
--- a/crates/crocusdale_core/src/routing/upstream_directory.rs
+++ b/crates/crocusdale_core/src/routing/upstream_directory.rs
@@ -9,7 +9,7 @@
 use super::directory_change::{ChangeRecord, ChangedUpstream, DirectoryChange};
 use super::peer_directory::{PeerDirectory, PeerEntry, PeerRemoval};
 use super::zone_evacuations::{ZoneEvacuation, ZoneEvacuations};
-use crate::identity::{MonotonicTime, StorePosition};
+use crate::identity::{MonotonicTime, SoftwareVersion, StorePosition};
 
 /// Time for which entries that are missing after a restore are kept. A store that was restored from
 /// an older copy lacks the entries written since. Their processes write them again with their next
@@ -42,6 +42,10 @@
     pub slots: u32,
     /// Whether the process has announced that it is leaving.
     pub leaving: bool,
+    /// Version of the process's software. `None` if the list came from a daemon that does not tell
+    /// it.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl DirectoryEntry {
@@ -486,6 +490,12 @@
         }
         self.missing.remove(&entry.id);
         let recorded = self.entries.get(&entry.id);
+        // A process keeps its version, also if it is listed by a daemon that does not tell versions.
+        let known_version = recorded
+            .filter(|recorded| recorded.entry.started_at_ms == entry.started_at_ms)
+            .and_then(|recorded| recorded.entry.software_version.clone());
+        let entry =
+            DirectoryEntry { software_version: entry.software_version.or(known_version), ..entry };
         if let Some(ended) =
             recorded.filter(|recorded| recorded.entry.started_at_ms < entry.started_at_ms)
         {
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -12,7 +12,7 @@
 use crate::configuration::{
     ColdRules, EngineRules, RegionMap, RoutingPolicy, StagePlan, UpstreamRules,
 };
-use crate::identity::{CallId, MonotonicTime};
+use crate::identity::{CallId, MonotonicTime, SoftwareVersion};
 use crate::membership::{LeavingUpstream, VmList};
 use crate::rate_limiting::{RateLimiter, RateUse};
 use crate::retry::RetryLimits;
@@ -95,6 +95,8 @@
     pub min_answer_time: Duration,
     /// Maximum number of idle connections that this daemon may keep open to the upstream.
     pub max_idle_connections: usize,
+    /// Version of the upstream's software. `None` if it is not known.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl UpstreamRouter {
@@ -404,6 +406,7 @@
             upstream: upstream.rules.name.clone(),
             process: upstream.rules.process.clone(),
             address: upstream.rules.address,
+            software_version: upstream.rules.software_version.clone(),
         }
     }
 
--- a/crates/crocusdale_core/src/wire/piece_messages.rs
+++ b/crates/crocusdale_core/src/wire/piece_messages.rs
@@ -4,7 +4,9 @@
 
 use super::millis::{saturating_millis, signed_millis};
 use crate::batching::PoolWait;
-use crate::identity::{AttemptId, CallId, MonotonicTime, RequestDigest, StorePosition};
+use crate::identity::{
+    AttemptId, CallId, MonotonicTime, RequestDigest, SoftwareVersion, StorePosition,
+};
 use crate::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
 use crate::routing::{
     ColdUpstream, DirectoryEntry, ListAge, PeerDirectory, PeerEntry, PeerRemoval, ZoneEvacuation,
@@ -247,6 +249,7 @@
             era: write_position.era,
             born: entry.started_at_ms,
             lapses_in_ms: expires_in.map(saturating_millis),
+            software_version: entry.software_version.map(|version| version.to_string()),
         }
     }
 }
@@ -263,6 +266,7 @@
             slots: message.slots,
             leaving: message.leaving,
             started_at_ms: message.born,
+            software_version: message.software_version.as_deref().and_then(SoftwareVersion::new),
         };
         let expires_in =
             message.lapses_in_ms.map(|millis| Duration::from_millis(u64::from(millis)));
--- a/crates/crocusdale_core/tests/brittle_upstream_test.rs
+++ b/crates/crocusdale_core/tests/brittle_upstream_test.rs
@@ -72,6 +72,7 @@
             zone: format!("z{number}"),
             slots: u32::try_from(SLOTS).expect("few slots"),
             leaving: false,
+            software_version: None,
         };
         directory.replace(1, (0..UPSTREAMS).map(|number| (1, entry(number))).collect(), None);
         let router = |index: usize| {
--- a/crates/crocusdale_core/tests/cold_upstream_test.rs
+++ b/crates/crocusdale_core/tests/cold_upstream_test.rs
@@ -45,6 +45,7 @@
         zone: "a".to_owned(),
         slots: 128,
         leaving: false,
+        software_version: None,
     };
     (1, entry)
 }
--- a/crates/crocusdale_core/tests/connection_share_test.rs
+++ b/crates/crocusdale_core/tests/connection_share_test.rs
@@ -20,6 +20,7 @@
         zone: "a".to_owned(),
         slots: 6,
         leaving: false,
+        software_version: None,
     };
     let mut directory = UpstreamDirectory::default();
     directory.replace(1, vec![(1, entry)], None);
--- a/crates/crocusdale_core/tests/crashing_request_test.rs
+++ b/crates/crocusdale_core/tests/crashing_request_test.rs
@@ -107,6 +107,7 @@
                 zone: "z0".to_owned(),
                 slots: 64,
                 leaving: self.leaving.contains(id),
+                software_version: None,
             };
             (revision, entry)
         };
--- a/crates/crocusdale_core/tests/directory_changes_test.rs
+++ b/crates/crocusdale_core/tests/directory_changes_test.rs
@@ -23,6 +23,7 @@
         zone: "a".to_owned(),
         slots: 8,
         leaving: false,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdale_core/tests/engine_choice_test.rs
+++ b/crates/crocusdale_core/tests/engine_choice_test.rs
@@ -128,6 +128,7 @@
         zone: ["a", "b", "c"][index % 3].to_owned(),
         slots: 64,
         leaving: false,
+        software_version: None,
     };
     let mut directory = UpstreamDirectory::default();
     let entries = (0..engines).map(|index| (1, entry(index))).collect();
--- a/crates/crocusdale_core/tests/fleet_growth_test.rs
+++ b/crates/crocusdale_core/tests/fleet_growth_test.rs
@@ -57,6 +57,7 @@
         zone: format!("z{}", number % 3),
         slots: 8,
         leaving: false,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdale_core/tests/home_regions_test.rs
+++ b/crates/crocusdale_core/tests/home_regions_test.rs
@@ -34,6 +34,7 @@
         zone: zone.to_owned(),
         slots: 1,
         leaving: false,
+        software_version: None,
     };
     let pairs =
         ["notify", "reader"].into_iter().flat_map(|pool| ["a", "b", "c"].map(|zone| (pool, zone)));
--- a/crates/crocusdale_core/tests/list_age_test.rs
+++ b/crates/crocusdale_core/tests/list_age_test.rs
@@ -310,6 +310,7 @@
         zone: "z0".to_owned(),
         slots: u32::try_from(slots).expect("a small number"),
         leaving: false,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdale_core/tests/placement_flow_test.rs
+++ b/crates/crocusdale_core/tests/placement_flow_test.rs
@@ -63,6 +63,7 @@
         zone: "z0".to_owned(),
         slots: 2,
         leaving: false,
+        software_version: None,
     };
     fleet.published = (2, ENGINES.iter().map(|id| (2, entry(id))).collect());
     fleet.run(Duration::from_secs(8));
@@ -88,6 +89,7 @@
         pieces: vec![],
         piece_source: String::new(),
         demand: Some(Arc::new(demand)),
+        resumed: None,
     };
     let key = format!("try-{}-{}", fleet.now.since_start().as_micros(), fleet.relays.len());
     CallerRequest {
--- a/crates/crocusdale_core/tests/published_upstreams_test.rs
+++ b/crates/crocusdale_core/tests/published_upstreams_test.rs
@@ -12,6 +12,7 @@
         zone: "a".to_owned(),
         slots: 1,
         leaving: false,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdale_core/tests/store_restore_test.rs
+++ b/crates/crocusdale_core/tests/store_restore_test.rs
@@ -30,6 +30,7 @@
         zone: "z0".to_owned(),
         slots: 8,
         leaving: false,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -51,6 +51,7 @@
         zone: zone.to_owned(),
         slots: 1,
         leaving: false,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdale_core/tests/support/chain_model.rs
+++ b/crates/crocusdale_core/tests/support/chain_model.rs
@@ -243,6 +243,7 @@
                 zone: "a".to_owned(),
                 slots: 1,
                 leaving: false,
+                software_version: None,
             };
             let mut directory = UpstreamDirectory::default();
             directory.replace(1, (0..count).map(|index| (1, entry(index))).collect(), None);
--- a/crates/crocusdale_core/tests/support/chain_plan.rs
+++ b/crates/crocusdale_core/tests/support/chain_plan.rs
@@ -68,6 +68,7 @@
         pieces: vec![1; 4],
         piece_source: "envelope".to_owned(),
         demand: None,
+        resumed: None,
     };
     let request = CallerRequest {
         key: RequestKey::new("", "try-1"),
--- a/crates/crocusdale_core/tests/support/cut_fleet.rs
+++ b/crates/crocusdale_core/tests/support/cut_fleet.rs
@@ -295,6 +295,7 @@
         zone: format!("z{}", index % 3),
         slots: 8,
         leaving: false,
+        software_version: None,
     };
     names.enumerate().map(|each| (5, entry(each))).collect()
 }
@@ -310,6 +311,7 @@
         pieces: vec![3],
         piece_source: "envelope".to_owned(),
         demand: path.starts_with("/digest/").then(|| Arc::new(demand)),
+        resumed: None,
     };
     CallerRequest {
         key: RequestKey::new("", format!("{} {number}", vm_name(0))),
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -248,6 +248,7 @@
                 zone: "a".to_owned(),
                 slots: 8,
                 leaving: leaving.contains(&id),
+                software_version: None,
             };
             (1 + self.now.since_start().as_millis() as u64, entry)
         });
@@ -331,6 +332,7 @@
             pieces: vec![3],
             piece_source: "envelope".to_owned(),
             demand: path.starts_with("/digest/").then(|| Arc::new(demand)),
+            resumed: None,
         };
         let request = CallerRequest {
             key: key.clone(),
--- a/crates/crocusdale_core/tests/support/limited_upstream.rs
+++ b/crates/crocusdale_core/tests/support/limited_upstream.rs
@@ -149,6 +149,7 @@
             pieces: Vec::new(),
             piece_source: String::new(),
             demand: None,
+            resumed: None,
         };
         let request = CallerRequest {
             key: RequestKey::new("", format!("try-{}", self.sequence)),
@@ -271,5 +272,6 @@
         zone: "z0".to_owned(),
         slots: 64,
         leaving: false,
+        software_version: None,
     }
 }
--- a/crates/crocusdale_core/tests/upstream_news_test.rs
+++ b/crates/crocusdale_core/tests/upstream_news_test.rs
@@ -20,6 +20,7 @@
         zone: "z0".to_owned(),
         slots: 8,
         leaving,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdale_core/tests/upstream_notice_test.rs
+++ b/crates/crocusdale_core/tests/upstream_notice_test.rs
@@ -241,6 +241,7 @@
             zone: "z0".to_owned(),
             slots: 64,
             leaving: false,
+            software_version: None,
         };
         let name = entry.name();
         fleet.published = (2, vec![(2, entry)]);
--- a/crates/crocusdale_core/tests/zone_evacuation_test.rs
+++ b/crates/crocusdale_core/tests/zone_evacuation_test.rs
@@ -32,6 +32,7 @@
         zone: zone.to_owned(),
         slots: 8,
         leaving: false,
+        software_version: None,
     }
 }
 
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -7,6 +7,7 @@
 
 use crocusdale_core::batching::{BatchOrder, BatchOutcome, ItemOutcome};
 use crocusdale_core::daemon::{CounterName, StateChange};
+use crocusdale_core::identity::SoftwareVersion;
 use crocusdale_core::pipeline::FinalAnswer;
 use slog::{Logger, info};
 
@@ -160,6 +161,23 @@
             StateChange::QuarantineLifted { digest } => {
                 info!(log, "{}", name; "digest" => digest.to_string());
             }
+            StateChange::StreamResumed {
+                request,
+                first_attempt,
+                began_at,
+                upstream,
+                software_version,
+            } => {
+                let began_at = began_at.as_ref();
+                let first_version = began_at.and_then(|origin| origin.software_version.as_ref());
+                info!(log, "{}", name;
+                    "request" => &request.key, "workspace" => &request.workspace,
+                    "first_attempt" => first_attempt.as_deref(),
+                    "first_pool" => began_at.map(|origin| &origin.pool),
+                    "first_version" => first_version.map(SoftwareVersion::as_str),
+                    "upstream" => upstream,
+                    "version" => software_version.as_ref().map(SoftwareVersion::as_str));
+            }
             StateChange::UpstreamAway { upstream, stay_away_ms } => {
                 info!(log, "{}", name; "upstream" => upstream, "stay_away_ms" => stay_away_ms);
             }
--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -203,6 +203,7 @@
                     zone: zone_name(index % load.zones),
                     slots,
                     leaving: false,
+                    software_version: None,
                 };
                 self.published.push((1, entry));
             }
@@ -321,6 +322,7 @@
             pieces: request.pieces.clone(),
             piece_source: number.to_string(),
             demand: Some(request.demand.clone()),
+            resumed: None,
         };
         let submitted = CallerRequest {
             key: RequestKey::new("", number.to_string()),
