Let streams go on only at the software version that began them

What callers saw: streams with events of two software versions, in one answer and over a caller's tries.

Cause: an upstream of the pool was taken for one that can go on with a stream. The version of upstreams decided nothing, and nobody knew where a stream that a caller took up had begun: its first event may have come through any daemon, which may be dead, restarted or cut off by now.

Ruled out: old lists. The failing tests mix versions with lists that don't change.

Change: from its first event on, a stream is bound to a version, in the queue, the choice of upstreams and the estimate of a pool's availability. The daemon that passes on the first event records pool and version at three daemons, one a zone, by rendezvous hashing over 64 sections of the key (workspace and caller's attempt); the record is on its way before the event, and delays nothing. A daemon that is to take a stream up asks five daemons, 250 ms at most. If nobody knows it, it is refused at once: with the time that the caller has left, or 0.5 s if a daemon didn't reply. If the last upstream of a version has gone, the request is refused too, also from the queue. A caller that names no attempt goes on only where a single version is known.

Why it works: the version is a property of the process that sent the first event, and the fact travels with the stream's identity instead of being derived from a list. No daemon guesses: without the record there is no version, and no upstream is allowed.

SlotRequest is boxed in errors, as it has grown beyond the lint's limit.

--- a/crates/crocusdale_core/examples/directory_slopes.rs
+++ b/crates/crocusdale_core/examples/directory_slopes.rs
@@ -11,6 +11,7 @@
 };
 use crocusdale_core::identity::{CallId, MonotonicTime, RequestDigest};
 use crocusdale_core::routing::{DirectoryEntry, SlotRequest, UpstreamDirectory, UpstreamRouter};
+use crocusdale_core::streams::AllowedVersion;
 
 /// Number of runs of which the median is printed.
 const ROUNDS: usize = 21;
@@ -85,6 +86,7 @@
         demand: None,
         digest: RequestDigest::of(&[b"request"]),
         allowed_regions: Default::default(),
+        allowed_version: AllowedVersion::Any,
     }
 }
 
--- a/crates/crocusdale_core/src/daemon/command.rs
+++ b/crates/crocusdale_core/src/daemon/command.rs
@@ -12,6 +12,7 @@
 };
 use crate::placement::{PlacementReport, PlacementRequest};
 use crate::reachability::LinkTarget;
+use crate::streams::{StreamKey, StreamRecord};
 
 /// Side effect that the state machine of the daemon asks its surrounding process to perform.
 #[derive(Clone, Debug)]
@@ -60,6 +61,23 @@
         /// Request with its steps.
         request: Box<AdmissionRequest>,
     },
+    /// Store at another daemon where a stream began. Records may be coalesced.
+    RecordStream {
+        /// VM of the daemon.
+        vm: String,
+        /// The stream, and where it began.
+        record: Box<StreamRecord>,
+    },
+    /// Ask another daemon where a stream began. The reply comes back as
+    /// [`super::DaemonEvent::StreamFound`].
+    FindStream {
+        /// VM of the daemon.
+        vm: String,
+        /// Caller's call that takes up the stream.
+        call: CallId,
+        /// Identity of the stream.
+        key: StreamKey,
+    },
     /// Report the status of a section of a batched pool to the admission coordinator on another
     /// daemon.
     ReportPoolStatus {
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -11,6 +11,7 @@
 use super::directory_state::DirectoryState;
 use super::held_work::HeldWork;
 use super::pause_detector::PauseDetector;
+use super::pending_streams::PendingStreams;
 use super::placement_state::PlacementState;
 use super::staleness_bounds::RefreshIntervals;
 use super::{DaemonCore, FleetState, StalenessBounds};
@@ -28,6 +29,7 @@
 use crate::reachability::LinkMonitor;
 use crate::retry::RetryLimits;
 use crate::routing::{ChangedUpstream, ColdLimits, UpstreamRouter};
+use crate::streams::OriginLog;
 use crate::sync::lock;
 use crate::tickets::TicketIssuer;
 
@@ -73,6 +75,10 @@
     pub(super) transit_limit: usize,
     /// Crashes of upstreams, by the request that they ran, and the resulting quarantines.
     pub(super) crash_detector: Mutex<CrashDetector>,
+    /// Where streams began, as this daemon has seen or was told as a keeper of their records.
+    pub(super) stream_log: Mutex<OriginLog>,
+    /// Requests that take up streams of which this daemon does not know where they began.
+    pub(super) pending_streams: Mutex<PendingStreams>,
     /// Expected queueing time in each batched pool, as its dispatcher last reported it.
     pub(super) pool_waits: Mutex<PoolWaits>,
     /// Request rate of each workspace, to detect floods.
@@ -280,6 +286,8 @@
             open_transits: AtomicUsize::new(0),
             transit_limit,
             crash_detector: Mutex::new(crash_detector),
+            stream_log: Mutex::default(),
+            pending_streams: Mutex::default(),
             pool_waits: Mutex::default(),
             workspace_meter: Mutex::default(),
             entry_backlog: Mutex::default(),
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -56,6 +56,8 @@
     RoomQuestions,
     /// Attempts that take up a stream which has begun before.
     StreamsResumed,
+    /// Requests refused because it is not known where the stream that they take up began.
+    StreamsUnknown,
     /// Attempts that retry a failed attempt.
     Retries,
     /// Retries denied because the retry budget was spent.
--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -141,6 +141,7 @@
         let mut actions = Vec::new();
         let mut queued = lock(&self.entry_backlog).take_matching(digest);
         queued.extend(lock(&self.coordination.pending_admissions).take_matching(digest));
+        queued.extend(lock(&self.pending_streams).take_matching(digest));
         for (call, plan) in queued {
             self.refuse_quarantined(call, &plan, remaining, &mut actions);
         }
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -115,6 +115,9 @@
             DaemonEvent::AdmissionReplied { call, vm, decision } => {
                 self.state.handle_admission_reply(call, &vm, decision, now, &mut actions);
             }
+            DaemonEvent::StreamFound { call, reply } => {
+                self.state.handle_origin_reply(call, reply, now, &mut actions);
+            }
             DaemonEvent::PoolStatusReported(status) => {
                 self.state.record_pool_status(*status, now);
             }
@@ -376,6 +379,7 @@
             engine_speeds: lock(&self.state.placements.placers).speeds(now),
             limited_upstreams: self.state.limiter.summaries(),
             impaired_pools,
+            stream_records: lock(&self.state.stream_log).len(),
             quarantined: lock(&self.state.crash_detector).quarantined(now),
         }
     }
@@ -386,7 +390,9 @@
             self.state.request_shards.iter().map(|shard| lock(shard).open_count()).sum();
         let held_count = lock(&self.state.held_work).request_count();
         let pending_count = lock(&self.state.coordination.pending_admissions).len();
-        started + lock(&self.state.entry_backlog).len() + held_count + pending_count
+        let resuming_count = lock(&self.state.pending_streams).len();
+        let queued_count = lock(&self.state.entry_backlog).len();
+        started + queued_count + held_count + pending_count + resuming_count
     }
 
     /// Dispatches a timer that has fired to its handler.
@@ -513,6 +519,8 @@
         self.state.advance_dispatcher(now, &mut actions, out);
         self.state.start_queued_requests(now, &mut actions);
         self.state.expire_admissions(now, &mut actions);
+        self.state.expire_pending_streams(now, &mut actions);
+        self.state.refuse_gone_versions(now, &mut actions);
         self.state.run_actions(actions, now, out);
         let is_idle = self.open_call_count() == 0
             && self.state.open_transits.load(Ordering::Relaxed) == 0
--- a/crates/crocusdale_core/src/daemon/daemon_event.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_event.rs
@@ -11,7 +11,7 @@
 use crate::reachability::LinkResult;
 use crate::routing::{ColdUpstream, DirectoryEntry, PeerDirectory, UpstreamNotice};
 
-use super::TimerKey;
+use super::{OriginReply, TimerKey};
 
 /// Input of the daemon's state machine: a network event, a platform read or a timer.
 #[derive(Debug)]
@@ -169,6 +169,14 @@
         /// Decision, or `None` if the daemon has to decide by itself.
         decision: Option<AdmissionDecision>,
     },
+    /// A daemon that was asked where a stream began replied, or did not. The daemon starts or refuses
+    /// the request that takes up the stream.
+    StreamFound {
+        /// Caller's call that takes up the stream.
+        call: CallId,
+        /// What the asked daemon knows.
+        reply: OriginReply,
+    },
     /// A dispatcher reported the status of a section of a batched pool to this daemon as an admission
     /// coordinator.
     PoolStatusReported(Box<PoolStatus>),
--- a/crates/crocusdale_core/src/daemon/entry_flow.rs
+++ b/crates/crocusdale_core/src/daemon/entry_flow.rs
@@ -94,7 +94,8 @@
         lock(&self.held_work).remove_request(call);
         let pending = lock(&self.coordination.pending_admissions).remove(call);
         let queued = lock(&self.entry_backlog).remove(call);
-        if let Some(plan) = queued.or(pending.map(|pending| pending.plan)) {
+        let resuming = lock(&self.pending_streams).remove(call).map(|pending| pending.plan);
+        if let Some(plan) = queued.or(pending.map(|pending| pending.plan)).or(resuming) {
             actions.push(ShardAction::ReleasePermit(plan.permit));
         }
     }
@@ -107,6 +108,7 @@
     ) {
         let mut queued = lock(&self.entry_backlog).take_all();
         queued.extend(lock(&self.coordination.pending_admissions).take_all());
+        queued.extend(lock(&self.pending_streams).take_all());
         for (call, plan) in queued {
             self.refuse_overloaded(call, &plan, now, actions);
         }
--- a/crates/crocusdale_core/src/daemon/fleet_links.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_links.rs
@@ -5,6 +5,7 @@
 use crate::identity::MonotonicTime;
 use crate::membership::MemberLinks;
 use crate::reachability::TransitGoal;
+use crate::streams::StreamKey;
 
 impl FleetState {
     /// VM name of the daemon that dispatches the pool section `pool`, except those in `tried`.
@@ -19,6 +20,16 @@
         self.dispatcher_candidates.coordinator(roster, &self.view, name)
     }
 
+    /// VMs of the daemons that keep the record of the stream `key`.
+    pub(super) fn record_keepers(&mut self, key: StreamKey) -> Vec<String> {
+        self.stream_keepers.keepers(key.section(), self.history.current(), &self.view)
+    }
+
+    /// VMs of the daemons that may know where the stream `key` began.
+    pub(super) fn asked_keepers(&mut self, key: StreamKey) -> Vec<String> {
+        self.stream_keepers.asked(key.section(), self.history.current(), &self.view)
+    }
+
     /// Whether the links of a member have changed since the last call.
     pub(super) fn take_links_change(&mut self) -> bool {
         let version = self.view.links_version();
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -19,6 +19,7 @@
 use crate::quarantine::CrashRecord;
 use crate::rate_limiting::{LimitRecord, RateShare};
 use crate::reachability::TransitTable;
+use crate::streams::RecordKeepers;
 
 /// Number of peers that receive a heartbeat at once after a change, ahead of the regular period.
 const UPDATE_FANOUT: usize = 4;
@@ -101,6 +102,7 @@
     /// Version of the member view and time of the last update of `known_daemons`.
     known_daemons_at: Option<(u64, MonotonicTime)>,
     pub(super) dispatcher_candidates: DispatcherCandidates,
+    pub(super) stream_keepers: RecordKeepers,
     /// Requests that are sent to upstreams through other daemons.
     pub(super) transits: TransitTable,
     /// Version of the members' links at the last call of `take_links_change`.
@@ -142,6 +144,7 @@
             known_daemons: KnownDaemons::default(),
             known_daemons_at: None,
             dispatcher_candidates: DispatcherCandidates::default(),
+            stream_keepers: RecordKeepers::default(),
             transits: TransitTable::default(),
             seen_links_version: 0,
             was_share_withheld: None,
--- a/crates/crocusdale_core/src/daemon/placement_flow.rs
+++ b/crates/crocusdale_core/src/daemon/placement_flow.rs
@@ -244,7 +244,7 @@
         let call = request.call;
         let result = match self.router().acquire_at(request, &chosen, now) {
             Ok(grant) => Ok(Some(grant)),
-            Err(request) => self.router().acquire(request, now),
+            Err(request) => self.router().acquire(*request, now),
         };
         let granted = result.as_ref().ok().and_then(Option::as_ref);
         let upstream = granted.map(|grant| grant.upstream.clone()).unwrap_or_default();
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -60,7 +60,7 @@
         let (is_forwarded, age) = (request.forward_head().is_some(), request.age);
         let is_repeatable = request.repeatable || is_forwarded;
         match self.admit(request, declarations, arrived_at, now) {
-            Ok(plan) if !plan.needs_claim => self.start_or_queue(call, plan, now, &mut actions),
+            Ok(plan) if !plan.needs_claim => self.start_or_resume(call, plan, now, &mut actions),
             Ok(plan) => self.start_claimed(call, plan, now, &mut actions),
             Err((refusal, is_pipeline_repeatable)) => {
                 let age =
@@ -341,6 +341,7 @@
                 self.router().record_first_event(&upstream, call);
                 self.report_first_event(call, &upstream, now, out);
             }
+            ShardAction::RecordStreamOrigin(record) => self.record_stream(&record, now, out),
             ShardAction::FreeResults { pool, results } => self.free_results(&pool, results, out),
             ShardAction::SubmitPieces { mut order, tried, target } => {
                 if let Some(target) = target.filter(|_| order.zone.is_none()) {
--- a/crates/crocusdale_core/src/daemon/staleness_guard.rs
+++ b/crates/crocusdale_core/src/daemon/staleness_guard.rs
@@ -70,7 +70,7 @@
     /// `reason`.
     pub(super) fn finish_acquire(
         &self,
-        result: Result<Option<SlotGrant>, SlotRequest>,
+        result: Result<Option<SlotGrant>, Box<SlotRequest>>,
         reason: RefusalReason,
         now: MonotonicTime,
         actions: &mut Vec<ShardAction>,
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -73,6 +73,8 @@
     pub engine_speeds: Vec<EngineSpeedSummary>,
     /// Pools with most upstreams out of reach of the daemon's own links.
     pub impaired_pools: BTreeMap<String, PoolReach>,
+    /// Number of streams of which this daemon knows where they began.
+    pub stream_records: usize,
     /// Digests of quarantined requests, which are not dispatched because upstreams crashed while
     /// they ran them.
     pub quarantined: Vec<RequestDigest>,
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -91,6 +91,8 @@
     UpstreamBroken,
     /// Upstreams crashed while they ran requests with the same digest.
     Quarantined,
+    /// It is not known at which software version the stream began that the request takes up.
+    StreamUnknown,
     /// The idempotency key could not be claimed at its witnesses.
     NotClaimed,
     /// The idempotency key is so old, or its age so uncertain, that its witnesses may have
--- a/crates/crocusdale_core/src/pipeline/forward_steps.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_steps.rs
@@ -6,11 +6,11 @@
     ExecutionStatus, FinalAnswer, ForwardOrder, PlacedResult, RefusalReason, RequestRun,
     ResponseHead, ShardAction,
 };
-use crate::configuration::{PlanStep, StepWork};
+use crate::configuration::{PlanStep, RepeatRule, StepWork};
 use crate::daemon::{Command, CounterName, StateChange};
-use crate::identity::{AttemptId, MonotonicTime};
+use crate::identity::{AttemptId, MonotonicTime, RequestKey};
 use crate::routing::{AttemptReport, CONNECT_TIMEOUT, SlotGrant, SlotRequest};
-use crate::streams::StreamOrigin;
+use crate::streams::{AllowedVersion, StreamKey, StreamOrigin, StreamRecord};
 
 impl RequestRun {
     pub(super) fn forward_order(
@@ -69,6 +69,7 @@
             demand,
             digest: self.plan.digest,
             allowed_regions: self.plan.allowed_regions.clone(),
+            allowed_version: self.allowed_version(step.work),
         })
     }
 
@@ -144,14 +145,41 @@
         None
     }
 
-    /// Records where the first event of the forwarded stream came from.
-    pub(super) fn record_stream_origin(&mut self, index: usize) {
+    /// Software versions that may run a step. Once a stream has begun, only its own version can go
+    /// on with it.
+    pub(super) fn allowed_version(&self, work: StepWork) -> AllowedVersion {
+        let origin = self.stream_origin.as_ref().filter(|_| work == StepWork::Forward);
+        origin.map_or(AllowedVersion::Any, AllowedVersion::from)
+    }
+
+    /// Records where the first event of the forwarded stream came from, and tells other daemons if
+    /// the caller may take the stream up.
+    pub(super) fn record_stream_origin(
+        &mut self,
+        index: usize,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) {
         let step_run = &self.step_runs[index];
-        let Some(in_flight) = &step_run.in_flight else { return };
-        self.stream_origin.get_or_insert_with(|| StreamOrigin {
+        let Some(in_flight) = step_run.in_flight.as_ref().filter(|_| self.stream_origin.is_none())
+        else {
+            return;
+        };
+        let origin = StreamOrigin {
             pool: step_run.stage.clone(),
             software_version: in_flight.software_version.clone(),
-        });
+        };
+        self.stream_origin = Some(origin.clone());
+        let rules = self.plan.forward_rules();
+        if rules.is_some_and(|rules| rules.repeat == RepeatRule::ResumableStream) {
+            let RequestKey { workspace, key: attempt } = &self.plan.request.key;
+            let record = StreamRecord {
+                key: StreamKey::new(workspace, attempt),
+                origin,
+                time_left: self.plan.return_time(now),
+            };
+            actions.push(ShardAction::RecordStreamOrigin(Box::new(record)));
+        }
     }
 
     /// Logs that a stream which has begun before goes on at the upstream of `grant`.
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -8,6 +8,7 @@
     SchedulingSettings, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
 use crate::identity::{MonotonicTime, RequestDigest, RequestKey};
+use crate::streams::{MAX_RECORD_TIME, StreamOrigin};
 
 /// Expected time to first response of a forwarded request, before any was measured in its pool.
 const DEFAULT_FIRST_RESPONSE_TIME: Duration = Duration::from_millis(250);
@@ -69,6 +70,8 @@
     pub first_response_time: Option<Duration>,
     /// Whether parallel batched steps are due together.
     pub aligns_parallel_steps: bool,
+    /// Where the stream began that the request takes up. `None` if it begins a new one.
+    pub stream_origin: Option<StreamOrigin>,
 }
 
 impl RequestPlan {
@@ -130,6 +133,7 @@
             queueing_delays: Vec::new(),
             first_response_time: None,
             aligns_parallel_steps: false,
+            stream_origin: None,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -189,6 +193,7 @@
             queueing_delays: Vec::new(),
             first_response_time: None,
             aligns_parallel_steps: false,
+            stream_origin: None,
             declarations: Arc::clone(declarations),
             labels,
             request,
@@ -208,6 +213,25 @@
         }
     }
 
+    /// Lets the request go on with a stream that began at `origin`.
+    ///
+    /// The pool of the stream is kept if the route still leads there. Otherwise the route's new pool
+    /// goes on with it at the same version.
+    pub fn resume_at(&mut self, origin: StreamOrigin) {
+        let pools = self.pipeline.forward.iter().flat_map(|forward| &forward.pools);
+        if pools.into_iter().any(|pool| pool.pool == origin.pool) {
+            self.pipeline.plan = self.pipeline.plan.clone().with_pool(&origin.pool);
+        }
+        self.stream_origin = Some(origin);
+    }
+
+    /// Time for which the caller may come back with another attempt, at most [`MAX_RECORD_TIME`]. Its
+    /// own deadline can be later than that of the route.
+    #[must_use]
+    pub fn return_time(&self, now: MonotonicTime) -> Duration {
+        (self.arrived_at + self.request.deadline.min(MAX_RECORD_TIME)).since(now)
+    }
+
     /// Rules of `stage`. Validation of the configuration guarantees that every stage of a pipeline
     /// is declared.
     ///
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -51,6 +51,7 @@
     /// Prepares the run of `plan` for `call` in the process incarnation `incarnation`.
     #[must_use]
     pub fn new(call: CallId, incarnation: u64, plan: RequestPlan) -> Self {
+        let stream_origin = plan.stream_origin.clone();
         Self {
             call,
             incarnation,
@@ -65,7 +66,7 @@
             has_freed_results: false,
             forward_history: None,
             retry_after: None,
-            stream_origin: None,
+            stream_origin,
         }
     }
 
@@ -234,7 +235,7 @@
                 self.handle_response_head(index, id, head, now, actions)
             }
             AttemptEvent::StreamStarted => {
-                self.record_stream_origin(index);
+                self.record_stream_origin(index, now, actions);
                 let upstream = self.record_progress(index, now).to_owned();
                 actions.push(ShardAction::RecordStreamStart { upstream, call: self.call });
                 self.free_all_results(actions);
@@ -381,6 +382,7 @@
             demand: demand.filter(|_| step_run.work == StepWork::Forward),
             digest: self.plan.digest,
             allowed_regions: self.plan.allowed_regions.clone(),
+            allowed_version: self.allowed_version(step_run.work),
         }
     }
 
--- a/crates/crocusdale_core/src/pipeline/shard_action.rs
+++ b/crates/crocusdale_core/src/pipeline/shard_action.rs
@@ -6,6 +6,7 @@
 use crate::membership::WitnessSet;
 use crate::pipeline::{PieceOrder, RefusalReason, ResultHandle};
 use crate::routing::{AttemptReport, SlotRequest};
+use crate::streams::StreamRecord;
 
 /// Action that a request shard asks the rest of the core to carry out.
 #[derive(Debug)]
@@ -64,6 +65,8 @@
         /// Call that the stream belongs to.
         call: CallId,
     },
+    /// Record where a stream began, so that its caller can take it up at any daemon.
+    RecordStreamOrigin(Box<StreamRecord>),
     /// Check whether an upstream crashed, because the connection of an attempt was cut.
     CheckCrash {
         /// Digest of the request that the upstream was running.
--- a/crates/crocusdale_core/src/routing/attempt_queue.rs
+++ b/crates/crocusdale_core/src/routing/attempt_queue.rs
@@ -4,9 +4,10 @@
 
 use super::PrefixCounter;
 use crate::configuration::AllowedRegions;
-use crate::identity::{CallId, MonotonicTime, RequestDigest};
+use crate::identity::{CallId, MonotonicTime, RequestDigest, SoftwareVersion};
 use crate::pipeline::EngineDemand;
 use crate::retry::RetryBudget;
+use crate::streams::AllowedVersion;
 
 /// Maximum number of attempts in the queue of one pool.
 const MAX_WAITING_ATTEMPTS: usize = 8_192;
@@ -35,6 +36,8 @@
     pub digest: RequestDigest,
     /// Regions in which the request may be processed.
     pub allowed_regions: AllowedRegions,
+    /// Software versions of the upstreams that may run the request.
+    pub allowed_version: AllowedVersion,
 }
 
 /// Queue of the attempts that wait for one pool, most urgent first, with the pool's latency
@@ -98,13 +101,19 @@
         self.mean_answer_time.unwrap_or_default() + wait
     }
 
-    /// Removes and returns the most urgent attempt that has not failed at `upstream` and may be
-    /// processed in its `region`.
-    pub fn pop_for(&mut self, upstream: &str, region: Option<&str>) -> Option<SlotRequest> {
+    /// Removes and returns the most urgent attempt that has not failed at `upstream`, may be
+    /// processed in its `region` and may run at its software `version`.
+    pub fn pop_for(
+        &mut self,
+        upstream: &str,
+        region: Option<&str>,
+        version: Option<&SoftwareVersion>,
+    ) -> Option<SlotRequest> {
         let mut candidates = self.waiting.iter();
         let key = candidates.find(|(_, request)| {
             request.failed_upstreams.iter().all(|failed| failed != upstream)
                 && request.allowed_regions.allows(region)
+                && request.allowed_version.allows(version)
         });
         let key = *key?.0;
         self.waiting.remove(&key)
@@ -129,6 +138,14 @@
         unservable.iter().filter_map(|key| self.waiting.remove(key)).collect()
     }
 
+    /// Removes and returns the attempts that `is_removed` selects.
+    pub fn take_matching(&mut self, is_removed: impl Fn(&SlotRequest) -> bool) -> Vec<SlotRequest> {
+        self.waiting
+            .extract_if(.., |_, request| is_removed(request))
+            .map(|(_, request)| request)
+            .collect()
+    }
+
     /// Removes all queued attempts of `call`.
     pub fn remove_call(&mut self, call: CallId, level: u8, deadline: MonotonicTime) {
         let range = (level, deadline, 0)..=(level, deadline, u64::MAX);
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -20,6 +20,7 @@
 mod upstream_notice;
 mod upstream_router;
 mod upstream_state;
+mod version_choice;
 mod zone_evacuations;
 
 pub use attempt_queue::{AttemptQueue, SlotRequest};
--- a/crates/crocusdale_core/src/routing/placed_choice.rs
+++ b/crates/crocusdale_core/src/routing/placed_choice.rs
@@ -60,8 +60,8 @@
         request: SlotRequest,
         upstream: &str,
         now: MonotonicTime,
-    ) -> Result<SlotGrant, SlotRequest> {
-        let Some(routed) = self.pools.get(&request.stage) else { return Err(request) };
+    ) -> Result<SlotGrant, Box<SlotRequest>> {
+        let Some(routed) = self.pools.get(&request.stage) else { return Err(Box::new(request)) };
         let is_in_pool =
             |position: &usize| self.upstreams[*position].pools.contains(&request.stage);
         let position = self.positions.get(upstream).copied().filter(is_in_pool);
@@ -69,7 +69,7 @@
             self.has_brittle_capacity(routed, now)
                 && self.cost_if_usable(routed, *position, &request, true, now).is_some()
         });
-        let Some(position) = usable else { return Err(request) };
+        let Some(position) = usable else { return Err(Box::new(request)) };
         Self::record_first_attempt(routed, &request, now);
         Ok(self.grant(position, request, now))
     }
--- a/crates/crocusdale_core/src/routing/pool_availability.rs
+++ b/crates/crocusdale_core/src/routing/pool_availability.rs
@@ -6,9 +6,10 @@
 
 use super::upstream_router::RoutedPool;
 use super::{SlotRequest, UpstreamRouter};
-use crate::configuration::AllowedRegions;
+use crate::configuration::{AllowedRegions, UpstreamRules};
 use crate::identity::MonotonicTime;
 use crate::rate_limiting::{RateUse, TokenWait};
+use crate::streams::AllowedVersion;
 use crate::sync::lock;
 
 /// Time before its deadline at which a request must reach an upstream. Covers the interval between
@@ -55,6 +56,36 @@
     }
 }
 
+/// Upstreams that may run a request.
+#[derive(Clone, Copy, Debug)]
+struct UpstreamFilter<'a> {
+    allowed_regions: &'a AllowedRegions,
+    allowed_version: &'a AllowedVersion,
+    failed_upstreams: &'a [String],
+}
+
+impl<'a> UpstreamFilter<'a> {
+    fn in_regions(allowed_regions: &'a AllowedRegions) -> Self {
+        Self { allowed_regions, allowed_version: &AllowedVersion::Any, failed_upstreams: &[] }
+    }
+
+    fn allows(&self, upstream: &UpstreamRules, region: Option<&str>) -> bool {
+        !self.failed_upstreams.contains(&upstream.name)
+            && self.allowed_regions.allows(region)
+            && self.allowed_version.allows(upstream.software_version.as_ref())
+    }
+}
+
+impl<'a> From<&'a SlotRequest> for UpstreamFilter<'a> {
+    fn from(request: &'a SlotRequest) -> Self {
+        Self {
+            allowed_regions: &request.allowed_regions,
+            allowed_version: &request.allowed_version,
+            failed_upstreams: &request.failed_upstreams,
+        }
+    }
+}
+
 impl PoolAvailability {
     /// Time until an upstream accepts a request behind `queued` others, or the time after which a
     /// caller should retry. `None` if the time is unknown.
@@ -93,8 +124,7 @@
     #[must_use]
     pub fn retry_delay(&self, request: &SlotRequest, now: MonotonicTime) -> Option<Duration> {
         let routed = self.pools.get(&request.stage)?;
-        let availability =
-            self.availability(routed, &request.allowed_regions, &request.failed_upstreams, now);
+        let availability = self.availability(routed, &UpstreamFilter::from(request), now);
         availability.wait_behind(lock(&routed.queue).waiting_count()).filter(|wait| !wait.is_zero())
     }
 
@@ -105,8 +135,7 @@
         request: &SlotRequest,
         now: MonotonicTime,
     ) -> bool {
-        let availability =
-            self.availability(routed, &request.allowed_regions, &request.failed_upstreams, now);
+        let availability = self.availability(routed, &UpstreamFilter::from(request), now);
         match availability {
             PoolAvailability::Available => true,
             PoolAvailability::NoShare(_) | PoolAvailability::NoUpstream => false,
@@ -131,7 +160,8 @@
             return None;
         }
         let routed = self.pools.get(stage)?;
-        let availability = self.availability(routed, allowed_regions, &[], now);
+        let filter = UpstreamFilter::in_regions(allowed_regions);
+        let availability = self.availability(routed, &filter, now);
         let has_no_share = matches!(availability, PoolAvailability::NoShare(_));
         let wait = availability.wait_behind(lock(&routed.queue).waiting_count())?;
         (has_no_share || now + wait + DEADLINE_MARGIN >= deadline).then_some(wait)
@@ -142,12 +172,13 @@
     /// attempts arrive.
     #[must_use]
     pub fn take_unservable(&self, now: MonotonicTime) -> Vec<(SlotRequest, Duration)> {
-        let mut taken = Vec::new();
+        let (mut taken, all_regions) = (Vec::new(), AllowedRegions::default());
         if !self.limiter.has_limits() {
             return taken;
         }
         for routed in self.pools.values().filter(|routed| lock(&routed.queue).waiting_count() > 0) {
-            let availability = self.availability(routed, &AllowedRegions::default(), &[], now);
+            let filter = UpstreamFilter::in_regions(&all_regions);
+            let availability = self.availability(routed, &filter, now);
             let slots: Box<dyn Iterator<Item = Option<Duration>>> = match availability {
                 PoolAvailability::Available | PoolAvailability::NoUpstream => continue,
                 PoolAvailability::Scheduled(schedule) => Box::new(schedule.map(Some)),
@@ -166,16 +197,14 @@
     fn availability(
         &self,
         routed: &RoutedPool,
-        allowed_regions: &AllowedRegions,
-        failed_upstreams: &[String],
+        filter: &UpstreamFilter<'_>,
         now: MonotonicTime,
     ) -> PoolAvailability {
         let (mut schedule, mut no_share) = (TokenSchedule::default(), None::<Duration>);
         for position in routed.same_zone.iter().chain(&routed.other_zones).copied() {
             let upstream = &self.upstreams[position];
             let name = &upstream.rules.name;
-            if failed_upstreams.contains(name) || !allowed_regions.allows(self.region_of(position))
-            {
+            if !filter.allows(&upstream.rules, self.region_of(position)) {
                 continue;
             }
             let backoff = {
--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -51,8 +51,8 @@
     }
 
     /// Round-robin choice, used by the baseline policy. Skips upstreams that are leaving, that
-    /// asked to back off, that are over their request rate or that are in a region that the request
-    /// doesn't allow. Ignores failures and load.
+    /// asked to back off, that are over their request rate or that are in a region or of a version
+    /// that the request doesn't allow. Ignores failures and load.
     fn next_round_robin(
         &self,
         routed: &RoutedPool,
@@ -67,9 +67,11 @@
         let is_usable = |position: &&usize| {
             let state = lock(&self.upstreams[**position].state);
             let is_region_allowed = request.allowed_regions.allows(self.region_of(**position));
+            let is_version_allowed = self.allows_version(request, **position);
             let is_within_quota =
                 self.limiter.allows(&self.upstreams[**position].rules.name, RateUse::Shared, now);
             is_region_allowed
+                && is_version_allowed
                 && is_within_quota
                 && !state.is_leaving()
                 && state.backoff_left(now).is_zero()
@@ -108,7 +110,9 @@
         if request.failed_upstreams.contains(&upstream.rules.name) {
             return None;
         }
-        if !request.allowed_regions.allows(self.region_of(position)) {
+        if !request.allowed_regions.allows(self.region_of(position))
+            || !self.allows_version(request, position)
+        {
             return None;
         }
         if !self.is_within_cold_limit(routed, position, now)
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -258,8 +258,8 @@
         &self,
         request: SlotRequest,
         now: MonotonicTime,
-    ) -> Result<Option<SlotGrant>, SlotRequest> {
-        let Some(routed) = self.pools.get(&request.stage) else { return Err(request) };
+    ) -> Result<Option<SlotGrant>, Box<SlotRequest>> {
+        let Some(routed) = self.pools.get(&request.stage) else { return Err(Box::new(request)) };
         Self::record_first_attempt(routed, &request, now);
         let has_capacity = self.has_brittle_capacity(routed, now);
         let chosen = has_capacity.then(|| self.choose(routed, &request, now)).flatten();
@@ -267,9 +267,9 @@
             return Ok(Some(self.grant(position, request, now)));
         }
         if !self.is_servable(routed, &request, now) {
-            return Err(request);
+            return Err(Box::new(request));
         }
-        if lock(&routed.queue).push(request.clone()) { Ok(None) } else { Err(request) }
+        if lock(&routed.queue).push(request.clone()) { Ok(None) } else { Err(Box::new(request)) }
     }
 
     /// Releases the slot of an ended attempt, and assigns free slots to the most urgent queued
@@ -445,7 +445,8 @@
                 };
             let region = self.region_of(position);
             let next = if is_usable {
-                lock(&routed.queue).pop_for(&upstream.rules.name, region)
+                let version = upstream.rules.software_version.as_ref();
+                lock(&routed.queue).pop_for(&upstream.rules.name, region, version)
             } else {
                 None
             };
--- a/crates/crocusdale_core/tests/brittle_upstream_test.rs
+++ b/crates/crocusdale_core/tests/brittle_upstream_test.rs
@@ -9,6 +9,7 @@
     AttemptReport, DirectoryEntry, SlotGrant, SlotRequest, UpstreamDirectory, UpstreamRouter,
     brittle_backoff,
 };
+use crocusdale_core::streams::AllowedVersion;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -135,6 +136,7 @@
             demand: None,
             digest: RequestDigest::of(&[b"request"]),
             allowed_regions: Default::default(),
+            allowed_version: AllowedVersion::Any,
         };
         if let Ok(Some(grant)) = self.routers[daemon].acquire(request, now) {
             self.send(daemon, &grant, now);
--- a/crates/crocusdale_core/tests/cold_upstream_test.rs
+++ b/crates/crocusdale_core/tests/cold_upstream_test.rs
@@ -16,6 +16,7 @@
     AttemptReport, CONNECT_TIMEOUT, ColdLimits, ColdUpstream, DirectoryEntry, SlotRequest,
     UpstreamDirectory, UpstreamRouter,
 };
+use crocusdale_core::streams::AllowedVersion;
 
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -82,6 +83,7 @@
         demand: None,
         digest: RequestDigest::of(&[b"request"]),
         allowed_regions: AllowedRegions::default(),
+        allowed_version: AllowedVersion::Any,
     }
 }
 
--- a/crates/crocusdale_core/tests/connection_share_test.rs
+++ b/crates/crocusdale_core/tests/connection_share_test.rs
@@ -5,6 +5,7 @@
 use crocusdale_core::configuration::{AllowedRegions, DeclarationsBuilder, PoolKind, StageRules};
 use crocusdale_core::identity::{CallId, MonotonicTime};
 use crocusdale_core::routing::{DirectoryEntry, SlotRequest, UpstreamDirectory, UpstreamRouter};
+use crocusdale_core::streams::AllowedVersion;
 
 /// Returns the maximum number of idle connections that each of `daemons` daemons keeps open to an
 /// upstream with a concurrency limit of `declared`. `None` declares no limit.
@@ -40,6 +41,7 @@
         demand: None,
         digest: Default::default(),
         allowed_regions: AllowedRegions::default(),
+        allowed_version: AllowedVersion::Any,
     };
     let grant = router.acquire(request, MonotonicTime::from_millis(0));
     grant.expect("the pool exists").expect("the upstream has a free slot").max_idle_connections
--- a/crates/crocusdale_core/tests/engine_choice_test.rs
+++ b/crates/crocusdale_core/tests/engine_choice_test.rs
@@ -12,6 +12,7 @@
 use crocusdale_core::routing::{
     AttemptReport, DirectoryEntry, SlotRequest, UpstreamDirectory, UpstreamRouter,
 };
+use crocusdale_core::streams::AllowedVersion;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -157,6 +158,7 @@
         demand: Some(Arc::new(demand)),
         digest: Default::default(),
         allowed_regions: AllowedRegions::default(),
+        allowed_version: AllowedVersion::Any,
     }
 }
 
--- a/crates/crocusdale_core/tests/fleet_growth_test.rs
+++ b/crates/crocusdale_core/tests/fleet_growth_test.rs
@@ -19,6 +19,7 @@
 use crocusdale_core::routing::{
     AttemptReport, DirectoryChange, DirectoryEntry, SlotRequest, UpstreamDirectory, UpstreamRouter,
 };
+use crocusdale_core::streams::AllowedVersion;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom as _;
 use rand::{Rng as _, SeedableRng as _};
@@ -72,6 +73,7 @@
         demand: None,
         digest: RequestDigest::of(&[b"request"]),
         allowed_regions: Default::default(),
+        allowed_version: AllowedVersion::Any,
     }
 }
 
--- a/crates/crocusdale_core/tests/home_regions_test.rs
+++ b/crates/crocusdale_core/tests/home_regions_test.rs
@@ -10,6 +10,7 @@
 use crocusdale_core::routing::{
     AttemptReport, DirectoryEntry, SlotRequest, UpstreamDirectory, UpstreamRouter,
 };
+use crocusdale_core::streams::AllowedVersion;
 
 const NOW: MonotonicTime = MonotonicTime::from_millis(10_000);
 
@@ -54,6 +55,7 @@
         demand: None,
         digest: RequestDigest::of(&[b"request"]),
         allowed_regions: AllowedRegions::new(regions.iter().map(|region| (*region).to_owned())),
+        allowed_version: AllowedVersion::Any,
     }
 }
 
--- a/crates/crocusdale_core/tests/limited_upstream_test.rs
+++ b/crates/crocusdale_core/tests/limited_upstream_test.rs
@@ -21,6 +21,7 @@
 use crocusdale_core::routing::{
     CONNECT_TIMEOUT, SlotRequest, UpstreamDirectory, UpstreamNotice, UpstreamRouter,
 };
+use crocusdale_core::streams::AllowedVersion;
 
 use forward_daemon::{Daemon, read};
 use limited_upstream::{LIMITED, RateLimitedFleet, max_allowed_requests};
@@ -379,6 +380,7 @@
         demand: None,
         digest: RequestDigest::of(&[b"request"]),
         allowed_regions: AllowedRegions::default(),
+        allowed_version: AllowedVersion::Any,
     };
     assert_eq!(router.acquire(request(1), start).map(|grant| grant.is_some()), Ok(false));
     let place = start + Duration::from_millis(1_010);
--- a/crates/crocusdale_core/tests/support/virtual_fleet.rs
+++ b/crates/crocusdale_core/tests/support/virtual_fleet.rs
@@ -8,13 +8,14 @@
 use crocusdale_core::configuration::{
     DeclarationReader, Declarations, RegionMap, SchedulingSettings,
 };
-use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds, TimerKey};
+use crocusdale_core::daemon::{Command, DaemonEvent, OriginReply, StalenessBounds, TimerKey};
 use crocusdale_core::identity::{CallId, InstanceId, MonotonicTime, StorePosition};
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace, MemberStatus};
 use crocusdale_core::pipeline::{CallerRequest, FinalAnswer, ForwardOrder};
 use crocusdale_core::reachability::{LinkResult, LinkTarget, ProbeConnection, ProbeEvidence};
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::{ColdLimits, DirectoryEntry};
+use crocusdale_core::streams::StreamRecord;
 use crocusdale_core::{DaemonCore, DaemonCoreBuilder, DiscoverySettings};
 
 use rand::Rng as _;
@@ -34,6 +35,8 @@
 const MAX_PLATFORM_RESPONSE_TIME: Duration = Duration::from_millis(390);
 /// Time after which a heartbeat to an unreachable peer fails.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time after which a question about a stream to an unreachable daemon fails.
+const FIND_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest duration of a probe of an upstream: the time in which an exiting process closes its
 /// sockets, and the connect timeout.
 const MAX_PROBE_TIME: Duration = Duration::from_millis(310);
@@ -51,6 +54,7 @@
     Timer(TimerKey),
     Heartbeat { from: usize, message: Box<ExchangeMessage>, sent: MonotonicTime },
     Event(DaemonEvent),
+    Record(Box<StreamRecord>),
 }
 
 /// Options that all daemons of a fleet share.
@@ -112,6 +116,8 @@
     /// Daemons whose connections to upstreams are refused, while they reach each other and the
     /// platform.
     pub cut_off: HashSet<usize>,
+    /// Number of records of streams, and of questions about them, that daemons have sent.
+    pub stream_messages: usize,
     /// Batches, pieces and cancellations that the test has not carried out.
     pub work_commands: Vec<(usize, Command)>,
 }
@@ -177,6 +183,7 @@
             answers: Vec::new(),
             placement_commands: Vec::new(),
             cut_off: HashSet::new(),
+            stream_messages: 0,
             work_commands: Vec::new(),
         };
         for index in 0..size {
@@ -271,6 +278,7 @@
                 core.handle(DaemonEvent::Timer(timer), self.now, &mut commands);
             }
             Delivery::Event(event) => core.handle(event, self.now, &mut commands),
+            Delivery::Record(record) => core.record_streams(&[*record], self.now),
             Delivery::Heartbeat { from, mut message, sent } => {
                 let is_filtered = self.only_readers_gossip && !self.readers.contains(&index);
                 if is_filtered {
@@ -355,6 +363,28 @@
                 let event = Delivery::Event(DaemonEvent::ConfigurationFetched(fetched));
                 self.push(self.now + ONE_WAY_LATENCY * 2, index, event);
             }
+            Command::RecordStream { vm, record } => {
+                let to = vm_index(&vm);
+                if self.can_reach(index, to) {
+                    self.stream_messages += 1;
+                    self.push(self.now + ONE_WAY_LATENCY, to, Delivery::Record(record));
+                }
+            }
+            Command::FindStream { vm, call, key } => {
+                let to = vm_index(&vm);
+                let find = || match self.cores[to].find_stream(key, self.now) {
+                    Some(record) => OriginReply::Known(record.origin),
+                    None => OriginReply::Unknown,
+                };
+                let (reply, time) = if self.can_reach(index, to) {
+                    (find(), ONE_WAY_LATENCY * 2)
+                } else {
+                    (OriginReply::Failed, FIND_TIMEOUT)
+                };
+                self.stream_messages += 1;
+                let event = DaemonEvent::StreamFound { call, reply };
+                self.push(self.now + time, index, Delivery::Event(event));
+            }
             Command::ProbeUpstream { upstream, .. } => {
                 let is_late = self.heartbeats_are_late;
                 let peer = (0..self.cores.len()).find(|each| !self.cut_off.contains(each));
--- a/crates/crocusdale_core/tests/upstream_lives_test.rs
+++ b/crates/crocusdale_core/tests/upstream_lives_test.rs
@@ -15,6 +15,7 @@
 use crocusdale_core::routing::{
     AttemptReport, DirectoryEntry, SlotRequest, UpstreamDirectory, UpstreamRouter,
 };
+use crocusdale_core::streams::AllowedVersion;
 
 fn entry_started_at(id: &str, started_at_ms: u64) -> DirectoryEntry {
     DirectoryEntry { started_at_ms: Some(started_at_ms), ..entry(id, "a") }
@@ -144,6 +145,7 @@
         demand: None,
         digest: Default::default(),
         allowed_regions: AllowedRegions::default(),
+        allowed_version: AllowedVersion::Any,
     };
     for call in 1..=3 {
         let grant =
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -211,6 +211,8 @@
             | Command::PlaceRequest { .. }
             | Command::ReportPlacement { .. }
             | Command::AskAdmission { .. }
+            | Command::RecordStream { .. }
+            | Command::FindStream { .. }
             | Command::ReportPoolStatus { .. }
             | Command::FetchDirectory { .. }
             | Command::FetchConfiguration { .. }) => self.peers.execute(self, command),
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -232,17 +232,20 @@
                     return Some(AttemptEvent::Broken(BreakReason::Malformed));
                 }
             }
+            if self.progress.is_none() {
+                // The stream's origin is on its way to other daemons before the caller can come back
+                // for more.
+                let event = AttemptEvent::StreamStarted;
+                self.engine.handle_event(DaemonEvent::Attempt { attempt: self.attempt, event });
+            }
             if self.events.send(event.bytes).await.is_err() {
                 // The caller has disconnected, which its call reports to the core.
                 return Some(AttemptEvent::Broken(BreakReason::CallerDisconnected));
             }
             let now = self.engine.now();
-            if let Some((_, last, count)) = &mut self.progress {
-                (*last, *count) = (now, *count + 1);
-            } else {
-                self.progress = Some((now, now, 1));
-                let event = AttemptEvent::StreamStarted;
-                self.engine.handle_event(DaemonEvent::Attempt { attempt: self.attempt, event });
+            match &mut self.progress {
+                Some((_, last, count)) => (*last, *count) = (now, *count + 1),
+                None => self.progress = Some((now, now, 1)),
             }
         }
     }
--- a/crates/crocusdaled/src/peer/mod.rs
+++ b/crates/crocusdaled/src/peer/mod.rs
@@ -11,6 +11,8 @@
 mod placement_reports;
 mod placement_service;
 mod released_results;
+mod stream_client;
+mod stream_service;
 mod transit_client;
 mod transit_service;
 
--- a/crates/crocusdaled/src/peer/peer_client.rs
+++ b/crates/crocusdaled/src/peer/peer_client.rs
@@ -22,6 +22,7 @@
 use super::placement_client::place_request;
 use super::placement_reports::PlacementReports;
 use super::released_results::ReleasedResults;
+use super::stream_client::{RecordQueue, find_stream};
 use crate::engine::DaemonEngine;
 
 /// Timeout of heartbeat exchanges and outcome records.
@@ -54,6 +55,7 @@
     channels: Mutex<HashMap<SocketAddr, Channel>>,
     released_results: ReleasedResults,
     placement_reports: PlacementReports,
+    stream_records: RecordQueue,
 }
 
 impl PeerClient {
@@ -72,6 +74,10 @@
                 self.placement_reports.enqueue(engine, vm, section, *report);
                 return;
             }
+            Command::RecordStream { vm, record } => {
+                self.stream_records.enqueue(engine, vm, *record);
+                return;
+            }
             command => command,
         };
         let engine = Arc::clone(engine);
@@ -90,6 +96,9 @@
                 Command::ReportPoolStatus { vm, status } => {
                     report_pool_status(&engine, &vm, *status).await;
                 }
+                Command::FindStream { vm, call, key } => {
+                    find_stream(&engine, vm, call, key).await;
+                }
                 Command::AskWitness { .. } => ask_witness(&engine, command).await,
                 _ => debug_assert!(false, "the peer client accepts only commands that call a peer"),
             }
@@ -106,6 +115,11 @@
         &self.placement_reports
     }
 
+    /// Records of streams that have not yet been sent to their keepers.
+    pub(super) fn stream_records(&self) -> &RecordQueue {
+        &self.stream_records
+    }
+
     pub(super) fn channel(&self, address: SocketAddr) -> Channel {
         let mut channels = lock(&self.channels);
         let connect = || {
--- a/crates/crocusdaled/src/peer/peer_server.rs
+++ b/crates/crocusdaled/src/peer/peer_server.rs
@@ -13,11 +13,12 @@
 use crocusdale_schema::peer::{
     AdmitRequestReply, AdmitRequestRequest, AskOutcomeReply, AskOutcomeRequest, BuryRequest,
     ClaimRequest, ExchangeMessage, FetchConfigurationReply, FetchConfigurationRequest,
-    FetchDirectoryReply, FetchDirectoryRequest, FreeResultsReply, FreeResultsRequest,
-    MakePiecesReply, MakePiecesRequest, PlaceRequestReply, PlaceRequestRequest, PoolResults,
-    RecordOutcomeReply, RecordOutcomeRequest, RegisterReply, ReportPlacementsReply,
-    ReportPlacementsRequest, ReportPoolStatusReply, ReportPoolStatusRequest, SendTransitRequest,
-    TestUpstreamReply, TestUpstreamRequest,
+    FetchDirectoryReply, FetchDirectoryRequest, FindStreamReply, FindStreamRequest,
+    FreeResultsReply, FreeResultsRequest, MakePiecesReply, MakePiecesRequest, PlaceRequestReply,
+    PlaceRequestRequest, PoolResults, RecordOutcomeReply, RecordOutcomeRequest, RecordStreamsReply,
+    RecordStreamsRequest, RegisterReply, ReportPlacementsReply, ReportPlacementsRequest,
+    ReportPoolStatusReply, ReportPoolStatusRequest, SendTransitRequest, TestUpstreamReply,
+    TestUpstreamRequest,
 };
 use prost::Message;
 use slog::warn;
@@ -29,6 +30,7 @@
 use super::peer_call::MAX_MESSAGE_BYTES;
 use super::piece_table::ReceivedPieces;
 use super::placement_service;
+use super::stream_service;
 use super::transit_service::{TransitFrames, serve_transit};
 use crate::engine::DaemonEngine;
 use crate::upstream::collect_evidence;
@@ -233,6 +235,20 @@
         Ok(Response::new(decision.into()))
     }
 
+    async fn record_streams(
+        &self,
+        request: Request<RecordStreamsRequest>,
+    ) -> Result<Response<RecordStreamsReply>, Status> {
+        stream_service::record_streams(&self.engine, request)
+    }
+
+    async fn find_stream(
+        &self,
+        request: Request<FindStreamRequest>,
+    ) -> Result<Response<FindStreamReply>, Status> {
+        stream_service::find_stream(&self.engine, request)
+    }
+
     async fn test_upstream(
         &self,
         request: Request<TestUpstreamRequest>,
--- a/crates/crocusdaled/src/peer/placement_service.rs
+++ b/crates/crocusdaled/src/peer/placement_service.rs
@@ -41,7 +41,8 @@
     Ok(Response::new(ReportPlacementsReply {}))
 }
 
-fn refuse(
+/// Logs a message that is refused for its content, and returns the status of the refusal.
+pub(super) fn refuse(
     engine: &DaemonEngine,
     sender: Option<std::net::SocketAddr>,
     bytes: usize,
--- a/crates/crocusdaled/src/service/answer_response.rs
+++ b/crates/crocusdaled/src/service/answer_response.rs
@@ -108,6 +108,7 @@
         | RefusalReason::UpstreamError
         | RefusalReason::UpstreamBroken
         | RefusalReason::Quarantined
+        | RefusalReason::StreamUnknown
         | RefusalReason::HolderLost => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/crocusdaled/tests/resumed_stream_test.rs
+++ b/crates/crocusdaled/tests/resumed_stream_test.rs
@@ -180,13 +180,11 @@
     for engine in &fleet.engine_workers {
         engine.set_fault(WorkerFault::SomeTruncatedStreams(4));
     }
-    let callers = vec![fleet.daemons[0].caller];
+    let caller = fleet.daemons[0].caller;
     let mut reports = Vec::new();
     for index in 0..100 {
         let mut report = StreamReport::default();
-        report.add(
-            &IngressCaller::once(callers[0], &digest(&format!("stream-{index}"), index)).await?,
-        );
+        report.add(&IngressCaller::once(caller, &digest(&format!("stream-{index}"), index)).await?);
         reports.push(report);
     }
     assert_one_version(&reports);
