Test streams of killed daemons, and streams that can't go on

Real daemons before engines of two versions: four daemons are killed one at a time and then two at once while 96 streams run; none holds events of two versions, and over half of the tries at running daemons go on. Streams that nobody knows, that name no first attempt, or whose version has no engine any more are refused within 1 s at each of three daemons, and reach no engine.

--- a/crates/crocusdaled/tests/resumed_stream_test.rs
+++ b/crates/crocusdaled/tests/resumed_stream_test.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use anyhow::Result;
+use anyhow::{Context as _, Result};
 use platform_stand_ins::{
     IngressAnswer, IngressCaller, IngressRequest, PublishedFleet, WorkerFault, WorkerStandIn,
 };
@@ -12,6 +12,8 @@
 
 /// Time within which something that is due within seconds must have happened on a busy machine.
 const SOON: Duration = Duration::from_secs(15);
+/// Time within which a stream that can't go on must be refused, on a busy machine.
+const AT_ONCE: Duration = Duration::from_secs(1);
 /// Number of engines of each version.
 const ENGINES_PER_VERSION: usize = 2;
 /// Software versions that serve side by side.
@@ -29,7 +31,7 @@
     /// Ids of the events in the order of their arrival.
     events: Vec<u64>,
     is_complete: bool,
-    /// Number of later tries, and of those that brought an event or the end.
+    /// Number of later tries that a daemon answered, and of those that brought an event or the end.
     resumptions: (usize, usize),
 }
 
@@ -127,11 +129,11 @@
         let caller = callers[daemon_of(number) % callers.len()];
         if let Ok(answer) = IngressCaller::once(caller, &request).await {
             report.add(&answer);
-        }
-        if number > 0 {
-            report.resumptions.0 += 1;
-            let goes_on = report.is_complete || report.events.len() > events_before;
-            report.resumptions.1 += usize::from(goes_on);
+            if number > 0 {
+                report.resumptions.0 += 1;
+                let goes_on = report.is_complete || report.events.len() > events_before;
+                report.resumptions.1 += usize::from(goes_on);
+            }
         }
         if report.is_complete {
             break;
@@ -205,5 +207,92 @@
     assert_one_version(&reports);
     let share = resumed_share(&reports);
     assert!(share >= 0.5, "only {share:.2} of the tries that take up a stream go on with it");
+    let repeated = reports.iter().filter(|report| report.resumptions.1 >= 2).count();
+    assert!(repeated > 0, "no stream was taken up twice");
     Ok(())
 }
+
+/// Guards against streams that are lost, or go on at an engine with other software, because the
+/// daemon that began them was killed: one at a time, and then two.
+#[tokio::test]
+async fn streams_of_killed_daemons_go_on_at_their_software_version() -> Result<()> {
+    let mut fleet = fleet(4).await?;
+    for engine in &fleet.engine_workers {
+        engine.set_event_pause(Duration::from_millis(60));
+    }
+    let callers: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.caller).collect();
+    let mut open = JoinSet::new();
+    for (round, killed) in [vec![0], vec![1], vec![2, 3], vec![0, 1]].iter().enumerate() {
+        for index in (0..24).map(|index| 24 * round + index) {
+            let callers = callers.clone();
+            open.spawn(read_stream(callers, index, move |number| index + number));
+        }
+        // Streams are under way.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for index in killed {
+            fleet.daemons[*index].process.kill();
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for index in killed {
+            fleet.start_daemon(*index)?;
+        }
+        fleet.wait_ready().await?;
+    }
+    let mut reports = Vec::new();
+    while let Some(report) = open.join_next().await {
+        reports.extend(report.ok());
+    }
+    assert_one_version(&reports);
+    let share = resumed_share(&reports);
+    assert!(share >= 0.5, "only {share:.2} of the tries that take up a stream go on with it");
+    Ok(())
+}
+
+/// Guards against a guess where nobody knows where a stream began, and against a request that waits
+/// for an engine which will not come.
+#[tokio::test]
+async fn stream_that_can_not_go_on_is_refused_at_once() -> Result<()> {
+    let fleet = fleet(3).await?;
+    for engine in &fleet.engine_workers {
+        engine.set_fault(WorkerFault::TruncatedStream(2));
+    }
+    let mut report = StreamReport::default();
+    report.add(&IngressCaller::once(fleet.daemons[0].caller, &digest("first", 7)).await?);
+    assert!(!report.is_complete && !report.events.is_empty());
+    for engine in &fleet.engine_workers {
+        engine.set_fault(WorkerFault::None);
+    }
+    let refused_at_once = async |name: &str, request: IngressRequest| -> Result<()> {
+        for (index, daemon) in fleet.daemons.iter().enumerate() {
+            let request = request.clone().field("x-attempt-id", &format!("{name}-{index}"));
+            let answer =
+                tokio::time::timeout(AT_ONCE, IngressCaller::once(daemon.caller, &request));
+            let answer = answer.await.context("the stream was not refused at once")??;
+            assert_eq!(answer.status, 503, "{name}");
+            assert!(answer.headers.contains_key("retry-after"), "{name}");
+        }
+        let mut ran = fleet.engine_workers.iter().flat_map(WorkerStandIn::executed_requests);
+        assert!(!ran.any(|seen| seen.attempt.starts_with(name)), "{name} was sent to an engine");
+        Ok(())
+    };
+    refused_at_once("unknown", resumption(("-", 7), "nobody", 1)).await?;
+    refused_at_once("missing", digest("-", 7).field("last-event-id", "1")).await?;
+    refused_at_once("empty", resumption(("-", 7), " ", 1)).await?;
+    let version = report.versions.first().cloned().unwrap_or_default();
+    let is_old = |engine: &&WorkerStandIn| engine.id().contains(&version);
+    for engine in fleet.engine_workers.iter().filter(is_old) {
+        fleet.store.remove(engine.id());
+    }
+    // Until they know the new list, daemons may send it to an engine that has not left yet.
+    wait_for(SOON, "all daemons know that the engines have gone", async || {
+        let mut refusals = 0;
+        for daemon in &fleet.daemons {
+            let request = resumption(("probe", 7), "first", 1);
+            let answer = IngressCaller::once(daemon.caller, &request).await;
+            refusals += usize::from(answer.is_ok_and(|answer| answer.status == 503));
+        }
+        refusals == fleet.daemons.len()
+    })
+    .await?;
+    refused_at_once("gone", resumption(("-", 7), "first", 1)).await
+}
