Let streams wait for a full engine of their version

What callers saw: nothing yet; found while looking for the same cause elsewhere. A stream that is bound to a version has few engines. Each that rejected it for lack of capacity was excluded from its further attempts, so that the stream was refused after two rejections, while new streams had ten other engines to begin at.

Change: if all upstreams of the version have failed an attempt, they may get it again, but none that has just rejected one. Until then the attempt is queued. Each further attempt takes from the retry budget as before.

Before: the new test's stream was refused after the rejections of both engines.

--- a/crates/crocusdale_core/src/routing/upstream_choice.rs
+++ b/crates/crocusdale_core/src/routing/upstream_choice.rs
@@ -121,7 +121,12 @@
             return None;
         }
         let state = lock(&upstream.state);
-        let is_unhealthy = require_healthy && (state.is_ejected(now) || state.is_full(now));
+        // The few upstreams of a stream's version would reject it over and over while it could wait.
+        let is_unhealthy = if require_healthy {
+            state.is_ejected(now) || state.is_full(now)
+        } else {
+            request.allowed_version.is_restricted() && state.is_full(now)
+        };
         let is_accepting = !state.is_leaving() && state.backoff_left(now).is_zero();
         (is_accepting && !is_unhealthy && state.has_free_slot()).then(|| state.cost(now))
     }
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -261,6 +261,7 @@
     ) -> Result<Option<SlotGrant>, Box<SlotRequest>> {
         let Some(routed) = self.pools.get(&request.stage) else { return Err(Box::new(request)) };
         Self::record_first_attempt(routed, &request, now);
+        let request = self.with_retriable_upstreams(routed, request);
         let has_capacity = self.has_brittle_capacity(routed, now);
         let chosen = has_capacity.then(|| self.choose(routed, &request, now)).flatten();
         if let Some(position) = chosen {
--- a/crates/crocusdale_core/src/routing/version_choice.rs
+++ b/crates/crocusdale_core/src/routing/version_choice.rs
@@ -32,7 +32,7 @@
                 continue;
             }
             taken.extend(queue.take_matching(|request| {
-                request.allowed_version != AllowedVersion::Any
+                request.allowed_version.is_restricted()
                     && !self
                         .versions_of(routed)
                         .any(|version| request.allowed_version.allows(version))
@@ -41,6 +41,26 @@
         taken
     }
 
+    /// The request without its failed upstreams, if no other upstream has its version. It may be sent
+    /// to them again: they may only have been full.
+    pub(super) fn with_retriable_upstreams(
+        &self,
+        routed: &RoutedPool,
+        mut request: SlotRequest,
+    ) -> SlotRequest {
+        if request.allowed_version.is_restricted() && !request.failed_upstreams.is_empty() {
+            let mut positions = routed.same_zone.iter().chain(&routed.other_zones);
+            let has_other = positions.any(|position| {
+                self.allows_version(&request, *position)
+                    && !request.failed_upstreams.contains(&self.upstreams[*position].rules.name)
+            });
+            if !has_other {
+                request.failed_upstreams.clear();
+            }
+        }
+        request
+    }
+
     /// Whether the upstream at `position` has a version that the request allows.
     pub(super) fn allows_version(&self, request: &SlotRequest, position: usize) -> bool {
         request.allowed_version.allows(self.upstreams[position].rules.software_version.as_ref())
--- a/crates/crocusdale_core/src/streams/allowed_version.rs
+++ b/crates/crocusdale_core/src/streams/allowed_version.rs
@@ -14,6 +14,12 @@
 }
 
 impl AllowedVersion {
+    /// Whether only some versions are allowed.
+    #[must_use]
+    pub fn is_restricted(&self) -> bool {
+        *self != Self::Any
+    }
+
     /// Whether an upstream with this version is allowed. `None` stands for an unknown version.
     #[must_use]
     pub fn allows(&self, version: Option<&SoftwareVersion>) -> bool {
--- a/crates/crocusdale_core/tests/stream_flow_test.rs
+++ b/crates/crocusdale_core/tests/stream_flow_test.rs
@@ -375,3 +375,35 @@
     assert!(attempts >= 12, "only {attempts} of 24 requests were retried");
     assert!(other_versions > 0, "a stream without an event may go on anywhere");
 }
+
+/// Guards against streams that are refused because the few engines of their version are full at the
+/// moment, while new streams begin at the others.
+#[test]
+fn stream_waits_for_a_full_engine_of_its_version() {
+    let mut fleet = VersionedFleet::new(3);
+    let version = fleet.begin(0, "first");
+    let declined = ResponseHead { status: 503, execution: ExecutionStatus::Declined };
+    // The retry budget grows with requests.
+    for index in 0..40 {
+        fleet.begin(0, &format!("other{index}"));
+    }
+    let resumed = ResumedStream { last_event: 0, first_attempt: Some("first".to_owned()) };
+    fleet.fleet.relays.clear();
+    let call = fleet.submit(0, "second", Some(resumed), "/digest/7");
+    let mut declining = Vec::new();
+    let start = fleet.fleet.now;
+    while declining.len() < 5 {
+        fleet.advance(Duration::from_millis(10));
+        assert!(fleet.fleet.now.since(start) < Duration::from_secs(2), "sent to {declining:?}");
+        for (_, _, order) in std::mem::take(&mut fleet.fleet.relays) {
+            assert_eq!(fleet.version(&order.upstream), version);
+            declining.push(order.upstream);
+            let event = AttemptEvent::HeadReceived(declined);
+            fleet.fleet.feed(0, DaemonEvent::Attempt { attempt: order.attempt, event });
+        }
+    }
+    let waited = fleet.fleet.now.since(start);
+    assert!(waited >= Duration::from_millis(100), "five rejections within {waited:?}");
+    let is_refused = fleet.fleet.answers.iter().any(|(at, id, _)| (*at, *id) == (0, call));
+    assert!(!is_refused, "the stream must wait for an engine");
+}
