Place streams at engines of their version

Found while looking for the same cause elsewhere: a placement coordinator chose among all engines of its section for a stream that is bound to a version. Its choice was then rejected by the daemon, which chose by its own few requests instead.

Change: the question names the version, and the coordinator knows that of each engine. A coordinator of an older version ignores it, and the daemon still rejects its choice.

The new test fails without the check: streams of v1 are placed at engines of v2.

--- a/crates/crocusdale_core/src/daemon/placement_flow.rs
+++ b/crates/crocusdale_core/src/daemon/placement_flow.rs
@@ -15,6 +15,7 @@
     section_name,
 };
 use crate::routing::{AttemptReport, SlotRequest};
+use crate::streams::AllowedVersion;
 use crate::sync::lock;
 
 impl DaemonCore {
@@ -173,8 +174,10 @@
         }
         let demand = request.demand.as_ref()?;
         let engines = self.router().placed_engine_count(&request.stage)?;
-        // Neither a held nor a quarantined request may be sent, and no region means no engine.
-        if request.allowed_regions.names().is_some_and(<[String]>::is_empty)
+        // Neither a held nor a quarantined request may be sent, and no region or version means no
+        // engine.
+        if request.allowed_version == AllowedVersion::Unknown
+            || request.allowed_regions.names().is_some_and(<[String]>::is_empty)
             || lock(&self.held_work).is_holding()
             || self.remaining_quarantine(request.digest, now).is_some()
         {
@@ -195,6 +198,7 @@
             deadline: request.deadline,
             excluded: request.failed_upstreams.clone(),
             allowed_regions: request.allowed_regions.clone(),
+            allowed_version: request.allowed_version.clone(),
             input_zone: inputs.zone,
             input_bytes: inputs.bytes,
         };
--- a/crates/crocusdale_core/src/placement/engine_placer.rs
+++ b/crates/crocusdale_core/src/placement/engine_placer.rs
@@ -9,7 +9,7 @@
     SampleMean,
 };
 use crate::configuration::EngineRules;
-use crate::identity::{AttemptId, MonotonicTime, stable_hash};
+use crate::identity::{AttemptId, MonotonicTime, SoftwareVersion, stable_hash};
 
 /// Costs within this fraction of the smallest, or within [`NEAR_MS`], count as equal. Among these,
 /// the engine that is preferred by the session is chosen.
@@ -43,6 +43,8 @@
     pub zone: String,
     /// Region of that zone, if it is known.
     pub region: Option<String>,
+    /// Version of the engine's software. `None` if it is not known.
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// Chooses engines for the requests of all daemons in one section of an engine pool.
@@ -189,6 +191,7 @@
         let is_allowed = |engine: &&PlacedEngine| {
             !request.excluded.iter().any(|excluded| **excluded == *engine.name)
                 && request.allowed_regions.allows(engine.region.as_deref())
+                && request.allowed_version.allows(engine.software_version.as_ref())
         };
         let (fixed_ms, token_ms) = self.queue_model.parts_ms();
         let request_ms =
--- a/crates/crocusdale_core/src/placement/placed_engine.rs
+++ b/crates/crocusdale_core/src/placement/placed_engine.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use super::{EngineInfo, EngineQueue, EngineSpeed, PromptCache};
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, SoftwareVersion};
 
 /// Time for which an engine that declined a request gets no more.
 const DECLINED_BACKOFF: Duration = Duration::from_millis(100);
@@ -20,6 +20,7 @@
     pub(super) name: Arc<str>,
     pub(super) zone: String,
     pub(super) region: Option<String>,
+    pub(super) software_version: Option<SoftwareVersion>,
     pub(super) queue: EngineQueue,
     pub(super) cache: PromptCache,
     pub(super) speed: EngineSpeed,
@@ -33,6 +34,7 @@
             name: info.name.into(),
             zone: info.zone,
             region: info.region,
+            software_version: info.software_version,
             queue: EngineQueue::default(),
             cache: PromptCache::default(),
             speed: EngineSpeed::default(),
--- a/crates/crocusdale_core/src/placement/placement_request.rs
+++ b/crates/crocusdale_core/src/placement/placement_request.rs
@@ -4,6 +4,7 @@
 use crate::configuration::AllowedRegions;
 use crate::identity::{AttemptId, MonotonicTime, stable_hash};
 use crate::pipeline::PromptPart;
+use crate::streams::AllowedVersion;
 
 /// Maximum number of shared prompt parts of a request.
 pub(crate) const MAX_PARTS: usize = 256;
@@ -35,6 +36,8 @@
     pub excluded: Vec<String>,
     /// Regions in which the request may be processed.
     pub allowed_regions: AllowedRegions,
+    /// Software versions of the engines that may run the request.
+    pub allowed_version: AllowedVersion,
     /// Availability zone that holds the inputs. `None` if they are small.
     pub input_zone: Option<String>,
     /// Size of these inputs in bytes.
--- a/crates/crocusdale_core/src/routing/placed_choice.rs
+++ b/crates/crocusdale_core/src/routing/placed_choice.rs
@@ -45,6 +45,7 @@
                 name: name.clone(),
                 zone: upstream.rules.zone.clone(),
                 region: self.region_of(position).map(str::to_owned),
+                software_version: upstream.rules.software_version.clone(),
             })
         });
         Some((rules, engines.collect()))
--- a/crates/crocusdale_core/src/wire/placement_messages.rs
+++ b/crates/crocusdale_core/src/wire/placement_messages.rs
@@ -5,12 +5,13 @@
 
 use super::millis::{saturating_micros, saturating_millis, signed_millis};
 use crate::configuration::AllowedRegions;
-use crate::identity::MonotonicTime;
+use crate::identity::{MonotonicTime, SoftwareVersion};
 use crate::pipeline::PromptPart;
 use crate::placement::{
     FirstEventTime, MAX_NAMES, MAX_PARTS, MAX_TOKENS, PlacementOutcome, PlacementReply,
     PlacementReport, PlacementRequest,
 };
+use crate::streams::AllowedVersion;
 
 /// Maximum length of a name, in bytes.
 const MAX_NAME_BYTES: usize = 512;
@@ -70,6 +71,10 @@
             regions: self.allowed_regions.names().unwrap_or_default().to_vec(),
             input_zone: self.input_zone.clone().unwrap_or_default(),
             input_bytes: self.input_bytes,
+            software_version: match &self.allowed_version {
+                AllowedVersion::Only(version) => Some(version.to_string()),
+                AllowedVersion::Any | AllowedVersion::Unknown => None,
+            },
         }
     }
 
@@ -97,6 +102,12 @@
         let time_left = Duration::from_millis(message.due_ms.max(0).unsigned_abs());
         let overdue = Duration::from_millis(message.due_ms.min(0).unsigned_abs());
         let due = (now + time_left).since_start().saturating_sub(overdue);
+        let allowed_version = match message.software_version.as_deref() {
+            Some(version) => {
+                SoftwareVersion::new(version).map_or(AllowedVersion::Unknown, AllowedVersion::Only)
+            }
+            None => AllowedVersion::Any,
+        };
         let parts = message.parts.into_iter();
         Ok(Self {
             attempt,
@@ -113,6 +124,7 @@
             allowed_regions: AllowedRegions::new(message.regions),
             input_zone: (!message.input_zone.is_empty()).then_some(message.input_zone),
             input_bytes: message.input_bytes,
+            allowed_version,
         })
     }
 }
--- a/crates/crocusdale_core/tests/engine_placement_test.rs
+++ b/crates/crocusdale_core/tests/engine_placement_test.rs
@@ -7,9 +7,11 @@
 use std::time::{Duration, Instant};
 
 use crocusdale_core::configuration::AllowedRegions;
+use crocusdale_core::identity::SoftwareVersion;
 use crocusdale_core::placement::{
     EngineInfo, EnginePlacer, PlacementOutcome, PlacementReport, PlacementRequest, section_name,
 };
+use crocusdale_core::streams::AllowedVersion;
 use engine_fleet::{EngineFleet, RULES, at, info, request};
 
 /// Largest accepted number of requests of a slow engine for each request of a fast one.
@@ -226,6 +228,28 @@
     assert_eq!(placer.place(&asked, at(0.0)).upstream, None);
 }
 
+/// Guards against a coordinator that places a stream at an engine with other software than the one
+/// that began it.
+#[test]
+fn stream_is_placed_at_an_engine_of_its_version() {
+    let mut placer = EnginePlacer::new(RULES);
+    let engine = |index: usize| EngineInfo {
+        software_version: SoftwareVersion::new(if index < 18 { "v2" } else { "v1" }),
+        ..info(index)
+    };
+    placer.set_engines(RULES, (0..20).map(engine));
+    for call in 0..40 {
+        let mut asked = request(call, call, at(0.0));
+        asked.allowed_version =
+            AllowedVersion::Only(SoftwareVersion::new("v1").expect("a version"));
+        let upstream = placer.place(&asked, at(0.0)).upstream.expect("an engine");
+        assert!(["reader-18", "reader-19"].contains(&upstream.as_str()), "{upstream}");
+    }
+    let mut gone = request(40, 40, at(0.0));
+    gone.allowed_version = AllowedVersion::Only(SoftwareVersion::new("v0").expect("a version"));
+    assert_eq!(placer.place(&gone, at(0.0)).upstream, None);
+}
+
 #[test]
 fn large_inputs_attract_their_request_to_their_zone() {
     let mut placer = EnginePlacer::new(RULES);
--- a/crates/crocusdale_core/tests/placement_messages_test.rs
+++ b/crates/crocusdale_core/tests/placement_messages_test.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::AllowedRegions;
-use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime};
+use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime, SoftwareVersion};
 use crocusdale_core::pipeline::PromptPart;
 use crocusdale_core::placement::{
     FirstEventTime, PlacementOutcome, PlacementReply, PlacementReport, PlacementRequest,
 };
+use crocusdale_core::streams::AllowedVersion;
 use crocusdale_core::wire::{MessageFault, read_placement_reports};
 use crocusdale_schema::peer;
 
@@ -25,6 +26,7 @@
         deadline: now + Duration::from_secs(6),
         excluded: vec!["r1".to_owned()],
         allowed_regions: AllowedRegions::new(["coast".to_owned()]),
+        allowed_version: AllowedVersion::Only(SoftwareVersion::new("v1").expect("a version")),
         input_zone: Some("z1".to_owned()),
         input_bytes: 2_000_000,
     }
--- a/crates/crocusdale_core/tests/support/engine_fleet.rs
+++ b/crates/crocusdale_core/tests/support/engine_fleet.rs
@@ -9,6 +9,7 @@
 use crocusdale_core::placement::{
     EngineInfo, EnginePlacer, PlacementOutcome, PlacementReport, PlacementRequest,
 };
+use crocusdale_core::streams::AllowedVersion;
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
@@ -43,7 +44,12 @@
 }
 
 pub fn info(index: usize) -> EngineInfo {
-    EngineInfo { name: format!("reader-{index}"), zone: "a".to_owned(), region: None }
+    EngineInfo {
+        name: format!("reader-{index}"),
+        zone: "a".to_owned(),
+        region: None,
+        software_version: None,
+    }
 }
 
 pub fn at(millis: f64) -> MonotonicTime {
@@ -62,6 +68,7 @@
         deadline: now + Duration::from_secs(6),
         excluded: Vec::new(),
         allowed_regions: AllowedRegions::default(),
+        allowed_version: AllowedVersion::Any,
         input_zone: None,
         input_bytes: 0,
     }
