Log the prompt parts of crashed upstreams' requests

What callers saw: engines that end one after the other under requests with one part in common. Logs named a digest of the whole request for each broken attempt, so that nothing two of them had in common could be seen; that an upstream had ended had no line; and answers that end with their connection looked like all others.

`attempt_broken` names the shared parts of the prompt, `upstream_crashed` the upstream and how many requests of this daemon it ran, and counters tell both the crashes and the answers with neither a length nor chunks. No decision depends on any of this.

--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -54,6 +54,10 @@
     BatchCalls,
     /// Queries to batched upstreams for their free result memory.
     RoomQuestions,
+    /// Upstreams that ended while they ran requests of this daemon.
+    UpstreamCrashes,
+    /// Answers with neither a length nor chunks, which ended with their connection.
+    UnframedAnswers,
     /// Attempts that take up a stream which has begun before.
     StreamsResumed,
     /// Requests refused because it is not known where the stream that they take up began.
--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -39,6 +39,13 @@
         // An upstream that had announced its departure has not crashed: it exited as planned, with
         // requests still running.
         let has_crashed = has_ended && !lock(&self.directory).directory.is_leaving(upstream);
+        let requests = lock(&self.crash_detector).suspect_count(upstream);
+        if has_crashed {
+            out.push(Command::Count(CounterName::UpstreamCrashes));
+            let upstream = upstream.to_owned();
+            let change = StateChange::UpstreamCrashed { upstream, requests };
+            out.push(Command::LogStateChange(change));
+        }
         let verdict = lock(&self.crash_detector).finish_probe(upstream, has_crashed, now);
         self.apply_verdict(verdict, None, now, out);
     }
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -1,4 +1,4 @@
-use crate::identity::{RequestDigest, RequestKey, SoftwareVersion, StorePosition};
+use crate::identity::{PartId, RequestDigest, RequestKey, SoftwareVersion, StorePosition};
 use crate::membership::PoolReach;
 use crate::pipeline::BreakReason;
 use crate::rate_limiting::RequestRate;
@@ -161,6 +161,8 @@
         digest: RequestDigest,
         /// Name of the upstream.
         upstream: String,
+        /// Prompt parts of the request that other requests may share, if an engine ran it.
+        parts: Vec<PartId>,
         /// Symptom of the failure, such as a reset connection or silence.
         reason: BreakReason,
     },
@@ -199,6 +201,13 @@
         /// Version of that upstream's software, or `None` if it is not known.
         software_version: Option<SoftwareVersion>,
     },
+    /// An upstream ended while it ran requests of this daemon.
+    UpstreamCrashed {
+        /// Name of the upstream.
+        upstream: String,
+        /// Number of requests of this daemon that it ran.
+        requests: usize,
+    },
     /// An upstream rejected a request and asked this daemon to back off.
     UpstreamAway {
         /// Name of the upstream.
--- a/crates/crocusdale_core/src/identity/mod.rs
+++ b/crates/crocusdale_core/src/identity/mod.rs
@@ -3,6 +3,7 @@
 
 mod instance_id;
 mod monotonic_time;
+mod part_id;
 mod request_digest;
 mod request_key;
 mod software_version;
@@ -10,6 +11,7 @@
 
 pub use instance_id::InstanceId;
 pub use monotonic_time::MonotonicTime;
+pub use part_id::PartId;
 pub use request_digest::RequestDigest;
 pub use request_key::{AttemptId, CallId, RequestKey};
 pub use software_version::SoftwareVersion;
--- a/crates/crocusdale_core/src/pipeline/attempt_failures.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt_failures.rs
@@ -3,9 +3,9 @@
 use super::request_run::{count, set_timer};
 use super::step_run::{AttemptFailure, InFlightAttempt};
 use super::{BreakReason, FinalAnswer, RequestRun, ShardAction};
-use crate::configuration::RepeatRule;
+use crate::configuration::{RepeatRule, StepWork};
 use crate::daemon::{Command, StateChange, TimerKey};
-use crate::identity::{AttemptId, MonotonicTime};
+use crate::identity::{AttemptId, MonotonicTime, PartId};
 use crate::routing::AttemptReport;
 
 impl RequestRun {
@@ -52,6 +52,7 @@
             .plan
             .forward_rules()
             .is_some_and(|rules| rules.repeat == RepeatRule::ResumableStream);
+        let parts = self.crash_parts(index);
         let step_run = &mut self.step_runs[index];
         let in_flight = step_run.in_flight.take()?;
         step_run.failed_targets.push(in_flight.upstream.clone());
@@ -62,6 +63,7 @@
                     request: self.plan.request.key.clone(),
                     digest: self.plan.digest,
                     upstream: in_flight.upstream.clone(),
+                    parts,
                     reason,
                 },
             )));
@@ -87,6 +89,14 @@
         Some(self.finish_unanswered(failure.refusal_reason(), now, actions))
     }
 
+    /// Prompt parts under which a crash at the step run at `index` counts. Empty unless the step
+    /// forwards the prompt to an engine.
+    pub(super) fn crash_parts(&self, index: usize) -> Vec<PartId> {
+        let demand = self.plan.request.forward_head().and_then(|head| head.demand.as_ref());
+        let demand = demand.filter(|_| self.step_runs[index].work == StepWork::Forward);
+        demand.map(|demand| demand.crash_parts()).unwrap_or_default()
+    }
+
     pub(super) fn release_slot(
         &mut self,
         index: usize,
--- a/crates/crocusdale_core/src/pipeline/forward_head.rs
+++ b/crates/crocusdale_core/src/pipeline/forward_head.rs
@@ -1,7 +1,10 @@
 use std::fmt;
 use std::sync::Arc;
 
-use crate::identity::RequestDigest;
+use crate::identity::{PartId, RequestDigest};
+
+/// Maximum number of prompt parts of one request under which crashes are counted.
+const MAX_CRASH_PARTS: usize = 32;
 
 /// Head of a forwarded HTTP request. The body never enters the core.
 #[derive(Clone, Debug, Default)]
@@ -56,6 +59,14 @@
         self.parts[..shared_count].last()
     }
 
+    /// Identities of the shared parts under which crashes of engines are counted: the first 32, so
+    /// that no caller fills the records with its own.
+    #[must_use]
+    pub fn crash_parts(&self) -> Vec<PartId> {
+        let parts = self.shared_parts().iter().take(MAX_CRASH_PARTS);
+        parts.map(|part| PartId(part.id)).collect()
+    }
+
     /// The prompt segments that other requests may share: all but the last.
     #[must_use]
     pub fn shared_parts(&self) -> &[PromptPart] {
--- a/crates/crocusdale_core/src/quarantine/crash_detector.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_detector.rs
@@ -73,6 +73,12 @@
         needs_probe
     }
 
+    /// Number of requests that [`Self::suspect`] has recorded for `upstream`.
+    #[must_use]
+    pub fn suspect_count(&self, upstream: &str) -> usize {
+        self.suspects.get(upstream).map_or(0, BTreeSet::len)
+    }
+
     /// Ends the probe of `upstream`. If the upstream has crashed, the crash is counted for all
     /// requests that [`Self::suspect`] has recorded for it.
     pub fn finish_probe(
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::daemon::{CounterName, DaemonEvent};
 use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime};
 use crocusdale_core::pipeline::{
     AttemptEvent, BreakReason, EventVerdict, ExecutionStatus, ForwardOrder,
@@ -10,7 +10,7 @@
 use crocusdale_core::sync::lock;
 use crocusdale_platform::notice::read_notice;
 use crocusdale_platform::relay::{RelayedHead, read_head};
-use http::StatusCode;
+use http::{HeaderMap, StatusCode, header};
 use http_body_util::{BodyExt as _, Limited};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -120,6 +120,9 @@
     }
     engine.report_notice(&order.upstream, read_notice(parts.status, &parts.headers), sent);
     let is_success = parts.status.is_success();
+    if !is_framed(&parts.headers) {
+        engine.telemetry.count(CounterName::UnframedAnswers);
+    }
     if head.head.execution == ExecutionStatus::Ran && is_success && !head.has_signature {
         return Some(AttemptEvent::Broken(BreakReason::Malformed));
     }
@@ -159,6 +162,12 @@
     Some(AttemptEvent::ResponseForwarded)
 }
 
+/// Whether the end of an answer is marked by a length or by chunks. Otherwise the answer ends with
+/// its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Opens the event channel to the caller. For the first answer the caller also gets the head.
 fn open_events(
     engine: &Arc<DaemonEngine>,
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -145,10 +145,11 @@
                     "request" => &request.key, "workspace" => &request.workspace,
                     "coordinator" => coordinator);
             }
-            StateChange::AttemptBroken { request, digest, upstream, reason } => {
+            StateChange::AttemptBroken { request, digest, upstream, parts, reason } => {
                 info!(log, "{}", name;
                     "request" => &request.key, "workspace" => &request.workspace,
                     "digest" => digest.to_string(), "upstream" => upstream,
+                    "parts" => slog::Serde(parts.clone()),
                     "reason" => reason.to_string());
             }
             StateChange::RequestQuarantined { digest, ends, peer } => {
@@ -178,6 +179,9 @@
                     "upstream" => upstream,
                     "version" => software_version.as_ref().map(SoftwareVersion::as_str));
             }
+            StateChange::UpstreamCrashed { upstream, requests } => {
+                info!(log, "{}", name; "upstream" => upstream, "requests" => requests);
+            }
             StateChange::UpstreamAway { upstream, stay_away_ms } => {
                 info!(log, "{}", name; "upstream" => upstream, "stay_away_ms" => stay_away_ms);
             }
