Count crashes of engines by prompt part

What callers saw: engines that ended one after the other, 29 in one spell, under requests with one prompt part in common, each with the streams of other callers.

Cause: crashes were counted by a digest of the whole request. Requests that have only a part in common have different digests, so that each crash began a new count.

Ruled out: that the system multiplies the tries. The reported requests reached one engine each.

Change: crashes are counted under each of the first 32 shared parts of a prompt too, never the last one, by the same probes and the same messages. A complete answer to a request with the part clears it, and for 10 s ahead; crashes within 200 ms of each other count as one, as a lost rack ends several engines at once. After three crashes requests with the part are refused for 600 s, at entry, in queues and where an engine is chosen.

Sound requests share other parts with the crashing ones, and run beside them. So a request is refused only if it also has all parts to which each of these crashes can be put down as well: the first part, or one that happened to run at each of these engines, does not count on its own. The next crash without such a part tells them apart.

Why it works: evidence against a part needs three separate crashes without a single answer in between, which a part in use outlives, and no request is refused for a part whose crashes another part explains.

--- a/crates/crocusdale_core/src/admission/entry_backlog.rs
+++ b/crates/crocusdale_core/src/admission/entry_backlog.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use crate::identity::{CallId, MonotonicTime, RequestDigest};
+use crate::identity::{CallId, MonotonicTime};
 use crate::pipeline::RequestPlan;
 
 /// Queue of requests that cannot meet their latency objective. They start once there is spare
@@ -89,11 +89,14 @@
         ready.into_iter().filter_map(remove).collect()
     }
 
-    /// Removes all requests whose digest equals `digest`.
-    pub fn take_matching(&mut self, digest: RequestDigest) -> Vec<(CallId, RequestPlan)> {
-        let matching = self.waiting.extract_if(.., |_, plan| plan.digest == digest);
+    /// Removes all requests that `is_matching` selects.
+    pub fn take_matching(
+        &mut self,
+        is_matching: impl Fn(&RequestPlan) -> bool,
+    ) -> Vec<(CallId, RequestPlan)> {
+        let matching = self.waiting.extract_if(.., |_, plan| is_matching(plan));
         let matching = matching.map(|((_, _, call), plan)| (call, plan));
-        let scheduled = self.scheduled.extract_if(.., |_, plan| plan.digest == digest);
+        let scheduled = self.scheduled.extract_if(.., |_, plan| is_matching(plan));
         matching.chain(scheduled.map(|((_, call), plan)| (call, plan))).collect()
     }
 
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -24,7 +24,7 @@
 use crate::identity::{InstanceId, MonotonicTime, RequestKey};
 use crate::membership::{MemberPlace, MemberViewBuilder, VmListHistory};
 use crate::pipeline::RequestShard;
-use crate::quarantine::CrashDetector;
+use crate::quarantine::{CrashDetector, PartDetector};
 use crate::rate_limiting::RateLimiter;
 use crate::reachability::LinkMonitor;
 use crate::retry::RetryLimits;
@@ -75,6 +75,8 @@
     pub(super) transit_limit: usize,
     /// Crashes of upstreams, by the request that they ran, and the resulting quarantines.
     pub(super) crash_detector: Mutex<CrashDetector>,
+    /// Crashes of upstreams, by the prompt parts that they ran, and the resulting quarantines.
+    pub(super) part_detector: Mutex<PartDetector>,
     /// Where streams began, as this daemon has seen or was told as a keeper of their records.
     pub(super) stream_log: Mutex<OriginLog>,
     /// Requests that take up streams of which this daemon does not know where they began.
@@ -286,6 +288,7 @@
             open_transits: AtomicUsize::new(0),
             transit_limit,
             crash_detector: Mutex::new(crash_detector),
+            part_detector: Mutex::default(),
             stream_log: Mutex::default(),
             pending_streams: Mutex::default(),
             pool_waits: Mutex::default(),
--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -54,6 +54,8 @@
     BatchCalls,
     /// Queries to batched upstreams for their free result memory.
     RoomQuestions,
+    /// Prompt parts that this daemon has quarantined, or quarantined for more requests.
+    PartsQuarantined,
     /// Upstreams that ended while they ran requests of this daemon.
     UpstreamCrashes,
     /// Answers with neither a length nor chunks, which ended with their connection.
--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use super::core_state::CoreState;
+use super::fleet_state::UpstreamRecords;
 use super::{Command, CounterName, StateChange, TimerKey};
-use crate::identity::{MonotonicTime, RequestDigest};
+use crate::identity::{MonotonicTime, PartId, RequestDigest};
+use crate::pipeline::{RequestPlan, ShardAction};
 use crate::quarantine::{CrashRecord, CrashVerdict};
+use crate::routing::SlotRequest;
 use crate::sync::lock;
 
 /// Time for which crash records and rate limits are collected into one message to peers. All
@@ -17,11 +20,13 @@
     /// Probes the upstream of an attempt that broke off, unless a probe of it is under way.
     pub(super) fn probe_suspected_upstream(
         &self,
-        digest: RequestDigest,
+        (digest, parts): (RequestDigest, &[PartId]),
         upstream: String,
         address: SocketAddr,
+        now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
+        lock(&self.part_detector).suspect(parts, &upstream, now);
         if lock(&self.crash_detector).suspect(digest, &upstream) {
             out.push(Command::ProbeUpstream { upstream, address });
         }
@@ -48,17 +53,23 @@
         }
         let verdict = lock(&self.crash_detector).finish_probe(upstream, has_crashed, now);
         self.apply_verdict(verdict, None, now, out);
+        let verdict = lock(&self.part_detector).finish_probe(upstream, has_crashed, now);
+        self.apply_part_verdict(&verdict, None, now, out);
     }
 
-    /// Clears the crash record of requests with `digest`, one of which was answered completely.
+    /// Clears the crash records of requests with `digest`, and of `parts`, one of which was answered
+    /// completely.
     pub(super) fn clear_crash_suspicion(
         &self,
         digest: RequestDigest,
+        parts: &[PartId],
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
         let verdict = lock(&self.crash_detector).record_success(digest, now);
         self.apply_verdict(verdict, None, now, out);
+        let verdict = lock(&self.part_detector).record_success(parts, now);
+        self.apply_part_verdict(&verdict, None, now, out);
     }
 
     /// Merges the crash records that the daemon on `vm` sent.
@@ -78,10 +89,14 @@
 
     /// Sends peers the crash records and rate limits of upstreams that they have not been sent yet.
     pub(super) fn send_new_upstream_records(&self, now: MonotonicTime, out: &mut Vec<Command>) {
-        let crashes = lock(&self.crash_detector).take_unsent(now);
-        let limits = self.limiter.take_unsent(now);
-        if !(crashes.is_empty() && limits.is_empty()) {
-            lock(&self.fleet).send_records_to_readers(&crashes, &limits, now, out);
+        let records = UpstreamRecords {
+            crashes: lock(&self.crash_detector).take_unsent(now),
+            parts: lock(&self.part_detector).take_unsent(now),
+            limits: self.limiter.take_unsent(now),
+        };
+        let UpstreamRecords { crashes, parts, limits } = &records;
+        if !(crashes.is_empty() && parts.is_empty() && limits.is_empty()) {
+            lock(&self.fleet).send_records_to_readers(&records, now, out);
         }
     }
 
@@ -92,13 +107,26 @@
         }
     }
 
-    /// Remaining quarantine of requests with `digest`, or `None` if they may be dispatched.
+    /// Remaining quarantine of a request with `digest` and the prompt `parts`, or `None` if it may be
+    /// dispatched.
     pub(super) fn remaining_quarantine(
         &self,
         digest: RequestDigest,
+        parts: &[PartId],
+        now: MonotonicTime,
+    ) -> Option<Duration> {
+        let of_request = lock(&self.crash_detector).quarantine_left(digest, now);
+        of_request.max(self.part_quarantine(parts, now))
+    }
+
+    /// Remaining quarantine of an attempt, or `None` if it may be sent.
+    pub(super) fn slot_quarantine(
+        &self,
+        request: &SlotRequest,
         now: MonotonicTime,
     ) -> Option<Duration> {
-        lock(&self.crash_detector).quarantine_left(digest, now)
+        let parts = request.demand.as_ref().map(|demand| demand.crash_parts()).unwrap_or_default();
+        self.remaining_quarantine(request.digest, &parts, now)
     }
 
     /// Logs new and lifted quarantines, refuses the queued requests they apply to, and schedules
@@ -144,23 +172,36 @@
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
-        let Some(remaining) = self.remaining_quarantine(digest, now) else { return };
+        let remaining = lock(&self.crash_detector).quarantine_left(digest, now);
+        let Some(remaining) = remaining else { return };
         let mut actions = Vec::new();
-        let mut queued = lock(&self.entry_backlog).take_matching(digest);
-        queued.extend(lock(&self.coordination.pending_admissions).take_matching(digest));
-        queued.extend(lock(&self.pending_streams).take_matching(digest));
-        for (call, plan) in queued {
-            self.refuse_quarantined(call, &plan, remaining, &mut actions);
-        }
-        for shard in &self.request_shards {
-            lock(shard).end_quarantined(digest, remaining, now, &mut actions);
-        }
+        let is_quarantined = |plan: &RequestPlan| plan.digest == digest;
+        self.refuse_matching_requests(is_quarantined, remaining, now, &mut actions);
         let mut dispatch_actions = Vec::new();
         lock(&self.dispatcher).fail_quarantined(digest, &mut dispatch_actions);
         self.run_dispatch_actions(dispatch_actions, now, &mut actions, out);
         self.run_actions(actions, now, out);
     }
 
+    /// Refuses all requests that `is_quarantined` selects and of which no attempt was sent.
+    pub(super) fn refuse_matching_requests(
+        &self,
+        is_quarantined: impl Fn(&RequestPlan) -> bool,
+        remaining: Duration,
+        now: MonotonicTime,
+        actions: &mut Vec<ShardAction>,
+    ) {
+        let mut queued = lock(&self.entry_backlog).take_matching(&is_quarantined);
+        queued.extend(lock(&self.coordination.pending_admissions).take_matching(&is_quarantined));
+        queued.extend(lock(&self.pending_streams).take_matching(&is_quarantined));
+        for (call, plan) in queued {
+            self.refuse_quarantined(call, &plan, remaining, actions);
+        }
+        for shard in &self.request_shards {
+            lock(shard).end_quarantined(&is_quarantined, remaining, now, actions);
+        }
+    }
+
     /// Copies the summary of the crash records to the state that heartbeats are built from.
     fn update_crash_summary(&self) {
         let summary = lock(&self.crash_detector).summary();
--- a/crates/crocusdale_core/src/daemon/daemon_core.rs
+++ b/crates/crocusdale_core/src/daemon/daemon_core.rs
@@ -180,6 +180,7 @@
         self.state.check_staleness(now, out);
         let sender = &message.sender.instance.vm;
         self.state.merge_crash_records(&message.crashes, sender, now, out);
+        self.state.merge_part_records(&message.part_crashes, sender, now, out);
         self.state.merge_limits(&message.limits, sender, now, out);
         let (newly_leaving, mut reply) = {
             let mut fleet = lock(&self.state.fleet);
@@ -193,6 +194,7 @@
             };
             let reply = ExchangeMessage {
                 crash_summary: fleet.crash_summary,
+                part_summary: fleet.part_summary,
                 limit_digest: fleet.limit_digest,
                 ..reply
             };
@@ -201,6 +203,9 @@
         if message.crash_summary != reply.crash_summary {
             reply.crashes = lock(&self.state.crash_detector).records(now);
         }
+        if message.part_summary != reply.part_summary {
+            reply.part_crashes = lock(&self.state.part_detector).records(now);
+        }
         if message.limit_digest != reply.limit_digest {
             reply.limits = self.state.limiter.records(now);
         }
@@ -381,6 +386,7 @@
             impaired_pools,
             stream_records: lock(&self.state.stream_log).len(),
             quarantined: lock(&self.state.crash_detector).quarantined(now),
+            quarantined_parts: lock(&self.state.part_detector).quarantined(),
         }
     }
 
@@ -504,6 +510,7 @@
         *lock(&self.state.last_housekeeping) = now;
         self.check_ready(now);
         self.state.expire_crash_records(now);
+        self.state.expire_part_records(now, out);
         self.state.expire_limits(now);
         self.state.expire_placements(now, out);
         self.state.expire_coordinated_admissions(now, out);
--- a/crates/crocusdale_core/src/daemon/fleet_events.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_events.rs
@@ -22,6 +22,7 @@
             DaemonEvent::HeartbeatAnswered { message, sent } => {
                 let sender = &message.sender.instance.vm;
                 self.state.merge_crash_records(&message.crashes, sender, now, out);
+                self.state.merge_part_records(&message.part_crashes, sender, now, out);
                 self.state.merge_limits(&message.limits, sender, now, out);
                 let leaving_upstreams = lock(&self.state.fleet).apply_heartbeat(&message, now, out);
                 self.state.mark_leaving(&leaving_upstreams, now, out);
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -16,7 +16,7 @@
     VmListHistory,
 };
 use crate::orders::{EngineOrder, OrderReconciler, ReconcileAction};
-use crate::quarantine::CrashRecord;
+use crate::quarantine::{CrashRecord, PartRecord};
 use crate::rate_limiting::{LimitRecord, RateShare};
 use crate::reachability::TransitTable;
 use crate::streams::RecordKeepers;
@@ -59,6 +59,17 @@
 /// ready.
 const MAX_STARTUP_WAIT: Duration = Duration::from_secs(2);
 
+/// What is known of upstreams and other daemons don't know yet.
+#[derive(Clone, Debug, Default)]
+pub struct UpstreamRecords {
+    /// Requests under which upstreams crashed.
+    pub crashes: Vec<CrashRecord>,
+    /// Prompt parts under which upstreams crashed.
+    pub parts: Vec<PartRecord>,
+    /// Rate limits that upstreams have announced.
+    pub limits: Vec<LimitRecord>,
+}
+
 /// Membership and configuration of one daemon, guarded by one lock.
 #[derive(Debug)]
 pub struct FleetState {
@@ -85,6 +96,8 @@
     pub directory: StorePosition,
     /// Digest of the known crash records of upstreams, compared with peers to detect differences.
     pub(super) crash_summary: u64,
+    /// Digest of the known records of prompt parts, compared with peers to detect differences.
+    pub(super) part_summary: u64,
     /// Digest of the known rate limits that upstreams requested, compared with peers to detect
     /// differences.
     pub(super) limit_digest: u64,
@@ -134,6 +147,7 @@
             is_ready: false,
             directory: StorePosition::default(),
             crash_summary: 0,
+            part_summary: 0,
             limit_digest: 0,
             directory_verified_at: None,
             needs_directory: false,
@@ -527,8 +541,7 @@
     /// spread quickly. Without such daemons, a few random peers receive the records.
     pub fn send_records_to_readers(
         &mut self,
-        crashes: &[CrashRecord],
-        limits: &[LimitRecord],
+        records: &UpstreamRecords,
         now: MonotonicTime,
         out: &mut Vec<Command>,
     ) {
@@ -539,8 +552,9 @@
         };
         for vm in partners {
             let message = ExchangeMessage {
-                crashes: crashes.to_vec(),
-                limits: limits.to_vec(),
+                crashes: records.crashes.clone(),
+                part_crashes: records.parts.clone(),
+                limits: records.limits.clone(),
                 ..self.heartbeat_for(&vm, now)
             };
             out.push(Command::SendHeartbeat { vm, message: Box::new(message) });
@@ -551,6 +565,7 @@
         let message = self.view.message(vm, self.ledger.position(), self.directory_status(now));
         ExchangeMessage {
             crash_summary: self.crash_summary,
+            part_summary: self.part_summary,
             limit_digest: self.limit_digest,
             ..message
         }
--- a/crates/crocusdale_core/src/daemon/pending_admissions.rs
+++ b/crates/crocusdale_core/src/daemon/pending_admissions.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::identity::{CallId, MonotonicTime, RequestDigest};
+use crate::identity::{CallId, MonotonicTime};
 use crate::pipeline::RequestPlan;
 
 /// Maximum number of requests that wait for their coordinators. At 100 ms a reply, a daemon would
@@ -50,9 +50,12 @@
         self.waiting.extract_if(|_, pending| now.since(pending.asked_at) > MAX_WAIT).collect()
     }
 
-    /// Removes all requests whose digest equals `digest`.
-    pub(super) fn take_matching(&mut self, digest: RequestDigest) -> Vec<(CallId, RequestPlan)> {
-        let matching = self.waiting.extract_if(|_, pending| pending.plan.digest == digest);
+    /// Removes all requests that `is_matching` selects.
+    pub(super) fn take_matching(
+        &mut self,
+        is_matching: impl Fn(&RequestPlan) -> bool,
+    ) -> Vec<(CallId, RequestPlan)> {
+        let matching = self.waiting.extract_if(|_, pending| is_matching(&pending.plan));
         matching.map(|(call, pending)| (call, pending.plan)).collect()
     }
 
--- a/crates/crocusdale_core/src/daemon/piece_flow.rs
+++ b/crates/crocusdale_core/src/daemon/piece_flow.rs
@@ -68,7 +68,9 @@
         out: &mut Vec<Command>,
     ) {
         let mut dispatch_actions = Vec::new();
-        if order.digest.is_some_and(|digest| self.remaining_quarantine(digest, now).is_some()) {
+        let is_quarantined =
+            |digest| lock(&self.crash_detector).quarantine_left(digest, now).is_some();
+        if order.digest.is_some_and(is_quarantined) {
             let fault = PieceFault::Quarantined;
             dispatch_actions.push(DispatchAction::fail(order.attempt, &order.pool, fault));
         } else {
@@ -232,7 +234,7 @@
                     out.push(Command::FreeResults { results, excluded });
                 }
                 DispatchAction::ProbeUpstream { digest, upstream, address } => {
-                    self.probe_suspected_upstream(digest, upstream, address, out);
+                    self.probe_suspected_upstream((digest, &[]), upstream, address, now, out);
                 }
                 DispatchAction::QueryFreeMemory { upstream, address } => {
                     out.push(Command::Count(CounterName::RoomQuestions));
--- a/crates/crocusdale_core/src/daemon/placement_flow.rs
+++ b/crates/crocusdale_core/src/daemon/placement_flow.rs
@@ -179,7 +179,7 @@
         if request.allowed_version == AllowedVersion::Unknown
             || request.allowed_regions.names().is_some_and(<[String]>::is_empty)
             || lock(&self.held_work).is_holding()
-            || self.remaining_quarantine(request.digest, now).is_some()
+            || self.slot_quarantine(request, now).is_some()
         {
             return None;
         }
@@ -239,7 +239,7 @@
             return;
         };
         let is_held = lock(&self.held_work).is_holding();
-        if is_held || self.remaining_quarantine(request.digest, now).is_some() {
+        if is_held || self.slot_quarantine(&request, now).is_some() {
             let report = source.report(PlacementOutcome::Cancelled, "");
             self.send_placement_report(source, report, now, out);
             self.acquire(request, reason, now, actions);
--- a/crates/crocusdale_core/src/daemon/request_flow.rs
+++ b/crates/crocusdale_core/src/daemon/request_flow.rs
@@ -169,7 +169,8 @@
             plan.apply_scheduling(&self.coordination.settings);
         }
         let is_repeatable = plan.repeatable;
-        if let Some(quarantine) = self.remaining_quarantine(plan.digest, now) {
+        let parts = plan.crash_parts();
+        if let Some(quarantine) = self.remaining_quarantine(plan.digest, &parts, now) {
             return Err((refusal(&key, RefusalReason::Quarantined, quarantine), is_repeatable));
         }
         // Load shedding: a request that can't meet its deadline is refused before it uses any
@@ -355,10 +356,13 @@
                 lock(&self.dispatcher).cancel_attempt(attempt, &pool);
                 out.push(Command::CancelPieces(attempt));
             }
-            ShardAction::CheckCrash { digest, upstream, address } => {
-                self.probe_suspected_upstream(digest, upstream, address, out);
+            ShardAction::CheckCrash { digest, parts, upstream, address } => {
+                let subjects = (digest, parts.as_slice());
+                self.probe_suspected_upstream(subjects, upstream, address, now, out);
+            }
+            ShardAction::RecordSuccess { digest, parts } => {
+                self.clear_crash_suspicion(digest, &parts, now, out);
             }
-            ShardAction::RecordSuccess(digest) => self.clear_crash_suspicion(digest, now, out),
             ShardAction::ReleasePermit(permit) => lock(&self.admission_gate).release(&permit),
             ShardAction::WriteRegister(register) => {
                 self.ask_witness(register, now, &mut actions, out)
--- a/crates/crocusdale_core/src/daemon/staleness_guard.rs
+++ b/crates/crocusdale_core/src/daemon/staleness_guard.rs
@@ -53,7 +53,7 @@
     ) {
         // Checked when an upstream is chosen, so that attempts of requests that started before the
         // quarantine are denied too.
-        if let Some(retry_after) = self.remaining_quarantine(request.digest, now) {
+        if let Some(retry_after) = self.slot_quarantine(&request, now) {
             let refusal = (RefusalReason::Quarantined, retry_after);
             self.shard(request.call.0).handle_lasting_refusal(request.call, refusal, now, actions);
             return;
--- a/crates/crocusdale_core/src/daemon/state_change.rs
+++ b/crates/crocusdale_core/src/daemon/state_change.rs
@@ -201,6 +201,25 @@
         /// Version of that upstream's software, or `None` if it is not known.
         software_version: Option<SoftwareVersion>,
     },
+    /// Requests with a prompt part are no longer dispatched, because engines crashed while they ran
+    /// such requests.
+    PartQuarantined {
+        /// Identity of the part.
+        part: PartId,
+        /// Number of engines that crashed under requests with the part.
+        ends: usize,
+        /// Parts to which each of these crashes can be put down as well. Only requests with all of
+        /// them are refused.
+        companions: Vec<PartId>,
+        /// Peer that reported the last crash, or `None` if this daemon observed it.
+        peer: Option<String>,
+    },
+    /// The quarantine of a prompt part was lifted: a request with it was answered completely, or its
+    /// time is over.
+    PartQuarantineLifted {
+        /// Identity of the part.
+        part: PartId,
+    },
     /// An upstream ended while it ran requests of this daemon.
     UpstreamCrashed {
         /// Name of the upstream.
--- a/crates/crocusdale_core/src/daemon/state_dump.rs
+++ b/crates/crocusdale_core/src/daemon/state_dump.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-use crate::identity::{InstanceId, RequestDigest};
+use crate::identity::{InstanceId, PartId, RequestDigest};
 use crate::membership::{MemberRecord, PoolReach};
 use crate::placement::EngineSpeedSummary;
 use crate::rate_limiting::LimitSummary;
@@ -78,4 +78,6 @@
     /// Digests of quarantined requests, which are not dispatched because upstreams crashed while
     /// they ran them.
     pub quarantined: Vec<RequestDigest>,
+    /// Quarantined prompt parts, because engines crashed while they ran requests with them.
+    pub quarantined_parts: Vec<PartId>,
 }
--- a/crates/crocusdale_core/src/membership/exchange_message.rs
+++ b/crates/crocusdale_core/src/membership/exchange_message.rs
@@ -2,7 +2,7 @@
 
 use super::MemberRecord;
 use crate::identity::{InstanceId, StorePosition};
-use crate::quarantine::CrashRecord;
+use crate::quarantine::{CrashRecord, PartRecord};
 use crate::rate_limiting::LimitRecord;
 
 /// Gossip entry about an upstream that is leaving.
@@ -52,6 +52,10 @@
     /// Recent crash records. A reply carries all known crash records if the request had another
     /// digest.
     pub crashes: Vec<CrashRecord>,
+    /// Hash over all records of prompt parts that the sender has.
+    pub part_summary: u64,
+    /// New records of prompt parts under which upstreams crashed. In an answer, all that are known.
+    pub part_crashes: Vec<PartRecord>,
     /// Digest of all rate limits that the sender knows.
     pub limit_digest: u64,
     /// Recent rate limits. A reply carries all known rate limits if the request had another
--- a/crates/crocusdale_core/src/membership/member_gossip.rs
+++ b/crates/crocusdale_core/src/membership/member_gossip.rs
@@ -57,6 +57,8 @@
             // The daemon core fills in crash records and rate limits.
             crash_summary: 0,
             crashes: Vec::new(),
+            part_summary: 0,
+            part_crashes: Vec::new(),
             limit_digest: 0,
             limits: Vec::new(),
         }
--- a/crates/crocusdale_core/src/pipeline/attempt_failures.rs
+++ b/crates/crocusdale_core/src/pipeline/attempt_failures.rs
@@ -63,14 +63,14 @@
                     request: self.plan.request.key.clone(),
                     digest: self.plan.digest,
                     upstream: in_flight.upstream.clone(),
-                    parts,
+                    parts: parts.clone(),
                     reason,
                 },
             )));
         }
         if let Some(address) = in_flight.address.filter(|_| failure.is_possible_crash()) {
             let (digest, upstream) = (self.plan.digest, in_flight.upstream.clone());
-            actions.push(ShardAction::CheckCrash { digest, upstream, address });
+            actions.push(ShardAction::CheckCrash { digest, parts, upstream, address });
         }
         if failure.is_broken_response() {
             actions.push(ShardAction::Command(Command::CloseIdleConnections(in_flight.upstream)));
@@ -92,9 +92,8 @@
     /// Prompt parts under which a crash at the step run at `index` counts. Empty unless the step
     /// forwards the prompt to an engine.
     pub(super) fn crash_parts(&self, index: usize) -> Vec<PartId> {
-        let demand = self.plan.request.forward_head().and_then(|head| head.demand.as_ref());
-        let demand = demand.filter(|_| self.step_runs[index].work == StepWork::Forward);
-        demand.map(|demand| demand.crash_parts()).unwrap_or_default()
+        let is_forward = self.step_runs[index].work == StepWork::Forward;
+        if is_forward { self.plan.crash_parts() } else { Vec::new() }
     }
 
     pub(super) fn release_slot(
--- a/crates/crocusdale_core/src/pipeline/request_plan.rs
+++ b/crates/crocusdale_core/src/pipeline/request_plan.rs
@@ -7,7 +7,7 @@
     AllowedRegions, Declarations, ForwardRules, LabelSet, PipelineRules, PlanStep, PoolKind,
     SchedulingSettings, StageRules, StepWork, WeightedPool, WorkspaceRules,
 };
-use crate::identity::{MonotonicTime, RequestDigest, RequestKey};
+use crate::identity::{MonotonicTime, PartId, RequestDigest, RequestKey};
 use crate::streams::{MAX_RECORD_TIME, StreamOrigin};
 
 /// Expected time to first response of a forwarded request, before any was measured in its pool.
@@ -232,6 +232,13 @@
         (self.arrived_at + self.request.deadline.min(MAX_RECORD_TIME)).since(now)
     }
 
+    /// Prompt parts under which crashes of engines count.
+    #[must_use]
+    pub fn crash_parts(&self) -> Vec<PartId> {
+        let demand = self.request.forward_head().and_then(|head| head.demand.as_ref());
+        demand.map(|demand| demand.crash_parts()).unwrap_or_default()
+    }
+
     /// Rules of `stage`. Validation of the configuration guarantees that every stage of a pipeline
     /// is declared.
     ///
--- a/crates/crocusdale_core/src/pipeline/request_run.rs
+++ b/crates/crocusdale_core/src/pipeline/request_run.rs
@@ -221,7 +221,8 @@
                     return self.handle_attempt_failure(index, failure, now, actions);
                 }
                 self.attempt_counts.executed += 1;
-                actions.push(ShardAction::RecordSuccess(self.plan.digest));
+                let (digest, parts) = (self.plan.digest, self.crash_parts(index));
+                actions.push(ShardAction::RecordSuccess { digest, parts });
                 self.complete_step(index, StepOutput::Json(answer), now, actions)
             }
             AttemptEvent::Declined { status: _ } => {
@@ -243,7 +244,8 @@
             }
             AttemptEvent::ResponseForwarded => {
                 if self.has_upstream_success {
-                    actions.push(ShardAction::RecordSuccess(self.plan.digest));
+                    let (digest, parts) = (self.plan.digest, self.crash_parts(index));
+                    actions.push(ShardAction::RecordSuccess { digest, parts });
                 }
                 self.attempt_counts.executed =
                     (self.attempt_counts.executed + 1).min(self.attempt_counts.possibly_sent);
--- a/crates/crocusdale_core/src/pipeline/request_shard.rs
+++ b/crates/crocusdale_core/src/pipeline/request_shard.rs
@@ -8,7 +8,7 @@
 };
 use crate::claims::WitnessPoll;
 use crate::daemon::{Command, CounterName, TimerKey};
-use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey};
+use crate::identity::{AttemptId, CallId, InstanceId, MonotonicTime, RequestKey};
 use crate::membership::WitnessSet;
 use crate::routing::{AttemptReport, SlotGrant};
 
@@ -238,17 +238,17 @@
         }
     }
 
-    /// Ends the runs with the digest `digest`, unless an attempt was already sent to an upstream.
-    /// `ttl` is the remaining time of the digest's quarantine.
+    /// Ends the runs that `is_quarantined` selects, unless an attempt was already sent to an upstream.
+    /// `ttl` is the remaining time of the quarantine.
     pub fn end_quarantined(
         &mut self,
-        digest: RequestDigest,
+        is_quarantined: impl Fn(&RequestPlan) -> bool,
         ttl: Duration,
         now: MonotonicTime,
         actions: &mut Vec<ShardAction>,
     ) {
         let matching = self.runs.iter().filter(|(_, active_run)| {
-            active_run.run.plan().digest == digest && active_run.run.is_unsent()
+            is_quarantined(active_run.run.plan()) && active_run.run.is_unsent()
         });
         let calls: Vec<CallId> = matching.map(|(call, _)| *call).collect();
         for call in calls {
--- a/crates/crocusdale_core/src/pipeline/shard_action.rs
+++ b/crates/crocusdale_core/src/pipeline/shard_action.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::AdmissionPermit;
 use crate::daemon::Command;
-use crate::identity::{AttemptId, CallId, RequestDigest, RequestKey};
+use crate::identity::{AttemptId, CallId, PartId, RequestDigest, RequestKey};
 use crate::membership::WitnessSet;
 use crate::pipeline::{PieceOrder, RefusalReason, ResultHandle};
 use crate::routing::{AttemptReport, SlotRequest};
@@ -71,13 +71,20 @@
     CheckCrash {
         /// Digest of the request that the upstream was running.
         digest: RequestDigest,
+        /// Prompt parts of the request under which the crash counts.
+        parts: Vec<PartId>,
         /// Name of the upstream.
         upstream: String,
         /// Socket address at which the upstream listens.
         address: SocketAddr,
     },
-    /// Record that a request with this digest was answered in full.
-    RecordSuccess(RequestDigest),
+    /// Record that a request was answered in full.
+    RecordSuccess {
+        /// Digest of the request.
+        digest: RequestDigest,
+        /// Prompt parts of the request, which did not crash their engine.
+        parts: Vec<PartId>,
+    },
     /// Release the admission permit of a request that ended.
     ReleasePermit(AdmissionPermit),
     /// Write to the register of one witness.
--- a/crates/crocusdale_core/src/quarantine/crash_detector.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_detector.rs
@@ -123,7 +123,7 @@
     pub fn merge(&mut self, records: &[CrashRecord], now: MonotonicTime) -> CrashVerdict {
         let mut verdict = CrashVerdict::default();
         for record in records {
-            let digest = record.digest;
+            let digest = record.subject;
             let old_time_left = self.log.quarantine_left(digest, now);
             if !self.log.merge(record, now) {
                 continue;
--- a/crates/crocusdale_core/src/quarantine/crash_record.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_record.rs
@@ -1,19 +1,22 @@
 use std::time::Duration;
 
-use crate::identity::{RequestDigest, stable_hash};
+use crate::identity::{PartId, RequestDigest, stable_hash};
 
-/// Report about one request, which one daemon sends to another: the upstreams that crashed under
-/// it.
+/// Report about one request, by the digest that it shares with its retries, which one daemon sends to
+/// another: the upstreams that crashed under it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashRecord {
-    /// Digest that the request shares with its retries.
-    pub digest: RequestDigest,
-    /// Upstreams that crashed while they ran the request.
+pub struct CrashRecord<K = RequestDigest> {
+    /// What the crashed upstreams were running.
+    pub subject: K,
+    /// Upstreams that crashed while they ran it.
     pub crashes: Vec<UpstreamCrash>,
-    /// Time since the last known complete answer to the request, or `None` if there was none.
+    /// Time since the last known complete answer to such a request, or `None` if there was none.
     pub cleared: Option<Duration>,
 }
 
+/// Report about one prompt part: the upstreams that crashed under requests with it.
+pub type PartRecord = CrashRecord<PartId>;
+
 /// The crash of one upstream under a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UpstreamCrash {
--- a/crates/crocusdale_core/src/quarantine/recent_successes.rs
+++ b/crates/crocusdale_core/src/quarantine/recent_successes.rs
@@ -1,4 +1,5 @@
 use std::collections::HashSet;
+use std::hash::Hash;
 use std::time::Duration;
 
 use crate::identity::{MonotonicTime, RequestDigest};
@@ -12,32 +13,50 @@
 /// Number of requests in one generation: about ten seconds at a few hundred requests per second.
 const MAX_GENERATION_SIZE: usize = 4_096;
 
-/// Digests of recently completed requests. They are kept in two generations, so that old ones are
-/// dropped in bulk.
-#[derive(Debug, Default)]
-pub struct RecentSuccesses {
-    current: HashSet<RequestDigest>,
-    previous: HashSet<RequestDigest>,
+/// Recently completed requests, by their digest, or the prompt parts of such requests. They are kept
+/// in two generations, so that old ones are dropped in bulk.
+#[derive(Debug)]
+pub struct RecentSuccesses<K = RequestDigest> {
+    current: HashSet<K>,
+    previous: HashSet<K>,
     generation_start: MonotonicTime,
+    max_generation_size: usize,
 }
 
-impl RecentSuccesses {
-    /// Records a complete answer to a request with `digest`.
-    pub fn record(&mut self, digest: RequestDigest, now: MonotonicTime) {
+impl Default for RecentSuccesses {
+    fn default() -> Self {
+        Self::new(MAX_GENERATION_SIZE)
+    }
+}
+
+impl<K: Copy + Eq + Hash> RecentSuccesses<K> {
+    /// Creates an empty set, whose generations hold up to `max_generation_size`.
+    #[must_use]
+    pub fn new(max_generation_size: usize) -> Self {
+        Self {
+            current: HashSet::new(),
+            previous: HashSet::new(),
+            generation_start: MonotonicTime::default(),
+            max_generation_size,
+        }
+    }
+
+    /// Records a complete answer to a request with `subject`.
+    pub fn record(&mut self, subject: K, now: MonotonicTime) {
         self.rotate(now);
-        if self.current.len() >= MAX_GENERATION_SIZE {
+        if self.current.len() >= self.max_generation_size {
             self.previous = std::mem::take(&mut self.current);
             self.generation_start = now;
         }
-        self.current.insert(digest);
+        self.current.insert(subject);
     }
 
-    /// Whether a request with `digest` was completely answered within the last 10 seconds. Answers
+    /// Whether a request with `subject` was completely answered within the last 10 seconds. Answers
     /// that are up to 20 seconds old may count too.
     #[must_use]
-    pub fn contains(&mut self, digest: RequestDigest, now: MonotonicTime) -> bool {
+    pub fn contains(&mut self, subject: K, now: MonotonicTime) -> bool {
         self.rotate(now);
-        self.current.contains(&digest) || self.previous.contains(&digest)
+        self.current.contains(&subject) || self.previous.contains(&subject)
     }
 
     fn rotate(&mut self, now: MonotonicTime) {
--- a/crates/crocusdale_core/src/wire/exchange_messages.rs
+++ b/crates/crocusdale_core/src/wire/exchange_messages.rs
@@ -2,12 +2,12 @@
 
 use crocusdale_schema::peer;
 
-use crate::identity::{InstanceId, RequestDigest, StorePosition};
+use crate::identity::{InstanceId, PartId, RequestDigest, StorePosition};
 use crate::membership::{
     ExchangeMessage, LeavingUpstream, MemberCapacity, MemberLinks, MemberPlace, MemberRecord,
     MemberStatus, PoolReach,
 };
-use crate::quarantine::{CrashRecord, UpstreamCrash};
+use crate::quarantine::{CrashRecord, PartRecord, UpstreamCrash};
 use crate::rate_limiting::{LimitRecord, RequestRate};
 
 /// Error for a message in which a required field is missing or invalid.
@@ -134,13 +134,9 @@
 
 impl From<CrashRecord> for peer::CrashRecord {
     fn from(record: CrashRecord) -> Self {
-        let to_message = |crash: UpstreamCrash| peer::UpstreamEnd {
-            upstream: crash.upstream,
-            age_ms: saturating_millis(crash.age),
-        };
         Self {
-            digest: record.digest.0.to_vec(),
-            ends: record.crashes.into_iter().map(to_message).collect(),
+            digest: record.subject.0.to_vec(),
+            ends: record.crashes.into_iter().map(Into::into).collect(),
             cleared_age_ms: record.cleared.map(saturating_millis),
         }
     }
@@ -152,19 +148,46 @@
     fn try_from(message: peer::CrashRecord) -> Result<Self, Self::Error> {
         let digest = message.digest.try_into();
         let digest = digest.map_err(|_| InvalidField("the digest of a crash record"))?;
-        let to_duration = |millis: u32| Duration::from_millis(millis.into());
-        let from_message = |crash: peer::UpstreamEnd| UpstreamCrash {
-            upstream: crash.upstream,
-            age: to_duration(crash.age_ms),
-        };
         Ok(Self {
-            digest: RequestDigest(digest),
-            crashes: message.ends.into_iter().map(from_message).collect(),
-            cleared: message.cleared_age_ms.map(to_duration),
+            subject: RequestDigest(digest),
+            crashes: message.ends.into_iter().map(Into::into).collect(),
+            cleared: message.cleared_age_ms.map(|millis| Duration::from_millis(millis.into())),
         })
     }
 }
 
+impl From<UpstreamCrash> for peer::UpstreamEnd {
+    fn from(crash: UpstreamCrash) -> Self {
+        Self { upstream: crash.upstream, age_ms: saturating_millis(crash.age) }
+    }
+}
+
+impl From<peer::UpstreamEnd> for UpstreamCrash {
+    fn from(message: peer::UpstreamEnd) -> Self {
+        Self { upstream: message.upstream, age: Duration::from_millis(message.age_ms.into()) }
+    }
+}
+
+impl From<PartRecord> for peer::PartRecord {
+    fn from(record: PartRecord) -> Self {
+        Self {
+            part: record.subject.0,
+            ends: record.crashes.into_iter().map(Into::into).collect(),
+            cleared_age_ms: record.cleared.map(saturating_millis),
+        }
+    }
+}
+
+impl From<peer::PartRecord> for PartRecord {
+    fn from(message: peer::PartRecord) -> Self {
+        Self {
+            subject: PartId(message.part),
+            crashes: message.ends.into_iter().map(Into::into).collect(),
+            cleared: message.cleared_age_ms.map(|millis| Duration::from_millis(millis.into())),
+        }
+    }
+}
+
 impl From<LimitRecord> for peer::UpstreamLimit {
     fn from(record: LimitRecord) -> Self {
         Self {
@@ -206,6 +229,8 @@
             known_members: message.known_members,
             crash_summary: message.crash_summary,
             crashes: message.crashes.into_iter().map(Into::into).collect(),
+            part_summary: message.part_summary,
+            part_crashes: message.part_crashes.into_iter().map(Into::into).collect(),
             limit_digest: message.limit_digest,
             limits: message.limits.into_iter().map(Into::into).collect(),
             // The age is rounded up, so that a receiver never considers the list newer than it is.
@@ -241,6 +266,8 @@
                 .into_iter()
                 .map(TryInto::try_into)
                 .collect::<Result<_, _>>()?,
+            part_summary: message.part_summary,
+            part_crashes: message.part_crashes.into_iter().map(Into::into).collect(),
             limit_digest: message.limit_digest,
             limits: message.limits.into_iter().map(Into::into).collect(),
         })
--- a/crates/crocusdale_core/tests/address_order_test.rs
+++ b/crates/crocusdale_core/tests/address_order_test.rs
@@ -41,6 +41,8 @@
             limit_digest: 0,
             limits: Vec::new(),
             crashes: Vec::new(),
+            part_summary: 0,
+            part_crashes: Vec::new(),
         };
         view.merge_message(&message, now);
     }
--- a/crates/crocusdale_core/tests/coordinated_entry_test.rs
+++ b/crates/crocusdale_core/tests/coordinated_entry_test.rs
@@ -102,6 +102,8 @@
         directory_age: None,
         crash_summary: 0,
         crashes: Vec::new(),
+        part_summary: 0,
+        part_crashes: Vec::new(),
         limit_digest: 0,
         limits: Vec::new(),
         known_members: None,
--- a/crates/crocusdale_core/tests/crash_log_test.rs
+++ b/crates/crocusdale_core/tests/crash_log_test.rs
@@ -16,7 +16,7 @@
     let age = Duration::from_millis(700);
     let crash = |upstream: &u64| UpstreamCrash { upstream: *upstream, age };
     CrashRecord {
-        digest: digest(request_number),
+        subject: digest(request_number),
         crashes: upstreams.iter().map(crash).collect(),
         cleared: cleared.then_some(age / 2),
     }
@@ -76,7 +76,7 @@
     let shared_records = log.records(NOW);
     let shared_records = shared_records
         .iter()
-        .find(|record| record.digest == digest(2))
+        .find(|record| record.subject == digest(2))
         .expect("the log holds the record of request 2");
     assert_eq!(shared_records.crashes[0].age, age);
     assert!(
--- a/crates/crocusdale_core/tests/member_links_test.rs
+++ b/crates/crocusdale_core/tests/member_links_test.rs
@@ -51,6 +51,8 @@
         limit_digest: 0,
         limits: Vec::new(),
         crashes: Vec::new(),
+        part_summary: 0,
+        part_crashes: Vec::new(),
     };
     view.merge_message(&message, NOW);
 }
--- a/crates/crocusdale_core/tests/member_places_test.rs
+++ b/crates/crocusdale_core/tests/member_places_test.rs
@@ -40,6 +40,8 @@
         limit_digest: 0,
         limits: Vec::new(),
         crashes: Vec::new(),
+        part_summary: 0,
+        part_crashes: Vec::new(),
     }
 }
 
--- a/crates/crocusdale_core/tests/support/reader_answer.rs
+++ b/crates/crocusdale_core/tests/support/reader_answer.rs
@@ -56,6 +56,8 @@
         limit_digest: 0,
         limits: Vec::new(),
         crashes: Vec::new(),
+        part_summary: 0,
+        part_crashes: Vec::new(),
     });
     DaemonEvent::HeartbeatAnswered { message, sent }
 }
--- a/crates/crocusdaled/src/telemetry/mod.rs
+++ b/crates/crocusdaled/src/telemetry/mod.rs
@@ -179,6 +179,14 @@
                     "upstream" => upstream,
                     "version" => software_version.as_ref().map(SoftwareVersion::as_str));
             }
+            StateChange::PartQuarantined { part, ends, companions, peer } => {
+                info!(log, "{}", name;
+                    "part" => part.to_string(), "ends" => ends,
+                    "only_with" => slog::Serde(companions.clone()), "peer" => peer.as_deref());
+            }
+            StateChange::PartQuarantineLifted { part } => {
+                info!(log, "{}", name; "part" => part.to_string());
+            }
             StateChange::UpstreamCrashed { upstream, requests } => {
                 info!(log, "{}", name; "upstream" => upstream, "requests" => requests);
             }
