Tell a crash from the end of an answer without a length

At such an answer a crash between two events looked like its end: the caller got a part as the whole, and the part of the prompt that crashes engines was cleared by it.

Ruled out: streams that end inside an event.

Change: when an unframed answer with a success status ends, its upstream is connected to, 10 ms later. Only if the connection is refused, and the upstream had not announced that it leaves, the answer counts as broken off. Events are passed on as they arrive; only the end waits. Of a request in transit, the daemon that sent it judges the end.

A whole unframed stream is still complete.

--- a/crates/crocusdale_core/src/daemon/transit_flow.rs
+++ b/crates/crocusdale_core/src/daemon/transit_flow.rs
@@ -31,6 +31,13 @@
 }
 
 impl DaemonCore {
+    /// Whether the upstream `name` has announced that it is leaving.
+    #[must_use]
+    pub fn is_upstream_leaving(&self, name: &str) -> bool {
+        lock(&self.state.directory).directory.is_leaving(name)
+            || self.state.router().is_leaving(name)
+    }
+
     /// Way of the request of `order` to its upstream. `tried` names the daemons that have not taken
     /// it.
     #[must_use]
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -10,7 +10,7 @@
 use crocusdale_core::sync::lock;
 use crocusdale_platform::notice::read_notice;
 use crocusdale_platform::relay::{RelayedHead, read_head};
-use http::{HeaderMap, StatusCode, header};
+use http::StatusCode;
 use http_body_util::{BodyExt as _, Limited};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -20,7 +20,7 @@
 use super::upstream_exchange::UpstreamExchange;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::upstream::AnswerBody;
+use crate::upstream::{AnswerBody, is_framed, is_whole_answer};
 
 /// Largest answer without a stream that is read, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -108,6 +108,8 @@
     };
     // The request counts as open at another daemon until this attempt ends.
     let UpstreamExchange { response, connection, sent, transit: _transit } = exchange;
+    // The daemon that has sent a request in transit judges the end of its answer.
+    let is_own = connection.is_some();
     let return_connection = |headers: &http::HeaderMap| {
         if let Some(connection) = connection {
             engine.connections().return_connection(connection, headers, order.kept_connections);
@@ -120,7 +122,8 @@
     }
     engine.report_notice(&order.upstream, read_notice(parts.status, &parts.headers), sent);
     let is_success = parts.status.is_success();
-    if !is_framed(&parts.headers) {
+    let needs_end_check = is_own && is_success && !is_framed(&parts);
+    if needs_end_check {
         engine.telemetry.count(CounterName::UnframedAnswers);
     }
     if head.head.execution == ExecutionStatus::Ran && is_success && !head.has_signature {
@@ -134,8 +137,14 @@
         release_receiver.await.ok()?;
         let events = open_events(engine, call, attempt.call, parts.status, head);
         let mut forwarder = EventForwarder { engine, call, attempt, events, progress: None };
-        let end_event = forwarder.run(body).await;
+        let mut end_event = forwarder.run(body).await;
         forwarder.report_progress();
+        if needs_end_check
+            && matches!(end_event, AttemptEvent::ResponseForwarded)
+            && !is_whole_answer(engine, &order.upstream, order.address).await
+        {
+            end_event = AttemptEvent::Broken(BreakReason::Cut);
+        }
         if matches!(end_event, AttemptEvent::ResponseForwarded) {
             return_connection(&parts.headers);
         }
@@ -145,6 +154,9 @@
         return Some(AttemptEvent::Broken(BreakReason::Cut));
     };
     let body = body.to_bytes();
+    if needs_end_check && !is_whole_answer(engine, &order.upstream, order.address).await {
+        return Some(AttemptEvent::Broken(BreakReason::Cut));
+    }
     return_connection(&parts.headers);
     if head.head.execution != ExecutionStatus::Ran {
         // The core never forwards an answer without execution. An attempt that waited for this
@@ -162,12 +174,6 @@
     Some(AttemptEvent::ResponseForwarded)
 }
 
-/// Whether the end of an answer is marked by a length or by chunks. Otherwise the answer ends with
-/// its connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Opens the event channel to the caller. For the first answer the caller also gets the head.
 fn open_events(
     engine: &Arc<DaemonEngine>,
--- a/crates/crocusdaled/src/peer/transit_service.rs
+++ b/crates/crocusdaled/src/peer/transit_service.rs
@@ -18,7 +18,7 @@
 
 use super::transit_client::{header_fields, read_header_fields};
 use crate::engine::DaemonEngine;
-use crate::upstream::connect_upstream;
+use crate::upstream::{connect_upstream, is_framed, is_whole_answer};
 
 /// Number of frames of an answer that wait for the asking daemon. Beyond it the upstream is no longer
 /// read, which applies backpressure to it.
@@ -122,6 +122,12 @@
             send(sender, Part::Data(data.to_vec())).await;
         }
     }
+    if parts.status.is_success()
+        && !is_framed(&parts)
+        && !is_whole_answer(engine, &request.upstream, address).await
+    {
+        return Ok(());
+    }
     engine.connections().return_connection(
         connection,
         &parts.headers,
--- a/crates/crocusdaled/src/upstream/mod.rs
+++ b/crates/crocusdaled/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Clients that call upstreams, and the connections that they use.
 
+mod answer_end;
 mod answer_reader;
 mod batch_client;
 mod connection_pool;
@@ -8,6 +9,7 @@
 mod upstream_links;
 mod upstream_probe;
 
+pub(crate) use answer_end::{is_framed, is_whole_answer};
 pub use batch_client::BatchClient;
 pub use connection_pool::{
     AnswerBody, BodyError, ConnectionPool, OpenConnection, SendFault, limit_silence,
--- a/crates/crocusdaled/src/upstream/upstream_probe.rs
+++ b/crates/crocusdaled/src/upstream/upstream_probe.rs
@@ -14,7 +14,7 @@
 
 /// Delay before a probe. An ending process closes its sockets one after the other, so its listening
 /// socket may still accept connections for a moment.
-const SOCKET_CLOSE_DELAY: Duration = Duration::from_millis(10);
+pub(super) const SOCKET_CLOSE_DELAY: Duration = Duration::from_millis(10);
 
 /// Tests whether `upstream` still accepts connections at `address`, and reports the result to the
 /// core.
@@ -39,6 +39,15 @@
     });
 }
 
+/// Connects to `address`, and closes the connection unused.
+pub(super) async fn probe_connection(address: SocketAddr) -> ProbeConnection {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => ProbeConnection::Open,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeConnection::Refused,
+        Ok(Err(_)) | Err(_) => ProbeConnection::Failed,
+    }
+}
+
 /// Connects to `upstream` at `address` and, if that is refused, to others of its pool and of other
 /// pools. All connections are closed unused.
 pub(crate) async fn collect_evidence(
@@ -46,12 +55,7 @@
     upstream: &str,
     address: SocketAddr,
 ) -> ProbeEvidence {
-    let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    let connection = match connect {
-        Ok(Ok(_)) => ProbeConnection::Open,
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeConnection::Refused,
-        Ok(Err(_)) | Err(_) => ProbeConnection::Failed,
-    };
+    let connection = probe_connection(address).await;
     if connection != ProbeConnection::Refused {
         return ProbeEvidence { connection, ..ProbeEvidence::default() };
     }
