Count crashes under a part that was sound until now

What callers saw: nothing yet; found while writing the test of unframed answers. A part that had been answered within the last 10 s to 20 s was cleared ahead for that time, so that one which begins to crash engines, as after a change of their software, crashed them uncounted.

Change: an answer clears a part for the crashes before it, and 1 s ahead, which covers answers that end beside a crash. Lost racks are covered by counting crashes within 200 ms as one. Later clearances of other daemons are no longer dropped because an earlier one is known. Requests keep their 10 s, as they are repeated by many callers.

Chance crashes alone still quarantine nothing.

--- a/crates/crocusdale_core/src/quarantine/crash_log.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_log.rs
@@ -41,6 +41,8 @@
     entries: HashMap<K, LoggedSubject>,
     max_subjects: usize,
     max_crashes: usize,
+    /// Time after a complete answer within which crashes are not counted.
+    clear_ahead: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -53,15 +55,16 @@
 
 impl Default for CrashLog {
     fn default() -> Self {
-        Self::new(MAX_LOGGED_REQUESTS, MAX_CRASHES_PER_REQUEST)
+        Self::new(MAX_LOGGED_REQUESTS, MAX_CRASHES_PER_REQUEST, CLEARANCE_TIME)
     }
 }
 
 impl<K: Copy + Eq + Hash + Ord + Display> CrashLog<K> {
-    /// Creates an empty log for up to `max_subjects`, with up to `max_crashes` for each.
+    /// Creates an empty log for up to `max_subjects`, with up to `max_crashes` for each. Crashes within
+    /// `clear_ahead` of a complete answer are not counted.
     #[must_use]
-    pub fn new(max_subjects: usize, max_crashes: usize) -> Self {
-        Self { entries: HashMap::new(), max_subjects, max_crashes }
+    pub fn new(max_subjects: usize, max_crashes: usize, clear_ahead: Duration) -> Self {
+        Self { entries: HashMap::new(), max_subjects, max_crashes, clear_ahead }
     }
 
     /// Records that the upstream with the identifier `upstream` crashed under a request. Returns
@@ -88,11 +91,11 @@
         let mut has_news = false;
         if let Some(age) = record.cleared.filter(|age| *age < CLEARANCE_TIME) {
             let entry = self.entries.entry(record.subject).or_default();
-            if entry.cleared_at.is_none() {
-                entry.cleared_at = Some(time_at_age(age));
-                entry.crashes.retain(|(_, at)| *at >= time_at_age(age) + CLEARANCE_TIME);
-                has_news = true;
-            }
+            let (is_first, crash_count) = (entry.cleared_at.is_none(), entry.crashes.len());
+            entry.cleared_at = entry.cleared_at.max(Some(time_at_age(age)));
+            let counted_from = time_at_age(age) + self.clear_ahead;
+            entry.crashes.retain(|(_, at)| *at >= counted_from);
+            has_news |= is_first || entry.crashes.len() < crash_count;
         }
         for crash in &record.crashes {
             has_news |= self.add_crash(record.subject, crash.upstream, time_at_age(crash.age));
@@ -102,7 +105,9 @@
 
     fn add_crash(&mut self, subject: K, upstream: u64, at: MonotonicTime) -> bool {
         let known = self.entries.get(&subject);
-        if known.is_some_and(|entry| !entry.can_add_crash(upstream, at, self.max_crashes)) {
+        if known.is_some_and(|entry| {
+            !entry.can_add_crash((upstream, at), self.max_crashes, self.clear_ahead)
+        }) {
             return false;
         }
         if known.is_none() && self.entries.len() >= self.max_subjects {
@@ -232,9 +237,14 @@
 impl LoggedSubject {
     /// Whether a crash of `upstream` at `at` must be added: it is not in the list yet, no complete
     /// answer has cleared it, and the list has space for its identifier.
-    fn can_add_crash(&self, upstream: u64, at: MonotonicTime, max_crashes: usize) -> bool {
+    fn can_add_crash(
+        &self,
+        (upstream, at): (u64, MonotonicTime),
+        max_crashes: usize,
+        clear_ahead: Duration,
+    ) -> bool {
         let is_known = self.crashes.iter().any(|(known, _)| *known == upstream);
-        let is_cleared = self.cleared_at.is_some_and(|cleared_at| at < cleared_at + CLEARANCE_TIME);
+        let is_cleared = self.cleared_at.is_some_and(|cleared_at| at < cleared_at + clear_ahead);
         let has_space = self.crashes.len() < max_crashes
             || self.crashes.iter().any(|(known, _)| *known > upstream);
         !is_known && !is_cleared && has_space
--- a/crates/crocusdale_core/src/quarantine/part_detector.rs
+++ b/crates/crocusdale_core/src/quarantine/part_detector.rs
@@ -8,13 +8,16 @@
 /// Time within which crashes count as one for a part. Engines that end at the same moment have a
 /// common cause, such as the loss of a rack.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(200);
+/// Time for which a complete answer clears a part ahead. It must be short: a part that has been sound
+/// may begin to crash engines, for example at a new software version.
+const CLEAR_AHEAD: Duration = Duration::from_secs(1);
 /// Maximum number of parts with crashes. One engine crashes under 128 requests with a few parts each.
 const MAX_LOGGED_PARTS: usize = 2_048;
 /// Maximum number of crashes that are kept for one part. Two parts are told apart by them, so that
 /// there must be more than crash until all daemons know of a quarantine.
 const MAX_CRASHES_PER_PART: usize = 32;
-/// Number of parts in one generation of recent successes: about ten seconds at a few hundred requests
-/// per second with several parts each.
+/// Number of parts in one generation of recent successes: a second at a thousand requests with several
+/// parts each.
 const MAX_SUCCESSES: usize = 16_384;
 
 /// Decides which prompt parts crash the engines that answer on them.
@@ -50,8 +53,8 @@
 impl Default for PartDetector {
     fn default() -> Self {
         Self {
-            log: CrashLog::new(MAX_LOGGED_PARTS, MAX_CRASHES_PER_PART),
-            successes: RecentSuccesses::new(MAX_SUCCESSES),
+            log: CrashLog::new(MAX_LOGGED_PARTS, MAX_CRASHES_PER_PART, CLEAR_AHEAD),
+            successes: RecentSuccesses::new(MAX_SUCCESSES, CLEAR_AHEAD),
             suspects: HashMap::new(),
             unsent: BTreeSet::new(),
             quarantined: BTreeMap::new(),
--- a/crates/crocusdale_core/src/quarantine/recent_successes.rs
+++ b/crates/crocusdale_core/src/quarantine/recent_successes.rs
@@ -21,23 +21,26 @@
     previous: HashSet<K>,
     generation_start: MonotonicTime,
     max_generation_size: usize,
+    /// Time for which a generation is filled.
+    period: Duration,
 }
 
 impl Default for RecentSuccesses {
     fn default() -> Self {
-        Self::new(MAX_GENERATION_SIZE)
+        Self::new(MAX_GENERATION_SIZE, CLEARANCE_TIME)
     }
 }
 
 impl<K: Copy + Eq + Hash> RecentSuccesses<K> {
-    /// Creates an empty set, whose generations hold up to `max_generation_size`.
+    /// Creates an empty set, whose generations hold up to `max_generation_size` and last for `period`.
     #[must_use]
-    pub fn new(max_generation_size: usize) -> Self {
+    pub fn new(max_generation_size: usize, period: Duration) -> Self {
         Self {
             current: HashSet::new(),
             previous: HashSet::new(),
             generation_start: MonotonicTime::default(),
             max_generation_size,
+            period,
         }
     }
 
@@ -51,8 +54,8 @@
         self.current.insert(subject);
     }
 
-    /// Whether a request with `subject` was completely answered within the last 10 seconds. Answers
-    /// that are up to 20 seconds old may count too.
+    /// Whether a request with `subject` was completely answered within the last period. Answers
+    /// that are up to two periods old may count too.
     #[must_use]
     pub fn contains(&mut self, subject: K, now: MonotonicTime) -> bool {
         self.rotate(now);
@@ -61,11 +64,11 @@
 
     fn rotate(&mut self, now: MonotonicTime) {
         let age = now.since(self.generation_start);
-        if age < CLEARANCE_TIME {
+        if age < self.period {
             return;
         }
         let current = std::mem::take(&mut self.current);
-        self.previous = if age < CLEARANCE_TIME * 2 { current } else { HashSet::new() };
+        self.previous = if age < self.period * 2 { current } else { HashSet::new() };
         self.generation_start = now;
     }
 }
--- a/crates/crocusdale_core/tests/crashing_part_test.rs
+++ b/crates/crocusdale_core/tests/crashing_part_test.rs
@@ -108,6 +108,8 @@
     /// Engines whose entries are removed, and engines that start, at these times.
     changes: Vec<(MonotonicTime, Option<String>)>,
     request_count: u64,
+    /// Whether the crashing part crashes no engine yet.
+    is_part_sound: bool,
     report: PartReport,
 }
 
@@ -123,6 +125,7 @@
             running: Vec::new(),
             changes: Vec::new(),
             request_count: 0,
+            is_part_sound: false,
             report: PartReport::default(),
         };
         for _ in 0..ENGINES {
@@ -221,7 +224,7 @@
         }
         let now = self.fleet.now;
         for (daemon, at, order) in self.fleet.relays.drain(before..) {
-            let is_crashing = crashing_part.is_some();
+            let is_crashing = crashing_part.is_some() && !self.is_part_sound;
             if is_crashing {
                 self.report.crashing_sends.push(at);
             }
@@ -356,6 +359,22 @@
     }
 }
 
+/// Guards against a part that crashes engines although it was answered until a moment ago, for
+/// example after a change of their software.
+#[test]
+fn part_that_was_sound_before_is_sent_to_few_more() {
+    for seed in 0..4 {
+        let mut part = CrashingPart::new(PartLoad { seed, ..LOAD });
+        part.is_part_sound = true;
+        part.run(Duration::from_secs(15), true);
+        part.is_part_sound = false;
+        part.run(Duration::from_secs(30), true);
+        let (late, crashes) = (part.report.late_sends(), part.report.crashes.len());
+        assert!(crashes >= 3, "only {crashes} engines crashed");
+        assert!(late <= MAX_LATE_SENDS, "seed {seed}: {late} late sends, {crashes} crashes");
+    }
+}
+
 /// Guards against a quarantine of sound requests, which share their workspace and their first part
 /// with the crashing ones.
 #[test]
