--- a/crates/stand_ins/src/fleet_model/fleet_run.rs
+++ b/crates/stand_ins/src/fleet_model/fleet_run.rs
@@ -8,7 +8,7 @@
 use crocusdale_core::configuration::{ConfigurationError, Declarations, RegionMap};
 use crocusdale_core::daemon::{DaemonEvent, StalenessBounds, TimerKey};
 use crocusdale_core::identity::{
-    AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey,
+    AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey, SoftwareVersion,
 };
 use crocusdale_core::membership::{ExchangeMessage, MemberCapacity, MemberPlace};
 use crocusdale_core::pipeline::{
@@ -203,7 +203,7 @@
                     zone: zone_name(index % load.zones),
                     slots,
                     leaving: false,
-                    software_version: None,
+                    software_version: SoftwareVersion::new("v1"),
                 };
                 self.published.push((1, entry));
             }
