Ask for more crashes of a part that was answered of late

What callers saw: nothing yet; found by a scan of loads by hand.

Change: a part that this daemon has seen answered within a minute is quarantined after five crashes instead of three. A part that never had an answer still stops at three.

--- a/crates/crocusdale_core/src/quarantine/part_detector.rs
+++ b/crates/crocusdale_core/src/quarantine/part_detector.rs
@@ -11,13 +11,18 @@
 /// Time for which a complete answer clears a part ahead. It must be short: a part that has been sound
 /// may begin to crash engines, for example at a new software version.
 const CLEAR_AHEAD: Duration = Duration::from_secs(1);
+/// Number of crashes after which a part is quarantined that was answered within [`TRUST_PERIOD`]. Its
+/// engines are more likely to have crashed by chance, and a quarantine would refuse many requests.
+const TRUSTED_CRASHES: usize = 5;
+/// Time for which a complete answer makes a part trusted.
+const TRUST_PERIOD: Duration = Duration::from_secs(60);
 /// Maximum number of parts with crashes. One engine crashes under 128 requests with a few parts each.
 const MAX_LOGGED_PARTS: usize = 2_048;
 /// Maximum number of crashes that are kept for one part. Two parts are told apart by them, so that
 /// there must be more than crash until all daemons know of a quarantine.
 const MAX_CRASHES_PER_PART: usize = 32;
-/// Number of parts in one generation of recent successes: a second at a thousand requests with several
-/// parts each.
+/// Number of parts in one generation of recent successes: a minute at a hundred requests per second
+/// with two parts each, all different.
 const MAX_SUCCESSES: usize = 16_384;
 
 /// Decides which prompt parts crash the engines that answer on them.
@@ -30,6 +35,8 @@
 pub struct PartDetector {
     log: CrashLog<PartId>,
     successes: RecentSuccesses<PartId>,
+    /// Parts that this daemon has seen answered within [`TRUST_PERIOD`].
+    trusted: RecentSuccesses<PartId>,
     /// Parts of the requests that broke off at an upstream which is being probed, and the time of the
     /// first of them, by the name of the upstream.
     suspects: HashMap<String, (MonotonicTime, BTreeSet<PartId>)>,
@@ -55,6 +62,7 @@
         Self {
             log: CrashLog::new(MAX_LOGGED_PARTS, MAX_CRASHES_PER_PART, CLEAR_AHEAD),
             successes: RecentSuccesses::new(MAX_SUCCESSES, CLEAR_AHEAD),
+            trusted: RecentSuccesses::new(MAX_SUCCESSES, TRUST_PERIOD),
             suspects: HashMap::new(),
             unsent: BTreeSet::new(),
             quarantined: BTreeMap::new(),
@@ -101,6 +109,7 @@
         let mut has_news = false;
         for part in parts {
             self.successes.record(*part, now);
+            self.trusted.record(*part, now);
             if self.log.clear(*part, now) {
                 self.unsent.insert(*part);
                 has_news = true;
@@ -195,7 +204,9 @@
         if !is_changed {
             return PartVerdict::default();
         }
-        let suspected = self.log.subjects_with(QUARANTINE_CRASHES, COMMON_CAUSE_WINDOW, now);
+        let mut suspected = self.log.subjects_with(QUARANTINE_CRASHES, COMMON_CAUSE_WINDOW, now);
+        let untrusted = self.log.subjects_with(TRUSTED_CRASHES, COMMON_CAUSE_WINDOW, now);
+        suspected.retain(|part| untrusted.contains(part) || !self.trusted.contains(*part, now));
         let companions = |part: &PartId| {
             let others = suspected.iter().filter(|other| *other != part);
             others.filter(|other| self.log.shares_crashes(*part, **other)).copied().collect()
--- a/crates/crocusdale_core/tests/crashing_part_test.rs
+++ b/crates/crocusdale_core/tests/crashing_part_test.rs
@@ -390,6 +390,30 @@
     }
 }
 
+/// Guards against a first part that is blamed for chance crashes because few requests with it are
+/// answered in between. Once it is refused, no answer could clear it.
+#[test]
+fn quiet_first_part_is_not_quarantined_beside_chance_crashes() {
+    for (first_parts, crashing_per_s, sound_per_s) in [(1, 0.3, 2.0), (2, 1.0, 1.0)] {
+        for seed in 0..30 {
+            let load = PartLoad {
+                first_parts,
+                crashing_per_s,
+                sound_per_s,
+                seed,
+                chance_crashes_per_s: 0.7,
+                ..LOAD
+            };
+            let mut part = CrashingPart::new(load);
+            part.run(Duration::from_secs(15), false);
+            part.run(Duration::from_secs(60), true);
+            let share = part.report.sound_share(40, 70);
+            assert!(share >= 0.9, "{load:?}: only {share:.2} begin at the first try");
+            assert!(part.report.late_sends() <= MAX_LATE_SENDS, "{load:?}");
+        }
+    }
+}
+
 /// Guards against chance crashes that are taken for the fault of a part: a hot one, which most
 /// requests share, and rare ones.
 #[test]
