--- a/crates/crocusdale_core/src/daemon/part_flow.rs
+++ b/crates/crocusdale_core/src/daemon/part_flow.rs
@@ -13,7 +13,7 @@
 impl CoreState {
     /// Remaining quarantine of a request with the prompt `parts`, or `None` if it may be dispatched.
     pub(super) fn part_quarantine(&self, parts: &[PartId], now: MonotonicTime) -> Option<Duration> {
-        lock(&self.part_detector).quarantine_left(parts, now).map(|(remaining, _)| remaining)
+        lock(&self.part_detector).quarantine_left(parts, now)
     }
 
     /// Merges the records of prompt parts that the daemon on `vm` sent.
--- a/crates/crocusdale_core/src/quarantine/crash_log.rs
+++ b/crates/crocusdale_core/src/quarantine/crash_log.rs
@@ -32,7 +32,7 @@
 const MAX_LOGGED_REQUESTS: usize = 512;
 
 /// Upstream crashes per subject, as observed by this daemon or reported by others. A subject is a
-/// request, by its subject, or a prompt part.
+/// request, by its digest, or a prompt part.
 ///
 /// Logs of daemons that received the same records have equal summaries, whatever the order and
 /// number of deliveries, unless the records exceed the capacity of a log.
@@ -170,8 +170,8 @@
     /// All quarantined subjects.
     #[must_use]
     pub fn quarantined(&self, now: MonotonicTime) -> Vec<K> {
-        let digests = self.entries.keys().copied();
-        digests.filter(|subject| self.quarantine_left(*subject, now).is_some()).collect()
+        let subjects = self.entries.keys().copied();
+        subjects.filter(|subject| self.quarantine_left(*subject, now).is_some()).collect()
     }
 
     /// Hash over all records that does not depend on their order or their ages. An empty log has
--- a/crates/crocusdale_core/src/quarantine/part_detector.rs
+++ b/crates/crocusdale_core/src/quarantine/part_detector.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use super::crash_log::QUARANTINE_CRASHES;
+use super::crash_log::{QUARANTINE_CRASHES, QUARANTINE_DURATION};
 use super::{CrashLog, PartRecord, RecentSuccesses, UpstreamCrash};
 use crate::identity::{MonotonicTime, PartId};
 
@@ -14,15 +14,16 @@
 /// Number of crashes after which a part is quarantined that was answered within [`TRUST_PERIOD`]. Its
 /// engines are more likely to have crashed by chance, and a quarantine would refuse many requests.
 const TRUSTED_CRASHES: usize = 5;
-/// Time for which a complete answer makes a part trusted.
-const TRUST_PERIOD: Duration = Duration::from_secs(60);
+/// Time for which a complete answer makes a part trusted. As crashes count for no longer, a part does
+/// not lose its trust while they do.
+const TRUST_PERIOD: Duration = QUARANTINE_DURATION;
 /// Maximum number of parts with crashes. One engine crashes under 128 requests with a few parts each.
 const MAX_LOGGED_PARTS: usize = 2_048;
 /// Maximum number of crashes that are kept for one part. Two parts are told apart by them, so that
 /// there must be more than crash until all daemons know of a quarantine.
 const MAX_CRASHES_PER_PART: usize = 32;
-/// Number of parts in one generation of recent successes: a minute at a hundred requests per second
-/// with two parts each, all different.
+/// Number of parts in one generation of recent successes: more than a minute at a hundred requests per
+/// second with two parts each, all different.
 const MAX_SUCCESSES: usize = 16_384;
 
 /// Decides which prompt parts crash the engines that answer on them.
@@ -137,14 +138,9 @@
         PartVerdict { has_news, ..verdict }
     }
 
-    /// Remaining time for which a request with `parts` is refused, and the part to blame. `None` if
-    /// the request may be dispatched.
+    /// Remaining time for which a request with `parts` is refused. `None` if it may be dispatched.
     #[must_use]
-    pub fn quarantine_left(
-        &self,
-        parts: &[PartId],
-        now: MonotonicTime,
-    ) -> Option<(Duration, PartId)> {
+    pub fn quarantine_left(&self, parts: &[PartId], now: MonotonicTime) -> Option<Duration> {
         if self.quarantined.is_empty() {
             return None;
         }
@@ -153,7 +149,7 @@
             companions.is_some_and(|others| others.iter().all(|other| parts.contains(other)))
         };
         let blamed = parts.iter().filter(applies);
-        blamed.filter_map(|part| Some((self.log.quarantine_left(*part, now)?, *part))).max()
+        blamed.filter_map(|part| self.log.quarantine_left(*part, now)).max()
     }
 
     /// Number of upstreams that crashed under requests with `part`.
--- a/crates/crocusdale_core/src/streams/origin_log.rs
+++ b/crates/crocusdale_core/src/streams/origin_log.rs
@@ -4,7 +4,7 @@
 use super::{MAX_RECORD_TIME, StreamKey, StreamOrigin, StreamRecord};
 use crate::identity::MonotonicTime;
 
-/// Maximum number of streams in a log, about 10 MB. A keeper with 80 new streams a second reaches it
+/// Maximum number of streams in a log, about 9 MB. A keeper with 80 new streams a second reaches it
 /// if callers have 13 minutes to come back.
 const MAX_STREAMS: usize = 65_536;
 
