Move records of upstreams out of the fleet's state

What daemons tell each other of crashes, prompt parts and rate limits stands in a file of its own now. No behaviour has changed.

--- a/crates/crocusdale_core/src/daemon/crash_flow.rs
+++ b/crates/crocusdale_core/src/daemon/crash_flow.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::core_state::CoreState;
-use super::fleet_state::UpstreamRecords;
+use super::upstream_records::UpstreamRecords;
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::identity::{MonotonicTime, PartId, RequestDigest};
 use crate::pipeline::{RequestPlan, ShardAction};
@@ -94,8 +94,7 @@
             parts: lock(&self.part_detector).take_unsent(now),
             limits: self.limiter.take_unsent(now),
         };
-        let UpstreamRecords { crashes, parts, limits } = &records;
-        if !(crashes.is_empty() && parts.is_empty() && limits.is_empty()) {
+        if !records.is_empty() {
             lock(&self.fleet).send_records_to_readers(&records, now, out);
         }
     }
--- a/crates/crocusdale_core/src/daemon/fleet_state.rs
+++ b/crates/crocusdale_core/src/daemon/fleet_state.rs
@@ -16,13 +16,12 @@
     VmListHistory,
 };
 use crate::orders::{EngineOrder, OrderReconciler, ReconcileAction};
-use crate::quarantine::{CrashRecord, PartRecord};
-use crate::rate_limiting::{LimitRecord, RateShare};
+use crate::rate_limiting::RateShare;
 use crate::reachability::TransitTable;
 use crate::streams::RecordKeepers;
 
 /// Number of peers that receive a heartbeat at once after a change, ahead of the regular period.
-const UPDATE_FANOUT: usize = 4;
+pub(super) const UPDATE_FANOUT: usize = 4;
 /// Number of peers that receive a heartbeat at once when this daemon starts to drain or has
 /// received its first VM list.
 pub(super) const ANNOUNCEMENT_FANOUT: usize = 16;
@@ -59,17 +58,6 @@
 /// ready.
 const MAX_STARTUP_WAIT: Duration = Duration::from_secs(2);
 
-/// What is known of upstreams and other daemons don't know yet.
-#[derive(Clone, Debug, Default)]
-pub struct UpstreamRecords {
-    /// Requests under which upstreams crashed.
-    pub crashes: Vec<CrashRecord>,
-    /// Prompt parts under which upstreams crashed.
-    pub parts: Vec<PartRecord>,
-    /// Rate limits that upstreams have announced.
-    pub limits: Vec<LimitRecord>,
-}
-
 /// Membership and configuration of one daemon, guarded by one lock.
 #[derive(Debug)]
 pub struct FleetState {
@@ -536,32 +524,7 @@
         }
     }
 
-    /// Sends new crash records and rate limits of upstreams to the daemons that read the platform
-    /// for others. Every other daemon queries one of those several times per second, so the records
-    /// spread quickly. Without such daemons, a few random peers receive the records.
-    pub fn send_records_to_readers(
-        &mut self,
-        records: &UpstreamRecords,
-        now: MonotonicTime,
-        out: &mut Vec<Command>,
-    ) {
-        let partners = if self.needs_directory {
-            self.all_directory_readers()
-        } else {
-            self.view.random_partners(UPDATE_FANOUT)
-        };
-        for vm in partners {
-            let message = ExchangeMessage {
-                crashes: records.crashes.clone(),
-                part_crashes: records.parts.clone(),
-                limits: records.limits.clone(),
-                ..self.heartbeat_for(&vm, now)
-            };
-            out.push(Command::SendHeartbeat { vm, message: Box::new(message) });
-        }
-    }
-
-    fn heartbeat_for(&mut self, vm: &str, now: MonotonicTime) -> ExchangeMessage {
+    pub(super) fn heartbeat_for(&mut self, vm: &str, now: MonotonicTime) -> ExchangeMessage {
         let message = self.view.message(vm, self.ledger.position(), self.directory_status(now));
         ExchangeMessage {
             crash_summary: self.crash_summary,
