Break the circle of imports around brittle pools

The router knew the notice of a brittle pool, and the file of brittle pools the router. The notice has a file of its own now. No behaviour has changed; `brittle_upstream_test` passes as before.

--- a/crates/crocusdale_core/src/routing/brittle_pool.rs
+++ b/crates/crocusdale_core/src/routing/brittle_pool.rs
@@ -8,8 +8,6 @@
 use crate::identity::MonotonicTime;
 use crate::sync::lock;
 
-/// Time for which an announcement counts. Brittle upstreams repeat it in each answer.
-const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(3);
 /// Part of the rejections per second that an upstream bears, one in this many, which all daemons
 /// together may cause.
 const REJECTION_DIVISOR: f64 = 2.0;
@@ -22,22 +20,6 @@
 /// its requests.
 const BACKOFF_BOUNDS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(10));
 
-/// Announcement of the upstreams of a pool that they are brittle.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct BrittleNotice {
-    /// Number of rejections per second that an upstream bears, and the end of the announcement.
-    /// `None` if there was none.
-    announced: Option<(u32, MonotonicTime)>,
-    /// Time of the last request that this daemon sent to the pool.
-    last_send: Option<MonotonicTime>,
-}
-
-impl BrittleNotice {
-    fn max_rejections(&self, now: MonotonicTime) -> Option<u32> {
-        self.announced.filter(|(_, until)| now < *until).map(|(rejections, _)| rejections)
-    }
-}
-
 /// Time for which one of `daemons` daemons sends nothing to an upstream that has rejected one of its
 /// requests, so that all of them together cause half of the `max_rejections` per second that the
 /// upstream bears.
@@ -53,7 +35,7 @@
     pub fn record_brittle(&self, upstream: &str, max_rejections: u32, now: MonotonicTime) {
         let Some(upstream) = self.upstream(upstream) else { return };
         for routed in upstream.pools.iter().filter_map(|stage| self.pools.get(stage)) {
-            lock(&routed.brittle).announced = Some((max_rejections, now + ANNOUNCEMENT_TTL));
+            lock(&routed.brittle).announce(max_rejections, now);
         }
     }
 
--- a/crates/crocusdale_core/src/routing/mod.rs
+++ b/crates/crocusdale_core/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Chooses the upstream for each attempt.
 
 mod attempt_queue;
+mod brittle_notice;
 mod brittle_pool;
 mod cold_limit;
 mod cold_upstreams;
--- a/crates/crocusdale_core/src/routing/upstream_router.rs
+++ b/crates/crocusdale_core/src/routing/upstream_router.rs
@@ -7,7 +7,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng as _, SeedableRng as _};
 
-use super::brittle_pool::BrittleNotice;
+use super::brittle_notice::BrittleNotice;
 use super::{AttemptQueue, AttemptReport, ColdLimits, SlotRequest, UpstreamState, UpstreamSummary};
 use crate::configuration::{
     ColdRules, EngineRules, RegionMap, RoutingPolicy, StagePlan, UpstreamRules,
