Give the upstreams of test platforms a software version

The support of that test listed upstreams without a version, as a daemon of an older version does, and a stream that began at an unknown version does not go on. Entries that are read from the store always have a version, so that the support was wrong; five files of support name one now, and no assertion has changed. It was not seen before, as runs of the whole suite by hand had stopped at a known failure.

--- a/crates/crocusdale_core/tests/support/batch_bench.rs
+++ b/crates/crocusdale_core/tests/support/batch_bench.rs
@@ -10,7 +10,7 @@
 use crocusdale_core::configuration::{
     BatchRules, Declarations, DeclarationsBuilder, PoolKind, StageRules,
 };
-use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime};
+use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime, SoftwareVersion};
 use crocusdale_core::pipeline::{PieceFault, PieceOrder, PieceSource, PlacedResult, ResultHandle};
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::{DirectoryEntry, UpstreamDirectory};
@@ -51,7 +51,7 @@
         zone: zone.to_owned(),
         slots: 1,
         leaving: false,
-        software_version: None,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/crocusdale_core/tests/support/chain_model.rs
+++ b/crates/crocusdale_core/tests/support/chain_model.rs
@@ -15,7 +15,7 @@
 use crocusdale_core::configuration::{
     BatchRules, Declarations, DeclarationsBuilder, PoolKind, SchedulingSettings, StageRules,
 };
-use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime, RequestDigest};
+use crocusdale_core::identity::{AttemptId, CallId, MonotonicTime, RequestDigest, SoftwareVersion};
 use crocusdale_core::pipeline::{PieceFault, PieceOrder, PieceSource, ResultHandle};
 use crocusdale_core::retry::RetryLimits;
 use crocusdale_core::routing::{DirectoryEntry, UpstreamDirectory};
@@ -243,7 +243,7 @@
                 zone: "a".to_owned(),
                 slots: 1,
                 leaving: false,
-                software_version: None,
+                software_version: SoftwareVersion::new("v1"),
             };
             let mut directory = UpstreamDirectory::default();
             directory.replace(1, (0..count).map(|index| (1, entry(index))).collect(), None);
--- a/crates/crocusdale_core/tests/support/cut_fleet.rs
+++ b/crates/crocusdale_core/tests/support/cut_fleet.rs
@@ -8,7 +8,9 @@
 use crocusdale_core::batching::{BatchOrder, BatchOutcome, ItemOutcome};
 use crocusdale_core::configuration::LabelSet;
 use crocusdale_core::daemon::{AttemptPath, Command, DaemonEvent, StalenessBounds};
-use crocusdale_core::identity::{CallId, MonotonicTime, RequestDigest, RequestKey};
+use crocusdale_core::identity::{
+    CallId, MonotonicTime, RequestDigest, RequestKey, SoftwareVersion,
+};
 use crocusdale_core::pipeline::{
     AttemptEvent, BreakReason, CallerRequest, EngineDemand, ExecutionStatus, FinalAnswer,
     ForwardHead, ForwardOrder, OutcomeKind, PieceFault, PromptPart, RequestContent, ResponseHead,
@@ -295,7 +297,7 @@
         zone: format!("z{}", index % 3),
         slots: 8,
         leaving: false,
-        software_version: None,
+        software_version: SoftwareVersion::new("v1"),
     };
     names.enumerate().map(|each| (5, entry(each))).collect()
 }
--- a/crates/crocusdale_core/tests/support/forward_daemon.rs
+++ b/crates/crocusdale_core/tests/support/forward_daemon.rs
@@ -13,7 +13,7 @@
 };
 use crocusdale_core::daemon::{Command, DaemonEvent, StalenessBounds, TimerKey};
 use crocusdale_core::identity::{
-    AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey,
+    AttemptId, CallId, InstanceId, MonotonicTime, RequestDigest, RequestKey, SoftwareVersion,
 };
 use crocusdale_core::membership::{MemberCapacity, MemberPlace};
 use crocusdale_core::pipeline::{
@@ -248,7 +248,7 @@
                 zone: "a".to_owned(),
                 slots: 8,
                 leaving: leaving.contains(&id),
-                software_version: None,
+                software_version: SoftwareVersion::new("v1"),
             };
             (1 + self.now.since_start().as_millis() as u64, entry)
         });
--- a/crates/crocusdale_core/tests/support/limited_upstream.rs
+++ b/crates/crocusdale_core/tests/support/limited_upstream.rs
@@ -6,7 +6,7 @@
 
 use crocusdale_core::configuration::LabelSet;
 use crocusdale_core::daemon::{DaemonEvent, StalenessBounds};
-use crocusdale_core::identity::{MonotonicTime, RequestDigest, RequestKey};
+use crocusdale_core::identity::{MonotonicTime, RequestDigest, RequestKey, SoftwareVersion};
 use crocusdale_core::pipeline::{
     AttemptEvent, CallerRequest, ExecutionStatus, ForwardHead, ForwardOrder, RequestContent,
     ResponseHead,
@@ -272,6 +272,6 @@
         zone: "z0".to_owned(),
         slots: 64,
         leaving: false,
-        software_version: None,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
