--- a/crates/crocusdaled/tests/crashing_part_test.rs
+++ b/crates/crocusdaled/tests/crashing_part_test.rs
@@ -6,9 +6,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use platform_stand_ins::{
-    IngressCaller, IngressRequest, PublishedFleet, WorkerFault, WorkerStandIn,
-};
+use platform_stand_ins::{IngressCaller, IngressRequest, PublishedFleet, WorkerStandIn};
 use stand_ins::wait_for;
 use tokio::task::JoinSet;
 
@@ -55,7 +53,7 @@
 
 fn start_engine(fleet: &mut PublishedFleet) -> Result<()> {
     let engine = WorkerStandIn::start(&format!("engine-{}", fleet.engine_workers.len()))?;
-    engine.set_fault(WorkerFault::CrashOnPart(CRASHING_PART));
+    engine.crash_on_part(CRASHING_PART);
     fleet.store.publish(engine.id(), &engine.entry("reader", "ready"));
     fleet.engine_workers.push(engine);
     Ok(())
@@ -130,7 +128,7 @@
     let binary = env!("CARGO_BIN_EXE_crocusdaled");
     let mut fleet = PublishedFleet::start(binary, env!("CARGO_TARGET_TMPDIR"), DAEMONS).await?;
     for engine in &fleet.engine_workers {
-        engine.set_fault(WorkerFault::CrashOnPart(CRASHING_PART));
+        engine.crash_on_part(CRASHING_PART);
     }
     while fleet.engine_workers.len() < ENGINES {
         start_engine(&mut fleet)?;
