Add a failing test of a part that crashes a pool within a moment

What callers would see: all engines of a pool end, come back, and end again.

Timeline, by the daemons' logs, in seconds of the soak: from 11.0 to 11.5 eight engines, the whole pool, end under a request that is sent again at once; quarantine at the eighth. At 16.8 all daemons are killed and forget it. From 20.9 to 21.3 eight engines end again, no quarantine. At 26.5 the next four end, quarantine at the ninth.

Hypotheses: (1) crashes within 200 ms count as one, as a lost rack ends many engines at one moment, so that eight crashes in 0.4 s are two; (2) records of crashes are late or lost after the restart; (3) an answer clears the part. The logs speak for (1): all daemons log each crash within 0.1 s, which rules (2) out, and no request with the part is ever answered, (3).

Two tests of lost racks go with it, which pass: half of the engines end at one moment, among hot and rare parts, also 0.7 s after a start, before any answer.

The model counted sends to engines that had already ended, and tried only one further engine. It follows a refused connection to the next engine now, until one accepts. No bound has changed; the other tests pass as before.

--- a/crates/crocusdale_core/tests/crashing_part_test.rs
+++ b/crates/crocusdale_core/tests/crashing_part_test.rs
@@ -32,8 +32,6 @@
 const MAX_LATE_SENDS: usize = 3;
 /// Number of engines of the fleet.
 const ENGINES: usize = 12;
-/// Time for which an engine runs a request with the crashing part.
-const CRASH_DELAY: Duration = Duration::from_millis(100);
 /// Time from the crash of an engine until its entry is removed, and until it is back as another one.
 const ABSENCE: (Duration, Duration) = (Duration::from_millis(1_300), Duration::from_millis(2_000));
 /// The part that crashes engines.
@@ -49,6 +47,8 @@
     first_parts: u64,
     /// Requests with the crashing part a second.
     crashing_per_s: f64,
+    /// Time for which an engine runs a request with the crashing part.
+    crash_delay: Duration,
     /// Engines that crash by chance a second.
     chance_crashes_per_s: f64,
     seed: u64,
@@ -59,6 +59,7 @@
     sound_per_s: 24.0,
     first_parts: 20,
     crashing_per_s: 2.0,
+    crash_delay: Duration::from_millis(100),
     chance_crashes_per_s: 0.0,
     seed: 1,
 };
@@ -229,7 +230,7 @@
                 self.report.crashing_sends.push(at);
             }
             let run_time = Duration::from_millis(self.random.random_range(200..1_500));
-            let ends_at = now + if is_crashing { CRASH_DELAY } else { run_time };
+            let ends_at = now + if is_crashing { self.load.crash_delay } else { run_time };
             self.running.push(RunningRequest { ends_at, daemon, order, is_crashing });
         }
         self.refuse_connections();
@@ -240,14 +241,11 @@
         assert!(self.fleet.relays.is_empty(), "a request was sent later: {:?}", self.fleet.relays);
     }
 
-    /// Fails the attempts at engines that no longer accept connections.
+    /// Fails the attempts at engines that no longer accept connections, until a daemon has found one
+    /// that does or has given up.
     fn refuse_connections(&mut self) {
-        let ended = &self.fleet.ended;
-        let (refused, running) = std::mem::take(&mut self.running)
-            .into_iter()
-            .partition::<Vec<_>, _>(|request| ended.contains(&request.order.upstream));
-        self.running = running;
-        for RunningRequest { daemon, order, is_crashing, .. } in refused {
+        while let Some(index) = self.running.iter().position(|request| self.is_refused(request)) {
+            let RunningRequest { daemon, order, is_crashing, .. } = self.running.remove(index);
             if is_crashing {
                 self.report.crashing_sends.pop();
             }
@@ -259,12 +257,16 @@
                 if is_crashing {
                     self.report.crashing_sends.push(at);
                 }
-                let ends_at = now + CRASH_DELAY;
+                let ends_at = now + self.load.crash_delay;
                 self.running.push(RunningRequest { ends_at, daemon, order, is_crashing });
             }
         }
     }
 
+    fn is_refused(&self, request: &RunningRequest) -> bool {
+        self.fleet.ended.contains(&request.order.upstream)
+    }
+
     fn end_requests(&mut self) {
         let now = self.fleet.now;
         let (ended, running) = std::mem::take(&mut self.running)
@@ -375,6 +377,64 @@
     }
 }
 
+/// Guards against a part that crashes most engines of a pool within a moment, before any of them is
+/// back, whose crashes look like the loss of a rack.
+#[test]
+fn part_that_crashes_engines_within_a_moment_is_sent_to_few_more() {
+    for (daemons, crashing_per_s) in [(6, 20.0), (6, 50.0), (40, 50.0)] {
+        for seed in 0..4 {
+            let crash_delay = Duration::from_millis(10);
+            let load = PartLoad { daemons, crashing_per_s, crash_delay, seed, ..LOAD };
+            let mut part = CrashingPart::new(load);
+            part.run(Duration::from_secs(15), false);
+            for _ in 0..6 {
+                part.run(Duration::from_millis(400), true);
+                part.run(Duration::from_secs(5), false);
+            }
+            let (late, crashes) = (part.report.late_sends(), part.report.crashes.len());
+            assert!(crashes >= BOUND_CRASH, "only {crashes} engines crashed");
+            assert!(late <= MAX_LATE_SENDS, "{load:?}: {late} late sends, {crashes} crashes");
+        }
+    }
+}
+
+/// Guards against parts that are blamed for the loss of a rack, under which many engines end at one
+/// moment: a hot part, which most requests share, and rare ones.
+#[test]
+fn lost_rack_quarantines_no_part() {
+    for (first_parts, sound_per_s) in [(1, 24.0), (4, 60.0), (20, 60.0), (1_000, 60.0)] {
+        for seed in 0..4 {
+            let mut part = CrashingPart::new(PartLoad { first_parts, sound_per_s, seed, ..LOAD });
+            for _ in 0..4 {
+                part.run(Duration::from_secs(8), false);
+                for engine in part.engines.clone().iter().take(ENGINES / 2) {
+                    part.crash(engine);
+                }
+            }
+            part.run(Duration::from_secs(8), false);
+            let share = part.report.sound_share(38, 44);
+            assert!(share >= 0.99, "{first_parts}, {seed}: only {share:.3} begin at the first try");
+        }
+    }
+}
+
+/// Guards against parts that stay blamed for the loss of a rack, because the daemons have just
+/// started and have seen no answer yet.
+#[test]
+fn rack_lost_after_a_restart_quarantines_no_part() {
+    for (first_parts, seed) in [(1, 0), (1, 1), (4, 2), (20, 3)] {
+        let load = PartLoad { first_parts, sound_per_s: 60.0, seed, ..LOAD };
+        let mut part = CrashingPart::new(load);
+        part.run(Duration::from_millis(700), false);
+        for engine in part.engines.clone().iter().take(ENGINES / 2) {
+            part.crash(engine);
+        }
+        part.run(Duration::from_secs(10), false);
+        let share = part.report.sound_share(9, 14);
+        assert!(share >= 0.99, "{load:?}: only {share:.3} begin at the first try");
+    }
+}
+
 /// Guards against a quarantine of sound requests, which share their workspace and their first part
 /// with the crashing ones.
 #[test]
