Count crashes at one moment for parts without an answer

Cause: crashes within 200 ms count as one, as under the loss of a rack, so that eight crashes in 0.4 s were two, below the three of a quarantine. Class: a guard against one explanation that hides the other one. Ruled out: late or lost records (each daemon logs the crashes within 0.1 s), and an answer that clears the part (there is none).

Change: a part that this daemon has not seen answered within ten minutes is quarantined after three crashes at least 200 ms apart, as before, or after five at any times. The users' bound begins at the fifth. What tells the two explanations apart is the answer: a part that runs on five engines at the moment of a lost rack has been answered before, or is answered by the engines that survive, which clears it. Parts that were answered still need five separate ones.

Lost racks quarantine nothing, as before, also 0.7 s after a start (`lost_rack_quarantines_no_part`, `rack_lost_after_a_restart_quarantines_no_part`).

--- a/crates/crocusdale_core/src/quarantine/part_detector.rs
+++ b/crates/crocusdale_core/src/quarantine/part_detector.rs
@@ -14,6 +14,10 @@
 /// Number of crashes after which a part is quarantined that was answered within [`TRUST_PERIOD`]. Its
 /// engines are more likely to have crashed by chance, and a quarantine would refuse many requests.
 const TRUSTED_CRASHES: usize = 5;
+/// Number of crashes after which a part without an answer is quarantined, also if all were at the
+/// same moment. It may crash all engines of a pool before one is back, which looks like the loss of
+/// a rack; but a part that runs on so many engines would have been answered.
+const COINCIDENT_CRASHES: usize = 5;
 /// Time for which a complete answer makes a part trusted. As crashes count for no longer, a part does
 /// not lose its trust while they do.
 const TRUST_PERIOD: Duration = QUARANTINE_DURATION;
@@ -195,14 +199,23 @@
         (PartVerdict { has_news: false, ..self.update(is_changed, now) }, has_removed)
     }
 
+    /// Parts with enough crashes since their last answer.
+    fn suspected_parts(&mut self, now: MonotonicTime) -> BTreeSet<PartId> {
+        let log = &self.log;
+        let with_crashes = |count, window| log.subjects_with(count, window, now);
+        let mut suspected = BTreeSet::from_iter(with_crashes(COINCIDENT_CRASHES, Duration::ZERO));
+        suspected.extend(with_crashes(QUARANTINE_CRASHES, COMMON_CAUSE_WINDOW));
+        suspected.retain(|part| !self.trusted.contains(*part, now));
+        suspected.extend(with_crashes(TRUSTED_CRASHES, COMMON_CAUSE_WINDOW));
+        suspected
+    }
+
     /// Determines the quarantined parts and their companions again.
     fn update(&mut self, is_changed: bool, now: MonotonicTime) -> PartVerdict {
         if !is_changed {
             return PartVerdict::default();
         }
-        let mut suspected = self.log.subjects_with(QUARANTINE_CRASHES, COMMON_CAUSE_WINDOW, now);
-        let untrusted = self.log.subjects_with(TRUSTED_CRASHES, COMMON_CAUSE_WINDOW, now);
-        suspected.retain(|part| untrusted.contains(part) || !self.trusted.contains(*part, now));
+        let suspected = self.suspected_parts(now);
         let companions = |part: &PartId| {
             let others = suspected.iter().filter(|other| *other != part);
             others.filter(|other| self.log.shares_crashes(*part, **other)).copied().collect()
