Keep one table of requests that wait for replies of other daemons

`PendingRequests<A>` holds what both need, with what was asked as its parameter. The times after which a request stops waiting, 300 and 400 ms, stand with the flows that use them.

--- a/crates/crocusdale_core/src/daemon/admission_flow.rs
+++ b/crates/crocusdale_core/src/daemon/admission_flow.rs
@@ -2,6 +2,7 @@
 
 use super::core_state::CoreState;
 use super::entry_flow::{refuse_unstarted, whole_millis};
+use super::pending_requests::AskedCoordinator;
 use super::{Command, CounterName, StateChange, TimerKey};
 use crate::admission::{
     AdmissionClass, AdmissionCoordinators, AdmissionDecision, AdmissionRequest, AdmissionStep,
@@ -15,6 +16,9 @@
 /// Longest part of the time to its deadline within which an admitted late request is due, so that
 /// its steps are not all ordered as if they were due at the deadline.
 const LATE_END_MARGIN: f64 = 1.1;
+/// Time after which a request stops waiting for its coordinator, if not even the failure of the call
+/// was reported.
+const MAX_REPLY_WAIT: Duration = Duration::from_millis(300);
 
 impl CoreState {
     /// Asks the admission coordinator about a request. Returns the plan if this daemon has to
@@ -41,7 +45,8 @@
         };
         let request = self.admission_request(call, &plan, section, now);
         if vm != self.own_instance.vm {
-            lock(&self.coordination.pending_admissions).insert(call, plan, vm.clone(), now);
+            let asked = AskedCoordinator { vm: vm.clone() };
+            lock(&self.coordination.pending_admissions).insert(call, plan, asked, now);
             let request = Box::new(request);
             actions.push(ShardAction::Command(Command::AskAdmission { vm, call, request }));
             return None;
@@ -140,10 +145,11 @@
     /// Decides by itself on the requests whose coordinators have not replied, and starts the
     /// admitted requests whose time has come.
     pub(super) fn expire_admissions(&self, now: MonotonicTime, actions: &mut Vec<ShardAction>) {
-        let overdue = lock(&self.coordination.pending_admissions).take_overdue(now);
+        let overdue = lock(&self.coordination.pending_admissions).take_overdue(MAX_REPLY_WAIT, now);
         for (call, pending) in overdue {
-            self.coordination.record_failure(&pending.vm, now);
-            self.fall_back(call, pending.plan, &pending.vm, now, actions);
+            let vm = &pending.asked.vm;
+            self.coordination.record_failure(vm, now);
+            self.fall_back(call, pending.plan, vm, now, actions);
         }
         self.start_scheduled_requests(now, actions);
     }
--- a/crates/crocusdale_core/src/daemon/coordination.rs
+++ b/crates/crocusdale_core/src/daemon/coordination.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
-use super::pending_admissions::PendingAdmissions;
+use super::pending_requests::{AskedCoordinator, PendingRequests};
 use crate::admission::AdmissionCoordinators;
 use crate::configuration::SchedulingSettings;
 use crate::identity::MonotonicTime;
@@ -19,7 +19,7 @@
     /// Decisions that coordinators make.
     pub(super) settings: SchedulingSettings,
     /// Requests that wait for the decision of their admission coordinator.
-    pub(super) pending_admissions: Mutex<PendingAdmissions>,
+    pub(super) pending_admissions: Mutex<PendingRequests<AskedCoordinator>>,
     /// Admission sections that this daemon coordinates.
     pub(super) admission_coordinators: Mutex<AdmissionCoordinators>,
     /// Sections of batched pools whose last report told of work.
--- a/crates/crocusdale_core/src/daemon/core_state.rs
+++ b/crates/crocusdale_core/src/daemon/core_state.rs
@@ -11,7 +11,7 @@
 use super::directory_state::DirectoryState;
 use super::held_work::HeldWork;
 use super::pause_detector::PauseDetector;
-use super::pending_streams::PendingStreams;
+use super::pending_requests::{AskedKeepers, PendingRequests};
 use super::placement_state::PlacementState;
 use super::staleness_bounds::RefreshIntervals;
 use super::{DaemonCore, FleetState, StalenessBounds};
@@ -80,7 +80,7 @@
     /// Where streams began, as this daemon has seen or was told as a keeper of their records.
     pub(super) stream_log: Mutex<OriginLog>,
     /// Requests that take up streams of which this daemon does not know where they began.
-    pub(super) pending_streams: Mutex<PendingStreams>,
+    pub(super) pending_streams: Mutex<PendingRequests<AskedKeepers>>,
     /// Expected queueing time in each batched pool, as its dispatcher last reported it.
     pub(super) pool_waits: Mutex<PoolWaits>,
     /// Request rate of each workspace, to detect floods.
--- a/crates/crocusdale_core/src/daemon/stream_flow.rs
+++ b/crates/crocusdale_core/src/daemon/stream_flow.rs
@@ -4,6 +4,7 @@
 
 use super::core_state::CoreState;
 use super::entry_flow::refuse_unstarted;
+use super::pending_requests::AskedKeepers;
 use super::{Command, CounterName, DaemonCore};
 use crate::configuration::{RepeatRule, StepWork};
 use crate::identity::{CallId, MonotonicTime, SoftwareVersion};
@@ -17,6 +18,10 @@
 /// its version after a second or more.
 const NO_VERSION_RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Time after which a request stops waiting for replies, if not even the failure of the calls was
+/// reported.
+const MAX_REPLY_WAIT: Duration = Duration::from_millis(400);
+
 /// Reply of a daemon that was asked where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OriginReply {
@@ -91,7 +96,8 @@
             self.refuse_unknown(call, &plan, !asked.is_empty(), now, actions);
             return;
         }
-        pending.insert(call, plan, asked.len(), now);
+        let keepers = AskedKeepers { unanswered: asked.len(), has_failures: false };
+        pending.insert(call, plan, keepers, now);
         drop(pending);
         for vm in asked {
             actions.push(ShardAction::Command(Command::FindStream { vm, call, key }));
@@ -117,7 +123,13 @@
             OriginReply::Unknown | OriginReply::Failed => {
                 let pending = lock(&self.pending_streams).record_miss(call, is_failure);
                 if let Some(pending) = pending {
-                    self.refuse_unknown(call, &pending.plan, pending.has_failures, now, actions);
+                    self.refuse_unknown(
+                        call,
+                        &pending.plan,
+                        pending.asked.has_failures,
+                        now,
+                        actions,
+                    );
                 }
             }
         }
@@ -129,7 +141,7 @@
         now: MonotonicTime,
         actions: &mut Vec<ShardAction>,
     ) {
-        let overdue = lock(&self.pending_streams).take_overdue(now);
+        let overdue = lock(&self.pending_streams).take_overdue(MAX_REPLY_WAIT, now);
         for (call, pending) in overdue {
             self.refuse_unknown(call, &pending.plan, true, now, actions);
         }
