Move timers and the drain out of the daemon's core

What a timer starts, housekeeping and the steps of a drain stand in `timer_flow.rs`, with their constants. No behaviour has changed.

--- a/crates/crocusdale_core/src/daemon/mod.rs
+++ b/crates/crocusdale_core/src/daemon/mod.rs
@@ -32,6 +32,7 @@
 mod state_change;
 mod state_dump;
 mod stream_flow;
+mod timer_flow;
 mod timer_key;
 mod transit_flow;
 mod upstream_notices;
