--- a/crates/crocusdaled/tests/soak_test.rs
+++ b/crates/crocusdaled/tests/soak_test.rs
@@ -30,5 +30,6 @@
 /// because nobody remembers it.
 #[tokio::test]
 async fn crashing_part_is_sent_to_few_more_after_the_loss_of_all_daemons() -> Result<()> {
-    assert_promises_hold(4).await
+    assert_promises_hold(4).await?;
+    assert_promises_hold(61).await
 }
