--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod http;
 mod odd_key;
+mod slow_reader;
 mod store;
 
 use std::fs::File;
@@ -55,6 +56,7 @@
     record.line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let setup = Setup { record: Arc::new(record), trouble, directory: directory.clone() };
     let verdict = match case.as_str() {
+        "slow_reader" => slow_reader::play(&setup),
         "odd_key" => odd_key::play(&setup),
         "extra_answer" => extra_answer::play(&setup),
         _ => Err(format!("no case is called {case}")),
