--- a/review/stand_ins/extra_answer.rs
+++ b/review/stand_ins/extra_answer.rs
@@ -184,7 +184,9 @@
             if let Some(bytes) = extra.take() {
                 self.world.extras.fetch_add(1, Ordering::Relaxed);
                 let path = request.path();
-                self.world.record.line(&format!("{} repeats its last answer before {path}", self.id));
+                self.world
+                    .record
+                    .line(&format!("{} repeats its last answer before {path}", self.id));
                 if connection.write(&bytes).is_err() {
                     return;
                 }
@@ -302,7 +304,8 @@
              X-Api-Key: key-of-letters\r\nContent-Length: 0\r\n\r\n"
         );
         world.record.line(&format!("client {index} sends {attempt}"));
-        let connection = kept.take().or_else(|| TcpStream::connect(caller).ok().map(Connection::new));
+        let connection =
+            kept.take().or_else(|| TcpStream::connect(caller).ok().map(Connection::new));
         if let Some(mut connection) = connection
             && connection.write(request.as_bytes()).is_ok()
             && let Ok(Some(message)) = connection.read_message()
@@ -311,7 +314,9 @@
             let last = format!("data: word {} of {attempt}\n\n", EVENTS - 1);
             let is_whole = message.status() == 200 && body.ends_with(&last);
             let status = message.status();
-            world.record.line(&format!("{attempt} is answered: status {status}, whole: {is_whole}"));
+            world
+                .record
+                .line(&format!("{attempt} is answered: status {status}, whole: {is_whole}"));
             whole += usize::from(is_whole);
             kept = Some(connection);
         }
--- a/review/stand_ins/fleet.rs
+++ b/review/stand_ins/fleet.rs
@@ -109,11 +109,14 @@
 
     /// Whether the process has ended by now.
     pub fn has_ended(&mut self) -> bool {
-        self.process.as_mut().is_none_or(|process| process.try_wait().is_ok_and(|end| end.is_some()))
+        self.process
+            .as_mut()
+            .is_none_or(|process| process.try_wait().is_ok_and(|end| end.is_some()))
     }
 
     pub fn is_ready(&self) -> bool {
-        let Ok(stream) = TcpStream::connect_timeout(&self.readiness(), Duration::from_secs(1)) else {
+        let Ok(stream) = TcpStream::connect_timeout(&self.readiness(), Duration::from_secs(1))
+        else {
             return false;
         };
         let mut connection = Connection::new(stream);
@@ -131,7 +134,12 @@
 
 /// Prepares `count` daemons, one a zone, with settings from the deploy template. `directory` is a
 /// temporary folder.
-pub fn daemons(count: usize, hosts: &mut Hosts, store: SocketAddr, directory: &Path) -> Vec<Daemon> {
+pub fn daemons(
+    count: usize,
+    hosts: &mut Hosts,
+    store: SocketAddr,
+    directory: &Path,
+) -> Vec<Daemon> {
     let template = std::fs::read_to_string("deploy/settings.ini.template").unwrap();
     let places: Vec<Ipv4Addr> = (0..count).map(|_| hosts.next()).collect();
     let seeds: Vec<String> = places.iter().take(3).map(|host| format!("{host}:8628")).collect();
@@ -203,7 +211,7 @@
         }
         std::thread::sleep(Duration::from_millis(100));
     }
-    // Traffic starts some seconds after the machines do.
-    std::thread::sleep(Duration::from_secs(3));
+    // Traffic starts once the start of the processes is longer ago than `contactMs`.
+    std::thread::sleep(Duration::from_secs(4));
     Ok(())
 }
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -50,10 +50,12 @@
     };
     let directory = std::env::temp_dir().join(format!("review-{}", std::process::id()));
     std::fs::create_dir_all(&directory).expect("the temporary folder can be written");
-    let file = File::create(Path::new(folder).join("record.txt")).expect("the folder can be written");
+    let file =
+        File::create(Path::new(folder).join("record.txt")).expect("the folder can be written");
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record { file: Mutex::new(file), started: Instant::now() };
-    record.line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
+    record
+        .line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let setup = Setup { record: Arc::new(record), trouble, directory: directory.clone() };
     let verdict = match case.as_str() {
         "slow_reader" => slow_reader::play(&setup),
--- a/review/stand_ins/odd_key.rs
+++ b/review/stand_ins/odd_key.rs
@@ -54,7 +54,7 @@
     for index in 0..WORKERS {
         let address = SocketAddr::from((hosts.next(), 8080));
         let id = format!("i-{index:04x}");
-        start_worker(address, &id);
+        start_worker(address, &id, Arc::clone(&setup.record));
         store.write(
             &format!("servers/{id}"),
             Some(&format!(
@@ -139,12 +139,12 @@
     \"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"letters\",\"apiKeys\":[\"key-of-letters\"]}]}";
 
 /// Worker that answers each request at once.
-fn start_worker(address: SocketAddr, id: &str) {
+fn start_worker(address: SocketAddr, id: &str, record: Arc<Record>) {
     let listener = TcpListener::bind(address).expect("the worker's address is free");
     let id = id.to_owned();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let id = id.clone();
+            let (id, record) = (id.clone(), Arc::clone(&record));
             std::thread::spawn(move || {
                 let mut connection = Connection::new(stream);
                 while let Ok(Some(request)) = connection.read_message() {
@@ -154,7 +154,9 @@
                         answer("421 Misdirected Request", &[("X-Instance-Id", &id)], b"")
                     } else {
                         let attempt = request.field("x-attempt-id");
-                        let fields = [("X-Attempt-Id", attempt), ("X-Response-Signature", "signed")];
+                        record.line(&format!("{id} runs {attempt}"));
+                        let fields =
+                            [("X-Attempt-Id", attempt), ("X-Response-Signature", "signed")];
                         answer("200 OK", &fields, attempt.as_bytes())
                     };
                     if connection.write(&bytes).is_err() {
@@ -177,8 +179,11 @@
         };
         let attempt = format!("{index:02x}{number:06x}");
         tally.sent.fetch_add(1, Ordering::Relaxed);
+        traffic.record.line(&format!("{attempt} is sent"));
         let end = send(traffic, &attempt, index + number);
-        traffic.record.line(&format!("{attempt}: {}", end.as_ref().err().unwrap_or(&"200".into())));
+        traffic
+            .record
+            .line(&format!("{attempt} ends: {}", end.as_ref().err().unwrap_or(&"200".into())));
         tally.served.fetch_add(usize::from(end.is_ok()), Ordering::Relaxed);
         std::thread::sleep(CLIENT_PAUSE);
     }
--- a/review/stand_ins/slow_reader.rs
+++ b/review/stand_ins/slow_reader.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{Hosts, daemons, limit_receive_buffer, start_all, zone};
 use crate::http::{Connection, answer};
 use crate::store::Store;
-use crate::{Setup, Verdict};
+use crate::{Record, Setup, Verdict};
 
 /// Size of an answer.
 const ANSWER_BYTES: usize = 12_000_000;
@@ -44,7 +44,7 @@
     for index in 0..3 {
         let address = SocketAddr::from((hosts.next(), 8080));
         let id = format!("i-portal-{index}");
-        start_worker(address, &id, Arc::clone(&runs));
+        start_worker(address, &id, Arc::clone(&runs), Arc::clone(&setup.record));
         store.write(
             &format!("servers/{id}"),
             Some(&format!(
@@ -57,9 +57,14 @@
     let mut fleet = daemons(3, &mut hosts, store_address, &setup.directory);
     start_all(&mut fleet)?;
     let caller = fleet[0].caller();
-    setup.record.line(&format!("{CLIENTS} clients read {ANSWER_BYTES} bytes each at {READ_SPEED} B/s"));
+    setup
+        .record
+        .line(&format!("{CLIENTS} clients read {ANSWER_BYTES} bytes each at {READ_SPEED} B/s"));
     let clients: Vec<_> = (0..CLIENTS)
-        .map(|index| std::thread::spawn(move || read_slowly(caller, &format!("copy{index}"))))
+        .map(|index| {
+            setup.record.line(&format!("copy{index} is sent to entry-0"));
+            std::thread::spawn(move || read_slowly(caller, &format!("copy{index}")))
+        })
         .collect();
     std::thread::sleep(SIGTERM_AFTER);
     let term_at = Instant::now();
@@ -95,17 +100,19 @@
         }
     }
     let runs = runs.load(Ordering::Relaxed);
-    setup.record.line(&format!("the workers ran {runs} requests to their end; {lost} answers were cut"));
+    setup
+        .record
+        .line(&format!("the workers ran {runs} requests to their end; {lost} answers were cut"));
     Ok(lost > 0)
 }
 
 /// Worker that answers at once with the whole body.
-fn start_worker(address: SocketAddr, id: &str, runs: Arc<AtomicUsize>) {
+fn start_worker(address: SocketAddr, id: &str, runs: Arc<AtomicUsize>, record: Arc<Record>) {
     let listener = TcpListener::bind(address).expect("the worker's address is free");
     let id = id.to_owned();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (id, runs) = (id.clone(), Arc::clone(&runs));
+            let (id, runs, record) = (id.clone(), Arc::clone(&runs), Arc::clone(&record));
             std::thread::spawn(move || {
                 let mut connection = Connection::new(stream);
                 while let Ok(Some(request)) = connection.read_message() {
@@ -125,6 +132,10 @@
                     if connection.write(&bytes).is_err() {
                         return;
                     }
+                    if request.path() != "/healthz" {
+                        let attempt = request.field("x-attempt-id");
+                        record.line(&format!("{id} has run {attempt} and sent its answer whole"));
+                    }
                 }
             });
         }
--- a/review/stand_ins/store.rs
+++ b/review/stand_ins/store.rs
@@ -96,9 +96,10 @@
         let until = Instant::now() + wait;
         let mut items = self.items.lock().unwrap();
         loop {
-            let events = items.0.iter().filter(|(key, (_, revision))| {
-                key.starts_with(&prefix) && *revision > after
-            });
+            let events = items
+                .0
+                .iter()
+                .filter(|(key, (_, revision))| key.starts_with(&prefix) && *revision > after);
             let mut events: Vec<(u64, String)> = events
                 .map(|(key, (value, revision))| (*revision, item(key, value.as_deref(), *revision)))
                 .collect();
