--- a/review/fakes/src/daemons.rs
+++ b/review/fakes/src/daemons.rs
@@ -131,12 +131,6 @@
             let _ = Command::new("kill").arg(format!("-{signal}")).arg(id).status();
         }
     }
-
-    /// Exit status of the daemon at `index` if it has ended.
-    pub fn ended(&mut self, index: usize) -> Option<String> {
-        let process = self.all[index].process.as_mut()?;
-        process.try_wait().ok().flatten().map(|status| status.to_string())
-    }
 }
 
 impl Drop for Daemons {
--- a/review/fakes/src/main.rs
+++ b/review/fakes/src/main.rs
@@ -8,7 +8,6 @@
 mod http;
 mod json;
 mod record;
-mod second_answers;
 mod stages;
 mod store;
 mod unframed_exit;
@@ -62,7 +61,6 @@
     std::fs::create_dir_all(temporary).map_err(|error| error.to_string())?;
     record.line(format_args!("case {case}, trouble: {trouble}"));
     match case {
-        "second-answers" => second_answers::run(program, temporary, &record, trouble),
         "unframed-exit" => unframed_exit::run(program, temporary, &record, trouble),
         "unframed-frozen" => unframed_exit::run_frozen(program, temporary, &record, trouble),
         _ => Err(format!("there is no case {case}")),
--- a/review/fakes/src/stages.rs
+++ b/review/fakes/src/stages.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -112,16 +112,8 @@
     }
 }
 
-/// When workers send a second copy of an answer.
-#[derive(Default)]
-pub struct SecondAnswers {
-    /// Whether the disruption is on.
-    pub is_on: AtomicBool,
-    /// One answer in this many has a second copy.
-    pub one_in: u64,
-    pub answers: AtomicU64,
-    pub sent: AtomicU64,
-}
+/// Judges an item of a call for pieces.
+pub type ItemCheck = Box<dyn Fn(&Json) + Send + Sync>;
 
 /// One worker of a stage service.
 pub struct StageWorker {
@@ -130,8 +122,7 @@
     rules: StageRules,
     places: Places,
     results: Arc<Results>,
-    /// Second copies of answers. `None` for a worker without this fault.
-    faults: Option<Arc<SecondAnswers>>,
+    check: ItemCheck,
     record: Record,
 }
 
@@ -140,7 +131,7 @@
         id: &str,
         rules: StageRules,
         results: &Arc<Results>,
-        faults: Option<Arc<SecondAnswers>>,
+        check: ItemCheck,
         record: &Record,
     ) -> std::io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
@@ -150,7 +141,7 @@
             rules,
             places: Places::default(),
             results: Arc::clone(results),
-            faults,
+            check,
             record: record.clone(),
         });
         let server = Arc::clone(&worker);
@@ -167,40 +158,11 @@
         let _ = stream.set_nodelay(true);
         let Ok(clone) = stream.try_clone() else { return };
         let (mut reader, mut writer) = (BufReader::new(clone), stream);
-        // Second copy of the last answer on this connection, which arrives late: at the point where
-        // the answer to the next request is expected.
-        let mut second: Option<Vec<u8>> = None;
         while let Ok(Some(request)) = read_message(&mut reader) {
-            if let Some(copy) = second.take() {
-                self.record.line(format_args!(
-                    "{} sends its last answer a second time, before the answer to {}",
-                    self.id, request.first_line
-                ));
-                if let Some(faults) = &self.faults {
-                    faults.sent.fetch_add(1, Ordering::Relaxed);
-                }
-                if writer.write_all(&copy).is_err() {
-                    return;
-                }
-            }
-            let path = request.word(1).to_owned();
-            let bytes = self.respond(&request);
-            if writer.write_all(&bytes).is_err() {
+            if writer.write_all(&self.respond(&request)).is_err() {
                 return;
             }
-            if path == "/-/stage-run" && self.is_spoiled(&bytes) {
-                second = Some(bytes);
-            }
-        }
-    }
-
-    /// Whether this answer is one of those with a second copy.
-    fn is_spoiled(&self, bytes: &[u8]) -> bool {
-        let Some(faults) = &self.faults else { return false };
-        if !faults.is_on.load(Ordering::Relaxed) || !bytes.starts_with(b"HTTP/1.1 200") {
-            return false;
         }
-        (faults.answers.fetch_add(1, Ordering::Relaxed) + 1).is_multiple_of(faults.one_in)
     }
 
     fn respond(&self, request: &Message) -> Vec<u8> {
@@ -248,6 +210,7 @@
         std::thread::sleep(self.rules.call + self.rules.item * count);
         let mut answers = Vec::new();
         for item in &items {
+            (self.check)(item);
             let field =
                 |name| item.get(name).map(|value| value.text().to_owned()).unwrap_or_default();
             let piece =
--- a/review/fakes/src/unframed_exit.rs
+++ b/review/fakes/src/unframed_exit.rs
@@ -1,11 +1,11 @@
-//! Case: model workers answer without a length, and are replaced one after the other.
+//! Cases: model workers answer without a length at times, and are replaced or crash.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,16 +15,34 @@
 use crate::stages::entry;
 use crate::store::Store;
 
+/// What the cases of this file differ in.
+#[derive(Clone, Copy)]
+struct Setting {
+    /// Events of a whole stream.
+    events: usize,
+    request_interval: Duration,
+}
+
+/// Planned exits.
+const EXIT: Setting = Setting { events: 100, request_interval: Duration::from_millis(10) };
+/// A frozen daemon.
+const FROZEN: Setting = Setting { events: 60, request_interval: Duration::from_millis(8) };
 const ZONES: [&str; 3] = ["toledo-hall", "erie-hall", "huron-hall"];
-const READERS: usize = 6;
-/// Readers that are replaced: half of them.
-const REPLACED: usize = 3;
-/// Events of a whole stream, and the time between two.
-const EVENTS: usize = 60;
+const READERS: usize = 18;
+/// Readers whose answers come without a length at times: half of them.
+const UNSOUND: usize = 9;
+/// One answer in this many of theirs comes without a length, at these times.
+const ONE_IN: usize = 20;
+/// Readers that are replaced, one after the other: a share of 0.28.
+const REPLACED: usize = 5;
+/// Time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
-const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a reader serves on after the store has its leaving notice: `drainMs` and a little.
 const SERVES_ON: Duration = Duration::from_millis(3_500);
+/// How long some answers of half of the readers come without a length, each time.
+const UNFRAMED: Duration = Duration::from_millis(5_000);
+/// Pause before these answers come again.
+const PAUSE: Duration = Duration::from_millis(1_000);
 
 #[derive(Default)]
 struct Seen {
@@ -43,12 +61,12 @@
 
 impl Reader {
     /// Starts a process that listens on `port`, or on a free one if that is 0.
-    fn start(id: &str, port: u16) -> Result<Self, String> {
+    fn start(id: &str, port: u16, events: usize) -> Result<Self, String> {
         let text = |error: std::io::Error| error.to_string();
         let program = std::env::current_exe().map_err(text)?;
         let mut command = Command::new(program);
         command
-            .args(["reader-process", &format!("{id}:{port}")])
+            .args(["reader-process", &format!("{id}:{port}:{events}")])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped());
         let mut process = command.spawn().map_err(text)?;
@@ -59,6 +77,13 @@
         Ok(Self { id: id.to_owned(), address, process })
     }
 
+    /// Sends one answer in `one_in` without a length from now on, or none if that is 0.
+    fn set_unframed(&mut self, one_in: usize) {
+        if let Some(input) = &mut self.process.stdin {
+            let _ = writeln!(input, "{one_in}");
+        }
+    }
+
     /// Ends the process, as it does at the end of a planned shutdown.
     fn exit(&mut self) {
         drop(self.process.stdin.take());
@@ -79,18 +104,21 @@
     store.write("op/config", Some(CONFIGURATION.to_owned()));
     let mut readers = Vec::new();
     for index in 0..READERS {
-        readers.push(add_reader(&store, index)?);
+        readers.push(add_reader(&store, index, &EXIT)?);
     }
     let bounds = Bounds { retry_reserve: 52 };
     let daemons = Daemons::start(program, folder, store.address, &ZONES, bounds, record)?;
     let callers: Vec<SocketAddr> = daemons.all.iter().map(|daemon| daemon.caller).collect();
     let is_over = Arc::new(AtomicBool::new(false));
-    let clients = start_clients(callers, &seen, record, &is_over);
-    std::thread::sleep(Duration::from_secs(8));
+    let clients = start_clients(callers, &seen, record, &is_over, &EXIT);
+    std::thread::sleep(Duration::from_secs(4));
     for index in 0..REPLACED {
+        set_unframed(&mut readers[..UNSOUND], ONE_IN, record);
+        std::thread::sleep(UNFRAMED);
+        set_unframed(&mut readers[..UNSOUND], 0, record);
         if trouble {
-            readers.push(add_reader(&store, READERS + index)?);
-            std::thread::sleep(Duration::from_millis(500));
+            readers.push(add_reader(&store, READERS + index, &EXIT)?);
+            std::thread::sleep(PAUSE / 4);
             publish(&store, &readers[index], index, "draining", 2);
             record.line(format_args!("{} is draining, the store has it", readers[index].id));
             std::thread::sleep(SERVES_ON);
@@ -98,16 +126,31 @@
             record.line(format_args!("the process of {} has ended", readers[index].id));
             store.write(&format!("servers/{}", readers[index].id), None);
         }
-        std::thread::sleep(Duration::from_secs(2));
+        std::thread::sleep(PAUSE);
     }
     is_over.store(true, Ordering::Relaxed);
     let _ = clients.join();
     verdict(&seen, record)
 }
 
+fn set_unframed(readers: &mut [Reader], one_in: usize, record: &Record) {
+    for reader in readers.iter_mut() {
+        reader.set_unframed(one_in);
+    }
+    match one_in {
+        0 => record.line("all answers have chunks again"),
+        _ => record.line(format_args!(
+            "one answer in {one_in} of {} readers comes without a length",
+            readers.len()
+        )),
+    }
+}
+
 /// Number of rounds in which a daemon is frozen, and the time between the starts of two.
-const ROUNDS: usize = 4;
-const ROUND: Duration = Duration::from_secs(12);
+const ROUNDS: usize = 5;
+const ROUND: Duration = Duration::from_secs(10);
+/// Readers that crash in a round: a share of 0.22.
+const CRASHED: usize = 4;
 
 /// Case: a daemon is frozen, and meanwhile a worker crashes and starts again at its address.
 pub fn run_frozen(
@@ -121,19 +164,22 @@
     store.write("op/config", Some(CONFIGURATION.to_owned()));
     let mut readers = Vec::new();
     for index in 0..READERS {
-        readers.push(add_reader(&store, index)?);
+        readers.push(add_reader(&store, index, &FROZEN)?);
     }
     let (bounds, zones) = (Bounds { retry_reserve: 52 }, [ZONES, ZONES].concat());
     let daemons = Daemons::start(program, folder, store.address, &zones, bounds, record)?;
     let callers: Vec<SocketAddr> = daemons.all.iter().map(|daemon| daemon.caller).collect();
     let is_over = Arc::new(AtomicBool::new(false));
-    let clients = start_clients(callers, &seen, record, &is_over);
-    std::thread::sleep(Duration::from_secs(8));
+    let clients = start_clients(callers, &seen, record, &is_over, &FROZEN);
+    std::thread::sleep(Duration::from_secs(3));
     for round in 0..ROUNDS {
+        set_unframed(&mut readers[..UNSOUND], ONE_IN, record);
+        std::thread::sleep(UNFRAMED);
+        set_unframed(&mut readers[..UNSOUND], 0, record);
         if trouble {
             frozen_round(&store, &daemons, &mut readers, round, record)?;
         } else {
-            std::thread::sleep(ROUND);
+            std::thread::sleep(ROUND - UNFRAMED);
         }
     }
     is_over.store(true, Ordering::Relaxed);
@@ -153,26 +199,36 @@
         let end = Duration::from_millis(millis);
         std::thread::sleep(end.saturating_sub(started.elapsed()));
     };
-    let (daemon, reader) = (round % daemons.all.len(), round % READERS);
+    let daemon = round % daemons.all.len();
     daemons.signal(daemon, "STOP");
     record.line(format_args!("{} is frozen", daemons.all[daemon].name));
     until(500);
-    let (old_id, address) = (readers[reader].id.clone(), readers[reader].address);
-    let _ = readers[reader].process.kill();
-    let _ = readers[reader].process.wait();
-    record.line(format_args!("{old_id} has crashed"));
+    let mut old_ids = Vec::new();
+    for index in 0..CRASHED {
+        let reader = &mut readers[(CRASHED * round + index) % UNSOUND];
+        let _ = reader.process.kill();
+        let _ = reader.process.wait();
+        record.line(format_args!("{} has crashed", reader.id));
+        old_ids.push(reader.id.clone());
+    }
     until(2_500);
-    let new_id = format!("reader-{reader}-{round}");
-    readers[reader] = Reader::start(&new_id, address.port())?;
-    publish(store, &readers[reader], reader, "ready", 1);
-    record.line(format_args!("{new_id} has started at the address of {old_id}"));
+    for index in 0..CRASHED {
+        let position = (CRASHED * round + index) % UNSOUND;
+        let (new_id, port) =
+            (format!("reader-{position}-{round}"), readers[position].address.port());
+        readers[position] = Reader::start(&new_id, port, FROZEN.events)?;
+        publish(store, &readers[position], position, "ready", 1);
+        record.line(format_args!("{new_id} has started at the address of {}", old_ids[index]));
+    }
     until(3_500);
     daemons.signal(daemon, "CONT");
     record.line(format_args!("{} goes on", daemons.all[daemon].name));
-    // The entry of the crashed worker goes after three heartbeat intervals of silence.
+    // The entries of the crashed workers go after three heartbeat intervals of silence.
     until(500 + 3 * 1_200);
-    store.write(&format!("servers/{old_id}"), None);
-    until(12_000);
+    for old_id in old_ids {
+        store.write(&format!("servers/{old_id}"), None);
+    }
+    until(5_000);
     Ok(())
 }
 
@@ -188,14 +244,15 @@
     if served < 50 { Err("too little was served".to_owned()) } else { Ok(true) }
 }
 
-fn add_reader(store: &Store, index: usize) -> Result<Reader, String> {
-    let reader = Reader::start(&format!("reader-{index}"), 0)?;
+fn add_reader(store: &Store, index: usize, setting: &Setting) -> Result<Reader, String> {
+    let reader = Reader::start(&format!("reader-{index}"), 0, setting.events)?;
     publish(store, &reader, index, "ready", 1);
     Ok(reader)
 }
 
 fn publish(store: &Store, reader: &Reader, index: usize, state: &str, number: u64) {
-    let item = entry("reader", reader.address, ZONES[index % ZONES.len()], 96, state, number);
+    let zone = ZONES[index % ZONES.len()];
+    let item = entry("reader", reader.address, zone, 96, state, number);
     store.write(&format!("servers/{}", reader.id), Some(item));
 }
 
@@ -204,6 +261,7 @@
     seen: &Arc<Seen>,
     record: &Record,
     is_over: &Arc<AtomicBool>,
+    setting: &'static Setting,
 ) -> std::thread::JoinHandle<()> {
     let (seen, record, is_over) = (Arc::clone(seen), record.clone(), Arc::clone(is_over));
     std::thread::spawn(move || {
@@ -214,7 +272,7 @@
             let attempt = format!("{:016x}", random.next());
             let (seen, record) = (Arc::clone(&seen), record.clone());
             calls.push(std::thread::spawn(move || {
-                let end = ask(caller, &attempt).unwrap_or_else(|error| error.to_string());
+                let end = ask(caller, &attempt, setting).unwrap_or_else(|error| error.to_string());
                 match end.as_str() {
                     "whole" => drop(seen.served.fetch_add(1, Ordering::Relaxed)),
                     "complete, but short" => {
@@ -229,7 +287,7 @@
                 record.line(format_args!("client: request {attempt}: {end}"));
                 *lock(&seen.ends).entry(end).or_default() += 1;
             }));
-            std::thread::sleep(REQUEST_INTERVAL);
+            std::thread::sleep(setting.request_interval);
         }
         for call in calls {
             let _ = call.join();
@@ -238,7 +296,7 @@
 }
 
 /// Sends one request, reads its stream and tells how it ended.
-fn ask(caller: SocketAddr, attempt: &str) -> std::io::Result<String> {
+fn ask(caller: SocketAddr, attempt: &str, setting: &Setting) -> std::io::Result<String> {
     let mut stream = TcpStream::connect_timeout(&caller, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(Duration::from_secs(21)))?;
     write!(
@@ -263,37 +321,55 @@
     }
     let ids: Vec<usize> =
         text.lines().filter_map(|line| line.strip_prefix("id: ")?.trim().parse().ok()).collect();
-    let is_whole = ids.iter().copied().eq(1..=EVENTS);
+    let is_whole = ids.iter().copied().eq(1..=setting.events);
     Ok(if is_whole { "whole" } else { "complete, but short" }.to_owned())
 }
 
-/// Serves streams without a length until standard input ends. `name` is the id and the port.
+/// What a reader's process knows of itself.
+struct Serving {
+    id: String,
+    events: usize,
+    /// One answer in this many comes without a length, none if 0.
+    one_in: AtomicUsize,
+    answers: AtomicUsize,
+}
+
+/// Serves streams until standard input ends, which says how many answers come without a length.
+/// `name` is the id, the port and the number of events.
 pub fn serve_reader(name: &str) -> std::io::Result<()> {
-    let (id, port) = name.split_once(':').unwrap_or((name, "0"));
+    let mut parts = name.split(':');
+    let mut part = || parts.next().unwrap_or_default();
+    let (id, port, events) = (part().to_owned(), part(), part());
+    let events = events.parse().unwrap_or(0);
     let listener = TcpListener::bind(format!("127.0.0.1:{port}"))?;
     println!("{}", listener.local_addr()?);
     std::io::stdout().flush()?;
-    let id = id.to_owned();
+    let (one_in, answers) = (AtomicUsize::new(0), AtomicUsize::new(0));
+    let serving = Arc::new(Serving { id, events, one_in, answers });
+    let server = Arc::clone(&serving);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let id = id.clone();
+            let serving = Arc::clone(&server);
             std::thread::spawn(move || {
-                let _ = serve_stream(stream, &id);
+                let _ = serve_streams(stream, &serving);
             });
         }
     });
-    let mut rest = String::new();
-    while std::io::stdin().read_line(&mut rest)? > 0 {}
+    let mut line = String::new();
+    while std::io::stdin().read_line(&mut line)? > 0 {
+        serving.one_in.store(line.trim().parse().unwrap_or(0), Ordering::Relaxed);
+        line.clear();
+    }
     std::process::exit(0)
 }
 
-fn serve_stream(stream: TcpStream, id: &str) -> std::io::Result<()> {
+fn serve_streams(stream: TcpStream, serving: &Serving) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let (mut reader, mut writer) = (BufReader::new(stream.try_clone()?), stream);
     while let Some(request) = read_message(&mut reader)? {
         let attempt = request.field("x-attempt-id").to_owned();
         let echo = ("x-attempt-id", attempt.as_str());
-        if request.field("x-expect-instance") != id {
+        if request.field("x-expect-instance") != serving.id {
             writer.write_all(&answer("421 Misdirected Request", &[echo], b""))?;
             continue;
         }
@@ -301,17 +377,30 @@
             writer.write_all(&answer("400 Bad Request", &[echo, ("x-not-executed", "1")], b""))?;
             continue;
         }
+        let one_in = serving.one_in.load(Ordering::Relaxed);
+        let is_unframed =
+            one_in > 0 && (serving.answers.fetch_add(1, Ordering::Relaxed) + 1) % one_in == 0;
+        let framing = if is_unframed { "connection: close" } else { "transfer-encoding: chunked" };
         write!(
             writer,
-            "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-response-signature: {id}\r\n\
-             content-type: text/event-stream\r\nconnection: close\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nx-attempt-id: {attempt}\r\nx-response-signature: {}\r\n\
+             content-type: text/event-stream\r\n{framing}\r\n\r\n",
+            serving.id
         )?;
         let last: usize = request.field("last-event-id").parse().unwrap_or(0);
-        for number in last + 1..=EVENTS {
+        for number in last + 1..=serving.events {
             std::thread::sleep(EVENT_INTERVAL);
-            writer.write_all(format!("id: {number}\ndata: tag {number}\n\n").as_bytes())?;
+            let event = format!("id: {number}\ndata: tag {number}\n\n");
+            if is_unframed {
+                writer.write_all(event.as_bytes())?;
+            } else {
+                writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            }
+        }
+        if is_unframed {
+            return Ok(());
         }
-        return Ok(());
+        writer.write_all(b"0\r\n\r\n")?;
     }
     Ok(())
 }
