--- a/review/fakes/src/main.rs
+++ b/review/fakes/src/main.rs
@@ -7,6 +7,8 @@
 mod daemons;
 mod http;
 mod json;
+mod omitted_stage;
+mod readers;
 mod record;
 mod stages;
 mod store;
@@ -61,6 +63,7 @@
     std::fs::create_dir_all(temporary).map_err(|error| error.to_string())?;
     record.line(format_args!("case {case}, trouble: {trouble}"));
     match case {
+        "omitted-stage" => omitted_stage::run(program, temporary, &record, trouble),
         "unframed-exit" => unframed_exit::run(program, temporary, &record, trouble),
         "unframed-frozen" => unframed_exit::run_frozen(program, temporary, &record, trouble),
         _ => Err(format!("there is no case {case}")),
