Add failing tests of client crowds that exceed the memory of a VM

What callers saw: in a trial, clients that send large, slow or endless requests and stay connected ended a daemon, which ran out of memory; with all places taken, ordinary callers got no answer.

The crowds: bodies of the largest legal size in one piece, in pieces of 1,000 bytes, in large chunks and in chunks of one byte, whole or stopping short of their end; bodies far over the limit, announced or just sent; small bodies and heads that never end; answers that nobody reads; connections to all listeners. One legal body in chunks of one byte, and one of the largest size, must be served.

The bounds come from the smallest VM of the deployments, 120 MB and 3,075 descriptors; the crowd is the number of clients whose legal bodies exceed that memory twice (60 x 4 MiB). The listeners' test has a VM of 400 descriptors, so that 600 connections exceed it. Settings are the deployed template, with time limits that are longer than a test. Memory is resident memory and received bytes that the process has not read. The tests of one binary run one at a time.

--- /dev/null
+++ b/crates/crocusdaled/tests/client_crowds_test.rs
@@ -0,0 +1,248 @@
+//! Crowds of clients that send large, slow or endless requests to one daemon and stay connected.
+//! The daemon keeps within the memory and the descriptors of its VM, and serves other callers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::{Result, ensure};
+use platform_stand_ins::{IngressCaller, IngressRequest, PublishedFleet, VmSize, WorkerFault};
+use stand_ins::{ClientCrowd, CrowdBody, ProcessWatch, ResourcePeaks, send_raw, wait_for};
+use tokio::sync::Mutex;
+
+/// The smallest VM of the deployments.
+const SMALLEST_VM: VmSize = VmSize { memory_mb: 120, descriptors: 3_075 };
+/// Largest body that the deployments allow, in bytes.
+const BODY_LIMIT: u64 = 4 << 20;
+/// Number of clients whose largest bodies together exceed the memory of the smallest VM.
+const CROWD: usize = 60;
+/// Size of an ordinary request body, in bytes.
+const ORDINARY_BYTES: usize = 18_000;
+/// Time for which a test waits for a crowd to have written, and for one answer.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Pause before an ordinary caller comes back.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Held by the running test, as the memory of one daemon is measured at a time.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
+async fn fleet(vm: VmSize, replaced: &[(&str, usize)]) -> Result<PublishedFleet> {
+    let limits = vm.limits_section(replaced)?;
+    let (binary, directory) = (env!("CARGO_BIN_EXE_crocusdaled"), env!("CARGO_TARGET_TMPDIR"));
+    PublishedFleet::start_scheduled(binary, directory, 1, 52, |_| limits.clone()).await
+}
+
+fn watch(fleet: &PublishedFleet) -> Result<ProcessWatch> {
+    let daemon = &fleet.daemons[0];
+    let addresses = [daemon.caller, daemon.addresses, daemon.readiness, daemon.operator];
+    Ok(ProcessWatch::start(daemon.process.id()?, &addresses))
+}
+
+/// Heads of `count` requests, without their last line.
+fn heads(count: usize) -> Vec<String> {
+    let head = |index| {
+        format!(
+            "POST /ask/7 HTTP/1.1\r\nhost: mail.example\r\nx-attempt-id: crowd{index}\r\n\
+             x-deadline-ms: 8000\r\nx-api-key: secret\r\n"
+        )
+    };
+    (0..count).map(head).collect()
+}
+
+/// Sends an ordinary request, and again after each refusal.
+async fn ordinary_request(address: SocketAddr, attempt: &str) -> Result<()> {
+    let until = Instant::now() + PATIENCE;
+    for number in 0.. {
+        let request = IngressRequest::new("/ask/7", &format!("{attempt}-{number}"));
+        let answer = IngressCaller::once(address, &request.body(vec![b'x'; ORDINARY_BYTES])).await;
+        if answer.is_ok_and(|answer| answer.status == 200 && answer.is_complete) {
+            break;
+        }
+        ensure!(Instant::now() < until, "the ordinary request {attempt} got no answer");
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    Ok(())
+}
+
+/// Lets a crowd send `body` to a daemon on the smallest VM, with and without the crowd checks that
+/// an ordinary request is answered, and checks the memory and the descriptors.
+async fn check_crowd(clients: usize, body: CrowdBody, replaced: &[(&str, usize)]) -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let fleet = fleet(SMALLEST_VM, replaced).await?;
+    let caller = fleet.daemons[0].caller;
+    let watch = watch(&fleet)?;
+    let crowd = ClientCrowd::connect(caller, heads(clients), body);
+    wait_for(PATIENCE, "the crowd has written", async || crowd.has_written()).await?;
+    ordinary_request(caller, "beside").await?;
+    drop(crowd);
+    ordinary_request(caller, "after").await?;
+    check_peaks(watch.finish()?, SMALLEST_VM);
+    Ok(())
+}
+
+fn check_peaks(peaks: ResourcePeaks, vm: VmSize) {
+    println!("{peaks:?}");
+    assert!(peaks.memory_bytes <= vm.memory_bytes(), "{peaks:?} on {vm:?}");
+    assert!(peaks.descriptors <= vm.descriptors, "{peaks:?} on {vm:?}");
+}
+
+/// Time limits that are longer than a test, so that a crowd stays for as long as it likes.
+const NO_TIMEOUTS: &[(&str, usize)] = &[("head_ms", 600_000), ("body_ms", 600_000)];
+
+/// Guards against bodies that stop before their last byte and together exceed the memory.
+#[tokio::test]
+async fn large_bodies_that_stop_short_leave_memory() -> Result<()> {
+    let (announced, sent) = (BODY_LIMIT, BODY_LIMIT - 1);
+    let body = CrowdBody::Announced { announced, sent, piece: 1 << 20 };
+    check_crowd(CROWD, body, NO_TIMEOUTS).await
+}
+
+/// Guards against bodies that arrive in small pieces, stop before their last byte and together
+/// exceed the memory.
+#[tokio::test]
+async fn large_bodies_in_pieces_leave_memory() -> Result<()> {
+    let (announced, sent) = (BODY_LIMIT, BODY_LIMIT - 1);
+    let body = CrowdBody::Announced { announced, sent, piece: 1_000 };
+    check_crowd(CROWD, body, NO_TIMEOUTS).await
+}
+
+/// Guards against whole bodies of legal size that together exceed the memory.
+#[tokio::test]
+async fn whole_large_bodies_leave_memory() -> Result<()> {
+    let body = CrowdBody::Announced { announced: BODY_LIMIT, sent: BODY_LIMIT, piece: 1 << 20 };
+    check_crowd(CROWD, body, NO_TIMEOUTS).await
+}
+
+/// Guards against bodies in large chunks that never end and together exceed the memory.
+#[tokio::test]
+async fn large_chunks_without_an_end_leave_memory() -> Result<()> {
+    let body = CrowdBody::Chunked { chunk: 256 << 10, sent: BODY_LIMIT, ends: false };
+    check_crowd(CROWD, body, NO_TIMEOUTS).await
+}
+
+/// Guards against whole bodies in large chunks that together exceed the memory.
+#[tokio::test]
+async fn whole_bodies_in_large_chunks_leave_memory() -> Result<()> {
+    let body = CrowdBody::Chunked { chunk: 256 << 10, sent: BODY_LIMIT, ends: true };
+    check_crowd(CROWD, body, NO_TIMEOUTS).await
+}
+
+/// Guards against chunks of one byte that take many times their size.
+#[tokio::test]
+async fn chunks_of_one_byte_leave_memory() -> Result<()> {
+    let body = CrowdBody::Chunked { chunk: 1, sent: 1 << 20, ends: false };
+    check_crowd(8, body, NO_TIMEOUTS).await
+}
+
+/// Guards against one legal body in chunks of one byte that takes all the memory.
+#[tokio::test]
+async fn one_body_in_chunks_of_one_byte_is_served() -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let fleet = fleet(SMALLEST_VM, NO_TIMEOUTS).await?;
+    let (caller, watch) = (fleet.daemons[0].caller, watch(&fleet)?);
+    let body = CrowdBody::Chunked { chunk: 1, sent: BODY_LIMIT, ends: true };
+    let answer =
+        tokio::task::spawn_blocking(move || send_raw(caller, &heads(1)[0], body, PATIENCE));
+    let status = answer.await??;
+    assert!(status.starts_with("HTTP/1.1 200"), "{status}");
+    check_peaks(watch.finish()?, SMALLEST_VM);
+    Ok(())
+}
+
+/// Guards against a limit that a single body of the largest size meets.
+#[tokio::test]
+async fn one_body_of_the_largest_size_is_served() -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let fleet = fleet(SMALLEST_VM, NO_TIMEOUTS).await?;
+    let (caller, watch) = (fleet.daemons[0].caller, watch(&fleet)?);
+    let bodies = [
+        CrowdBody::Announced { announced: BODY_LIMIT, sent: BODY_LIMIT, piece: 1 << 20 },
+        CrowdBody::Chunked { chunk: 1 << 20, sent: BODY_LIMIT, ends: true },
+        CrowdBody::Announced { announced: BODY_LIMIT, sent: BODY_LIMIT, piece: 700 },
+    ];
+    for body in bodies {
+        let answer =
+            tokio::task::spawn_blocking(move || send_raw(caller, &heads(1)[0], body, PATIENCE));
+        let status = answer.await??;
+        assert!(status.starts_with("HTTP/1.1 200"), "{status} for {body:?}");
+    }
+    check_peaks(watch.finish()?, SMALLEST_VM);
+    Ok(())
+}
+
+/// Guards against bodies far over the limit that are read up to the limit before they are refused.
+#[tokio::test]
+async fn announced_bodies_over_the_limit_leave_memory() -> Result<()> {
+    let body = CrowdBody::Announced { announced: 8 << 30, sent: 64 << 20, piece: 1 << 20 };
+    check_crowd(CROWD, body, NO_TIMEOUTS).await
+}
+
+/// Guards against chunked bodies that go on far beyond the limit.
+#[tokio::test]
+async fn chunked_bodies_over_the_limit_leave_memory() -> Result<()> {
+    let body = CrowdBody::Chunked { chunk: 256 << 10, sent: 64 << 20, ends: false };
+    check_crowd(CROWD, body, NO_TIMEOUTS).await
+}
+
+/// Guards against small bodies that never end and hold all places for callers.
+#[tokio::test]
+async fn small_bodies_that_stop_short_leave_places() -> Result<()> {
+    let announced = ORDINARY_BYTES as u64;
+    let body = CrowdBody::Announced { announced, sent: announced - 1, piece: ORDINARY_BYTES };
+    let limits = [NO_TIMEOUTS, &[("connections", 100)]].concat();
+    check_crowd(150, body, &limits).await
+}
+
+/// Guards against requests whose heads never end and hold all places for callers.
+#[tokio::test]
+async fn heads_that_never_end_leave_places() -> Result<()> {
+    let limits = [NO_TIMEOUTS, &[("connections", 100)]].concat();
+    check_crowd(150, CrowdBody::UnfinishedHead, &limits).await
+}
+
+/// Guards against callers that read no answers, which the daemon holds for them.
+#[tokio::test]
+async fn answers_that_nobody_reads_leave_memory() -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let fleet = fleet(SMALLEST_VM, NO_TIMEOUTS).await?;
+    let caller = fleet.daemons[0].caller;
+    let set_fault = |fault| fleet.plain_workers.iter().for_each(|worker| worker.set_fault(fault));
+    let watch = watch(&fleet)?;
+    set_fault(WorkerFault::LargeAnswer(8 << 20));
+    let crowd = ClientCrowd::connect(caller, heads(30), CrowdBody::Empty);
+    let runs = async || fleet.plain_workers.iter().map(|w| w.executed_requests().len()).sum();
+    wait_for(PATIENCE, "half of the answers were made", async || {
+        let count: usize = runs().await;
+        crowd.has_written() && count >= 15
+    })
+    .await?;
+    set_fault(WorkerFault::None);
+    ordinary_request(caller, "beside").await?;
+    drop(crowd);
+    ordinary_request(caller, "after").await?;
+    check_peaks(watch.finish()?, SMALLEST_VM);
+    Ok(())
+}
+
+/// Guards against clients of all listeners that take every descriptor, so that the daemon can't
+/// connect to the store and to upstreams.
+#[tokio::test]
+async fn connections_to_all_listeners_leave_descriptors() -> Result<()> {
+    const DESCRIPTORS: usize = 400;
+    let _alone = ALONE.lock().await;
+    let vm = VmSize { descriptors: DESCRIPTORS, ..SMALLEST_VM };
+    let fleet = fleet(vm, NO_TIMEOUTS).await?;
+    let daemon = &fleet.daemons[0];
+    let watch = watch(&fleet)?;
+    let listeners = [daemon.caller, daemon.addresses, daemon.readiness, daemon.operator];
+    let crowds = listeners
+        .map(|address| ClientCrowd::connect(address, heads(150), CrowdBody::UnfinishedHead));
+    wait_for(PATIENCE, "the crowds have written", async || {
+        crowds.iter().all(ClientCrowd::has_written)
+    })
+    .await?;
+    ordinary_request(daemon.caller, "beside").await?;
+    drop(crowds);
+    ordinary_request(daemon.caller, "after").await?;
+    check_peaks(watch.finish()?, vm);
+    Ok(())
+}
--- a/crates/stand_ins/src/lib.rs
+++ b/crates/stand_ins/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod caller_client;
 mod child_process;
+mod client_crowd;
 mod daemon_fleet;
 mod declaration_text;
 mod fleet_model;
 mod platform_stand_in;
+mod process_watch;
 mod relay_stand_in;
 mod server_thread;
 mod trace_replay;
@@ -19,6 +21,7 @@
 
 pub use caller_client::{CallerAnswer, CallerClient, RequestBuilder};
 pub use child_process::ChildProcess;
+pub use client_crowd::{ClientCrowd, CrowdBody, send_raw};
 pub use daemon_fleet::{DaemonFleet, DaemonFleetBuilder, DaemonProcess, free_address, wait_for};
 pub use declaration_text::DeclarationText;
 pub use fleet_model::{
@@ -26,6 +29,7 @@
     ModelPool, ModelReport, PoolTally, SizeSpread,
 };
 pub use platform_stand_in::{PlatformMode, PlatformStandIn};
+pub use process_watch::{ProcessWatch, ResourcePeaks};
 pub use relay_stand_in::RelayStandIn;
 pub use server_thread::ServerThread;
 pub use trace_replay::{
