Divide the memory and the descriptors of a VM between callers

Nothing bounded what callers together make a process hold: 2,000 connections times bodies of 4 MiB are 8 GB, on VMs of 120 to 512 MB, and the process did not know its memory. The listeners together allowed 5,072 connections where the smallest VM has 3,075 descriptors.

The module `memory` decides without a network:

* `MemoryPlan` gives a third of the memory to callers' connections (a small body and the received bytes that are not read included), keeps a sixteenth as a margin, and leaves to larger bodies and answers what the process does not use otherwise.
It is worked out from the resident memory, so that the room shrinks where the directory grows.
Listeners take at most three quarters of the sockets.
* `ByteBudget` counts the bytes that are held.
A lease gives them back when it is dropped.
Bodies of more than 64 KiB fill three quarters at most, so that bursts of smaller ones get in.
* `ConnectionProgress` says which connection is closed when there is no room: none whose request is served, unfinished requests before idle connections, and the longest without progress first.
Bytes earn time by their number, so that a byte now and then keeps nobody connected.

New settings under `[limits]`: `memory_mb`, `descriptors`, `receive_bytes`, `stall_ms`, `stall_bytes_per_s`. Nothing reads them yet.

Evidence: `memory_test`, with property tests of the budget and of the progress.

--- a/crates/crocusdale_core/src/configuration/process_settings.rs
+++ b/crates/crocusdale_core/src/configuration/process_settings.rs
@@ -8,9 +8,15 @@
     AbandonRules, ConfigurationError, ConfigurationErrorKind, RegionMap, SchedulingSettings,
 };
 use crate::daemon::StalenessBounds;
+use crate::memory::ProgressLimits;
 use crate::retry::RetryLimits;
 use crate::routing::ColdLimits;
 
+/// Number of bytes in one megabyte of the settings.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+/// Number of largest bodies for which the memory of a process must suffice.
+const BODIES_IN_MEMORY: usize = 4;
+
 /// Settings of one daemon process.
 #[derive(Clone, Debug)]
 pub struct ProcessSettings {
@@ -96,6 +102,14 @@
     pub body_timeout: Duration,
     /// Maximum number of concurrent requests.
     pub requests: usize,
+    /// Memory of the process, in bytes. `None` if the settings don't name it.
+    pub memory_bytes: Option<usize>,
+    /// Maximum number of open descriptors. `None` if the settings don't name it.
+    pub descriptors: Option<usize>,
+    /// Number of received bytes of a connection that the operating system keeps until they are read.
+    pub receive_bytes: usize,
+    /// Progress that a connection must make to stay open when there is no room for others.
+    pub progress: ProgressLimits,
 }
 
 /// Settings of the failure detection between daemons.
@@ -143,6 +157,7 @@
         }
         check_platform(&sections, &mut errors);
         check_scheduling(&sections, &mut errors);
+        check_limits(&sections, &mut errors);
         errors.finish(())?;
         Ok(Self::read(&sections))
     }
@@ -177,14 +192,7 @@
             peer: address("listen", "peer"),
             operator: address("listen", "operator"),
             platform: read_platform(&section),
-            limits: LimitSettings {
-                body_bytes: number("limits", "body_bytes"),
-                head_bytes: number("limits", "head_bytes"),
-                connections: number("limits", "connections"),
-                head_timeout: duration("limits", "head_ms"),
-                body_timeout: duration("limits", "body_ms"),
-                requests: number("limits", "requests"),
-            },
+            limits: read_limits(section("limits")),
             membership: MembershipSettings {
                 period: duration("membership", "period_ms"),
                 suspicion: duration("membership", "suspicion_ms"),
@@ -232,6 +240,46 @@
     }
 }
 
+fn read_limits(section: &CheckedSection) -> LimitSettings {
+    let number = |key: &str| section.get::<usize>(key).expect("numbers with a default are present");
+    let duration = |key: &str| section.duration(key).expect("durations with a default are present");
+    LimitSettings {
+        body_bytes: number("body_bytes"),
+        head_bytes: number("head_bytes"),
+        connections: number("connections"),
+        head_timeout: duration("head_ms"),
+        body_timeout: duration("body_ms"),
+        requests: number("requests"),
+        memory_bytes: memory_bytes(section),
+        descriptors: section.get("descriptors"),
+        receive_bytes: number("receive_bytes"),
+        progress: ProgressLimits {
+            grace: duration("stall_ms"),
+            bytes_per_second: number("stall_bytes_per_s"),
+        },
+    }
+}
+
+fn memory_bytes(section: &CheckedSection) -> Option<usize> {
+    section.get::<f64>("memory_mb").map(|memory_mb| (memory_mb * BYTES_PER_MB) as usize)
+}
+
+/// Reports a body limit that does not fit into the memory beside other bodies.
+fn check_limits(sections: &[CheckedSection], errors: &mut ErrorCollector<'_>) {
+    let Some(section) = sections.iter().find(|section| section.spec.name == "limits") else {
+        return;
+    };
+    let (Some(memory), Some(body)) = (memory_bytes(section), section.get::<usize>("body_bytes"))
+    else {
+        return;
+    };
+    if body > memory / BODIES_IN_MEMORY {
+        let accepted = format!("at most a quarter of memory_mb, {}", memory / BODIES_IN_MEMORY);
+        let (place, found) = (("limits", "body_bytes"), body.to_string());
+        errors.report(ConfigurationErrorKind::BadValue, place, &found, accepted);
+    }
+}
+
 fn read_scheduling(section: &CheckedSection) -> SchedulingSettings {
     let is_on = |key: &str| section.text(key) == Some("on");
     SchedulingSettings {
--- a/crates/crocusdale_core/src/lib.rs
+++ b/crates/crocusdale_core/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`identity`]: identifiers of processes, requests and attempts; hashes; monotonic time.
 //! * [`configuration`]: validated settings and declarations, and the revision in force.
+//! * [`memory`]: memory and descriptors that callers may take.
 //! * [`membership`]: the VM list, heartbeats and gossip, addresses for callers, and the witnesses
 //!   of a request key.
 //! * [`claims`]: at-most-once execution of requests by idempotency key, and proof of whether a key
@@ -47,6 +48,7 @@
 pub mod daemon;
 pub mod identity;
 pub mod membership;
+pub mod memory;
 pub mod orders;
 pub mod pipeline;
 pub mod placement;
