Copy bodies into one piece of memory as they arrive

What callers saw: one legal body of 4 MiB in chunks of one byte took 177 MB, and ended the daemon of a VM of 120 MB by itself; whole bodies took twice their size.

Cause: a body was collected as a list of frames. Each frame keeps a reference of some 40 bytes and the whole read buffer that it came from, so that a chunk of one byte cost many times its size. At the end all frames were copied once more into one piece.

Ruled out: hyper's read buffer itself, which is bounded by the limit of the head; and a list of segments of equal size, which upstream requests, digests and messages would have had to learn.

Change: the bytes of each frame are copied into a buffer and the frame is dropped. Larger bodies get an anonymous memory mapping (memmap2), of which only the pages with bytes are resident, so that a body of unknown length needs no growing buffer, and whose memory is returned to the system when the last reader of the body drops it. Answers of upstreams are read in the same way.

--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -11,7 +11,7 @@
 use crocusdale_platform::notice::read_notice;
 use crocusdale_platform::relay::{RelayedHead, read_head};
 use http::StatusCode;
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::BodyExt as _;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
@@ -20,6 +20,7 @@
 use super::upstream_exchange::UpstreamExchange;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
+use crate::http::read_answer_body;
 use crate::upstream::{AnswerBody, is_framed, is_whole_answer};
 
 /// Largest answer without a stream that is read, in bytes.
@@ -150,10 +151,9 @@
         }
         return Some(end_event);
     }
-    let Ok(body) = Limited::new(body, MAX_ANSWER_BYTES).collect().await else {
+    let Ok(body) = read_answer_body(body, MAX_ANSWER_BYTES).await else {
         return Some(AttemptEvent::Broken(BreakReason::Cut));
     };
-    let body = body.to_bytes();
     if needs_end_check && !is_whole_answer(engine, &order.upstream, order.address).await {
         return Some(AttemptEvent::Broken(BreakReason::Cut));
     }
--- /dev/null
+++ b/crates/crocusdaled/src/http/body_buffer.rs
@@ -0,0 +1,96 @@
+use bytes::Bytes;
+use crocusdale_core::memory::SMALL_BODY_BYTES;
+use memmap2::{Advice, MmapMut};
+
+/// Bytes of a body in the order in which they arrive, in one piece of memory.
+///
+/// A body that is not small gets a memory mapping of its own. Only the pages with bytes take memory,
+/// and the operating system has them back once the body is dropped. On the heap, the memory of such
+/// bodies would be scattered and mostly stay with the process.
+#[derive(Debug)]
+pub(super) struct BodyBuffer {
+    storage: BodyStorage,
+    /// Number of bytes that have arrived.
+    len: usize,
+    /// Largest number of bytes that may arrive.
+    max_len: usize,
+}
+
+#[derive(Debug)]
+enum BodyStorage {
+    Heap(Vec<u8>),
+    Mapped(MmapMut),
+}
+
+/// A complete body in a memory mapping.
+#[derive(Debug)]
+struct MappedBody {
+    mapping: MmapMut,
+    len: usize,
+}
+
+impl AsRef<[u8]> for MappedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.mapping[..self.len]
+    }
+}
+
+impl BodyBuffer {
+    /// Creates a buffer for a body of `announced` bytes, or of at most `limit` bytes if none are
+    /// announced.
+    pub(super) fn new(announced: Option<usize>, limit: usize) -> Self {
+        let expected = announced.filter(|len| *len <= SMALL_BODY_BYTES).unwrap_or_default();
+        Self {
+            storage: BodyStorage::Heap(Vec::with_capacity(expected)),
+            len: 0,
+            max_len: announced.unwrap_or(limit),
+        }
+    }
+
+    /// Number of bytes that have arrived.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Appends `bytes`, which must not exceed the largest size.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if it has no memory for a mapping.
+    pub(super) fn push(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        let new_len = self.len + bytes.len();
+        if let BodyStorage::Heap(heap) = &mut self.storage
+            && new_len > SMALL_BODY_BYTES
+        {
+            let mut mapping = new_mapping(self.max_len)?;
+            mapping[..self.len].copy_from_slice(heap);
+            self.storage = BodyStorage::Mapped(mapping);
+        }
+        match &mut self.storage {
+            BodyStorage::Heap(heap) => heap.extend_from_slice(bytes),
+            BodyStorage::Mapped(mapping) => {
+                mapping[self.len..new_len].copy_from_slice(bytes);
+            }
+        }
+        self.len = new_len;
+        Ok(())
+    }
+
+    /// Returns the bytes that have arrived, without a copy.
+    pub(super) fn into_bytes(self) -> Bytes {
+        match self.storage {
+            BodyStorage::Heap(heap) => heap.into(),
+            BodyStorage::Mapped(mapping) => {
+                Bytes::from_owner(MappedBody { mapping, len: self.len })
+            }
+        }
+    }
+}
+
+fn new_mapping(len: usize) -> std::io::Result<MmapMut> {
+    let mapping = MmapMut::map_anon(len)?;
+    // Huge pages would take memory beyond the bytes that have arrived. Kernels without them reject
+    // the advice.
+    let _ = mapping.advise(Advice::NoHugePage);
+    Ok(mapping)
+}
--- a/crates/crocusdaled/src/http/body_reader.rs
+++ b/crates/crocusdaled/src/http/body_reader.rs
@@ -2,9 +2,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use http_body_util::BodyExt as _;
 use volo_http::body::Body;
 
+use super::body_buffer::BodyBuffer;
+
 /// Time for which the rest of a body that is too large is read and discarded. A caller that sends
 /// at full speed finishes in well under a second.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(3);
@@ -41,6 +43,18 @@
     read_up_to(&mut body, limit).await
 }
 
+/// Reads the answer of an upstream, of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns whether the answer was too large or incomplete.
+pub(crate) async fn read_answer_body(
+    mut body: impl http_body::Body<Data = Bytes> + Unpin,
+    limit: usize,
+) -> Result<Bytes, BodyFault> {
+    read_up_to(&mut body, limit).await
+}
+
 /// Reads the body of a caller's request, up to `limit` bytes. If the body is larger, the rest is
 /// read and discarded in the background for at most three seconds.
 ///
@@ -55,12 +69,22 @@
     read
 }
 
-async fn read_up_to(body: &mut Body, limit: usize) -> Result<Bytes, BodyFault> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(fault) if fault.is::<LengthLimitError>() => Err(BodyFault::TooLarge),
-        Err(_) => Err(BodyFault::Incomplete),
+async fn read_up_to(
+    body: &mut (impl http_body::Body<Data = Bytes> + Unpin),
+    limit: usize,
+) -> Result<Bytes, BodyFault> {
+    let announced = body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
+    let mut buffer = BodyBuffer::new(announced.filter(|len| *len <= limit), limit);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyFault::Incomplete)?;
+        let Some(data) = frame.data_ref() else { continue };
+        if buffer.len() + data.len() > limit {
+            return Err(BodyFault::TooLarge);
+        }
+        // The bytes are copied, as a frame keeps the whole read buffer of its connection.
+        buffer.push(data).map_err(|_| BodyFault::Incomplete)?;
     }
+    Ok(buffer.into_bytes())
 }
 
 /// Reads the rest of a body and discards it.
