Refuse a body over the limit before it is read

What callers saw: 60 requests that announce 8 GiB took 187 MB of a VM of 120 MB before each was answered with 413.

Cause: the limit was compared with the bytes that had arrived. A body whose length says that it is too large was read and kept up to the limit first.

Change: the announced length is compared with the limit before the first byte is read. The rest of such a body is still read and discarded for 3 s, so that the caller sees the answer.

`refusal_of_a_large_body_reaches_a_caller_that_still_writes` passes as before.

--- a/crates/crocusdaled/src/http/body_reader.rs
+++ b/crates/crocusdaled/src/http/body_reader.rs
@@ -73,8 +73,11 @@
     body: &mut (impl http_body::Body<Data = Bytes> + Unpin),
     limit: usize,
 ) -> Result<Bytes, BodyFault> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(BodyFault::TooLarge);
+    }
     let announced = body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
-    let mut buffer = BodyBuffer::new(announced.filter(|len| *len <= limit), limit);
+    let mut buffer = BodyBuffer::new(announced, limit);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyFault::Incomplete)?;
         let Some(data) = frame.data_ref() else { continue };
