Refuse bodies that have no room in the memory of the VM

Cause: each body had a limit, all bodies together had none, and the process did not know its memory.

Ways weighed: to stop reading moves the bytes into the kernel, where they count as the daemon's memory as well; to let bodies wait for room keeps callers until their deadline; a fixed share of the memory is too much where the directory is large and too little elsewhere. Kept: refusal at once, with the time at which the next connection without progress may be closed as Retry-After.

Change: a body of more than 16 KiB takes its announced length, or steps of 64 KiB, from the budget before it is read; nothing of the request has been sent by then, and it is answered with 503 and `no_room`. The room is the memory of the VM (`memory_mb`, rendered by the template) less the margin, the connections and the resident memory beside bodies, sampled at most every 100 ms and only when a body asks for room. The bytes of a body own their lease, so that they are given back wherever the body is dropped: in a queue, a retry, a cancelled call or a panicking task. Before a refusal, connections without progress that hold enough are closed. Heads beyond 8 KiB take room too. Connections get a receive buffer of 32 KiB (`receive_bytes`), as unread bytes count as the daemon's memory. The rest of a refused body is discarded, so that its caller sees the answer, for 256 bodies at a time.

One body of 4 MiB is served on the smallest VM, in one piece, in pieces of 700 bytes and in chunks of one byte.

New: log lines `room_exhausted`, `room_restored`, `connection_closed`; gauges of held bytes, room and connections; counters of refused bodies and closed connections.

--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -149,4 +149,14 @@
     PlacementsExpired,
     /// Pauses of this process that it detected, such as a suspension or a lack of CPU time.
     PausesNoticed,
+    /// Requests that were refused because there was no memory for their bodies.
+    BodiesWithoutRoom,
+    /// Connections that were closed to make room while the head of a request arrived too slowly.
+    StalledHeadsClosed,
+    /// Connections that were closed to make room while the body of a request arrived too slowly.
+    StalledBodiesClosed,
+    /// Connections that were closed to make room while their callers read no answer.
+    UnreadAnswersClosed,
+    /// Idle connections that were closed to make room.
+    IdleConnectionsClosed,
 }
--- a/crates/crocusdale_core/src/memory/byte_budget.rs
+++ b/crates/crocusdale_core/src/memory/byte_budget.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use super::SMALL_BODY_BYTES;
+
 /// Largest size of [`HoldClass::Medium`], in bytes.
 const MAX_MEDIUM_BYTES: usize = 64 << 10;
 /// Part of the capacity that [`HoldClass::Large`] may fill, as numerator and denominator. The rest
@@ -35,6 +37,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum HoldClass {
+    /// At most [`SMALL_BODY_BYTES`]. Is part of what its connection takes, and always held.
+    Small,
     /// At most 64 KiB. May fill the whole capacity.
     Medium,
     /// More than 64 KiB. May fill three quarters of the capacity.
@@ -52,11 +56,18 @@
     /// Class of a body or an answer of `bytes` bytes.
     #[must_use]
     pub fn of(bytes: usize) -> Self {
-        if bytes <= MAX_MEDIUM_BYTES { Self::Medium } else { Self::Large }
+        if bytes <= SMALL_BODY_BYTES {
+            Self::Small
+        } else if bytes <= MAX_MEDIUM_BYTES {
+            Self::Medium
+        } else {
+            Self::Large
+        }
     }
 
     fn limit(self, capacity: usize) -> usize {
         match self {
+            Self::Small => usize::MAX,
             Self::Medium => capacity,
             Self::Large => capacity / LARGE_SHARE.1 * LARGE_SHARE.0,
         }
--- a/crates/crocusdale_core/src/pipeline/final_answer.rs
+++ b/crates/crocusdale_core/src/pipeline/final_answer.rs
@@ -56,6 +56,8 @@
     TooLarge,
     /// The request body did not arrive in time.
     TooSlow,
+    /// There is no memory for the request body.
+    NoRoom,
     /// The workspace is not declared.
     UnknownWorkspace,
     /// A label can't be parsed, or the request has too many labels.
--- a/crates/crocusdaled/src/engine/daemon_engine.rs
+++ b/crates/crocusdaled/src/engine/daemon_engine.rs
@@ -9,6 +9,7 @@
 
 use super::{CallReply, CallTable, MonotonicClock, TimerService};
 use crate::forwarding::RelayClient;
+use crate::memory::CallerMemory;
 use crate::peer::{PeerClient, PieceTable};
 use crate::platform::PlatformReader;
 use crate::telemetry::Telemetry;
@@ -22,9 +23,10 @@
     /// Monotonic clock that started with this process.
     pub clock: MonotonicClock,
     /// Logs and metrics of this process.
-    pub telemetry: Telemetry,
+    pub telemetry: Arc<Telemetry>,
     /// Notified once when the daemon has drained and may exit.
     pub drained: Notify,
+    memory: Arc<CallerMemory>,
     calls: CallTable,
     timers: TimerService,
     upstreams: UpstreamClient,
@@ -42,7 +44,8 @@
     pub fn start(
         core: DaemonCore,
         clock: MonotonicClock,
-        telemetry: Telemetry,
+        telemetry: Arc<Telemetry>,
+        memory: Arc<CallerMemory>,
         platform: PlatformReader,
     ) -> Arc<Self> {
         let (timers, due) = TimerService::subscribe(clock);
@@ -51,6 +54,7 @@
             clock,
             telemetry,
             drained: Notify::new(),
+            memory,
             calls: CallTable::default(),
             timers,
             upstreams: UpstreamClient::default(),
@@ -74,6 +78,12 @@
         self.clock.now()
     }
 
+    /// Memory that callers make this process hold.
+    #[must_use]
+    pub fn memory(&self) -> &Arc<CallerMemory> {
+        &self.memory
+    }
+
     /// Client for JSON calls to upstreams.
     pub(crate) fn upstreams(&self) -> &UpstreamClient {
         &self.upstreams
--- a/crates/crocusdaled/src/forwarding/forward_service.rs
+++ b/crates/crocusdaled/src/forwarding/forward_service.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use crocusdale_core::configuration::LimitSettings;
-use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::daemon::{CounterName, DaemonEvent};
 use crocusdale_core::identity::RequestDigest;
 use crocusdale_core::pipeline::{FinalAnswer, FinalOutcome, OutcomeKind, RefusalReason};
 use crocusdale_platform::ingress::{IngressCall, read_call, refusal_head};
@@ -24,7 +24,8 @@
 use super::relay_call::RelayCall;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::http::{BodyFault, read_caller_body};
+use crate::http::{BodyFault, BodyRoom, read_caller_body};
+use crate::memory::CallerConnection;
 use crate::service::OpenCall;
 
 /// HTTP service that forwards callers' requests to upstreams.
@@ -47,6 +48,24 @@
 
 impl std::error::Error for IncompleteAnswer {}
 
+/// Why a request was refused for its body.
+struct BodyRefusal {
+    reason: RefusalReason,
+    /// Time after which the caller may come back. `None` if it makes no difference.
+    retry_after: Option<Duration>,
+}
+
+impl BodyRefusal {
+    /// Adds the refusal to `outcome`.
+    fn outcome(&self, outcome: FinalOutcome) -> FinalOutcome {
+        let outcome = outcome.with_reason(self.reason);
+        match self.retry_after {
+            Some(retry_after) => outcome.with_retry(retry_after, true),
+            None => outcome,
+        }
+    }
+}
+
 impl ForwardService {
     /// Creates a service for callers of `engine`, with the body size and time limits of `limits`.
     #[must_use]
@@ -66,11 +85,12 @@
             warn!(self.engine.telemetry.log, "fields_unreadable";
                 "request" => &request.key.key, "taken_as_missing" => unreadable.join(","));
         }
-        let body = match self.read_request_body(body).await {
+        let connection = parts.extensions.get::<Arc<CallerConnection>>();
+        let body = match self.read_request_body(body, connection).await {
             Ok(body) => body,
-            Err(reason) => {
+            Err(refusal) => {
                 let outcome =
-                    FinalOutcome::new(OutcomeKind::Refused, &request.key).with_reason(reason);
+                    refusal.outcome(FinalOutcome::new(OutcomeKind::Refused, &request.key));
                 return self.refusal_response(&FinalAnswer::from(outcome));
             }
         };
@@ -88,16 +108,29 @@
         }
     }
 
-    async fn read_request_body(&self, body: Body) -> Result<Bytes, RefusalReason> {
+    async fn read_request_body(
+        &self,
+        body: Body,
+        connection: Option<&Arc<CallerConnection>>,
+    ) -> Result<Bytes, BodyRefusal> {
         let declared_bytes = self.engine.core.caller_limits().map_or(0, |limits| limits.body_bytes);
         let limit = self.max_body_bytes.max(declared_bytes);
-        let read = tokio::time::timeout(self.body_timeout, read_caller_body(body, limit));
-        match read.await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(BodyFault::TooLarge)) => Err(RefusalReason::TooLarge),
-            Ok(Err(BodyFault::Incomplete)) => Err(RefusalReason::Malformed),
-            Err(_) => Err(RefusalReason::TooSlow),
-        }
+        let room = BodyRoom::for_request(self.engine.memory(), connection);
+        let read = tokio::time::timeout(self.body_timeout, read_caller_body(body, limit, room));
+        let reason = match read.await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(BodyFault::TooLarge)) => RefusalReason::TooLarge,
+            Ok(Err(BodyFault::Incomplete)) => RefusalReason::Malformed,
+            Ok(Err(BodyFault::NoRoom(retry_after))) => {
+                self.engine.telemetry.count(CounterName::BodiesWithoutRoom);
+                return Err(BodyRefusal {
+                    reason: RefusalReason::NoRoom,
+                    retry_after: Some(retry_after),
+                });
+            }
+            Err(_) => RefusalReason::TooSlow,
+        };
+        Err(BodyRefusal { reason, retry_after: None })
     }
 
     fn answer_response(&self, call: OpenCall, answer: RelayedAnswer) -> Response {
--- a/crates/crocusdaled/src/http/body_buffer.rs
+++ b/crates/crocusdaled/src/http/body_buffer.rs
@@ -2,6 +2,8 @@
 use crocusdale_core::memory::SMALL_BODY_BYTES;
 use memmap2::{Advice, MmapMut};
 
+use crate::memory::HeldBytes;
+
 /// Bytes of a body in the order in which they arrive, in one piece of memory.
 ///
 /// A body that is not small gets a memory mapping of its own. Only the pages with bytes take memory,
@@ -14,6 +16,8 @@
     len: usize,
     /// Largest number of bytes that may arrive.
     max_len: usize,
+    /// Memory that is held for the body. `None` if it is small, or not sent by a caller.
+    pub(super) held: Option<HeldBytes>,
 }
 
 #[derive(Debug)]
@@ -27,6 +31,7 @@
 struct MappedBody {
     mapping: MmapMut,
     len: usize,
+    _held: Option<HeldBytes>,
 }
 
 impl AsRef<[u8]> for MappedBody {
@@ -44,6 +49,7 @@
             storage: BodyStorage::Heap(Vec::with_capacity(expected)),
             len: 0,
             max_len: announced.unwrap_or(limit),
+            held: None,
         }
     }
 
@@ -65,23 +71,33 @@
             let mut mapping = new_mapping(self.max_len)?;
             mapping[..self.len].copy_from_slice(heap);
             self.storage = BodyStorage::Mapped(mapping);
+            if let Some(held) = &mut self.held {
+                held.record_arrival(self.len);
+            }
         }
         match &mut self.storage {
             BodyStorage::Heap(heap) => heap.extend_from_slice(bytes),
             BodyStorage::Mapped(mapping) => {
                 mapping[self.len..new_len].copy_from_slice(bytes);
+                if let Some(held) = &mut self.held {
+                    held.record_arrival(bytes.len());
+                }
             }
         }
         self.len = new_len;
         Ok(())
     }
 
-    /// Returns the bytes that have arrived, without a copy.
-    pub(super) fn into_bytes(self) -> Bytes {
+    /// Returns the bytes that have arrived, without a copy. Memory that was held for more is given
+    /// back at once, the rest when the bytes are dropped.
+    pub(super) fn into_bytes(mut self) -> Bytes {
+        if let Some(held) = &mut self.held {
+            held.shrink_to_arrived();
+        }
         match self.storage {
             BodyStorage::Heap(heap) => heap.into(),
             BodyStorage::Mapped(mapping) => {
-                Bytes::from_owner(MappedBody { mapping, len: self.len })
+                Bytes::from_owner(MappedBody { mapping, len: self.len, _held: self.held })
             }
         }
     }
--- a/crates/crocusdaled/src/http/http_listener.rs
+++ b/crates/crocusdaled/src/http/http_listener.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::CallerLimits;
+use crocusdale_core::memory::ConnectionPhase;
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use motore::service::Service;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::JoinSet;
 use volo::net::Address;
@@ -18,6 +20,9 @@
 use volo_http::response::Response;
 use volo_http::server::route::Router;
 
+use super::metered_stream::{HeadMemory, MeteredStream};
+use crate::memory::{CallerConnection, CallerMemory, ConnectionTable};
+
 /// Delay before the next accept after the operating system failed to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Time for which sent bytes may stay unacknowledged before a connection counts as lost
@@ -29,6 +34,8 @@
 /// Factor by which a connection is kept longer than the idle time that callers are told, so that
 /// the daemon never closes a connection that its caller is about to reuse.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.5;
+/// Largest number of connections that wait to be accepted.
+const MAX_BACKLOG: usize = 1_024;
 /// Default of the time that open connections have to finish once the listener stops.
 const DEFAULT_FINISH_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -47,6 +54,7 @@
 pub struct HttpListenerBuilder {
     max_connections: usize,
     max_head_bytes: usize,
+    receive_bytes: Option<usize>,
     head_timeout: Duration,
     finish_timeout: Duration,
 }
@@ -56,6 +64,7 @@
         Self {
             max_connections: 1_024,
             max_head_bytes: 16_384,
+            receive_bytes: None,
             head_timeout: Duration::from_secs(10),
             finish_timeout: DEFAULT_FINISH_TIMEOUT,
         }
@@ -77,6 +86,14 @@
         self
     }
 
+    /// Sets the number of received bytes of a connection that the operating system keeps until they
+    /// are read. Without it, the operating system decides.
+    #[must_use]
+    pub fn receive_bytes(mut self, receive_bytes: usize) -> Self {
+        self.receive_bytes = Some(receive_bytes);
+        self
+    }
+
     /// Sets the time within which a request head has to arrive.
     #[must_use]
     pub fn head_timeout(mut self, head_timeout: Duration) -> Self {
@@ -107,28 +124,61 @@
     ///
     /// Returns the error of the operating system if the address can't be bound.
     pub async fn bind(self, address: SocketAddr) -> std::io::Result<HttpListener> {
-        Ok(HttpListener { listener: TcpListener::bind(address).await?, limits: self })
+        Ok(HttpListener { listener: self.listen(address)?, limits: self })
+    }
+
+    fn listen(&self, address: SocketAddr) -> std::io::Result<TcpListener> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        if let Some(receive_bytes) = self.receive_bytes {
+            // Accepted connections inherit the size, and those that wait to be accepted have it too.
+            socket.set_recv_buffer_size(u32::try_from(receive_bytes).unwrap_or(u32::MAX))?;
+        }
+        socket.bind(address)?;
+        let backlog = self.max_connections.min(MAX_BACKLOG);
+        socket.listen(u32::try_from(backlog).unwrap_or(u32::MAX))
     }
 }
 
 impl HttpListener {
-    /// Serves `router` until `stop` changes. After that no connection is accepted, and open ones
-    /// finish the requests that have begun.
-    pub async fn serve(self, router: Router, stop: watch::Receiver<bool>) {
-        self.serve_with_limits(router, stop, || None).await;
+    /// Serves `router` until `stop` changes, with the open connections in `table`. After that no
+    /// connection is accepted, and open ones finish the requests that have begun.
+    pub async fn serve(
+        self,
+        router: Router,
+        table: Arc<ConnectionTable>,
+        stop: watch::Receiver<bool>,
+    ) {
+        let connections = ServedConnections::new(router, table, None, stop);
+        self.accept_connections(connections, || None).await;
     }
 
-    /// Like [`HttpListener::serve`], but raises the limits of each new connection to what
-    /// `declared` returns when it is accepted. `None` leaves them as they are.
-    pub async fn serve_with_limits(
+    /// Like [`HttpListener::serve`], but for callers whose requests are held in `memory`. The limits
+    /// of each new connection are raised to what `declared` returns when it is accepted; `None`
+    /// leaves them as they are.
+    pub async fn serve_callers(
         self,
         router: Router,
-        mut stop: watch::Receiver<bool>,
+        memory: Arc<CallerMemory>,
+        stop: watch::Receiver<bool>,
+        declared: impl Fn() -> Option<CallerLimits>,
+    ) {
+        let table = Arc::clone(memory.connections());
+        let connections = ServedConnections::new(router, table, Some(memory), stop);
+        self.accept_connections(connections, declared).await;
+    }
+
+    async fn accept_connections(
+        self,
+        served: ServedConnections,
         declared: impl Fn() -> Option<CallerLimits>,
     ) {
-        let router = Arc::new(router);
         let permits = Arc::new(Semaphore::new(self.limits.max_connections));
-        let mut connections = JoinSet::new();
+        let mut tasks = JoinSet::new();
+        let mut stop = served.stop.clone();
         loop {
             // The permit is acquired before the accept. Excess connections then stay in the listen
             // backlog of the kernel, where they take no memory of this process.
@@ -145,54 +195,100 @@
                 continue;
             };
             let limits = declared().map_or(self.limits, |limits| self.limits.raise_to(limits));
-            let connection =
-                serve_connection(stream, peer, Arc::clone(&router), limits, stop.clone());
-            connections.spawn(async move {
+            let connection = served.serve(stream, peer, limits);
+            tasks.spawn(async move {
                 connection.await;
                 drop(permit);
             });
-            while connections.try_join_next().is_some() {}
+            while tasks.try_join_next().is_some() {}
         }
         drop(self.listener);
         let _ = tokio::time::timeout(self.limits.finish_timeout, async {
-            while connections.join_next().await.is_some() {}
+            while tasks.join_next().await.is_some() {}
         })
         .await;
     }
 }
 
-async fn serve_connection(
-    stream: TcpStream,
-    peer: SocketAddr,
+/// What the connections of a listener share.
+struct ServedConnections {
     router: Arc<Router>,
-    limits: HttpListenerBuilder,
-    mut stop: watch::Receiver<bool>,
-) {
-    let _ = stream.set_nodelay(true);
-    // Without this timeout a caller whose host has gone silent would hold a connection forever.
-    let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-    let service = service_fn(move |request: http::Request<Incoming>| {
-        let router = Arc::clone(&router);
+    table: Arc<ConnectionTable>,
+    /// Memory for requests. `None` if the listener's requests have no bodies.
+    memory: Option<Arc<CallerMemory>>,
+    stop: watch::Receiver<bool>,
+}
+
+impl ServedConnections {
+    fn new(
+        router: Router,
+        table: Arc<ConnectionTable>,
+        memory: Option<Arc<CallerMemory>>,
+        stop: watch::Receiver<bool>,
+    ) -> Self {
+        Self { router: Arc::new(router), table, memory, stop }
+    }
+
+    /// Serves one connection until it ends.
+    fn serve(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        limits: HttpListenerBuilder,
+    ) -> impl Future<Output = ()> + use<> {
+        let _ = stream.set_nodelay(true);
+        // Without this timeout a caller whose host has gone silent would hold a connection forever.
+        let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        let entry = self.table.open(peer);
+        let heads = self.memory.as_ref();
+        let heads = heads.map(|memory| HeadMemory::new(Arc::clone(memory), limits.max_head_bytes));
+        let stream = MeteredStream::new(stream, Arc::clone(&entry.connection), heads);
+        let (router, mut stop) = (Arc::clone(&self.router), self.stop.clone());
         async move {
-            let mut context = ServerContext::new(Address::from(peer));
-            let request = request.map(Body::from_incoming);
-            let response: Response = match router.call(&mut context, request).await {
-                Ok(response) => response,
-                Err(never) => match never {},
+            let caller = Arc::clone(&entry.connection);
+            let service = service_fn(move |request| {
+                serve_request(Arc::clone(&router), Arc::clone(&caller), peer, request)
+            });
+            let mut builder = http1::Builder::new();
+            builder.timer(TokioTimer::new()).header_read_timeout(limits.head_timeout);
+            builder.max_buf_size(limits.max_head_bytes).keep_alive(true);
+            let connection = builder.serve_connection(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            let finished = async {
+                tokio::select! {
+                    _ = connection.as_mut() => {}
+                    _ = stop.changed() => {
+                        connection.as_mut().graceful_shutdown();
+                        let _ = connection.await;
+                    }
+                }
             };
-            Ok::<_, Infallible>(response)
-        }
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(limits.head_timeout);
-    builder.max_buf_size(limits.max_head_bytes).keep_alive(true);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => {}
-        _ = stop.changed() => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            tokio::select! {
+                () = finished => {}
+                () = entry.connection.closing() => {}
+            }
         }
     }
 }
+
+async fn serve_request(
+    router: Arc<Router>,
+    caller: Arc<CallerConnection>,
+    peer: SocketAddr,
+    request: http::Request<Incoming>,
+) -> Result<Response, Infallible> {
+    let phase = match request.body().is_end_stream() {
+        true => ConnectionPhase::Serving,
+        false => ConnectionPhase::Body,
+    };
+    caller.begin(phase);
+    let mut context = ServerContext::new(Address::from(peer));
+    let mut request = request.map(Body::from_incoming);
+    request.extensions_mut().insert(Arc::clone(&caller));
+    let response = match router.call(&mut context, request).await {
+        Ok(response) => response,
+        Err(never) => match never {},
+    };
+    caller.end_request();
+    Ok(response)
+}
--- a/crates/crocusdaled/src/http/mod.rs
+++ b/crates/crocusdaled/src/http/mod.rs
@@ -3,7 +3,8 @@
 mod body_buffer;
 mod body_reader;
 mod http_listener;
+mod metered_stream;
 
-pub(crate) use body_reader::read_answer_body;
-pub use body_reader::{BodyFault, read_body, read_caller_body};
+pub use body_reader::{BodyFault, read_body};
+pub(crate) use body_reader::{BodyRoom, read_answer_body, read_caller_body};
 pub use http_listener::{HttpListener, HttpListenerBuilder};
--- a/crates/crocusdaled/src/lib.rs
+++ b/crates/crocusdaled/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`platform`]: readers of the configuration, the VM list and the upstream directory.
 //! * [`telemetry`]: logs and metrics.
 //! * [`http`]: HTTP listener that the services share, and body readers.
+//! * [`memory`]: memory that callers make the process hold.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -18,6 +19,7 @@
 pub mod engine;
 pub mod forwarding;
 pub mod http;
+pub mod memory;
 pub mod peer;
 pub mod platform;
 pub mod service;
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -8,15 +8,19 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context as _, Result};
-use crocusdale_core::configuration::{PlatformSettings, ProcessSettings, PublishedSettings};
+use crocusdale_core::configuration::{
+    LimitSettings, PlatformSettings, ProcessSettings, PublishedSettings,
+};
 use crocusdale_core::daemon::DaemonEvent;
 use crocusdale_core::identity::InstanceId;
 use crocusdale_core::membership::{MemberCapacity, MemberPlace};
+use crocusdale_core::memory::MemoryPlan;
 use crocusdale_core::{DaemonCoreBuilder, DiscoverySettings};
 use crocusdale_platform::configuration::read_declarations;
 use crocusdaled::engine::{DaemonEngine, MonotonicClock};
 use crocusdaled::forwarding::{ForwardService, ReadyService};
 use crocusdaled::http::HttpListenerBuilder;
+use crocusdaled::memory::{CallerMemory, ConnectionTable, VmResources};
 use crocusdaled::peer::PeerServer;
 use crocusdaled::platform::{PlatformReader, ServiceReader, StoreReader};
 use crocusdaled::service::{CallerService, OperatorService};
@@ -109,8 +113,11 @@
     let peer_listener =
         PeerServer::bind(settings.peer).await.context("can't bind the address of [listen] peer")?;
     let limits = &settings.limits;
+    let resources = VmResources::read(limits)?;
+    let plan = MemoryPlan::new(resources.memory_bytes, resources.descriptors, limits);
     let callers = HttpListenerBuilder::default()
-        .max_connections(limits.connections)
+        .max_connections(plan.connections())
+        .receive_bytes(limits.receive_bytes)
         .max_head_bytes(limits.head_bytes)
         .head_timeout(limits.head_timeout);
     let callers = match &settings.platform {
@@ -119,30 +126,36 @@
     };
     let callers =
         callers.bind(settings.caller).await.context("can't bind the address of [listen] caller")?;
-    let operator_listener = HttpListenerBuilder::default().bind(settings.operator).await;
+    let operator_listener = HttpListenerBuilder::default().receive_bytes(limits.receive_bytes);
+    let operator_listener = operator_listener.bind(settings.operator).await;
     let operator_listener =
         operator_listener.context("can't bind the address of [listen] operator")?;
 
     slog::info!(log, "started";
         "version" => env!("CARGO_PKG_VERSION"), "zone" => &settings.zone,
-        "caller" => settings.caller.to_string(), "peer" => settings.peer.to_string());
-    let engine = start_engine(&settings, log)?;
+        "caller" => settings.caller.to_string(), "peer" => settings.peer.to_string(),
+        "memory_bytes" => resources.memory_bytes, "descriptors" => resources.descriptors,
+        "connections" => plan.connections());
+    let engine = start_engine(&settings, plan, log)?;
     let (stop_sender, stop_receiver) = watch::channel(false);
     tokio::spawn(PeerServer::new(Arc::clone(&engine)).serve(peer_listener));
     let router = OperatorService::new(Arc::clone(&engine)).router();
-    tokio::spawn(operator_listener.serve(router, stop_receiver.clone()));
+    let operators = connection_table(&engine, limits);
+    tokio::spawn(operator_listener.serve(router, operators, stop_receiver.clone()));
     let router = match &settings.platform {
         PlatformSettings::Services { .. } => {
             CallerService::new(Arc::clone(&engine), limits).router()
         }
         PlatformSettings::Published(published) => {
-            serve_address_listeners(&engine, published, &stop_receiver).await?;
+            serve_address_listeners(&engine, published, limits, &stop_receiver).await?;
             ForwardService::new(Arc::clone(&engine), limits).router()
         }
     };
     let limits_engine = Arc::clone(&engine);
     let caller_limits = move || limits_engine.core.caller_limits();
-    let callers = tokio::spawn(callers.serve_with_limits(router, stop_receiver, caller_limits));
+    let memory = Arc::clone(engine.memory());
+    let callers = callers.serve_callers(router, memory, stop_receiver, caller_limits);
+    let callers = tokio::spawn(callers);
 
     tokio::spawn(drain_on_signal(Arc::clone(&engine)));
     engine.drained.notified().await;
@@ -153,7 +166,11 @@
     finished
 }
 
-fn start_engine(settings: &ProcessSettings, log: slog::Logger) -> Result<Arc<DaemonEngine>> {
+fn start_engine(
+    settings: &ProcessSettings,
+    plan: MemoryPlan,
+    log: slog::Logger,
+) -> Result<Arc<DaemonEngine>> {
     let clock = MonotonicClock::start();
     let instance = InstanceId::new(settings.vm.clone(), incarnation()?);
     let core = DaemonCoreBuilder::new(instance, settings.zone.clone())
@@ -172,7 +189,10 @@
         }
     };
     let core = core.build(clock.now());
-    Ok(DaemonEngine::start(core, clock, Telemetry::new(log), platform))
+    let telemetry = Arc::new(Telemetry::new(log));
+    let progress = settings.limits.progress;
+    let memory = CallerMemory::new(plan, progress, clock, Arc::clone(&telemetry));
+    Ok(DaemonEngine::start(core, clock, telemetry, memory, platform))
 }
 
 fn discovery_settings(
@@ -202,19 +222,27 @@
 async fn serve_address_listeners(
     engine: &Arc<DaemonEngine>,
     published: &PublishedSettings,
+    limits: &LimitSettings,
     stop_receiver: &watch::Receiver<bool>,
 ) -> Result<()> {
     let listeners = [(published.readiness, "readiness"), (published.addresses, "addresses")];
     for (address, key) in listeners {
-        let listener = HttpListenerBuilder::default().bind(address).await;
+        let listener = HttpListenerBuilder::default().receive_bytes(limits.receive_bytes);
+        let listener = listener.bind(address).await;
         let listener =
             listener.with_context(|| format!("can't bind the address of [listen] {key}"))?;
         let router = ReadyService::new(Arc::clone(engine)).router();
-        tokio::spawn(listener.serve(router, stop_receiver.clone()));
+        let table = connection_table(engine, limits);
+        tokio::spawn(listener.serve(router, table, stop_receiver.clone()));
     }
     Ok(())
 }
 
+/// Table for the connections of a listener.
+fn connection_table(engine: &DaemonEngine, limits: &LimitSettings) -> Arc<ConnectionTable> {
+    ConnectionTable::new(engine.clock, limits.progress, Arc::clone(&engine.telemetry))
+}
+
 /// Returns the incarnation number of this process. Later starts on a VM get higher numbers, and the
 /// random bits make two starts in one millisecond differ.
 fn incarnation() -> Result<u64> {
--- a/crates/crocusdaled/src/service/answer_response.rs
+++ b/crates/crocusdaled/src/service/answer_response.rs
@@ -109,6 +109,7 @@
         | RefusalReason::UpstreamBroken
         | RefusalReason::Quarantined
         | RefusalReason::StreamUnknown
+        | RefusalReason::NoRoom
         | RefusalReason::HolderLost => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/crocusdaled/src/service/caller_service.rs
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::LimitSettings;
-use crocusdale_core::daemon::DaemonEvent;
+use crocusdale_core::daemon::{CounterName, DaemonEvent};
 use crocusdale_core::identity::RequestKey;
 use crocusdale_core::pipeline::{
     CallerRequest, FinalAnswer, FinalOutcome, MAX_KEY_BYTES, OutcomeKind, RefusalReason,
@@ -20,7 +20,8 @@
 use super::OpenCall;
 use super::answer_response::{answer_response, refusal_response, stream_response};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::http::{BodyFault, read_caller_body};
+use crate::http::{BodyFault, BodyRoom, read_caller_body};
+use crate::memory::CallerConnection;
 
 /// Delay after which a caller should ask for addresses again if the daemon has just started.
 const READY_RETRY_DELAY: Duration = Duration::from_millis(1_000);
@@ -91,7 +92,9 @@
     }
 
     async fn submit(&self, request: Request) -> Response {
-        let request = match self.read_request(request.into_body()).await {
+        let (parts, body) = request.into_parts();
+        let connection = parts.extensions.get::<Arc<CallerConnection>>();
+        let request = match self.read_request(body, connection).await {
             Ok(request) => request,
             Err(outcome) => return refusal_response(*outcome, self.engine.core.is_leaving()),
         };
@@ -158,9 +161,14 @@
         refusal_response(refusal(RefusalReason::Malformed, detail), self.engine.core.is_leaving())
     }
 
-    async fn read_request(&self, body: Body) -> Result<CallerRequest, Box<FinalOutcome>> {
-        let read =
-            tokio::time::timeout(self.body_timeout, read_caller_body(body, self.max_body_bytes));
+    async fn read_request(
+        &self,
+        body: Body,
+        connection: Option<&Arc<CallerConnection>>,
+    ) -> Result<CallerRequest, Box<FinalOutcome>> {
+        let room = BodyRoom::for_request(self.engine.memory(), connection);
+        let read = read_caller_body(body, self.max_body_bytes, room);
+        let read = tokio::time::timeout(self.body_timeout, read);
         let body = match read.await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyFault::TooLarge)) => {
@@ -170,6 +178,7 @@
             Ok(Err(BodyFault::Incomplete)) => {
                 return Err(Box::new(refusal(RefusalReason::Malformed, "the body was cut")));
             }
+            Ok(Err(BodyFault::NoRoom(retry_after))) => return Err(self.no_room(retry_after)),
             Err(_) => {
                 let detail = format!("body: accepted: within {} ms", self.body_timeout.as_millis());
                 return Err(Box::new(refusal(RefusalReason::TooSlow, &detail)));
@@ -179,6 +188,12 @@
             .map_err(|fault| Box::new(refusal(RefusalReason::Malformed, &fault.to_string())))?;
         CallerRequest::try_from(submitted)
     }
+
+    fn no_room(&self, retry_after: Duration) -> Box<FinalOutcome> {
+        self.engine.telemetry.count(CounterName::BodiesWithoutRoom);
+        let outcome = refusal(RefusalReason::NoRoom, "there is no memory for the body");
+        Box::new(outcome.with_retry(retry_after, true))
+    }
 }
 
 fn refusal(reason: RefusalReason, detail: &str) -> FinalOutcome {
--- a/crates/crocusdaled/src/service/operator_service.rs
+++ b/crates/crocusdaled/src/service/operator_service.rs
@@ -40,7 +40,8 @@
 
     fn metrics(&self) -> Response {
         let dump = self.engine.core.dump(self.engine.now());
-        let mut response = Response::new(Body::from(self.engine.telemetry.metrics.text(&dump)));
+        let text = self.engine.telemetry.metrics.text(&dump, self.engine.memory().usage());
+        let mut response = Response::new(Body::from(text));
         let content_type = HeaderValue::from_static("text/plain; version=0.0.4");
         response.headers_mut().insert(header::CONTENT_TYPE, content_type);
         response
--- a/crates/crocusdaled/src/telemetry/metric_set.rs
+++ b/crates/crocusdaled/src/telemetry/metric_set.rs
@@ -6,6 +6,8 @@
 };
 use strum::{EnumCount as _, IntoEnumIterator as _, VariantArray as _};
 
+use crate::memory::CallerUsage;
+
 /// Upper bounds of the histogram buckets, in seconds. They reach from a quick answer to the longest
 /// deadlines.
 const BUCKET_BOUNDS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.8, 3.0, 6.0, 20.0];
@@ -41,6 +43,9 @@
     running: IntGauge,
     registers: IntGauge,
     waiting: IntGauge,
+    held_bytes: IntGauge,
+    room_bytes: IntGauge,
+    caller_connections: IntGauge,
 }
 
 impl MetricSet {
@@ -99,10 +104,11 @@
         }
     }
 
-    /// Returns the metrics in the Prometheus text format, with the gauges updated from `dump`.
+    /// Returns the metrics in the Prometheus text format, with the gauges updated from `dump` and
+    /// `callers`.
     #[must_use]
-    pub fn text(&self, dump: &StateDump) -> Vec<u8> {
-        self.gauges.update(dump);
+    pub fn text(&self, dump: &StateDump, callers: CallerUsage) -> Vec<u8> {
+        self.gauges.update(dump, callers);
         let mut text = Vec::new();
         // Encoding into memory can't fail, as the names of registered metrics are valid.
         let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
@@ -162,10 +168,28 @@
             running: register_gauge(registry, "running", "Requests that run"),
             registers: register_gauge(registry, "registers", "Registers kept as a witness"),
             waiting: register_gauge(registry, "waiting", "Attempts that wait for an upstream"),
+            held_bytes: register_gauge(
+                registry,
+                "held_bytes",
+                "Bytes of bodies and answers that are held for callers",
+            ),
+            room_bytes: register_gauge(
+                registry,
+                "room_bytes",
+                "Bytes of bodies and answers that may be held for callers",
+            ),
+            caller_connections: register_gauge(
+                registry,
+                "caller_connections",
+                "Open connections from callers",
+            ),
         }
     }
 
-    fn update(&self, dump: &StateDump) {
+    fn update(&self, dump: &StateDump, callers: CallerUsage) {
+        self.held_bytes.set(saturating_i64(callers.held_bytes as u64));
+        self.room_bytes.set(saturating_i64(callers.room_bytes as u64));
+        self.caller_connections.set(saturating_i64(callers.connections as u64));
         self.ready.set(i64::from(dump.ready));
         self.leaving.set(i64::from(dump.leaving));
         self.revision.set(saturating_i64(dump.revision));
--- a/crates/crocusdaled/src/upstream/answer_reader.rs
+++ b/crates/crocusdaled/src/upstream/answer_reader.rs
@@ -62,7 +62,9 @@
     let body = match read_body(response.into_body(), MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         Err(BodyFault::TooLarge) => return AttemptEvent::Broken(BreakReason::TooLarge),
-        Err(BodyFault::Incomplete) => return AttemptEvent::Broken(BreakReason::Cut),
+        Err(BodyFault::Incomplete | BodyFault::NoRoom(_)) => {
+            return AttemptEvent::Broken(BreakReason::Cut);
+        }
     };
     match serde_json::from_slice::<StageReply>(&body) {
         Ok(reply) => {
