Close connections without progress when there is no place for others

What callers saw: with all places taken by requests that never end, an ordinary caller waited in the backlog until the first of them timed out, 60 s with the deployed settings.

Cause: a place was free only when a connection ended by itself, and the timeouts of heads and bodies are as long as the slowest proper caller may need.

Change: while all places are taken, one further connection is accepted at a time, and the connection that is overdue for longest is told to close: first those whose head or body arrives slower than `stall_bytes_per_s` and for `stall_ms` longer than that, then those that are idle for as long. None is closed while its request is served. Nothing is closed as long as there are places, so that no caller within its limits meets this.

Ruled out: shorter timeouts, which proper callers on slow links would meet in calm.

--- a/crates/crocusdaled/src/http/http_listener.rs
+++ b/crates/crocusdaled/src/http/http_listener.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use motore::service::Service;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::JoinSet;
 use volo::net::Address;
 use volo_http::body::Body;
@@ -36,13 +36,17 @@
 const IDLE_TIMEOUT_FACTOR: f64 = 1.5;
 /// Largest number of connections that wait to be accepted.
 const MAX_BACKLOG: usize = 1_024;
+/// Time after which another connection is closed if the one that had to make place is still open.
+const PLACE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Default of the time that open connections have to finish once the listener stops.
 const DEFAULT_FINISH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// HTTP/1.1 listener that serves a router.
 ///
 /// Unlike the server of volo-http it limits the number of open connections, and the size and
-/// arrival time of a request head. It stops when the daemon decides so.
+/// arrival time of a request head. If there is no place for a new connection, the one that is
+/// longest without progress is closed, but never one whose request is served. The listener stops
+/// when the daemon decides so.
 #[derive(Debug)]
 pub struct HttpListener {
     listener: TcpListener,
@@ -72,7 +76,7 @@
 }
 
 impl HttpListenerBuilder {
-    /// Sets the maximum number of open connections. Further ones wait in the listen backlog.
+    /// Sets the maximum number of open connections. Further ones wait until a place is free.
     #[must_use]
     pub fn max_connections(mut self, max_connections: usize) -> Self {
         self.max_connections = max_connections;
@@ -173,19 +177,13 @@
 
     async fn accept_connections(
         self,
-        served: ServedConnections,
+        mut served: ServedConnections,
         declared: impl Fn() -> Option<CallerLimits>,
     ) {
         let permits = Arc::new(Semaphore::new(self.limits.max_connections));
         let mut tasks = JoinSet::new();
         let mut stop = served.stop.clone();
         loop {
-            // The permit is acquired before the accept. Excess connections then stay in the listen
-            // backlog of the kernel, where they take no memory of this process.
-            let permit = tokio::select! {
-                permit = Arc::clone(&permits).acquire_owned() => permit,
-                _ = stop.changed() => break,
-            };
             let accepted = tokio::select! {
                 accepted = self.listener.accept() => accepted,
                 _ = stop.changed() => break,
@@ -194,6 +192,12 @@
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            // One connection at a time waits for a place. Further ones stay in the listen backlog of
+            // the kernel, where they take no memory of this process.
+            let permit = tokio::select! {
+                permit = served.wait_for_place(&permits) => permit,
+                _ = stop.changed() => break,
+            };
             let limits = declared().map_or(self.limits, |limits| self.limits.raise_to(limits));
             let connection = served.serve(stream, peer, limits);
             tasks.spawn(async move {
@@ -229,6 +233,23 @@
         Self { router: Arc::new(router), table, memory, stop }
     }
 
+    /// Waits until a connection may be served. Closes connections without progress if there is no
+    /// place.
+    async fn wait_for_place(&mut self, permits: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+        loop {
+            if let Ok(permit) = Arc::clone(permits).try_acquire_owned() {
+                return Some(permit);
+            }
+            let next_due = self.table.close_for_place();
+            let delay = next_due.map_or(PLACE_RETRY_DELAY, |due| self.table.time_until(due));
+            let delay = delay.min(PLACE_RETRY_DELAY);
+            let permit = Arc::clone(permits).acquire_owned();
+            if let Ok(permit) = tokio::time::timeout(delay, permit).await {
+                return permit.ok();
+            }
+        }
+    }
+
     /// Serves one connection until it ends.
     fn serve(
         &self,
--- a/crates/crocusdaled/src/memory/connection_table.rs
+++ b/crates/crocusdaled/src/memory/connection_table.rs
@@ -6,7 +6,9 @@
 
 use crocusdale_core::daemon::CounterName;
 use crocusdale_core::identity::MonotonicTime;
-use crocusdale_core::memory::{ConnectionPhase, ConnectionProgress, ProgressLimits, byte_victims};
+use crocusdale_core::memory::{
+    ConnectionPhase, ConnectionProgress, PlaceChoice, ProgressLimits, byte_victims, place_victim,
+};
 use crocusdale_core::sync::lock;
 use slog::info;
 use tokio::sync::Notify;
@@ -78,6 +80,11 @@
         self.len() == 0
     }
 
+    /// Time from now until `at`, or zero if `at` has passed.
+    pub(crate) fn time_until(&self, at: MonotonicTime) -> Duration {
+        self.clock.time_until(at)
+    }
+
     /// Adds a connection from `peer`.
     pub(crate) fn open(self: &Arc<Self>, peer: SocketAddr) -> TableEntry {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
@@ -94,6 +101,20 @@
         TableEntry { table: Arc::clone(self), id, connection }
     }
 
+    /// Tells the connection to close that makes place for a new one. Returns the time at which the
+    /// next connection may be closed if there is none now.
+    pub(crate) fn close_for_place(&self) -> Option<MonotonicTime> {
+        let connections = self.open_connections();
+        let progresses =
+            connections.iter().map(|connection| (connection, lock(&connection.progress).clone()));
+        match place_victim(progresses, self.clock.now()) {
+            PlaceChoice::Close(connection) => self.close(connection),
+            PlaceChoice::Wait(due) => return Some(due),
+            PlaceChoice::AllServing => {}
+        }
+        None
+    }
+
     /// Tells connections to close that together hold `bytes`. Returns `false`, and closes none, if
     /// the overdue ones hold less.
     pub(crate) fn close_for_bytes(&self, bytes: usize) -> bool {
