Hold answers in the room of callers, and close callers that read none

What callers saw: 30 callers that read no answers of 8 MiB took 154 MB of a VM of 120 MB.

Cause: the whole answer of an upstream was read whatever room there was, and kept until its caller had taken it. A caller that stays connected and reads nothing keeps it for as long as it likes.

Change: an answer of more than 16 KiB takes its length from the budget of callers before it is read. If there is no room, connections without progress that hold enough are closed, among them those whose caller has not taken a byte of its answer for `stall_ms`; the answer waits for this up to 3 s, in which the upstream is not read further, and is given up after that, as the request has run (`answers_without_room_total`). The bytes own their lease, so that the room is back once the last of them is written or the connection ends.

Ruled out: answers that take room in any case. Sixteen of them arrive within a second, before anybody can be known to read nothing.

Streams of events are not counted: 16 events a stream, then the upstream is not read further.

--- a/crates/crocusdale_core/src/daemon/counter_name.rs
+++ b/crates/crocusdale_core/src/daemon/counter_name.rs
@@ -151,6 +151,8 @@
     PausesNoticed,
     /// Requests that were refused because there was no memory for their bodies.
     BodiesWithoutRoom,
+    /// Answers that were given up because there was no memory for them.
+    AnswersWithoutRoom,
     /// Connections that were closed to make room while the head of a request arrived too slowly.
     StalledHeadsClosed,
     /// Connections that were closed to make room while the body of a request arrived too slowly.
--- a/crates/crocusdaled/src/forwarding/forward_service.rs
+++ b/crates/crocusdaled/src/forwarding/forward_service.rs
@@ -96,8 +96,10 @@
         };
         request.set_content(content_digest(&parts, &body));
         let mut call = OpenCall::open(&self.engine, &request.key);
+        let connection = connection.cloned();
         let target = (parts.method, parts.uri);
-        let relayed = RelayCall::new(target, headers, body, &request, last_event);
+        let relayed =
+            RelayCall::new(target, headers, body, &request, last_event).on_connection(connection);
         self.engine.relays().open(call.id, relayed);
         let event = DaemonEvent::Submitted { call: call.id, request: Box::new(request) };
         self.engine.handle_event(event);
--- a/crates/crocusdaled/src/forwarding/relay_call.rs
+++ b/crates/crocusdaled/src/forwarding/relay_call.rs
@@ -1,4 +1,4 @@
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 use crocusdale_core::pipeline::{CallerRequest, EventSequence};
@@ -6,6 +6,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::mpsc;
 
+use crate::memory::CallerConnection;
+
 /// Maximum number of events that are buffered for a slow caller. Beyond it the upstream is no
 /// longer read, which applies backpressure to it.
 const MAX_BUFFERED_EVENTS: usize = 16;
@@ -24,6 +26,8 @@
     pub(super) body: Bytes,
     /// Attempt id that the caller gave the request.
     pub(super) attempt: String,
+    /// Connection of the caller, for which answers are held.
+    pub(super) connection: Option<Arc<CallerConnection>>,
     /// Ids of the events that the caller has already received.
     pub(super) sequence: Mutex<EventSequence>,
     /// Sender of events to the caller. `None` until the first answer is forwarded.
@@ -67,11 +71,18 @@
             headers,
             body,
             attempt: request.key.key.clone(),
+            connection: None,
             sequence: Mutex::new(EventSequence::after(last_event)),
             events: Mutex::new(None),
         }
     }
 
+    /// Sets the connection of the caller.
+    pub(super) fn on_connection(mut self, connection: Option<Arc<CallerConnection>>) -> Self {
+        self.connection = connection;
+        self
+    }
+
     /// Returns the sender of events to the caller. The receiver comes with it for the first answer
     /// only, and is `None` for an answer that resumes the stream.
     pub(super) fn open_events(&self) -> (mpsc::Sender<Bytes>, Option<mpsc::Receiver<Bytes>>) {
--- a/crates/crocusdaled/src/forwarding/relay_client.rs
+++ b/crates/crocusdaled/src/forwarding/relay_client.rs
@@ -20,7 +20,7 @@
 use super::upstream_exchange::UpstreamExchange;
 use super::{RelayBody, RelayedAnswer};
 use crate::engine::{CallReply, DaemonEngine};
-use crate::http::read_answer_body;
+use crate::http::{BodyFault, BodyRoom, read_held_answer};
 use crate::upstream::{AnswerBody, is_framed, is_whole_answer};
 
 /// Largest answer without a stream that is read, in bytes.
@@ -151,8 +151,15 @@
         }
         return Some(end_event);
     }
-    let Ok(body) = read_answer_body(body, MAX_ANSWER_BYTES).await else {
-        return Some(AttemptEvent::Broken(BreakReason::Cut));
+    let room = BodyRoom::for_answer(engine.memory(), call.connection.as_ref());
+    let body = match read_held_answer(body, MAX_ANSWER_BYTES, room).await {
+        Ok(body) => body,
+        Err(fault) => {
+            if matches!(fault, BodyFault::NoRoom(_)) {
+                engine.telemetry.count(CounterName::AnswersWithoutRoom);
+            }
+            return Some(AttemptEvent::Broken(BreakReason::Cut));
+        }
     };
     if needs_end_check && !is_whole_answer(engine, &order.upstream, order.address).await {
         return Some(AttemptEvent::Broken(BreakReason::Cut));
--- a/crates/crocusdaled/src/http/body_reader.rs
+++ b/crates/crocusdaled/src/http/body_reader.rs
@@ -56,6 +56,16 @@
 pub(crate) struct BodyRoom<'a> {
     memory: &'a Arc<CallerMemory>,
     connection: Option<&'a Arc<CallerConnection>>,
+    kind: HeldKind,
+}
+
+/// What is held for a caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeldKind {
+    /// Body of a request, which is refused if there is no room.
+    Request,
+    /// Answer to a request that has run, which waits for room.
+    Answer,
 }
 
 impl<'a> BodyRoom<'a> {
@@ -64,20 +74,43 @@
         memory: &'a Arc<CallerMemory>,
         connection: Option<&'a Arc<CallerConnection>>,
     ) -> Self {
-        Self { memory, connection }
+        Self { memory, connection, kind: HeldKind::Request }
+    }
+
+    /// Room for the answer to a request on `connection`.
+    pub(crate) fn for_answer(
+        memory: &'a Arc<CallerMemory>,
+        connection: Option<&'a Arc<CallerConnection>>,
+    ) -> Self {
+        Self { memory, connection, kind: HeldKind::Answer }
     }
 
     /// Holds memory in `held` for a body that has grown to `len` bytes, up to the `limit`.
-    fn grow(self, held: &mut Option<HeldBytes>, len: usize, limit: usize) -> Result<(), NoRoom> {
+    async fn grow(
+        self,
+        held: &mut Option<HeldBytes>,
+        len: usize,
+        limit: usize,
+    ) -> Result<(), NoRoom> {
         let held_bytes = held.as_ref().map_or(0, HeldBytes::bytes);
         if len <= SMALL_BODY_BYTES || len <= held_bytes {
             return Ok(());
         }
         let wanted = len.next_multiple_of(HOLD_STEP_BYTES).min(limit.max(len));
         let class = HoldClass::of(wanted);
-        match held {
-            Some(held) => self.memory.extend(held, wanted - held_bytes, class)?,
-            None => *held = Some(self.memory.hold(wanted, class, self.connection)?),
+        match (self.kind, held) {
+            (HeldKind::Request, Some(held)) => {
+                self.memory.extend(held, wanted - held_bytes, class)?;
+            }
+            (HeldKind::Request, held) => {
+                *held = Some(self.memory.hold(wanted, class, self.connection)?);
+            }
+            (HeldKind::Answer, Some(held)) => {
+                self.memory.extend_answer(held, wanted - held_bytes).await?;
+            }
+            (HeldKind::Answer, held) => {
+                *held = Some(self.memory.hold_answer(wanted, self.connection).await?);
+            }
         }
         Ok(())
     }
@@ -92,16 +125,17 @@
     read_up_to(&mut body, limit, None).await
 }
 
-/// Reads the answer of an upstream, of at most `limit` bytes.
+/// Reads the answer of an upstream, of at most `limit` bytes, and holds it in `room`.
 ///
 /// # Errors
 ///
-/// Returns whether the answer was too large or incomplete.
-pub(crate) async fn read_answer_body(
+/// Returns whether the answer was too large or incomplete, or had no room.
+pub(crate) async fn read_held_answer(
     mut body: impl http_body::Body<Data = Bytes> + Unpin,
     limit: usize,
+    room: BodyRoom<'_>,
 ) -> Result<Bytes, BodyFault> {
-    read_up_to(&mut body, limit, None).await
+    read_up_to(&mut body, limit, Some(room)).await
 }
 
 /// Reads the body of a caller's request, of at most `limit` bytes, and holds it in `room`. The rest
@@ -142,7 +176,7 @@
     let announced = body.size_hint().exact().and_then(|len| usize::try_from(len).ok());
     let mut buffer = BodyBuffer::new(announced, limit);
     if let (Some(room), Some(announced)) = (room, announced) {
-        room.grow(&mut buffer.held, announced, announced)?;
+        room.grow(&mut buffer.held, announced, announced).await?;
     }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyFault::Incomplete)?;
@@ -152,7 +186,7 @@
             return Err(BodyFault::TooLarge);
         }
         if let Some(room) = room {
-            room.grow(&mut buffer.held, len, limit)?;
+            room.grow(&mut buffer.held, len, limit).await?;
         }
         // The bytes are copied, as a frame keeps the whole read buffer of its connection.
         buffer.push(data).map_err(|_| BodyFault::NoRoom(NO_MEMORY_RETRY_DELAY))?;
--- a/crates/crocusdaled/src/http/mod.rs
+++ b/crates/crocusdaled/src/http/mod.rs
@@ -6,5 +6,5 @@
 mod metered_stream;
 
 pub use body_reader::{BodyFault, read_body};
-pub(crate) use body_reader::{BodyRoom, read_answer_body, read_caller_body};
+pub(crate) use body_reader::{BodyRoom, read_caller_body, read_held_answer};
 pub use http_listener::{HttpListener, HttpListenerBuilder};
--- a/crates/crocusdaled/src/memory/caller_memory.rs
+++ b/crates/crocusdaled/src/memory/caller_memory.rs
@@ -17,10 +17,15 @@
 
 /// Time for which a sample of the resident memory is used.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which an answer waits for room. Callers that read nothing are gone by then.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause before an answer without room is tried again.
+const ANSWER_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of refused bodies whose rest is read and discarded at a time.
 const MAX_DISCARDED_BODIES: usize = 256;
 
-/// Memory that callers make the process hold: bodies of requests.
+/// Memory that callers make the process hold: bodies of requests, and answers that wait for their
+/// callers.
 ///
 /// What exceeds the room of the VM is refused, after connections without progress were closed.
 #[derive(Debug)]
@@ -136,6 +141,34 @@
         Ok(())
     }
 
+    /// Holds `bytes` of an answer for `connection`, and waits for room if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no room for three seconds.
+    pub(crate) async fn hold_answer(
+        self: &Arc<Self>,
+        bytes: usize,
+        connection: Option<&Arc<CallerConnection>>,
+    ) -> Result<HeldBytes, NoRoom> {
+        let lease = self.lease_for_answer(bytes).await?;
+        Ok(HeldBytes::new(Arc::clone(self), lease, connection.cloned()))
+    }
+
+    /// Adds `bytes` of an answer to `held`, and waits for room if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no room for three seconds.
+    pub(crate) async fn extend_answer(
+        &self,
+        held: &mut HeldBytes,
+        bytes: usize,
+    ) -> Result<(), NoRoom> {
+        held.extend(self.lease_for_answer(bytes).await?);
+        Ok(())
+    }
+
     /// Permit to read and discard the rest of a refused body. `None` if too many are discarded.
     pub(crate) fn discard_permit(&self) -> Option<OwnedSemaphorePermit> {
         Arc::clone(&self.discards).try_acquire_owned().ok()
@@ -149,6 +182,18 @@
         self.arrived.fetch_sub(bytes, Ordering::Relaxed);
     }
 
+    async fn lease_for_answer(&self, bytes: usize) -> Result<ByteLease, NoRoom> {
+        let until = self.clock.now() + ANSWER_TIMEOUT;
+        loop {
+            match self.lease(bytes, HoldClass::Medium) {
+                Err(_) if self.clock.now() < until => {
+                    tokio::time::sleep(ANSWER_RETRY_DELAY).await;
+                }
+                lease => return lease,
+            }
+        }
+    }
+
     fn lease(&self, bytes: usize, class: HoldClass) -> Result<ByteLease, NoRoom> {
         self.sample_if_due();
         if let Some(lease) = self.budget.try_hold(bytes, class) {
