Leave descriptors for the store, other daemons and upstreams

A daemon without descriptors can't connect to the store or to an upstream.

Cause: each listener had a limit of its own (2,000 and three times 1,024), and the process did not know how many descriptors it has.

Change: the listeners share the descriptors of the VM (`descriptors`, rendered by the template, else the limit of the process), 200 of which stay for files: half of the sockets for callers, an eighth for lookups of addresses, a sixteenth each for operators and probes of readiness. A quarter at least is left for the daemon's own connections.

--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -126,7 +126,9 @@
     };
     let callers =
         callers.bind(settings.caller).await.context("can't bind the address of [listen] caller")?;
-    let operator_listener = HttpListenerBuilder::default().receive_bytes(limits.receive_bytes);
+    let operator_listener = HttpListenerBuilder::default()
+        .max_connections(plan.operator_connections())
+        .receive_bytes(limits.receive_bytes);
     let operator_listener = operator_listener.bind(settings.operator).await;
     let operator_listener =
         operator_listener.context("can't bind the address of [listen] operator")?;
@@ -225,9 +227,15 @@
     limits: &LimitSettings,
     stop_receiver: &watch::Receiver<bool>,
 ) -> Result<()> {
-    let listeners = [(published.readiness, "readiness"), (published.addresses, "addresses")];
-    for (address, key) in listeners {
-        let listener = HttpListenerBuilder::default().receive_bytes(limits.receive_bytes);
+    let plan = engine.memory().plan();
+    let listeners = [
+        (published.readiness, "readiness", plan.operator_connections()),
+        (published.addresses, "addresses", plan.lookup_connections()),
+    ];
+    for (address, key, max_connections) in listeners {
+        let listener = HttpListenerBuilder::default()
+            .max_connections(max_connections)
+            .receive_bytes(limits.receive_bytes);
         let listener = listener.bind(address).await;
         let listener =
             listener.with_context(|| format!("can't bind the address of [listen] {key}"))?;
--- a/crates/crocusdaled/src/memory/caller_memory.rs
+++ b/crates/crocusdaled/src/memory/caller_memory.rs
@@ -93,6 +93,12 @@
         Arc::new(memory)
     }
 
+    /// How the memory and the descriptors of the VM are divided.
+    #[must_use]
+    pub fn plan(&self) -> &MemoryPlan {
+        &self.plan
+    }
+
     /// Connections of callers.
     #[must_use]
     pub fn connections(&self) -> &Arc<ConnectionTable> {
