Count the copies of bodies in messages and parsed requests

Cause, by reading: a body that goes through another daemon is copied into a message and its encoding, and the daemon that takes it holds it for callers who are not its own; the JSON interface parses a copy that lives until the answer. None of these was counted.

Change: the sending daemon counts both copies while it sends, in any case, as a full budget must not turn into fewer tries. The daemon that takes a transit refuses it as busy, before anything is written, if it has no room; the sender asks another one. A parsed JSON request holds room until it is answered.

Evidence: two new tests, `large_bodies_in_transit_leave_memory` (60 bodies of 3 MiB at a daemon that reaches its upstreams through another one) and `large_json_bodies_leave_memory`. No fault was shown; both are guards.

--- a/crates/crocusdaled/src/forwarding/upstream_exchange.rs
+++ b/crates/crocusdaled/src/forwarding/upstream_exchange.rs
@@ -18,6 +18,8 @@
 
 /// Maximum number of daemons that are asked to send one attempt to its upstream.
 const MAX_TRANSIT_DAEMONS: usize = 3;
+/// Copies of a body while it is sent to another daemon: one in the message, one in its encoding.
+const MESSAGE_COPIES: usize = 2;
 
 /// The head of an upstream's answer to an attempt, and its body that is still unread.
 pub(super) struct UpstreamExchange {
@@ -131,6 +133,7 @@
         OpenTransit { engine: Arc::clone(engine), vm: vm.to_owned(), end: TransitEnd::Done };
     let sent = engine.now();
     let message = transit_message(engine, call, order);
+    let _copies = engine.memory().hold_copy(call.body.len() * MESSAGE_COPIES);
     let fault = match send_transit(engine, vm, message).await {
         Ok(response) => {
             engine.telemetry.count(CounterName::AttemptsInTransit);
--- a/crates/crocusdaled/src/memory/caller_memory.rs
+++ b/crates/crocusdaled/src/memory/caller_memory.rs
@@ -175,6 +175,11 @@
         Ok(())
     }
 
+    /// Holds `bytes` that are already in memory.
+    pub(crate) fn hold_copy(self: &Arc<Self>, bytes: usize) -> HeldBytes {
+        HeldBytes::new(Arc::clone(self), self.budget.hold(bytes), None)
+    }
+
     /// Permit to read and discard the rest of a refused body. `None` if too many are discarded.
     pub(crate) fn discard_permit(&self) -> Option<OwnedSemaphorePermit> {
         Arc::clone(&self.discards).try_acquire_owned().ok()
--- a/crates/crocusdaled/src/peer/transit_service.rs
+++ b/crates/crocusdaled/src/peer/transit_service.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use crocusdale_core::daemon::CounterName;
+use crocusdale_core::memory::HoldClass;
 use crocusdale_core::reachability::{TransitGrant, TransitRefusal, TransitRequest};
 use crocusdale_core::routing::CONNECT_TIMEOUT;
 use crocusdale_platform::notice::read_notice;
@@ -85,6 +86,9 @@
 ) -> Result<(), TransitRefusal> {
     let admitted = engine.now();
     let expires = admitted + Duration::from_millis(message.left_ms);
+    let body_bytes = message.body.len();
+    let held = engine.memory().hold(body_bytes, HoldClass::of(body_bytes), None);
+    let _held = held.map_err(|_| TransitRefusal::Busy)?;
     let grant = engine.core.admit_transit(request, admitted)?;
     let transit = OpenTransit { engine: Arc::clone(engine), grant };
     let (address, needs_new) = (transit.grant.address, message.needs_new_connection);
--- a/crates/crocusdaled/src/service/caller_service.rs
+++ b/crates/crocusdaled/src/service/caller_service.rs
@@ -4,6 +4,7 @@
 use crocusdale_core::configuration::LimitSettings;
 use crocusdale_core::daemon::{CounterName, DaemonEvent};
 use crocusdale_core::identity::RequestKey;
+use crocusdale_core::memory::HoldClass;
 use crocusdale_core::pipeline::{
     CallerRequest, FinalAnswer, FinalOutcome, MAX_KEY_BYTES, OutcomeKind, RefusalReason,
     SubmittedRequest,
@@ -21,7 +22,7 @@
 use super::answer_response::{answer_response, refusal_response, stream_response};
 use crate::engine::{CallReply, DaemonEngine};
 use crate::http::{BodyFault, BodyRoom, read_caller_body};
-use crate::memory::CallerConnection;
+use crate::memory::{CallerConnection, HeldBytes};
 
 /// Delay after which a caller should ask for addresses again if the daemon has just started.
 const READY_RETRY_DELAY: Duration = Duration::from_millis(1_000);
@@ -94,8 +95,8 @@
     async fn submit(&self, request: Request) -> Response {
         let (parts, body) = request.into_parts();
         let connection = parts.extensions.get::<Arc<CallerConnection>>();
-        let request = match self.read_request(body, connection).await {
-            Ok(request) => request,
+        let (request, _held) = match self.read_request(body, connection).await {
+            Ok(read) => read,
             Err(outcome) => return refusal_response(*outcome, self.engine.core.is_leaving()),
         };
         let stream = request.stream;
@@ -165,7 +166,7 @@
         &self,
         body: Body,
         connection: Option<&Arc<CallerConnection>>,
-    ) -> Result<CallerRequest, Box<FinalOutcome>> {
+    ) -> Result<(CallerRequest, HeldBytes), Box<FinalOutcome>> {
         let room = BodyRoom::for_request(self.engine.memory(), connection);
         let read = read_caller_body(body, self.max_body_bytes, room);
         let read = tokio::time::timeout(self.body_timeout, read);
@@ -184,9 +185,12 @@
                 return Err(Box::new(refusal(RefusalReason::TooSlow, &detail)));
             }
         };
+        // The parsed request is a copy of the body, and is kept until it is answered.
+        let held = self.engine.memory().hold(body.len(), HoldClass::of(body.len()), connection);
+        let held = held.map_err(|no_room| self.no_room(no_room.retry_after))?;
         let submitted: SubmittedRequest = serde_json::from_slice(&body)
             .map_err(|fault| Box::new(refusal(RefusalReason::Malformed, &fault.to_string())))?;
-        CallerRequest::try_from(submitted)
+        Ok((CallerRequest::try_from(submitted)?, held))
     }
 
     fn no_room(&self, retry_after: Duration) -> Box<FinalOutcome> {
--- a/crates/crocusdaled/tests/client_crowds_test.rs
+++ b/crates/crocusdaled/tests/client_crowds_test.rs
@@ -1,12 +1,19 @@
 //! Crowds of clients that send large, slow or endless requests to one daemon and stay connected.
 //! The daemon keeps within the memory and the descriptors of its VM, and serves other callers.
 
+mod common;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use anyhow::{Result, ensure};
+use common::Upstreams;
+use crocusdale_core::pipeline::OutcomeKind;
 use platform_stand_ins::{IngressCaller, IngressRequest, PublishedFleet, VmSize, WorkerFault};
-use stand_ins::{ClientCrowd, CrowdBody, ProcessWatch, ResourcePeaks, send_raw, wait_for};
+use stand_ins::{
+    CallerClient, ClientCrowd, CrowdBody, DeclarationText, ProcessWatch, RequestBuilder,
+    ResourcePeaks, send_raw, wait_for,
+};
 use tokio::sync::Mutex;
 
 /// The smallest VM of the deployments.
@@ -32,7 +39,11 @@
 }
 
 fn watch(fleet: &PublishedFleet) -> Result<ProcessWatch> {
-    let daemon = &fleet.daemons[0];
+    watch_daemon(fleet, 0)
+}
+
+fn watch_daemon(fleet: &PublishedFleet, index: usize) -> Result<ProcessWatch> {
+    let daemon = &fleet.daemons[index];
     let addresses = [daemon.caller, daemon.addresses, daemon.readiness, daemon.operator];
     Ok(ProcessWatch::start(daemon.process.id()?, &addresses))
 }
@@ -246,3 +257,64 @@
     check_peaks(watch.finish()?, vm);
     Ok(())
 }
+
+/// Guards against large bodies that take the memory of two daemons, as one sends them through the
+/// other.
+#[tokio::test]
+async fn large_bodies_in_transit_leave_memory() -> Result<()> {
+    const TRANSIT_BYTES: u64 = 3 << 20;
+    let _alone = ALONE.lock().await;
+    let limits = SMALLEST_VM.limits_section(NO_TIMEOUTS)?;
+    let (binary, directory) = (env!("CARGO_BIN_EXE_crocusdaled"), env!("CARGO_TARGET_TMPDIR"));
+    let fleet =
+        PublishedFleet::start_cut_off_with(binary, directory, 2, |_| limits.clone()).await?;
+    let caller = fleet.daemons[0].caller;
+    ordinary_request(caller, "before").await?;
+    let watches = [watch_daemon(&fleet, 0)?, watch_daemon(&fleet, 1)?];
+    let body =
+        CrowdBody::Announced { announced: TRANSIT_BYTES, sent: TRANSIT_BYTES, piece: 1 << 20 };
+    for worker in &fleet.plain_workers {
+        worker.set_fault(WorkerFault::Pause(Duration::from_secs(1)));
+    }
+    let crowd = ClientCrowd::connect(caller, heads(CROWD), body);
+    let runs = || fleet.plain_workers.iter().map(|each| each.executed_requests().len()).sum();
+    wait_for(PATIENCE, "bodies of the crowd have arrived at the workers", async || {
+        let count: usize = runs();
+        crowd.has_written() && count >= 8
+    })
+    .await?;
+    ordinary_request(caller, "beside").await?;
+    drop(crowd);
+    ordinary_request(caller, "after").await?;
+    for watch in watches {
+        check_peaks(watch.finish()?, SMALLEST_VM);
+    }
+    Ok(())
+}
+
+/// Guards against large bodies of JSON requests that stop before their last byte and together exceed
+/// the memory.
+#[tokio::test]
+async fn large_json_bodies_leave_memory() -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let upstreams = Upstreams::start()?;
+    let text = upstreams.declare(DeclarationText::default()).build();
+    let limits = SMALLEST_VM.limits_section(NO_TIMEOUTS)?;
+    let limits = limits.trim_start_matches("[limits]");
+    let fleet = common::fleet(1).limits(limits).configuration(text).start().await?;
+    let daemon = &fleet.daemons[0];
+    let watch = ProcessWatch::start(daemon.id()?, &[daemon.caller, daemon.operator]);
+    let head = "POST /v1/requests HTTP/1.1\r\nhost: a\r\n".to_owned();
+    let (announced, sent) = (BODY_LIMIT, BODY_LIMIT - 1);
+    let body = CrowdBody::Announced { announced, sent, piece: 1 << 20 };
+    let crowd = ClientCrowd::connect(daemon.caller, vec![head; CROWD], body);
+    wait_for(PATIENCE, "the crowd has written", async || crowd.has_written()).await?;
+    for key in ["beside", "after"] {
+        let request = RequestBuilder::new(key, "read");
+        let answer = CallerClient::new().submit(daemon.caller, &request).await?;
+        assert_eq!(answer.kind(), OutcomeKind::Answered, "{answer:?}");
+    }
+    drop(crowd);
+    check_peaks(watch.finish()?, SMALLEST_VM);
+    Ok(())
+}
--- a/crates/stand_ins/src/daemon_fleet.rs
+++ b/crates/stand_ins/src/daemon_fleet.rs
@@ -112,6 +112,13 @@
         self
     }
 
+    /// Adds the section `[limits]`, with the lines `keys`, to the settings of each daemon.
+    #[must_use]
+    pub fn limits(mut self, keys: &str) -> Self {
+        self.limits = format!("[limits]\n{keys}\n");
+        self
+    }
+
     /// Publishes `text` as revision 1.
     #[must_use]
     pub fn configuration(mut self, text: impl Into<String>) -> Self {
