Count a stream as served until its last event

What callers would have seen: with all places taken, a stream whose upstream sends nothing for longer than `stall_ms` was closed for a new connection.

Cause: a connection counted as idle once the head of its answer was returned. That is right for a whole answer, which is written at once, not for a stream.

Change: the body of an answer marks the end of its request when it is dropped. hyper drops it with its last frame or with the connection. A whole answer that its caller doesn't read counts as idle as before, as hyper has taken its only frame by then.

Also: room that came back between two looks at the budget is not taken for a lack of room.

--- a/crates/crocusdaled/src/http/http_listener.rs
+++ b/crates/crocusdaled/src/http/http_listener.rs
@@ -21,6 +21,7 @@
 use volo_http::server::route::Router;
 
 use super::metered_stream::{HeadMemory, MeteredStream};
+use super::served_body::ServedBody;
 use crate::memory::{CallerConnection, CallerMemory, ConnectionTable};
 
 /// Delay before the next accept after the operating system failed to accept a connection.
@@ -297,7 +298,7 @@
     caller: Arc<CallerConnection>,
     peer: SocketAddr,
     request: http::Request<Incoming>,
-) -> Result<Response, Infallible> {
+) -> Result<http::Response<ServedBody>, Infallible> {
     let phase = match request.body().is_end_stream() {
         true => ConnectionPhase::Serving,
         false => ConnectionPhase::Body,
@@ -306,10 +307,11 @@
     let mut context = ServerContext::new(Address::from(peer));
     let mut request = request.map(Body::from_incoming);
     request.extensions_mut().insert(Arc::clone(&caller));
-    let response = match router.call(&mut context, request).await {
+    let response: Response = match router.call(&mut context, request).await {
         Ok(response) => response,
         Err(never) => match never {},
     };
-    caller.end_request();
-    Ok(response)
+    // What is left of a refused body is still discarded.
+    caller.begin_answer();
+    Ok(response.map(|body| ServedBody::new(body, caller)))
 }
--- a/crates/crocusdaled/src/http/mod.rs
+++ b/crates/crocusdaled/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod body_reader;
 mod http_listener;
 mod metered_stream;
+mod served_body;
 
 pub use body_reader::{BodyFault, read_body};
 pub(crate) use body_reader::{BodyRoom, read_caller_body, read_held_answer};
--- a/crates/crocusdaled/src/memory/caller_memory.rs
+++ b/crates/crocusdaled/src/memory/caller_memory.rs
@@ -213,7 +213,7 @@
         }
         self.note_exhausted(bytes);
         let missing = self.budget.missing(bytes, class);
-        if !self.connections.close_for_bytes(missing) {
+        if missing > 0 && !self.connections.close_for_bytes(missing) {
             return Err(self.no_room());
         }
         // The closed connections give their bytes back as soon as their tasks run.
--- a/crates/crocusdaled/src/memory/connection_table.rs
+++ b/crates/crocusdaled/src/memory/connection_table.rs
@@ -174,11 +174,22 @@
         lock(&self.progress).begin(phase, self.clock.now());
     }
 
-    /// Records the end of a request. A rest of its body that still arrives is discarded as before.
+    /// Records that the answer to a request begins. A connection that discards the rest of a body
+    /// goes on to do so.
+    pub(crate) fn begin_answer(&self) {
+        self.begin_unless_discarding(ConnectionPhase::Serving);
+    }
+
+    /// Records that the answer to a request has ended. A connection that discards the rest of a body
+    /// goes on to do so.
     pub(crate) fn end_request(&self) {
+        self.begin_unless_discarding(ConnectionPhase::Idle);
+    }
+
+    fn begin_unless_discarding(&self, phase: ConnectionPhase) {
         let mut progress = lock(&self.progress);
         if progress.phase() != ConnectionPhase::Discarding {
-            progress.begin(ConnectionPhase::Idle, self.clock.now());
+            progress.begin(phase, self.clock.now());
         }
     }
 
--- a/crates/crocusdaled/tests/client_crowds_test.rs
+++ b/crates/crocusdaled/tests/client_crowds_test.rs
@@ -210,6 +210,36 @@
     check_crowd(150, CrowdBody::UnfinishedHead, &limits).await
 }
 
+/// Guards against a stream that is closed for others while its upstream sends nothing.
+#[tokio::test]
+async fn streams_between_two_events_keep_their_places() -> Result<()> {
+    let _alone = ALONE.lock().await;
+    let limits = [NO_TIMEOUTS, &[("connections", 20), ("stall_ms", 100)]].concat();
+    let fleet = fleet(SMALLEST_VM, &limits).await?;
+    let caller = fleet.daemons[0].caller;
+    for worker in &fleet.engine_workers {
+        worker.set_event_pause(Duration::from_secs(1));
+    }
+    let request = IngressRequest::new("/digest/7", "stream")
+        .field("x-pieces", "1")
+        .field("x-piece-key", "7c1e")
+        .field("x-token-usage", "1000,50");
+    let stream = tokio::spawn(async move { IngressCaller::once(caller, &request).await });
+    let runs = || fleet.engine_workers.iter().map(|each| each.executed_requests().len()).sum();
+    wait_for(PATIENCE, "the stream has begun", async || {
+        let count: usize = runs();
+        count > 0
+    })
+    .await?;
+    for _ in 0..5 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        drop(ClientCrowd::connect(caller, heads(40), CrowdBody::UnfinishedHead));
+    }
+    let answer = stream.await??;
+    assert!(answer.status == 200 && answer.is_complete, "{answer:?}");
+    Ok(())
+}
+
 /// Guards against callers that read no answers, which the daemon holds for them.
 #[tokio::test]
 async fn answers_that_nobody_reads_leave_memory() -> Result<()> {
