Give large bodies a larger receive buffer and huge pages

Cause: with a receive buffer of 32 KiB sender and daemon take turns for each window, and a fresh mapping of 4 MiB has a thousand page faults.

Change: a connection gets a receive buffer of 128 KiB with its first body of more than 64 KiB, and holds as much of the room until it ends, as the bytes in it count as the daemon's memory. An announced body, whose memory is held as a whole, may use huge pages. Without room for it the buffer stays small.

Tried and not kept: the larger buffer only while the body arrives.

--- a/crates/crocusdaled/src/http/body_buffer.rs
+++ b/crates/crocusdaled/src/http/body_buffer.rs
@@ -16,6 +16,8 @@
     len: usize,
     /// Largest number of bytes that may arrive.
     max_len: usize,
+    /// Whether exactly this number was announced.
+    is_announced: bool,
     /// Memory that is held for the body. `None` if it is small, or not sent by a caller.
     pub(super) held: Option<HeldBytes>,
 }
@@ -49,6 +51,7 @@
             storage: BodyStorage::Heap(Vec::with_capacity(expected)),
             len: 0,
             max_len: announced.unwrap_or(limit),
+            is_announced: announced.is_some(),
             held: None,
         }
     }
@@ -68,7 +71,7 @@
         if let BodyStorage::Heap(heap) = &mut self.storage
             && new_len > SMALL_BODY_BYTES
         {
-            let mut mapping = new_mapping(self.max_len)?;
+            let mut mapping = new_mapping(self.max_len, self.is_announced)?;
             mapping[..self.len].copy_from_slice(heap);
             self.storage = BodyStorage::Mapped(mapping);
             if let Some(held) = &mut self.held {
@@ -103,10 +106,11 @@
     }
 }
 
-fn new_mapping(len: usize) -> std::io::Result<MmapMut> {
+fn new_mapping(len: usize, is_announced: bool) -> std::io::Result<MmapMut> {
     let mapping = MmapMut::map_anon(len)?;
-    // Huge pages would take memory beyond the bytes that have arrived. Kernels without them reject
-    // the advice.
-    let _ = mapping.advise(Advice::NoHugePage);
+    // Huge pages save most page faults of a body whose memory is held as a whole. For a body of
+    // unknown length they would take memory beyond the bytes that have arrived. Kernels without huge
+    // pages reject the advice.
+    let _ = mapping.advise(if is_announced { Advice::HugePage } else { Advice::NoHugePage });
     Ok(mapping)
 }
--- a/crates/crocusdaled/src/http/body_reader.rs
+++ b/crates/crocusdaled/src/http/body_reader.rs
@@ -104,6 +104,9 @@
             }
             (HeldKind::Request, held) => {
                 *held = Some(self.memory.hold(wanted, class, self.connection)?);
+                if let Some(connection) = self.connection.filter(|_| class == HoldClass::Large) {
+                    connection.begin_large_body();
+                }
             }
             (HeldKind::Answer, Some(held)) => {
                 self.memory.extend_answer(held, wanted - held_bytes).await?;
--- a/crates/crocusdaled/src/http/http_listener.rs
+++ b/crates/crocusdaled/src/http/http_listener.rs
@@ -20,7 +20,7 @@
 use volo_http::response::Response;
 use volo_http::server::route::Router;
 
-use super::metered_stream::{HeadMemory, MeteredStream};
+use super::metered_stream::{MeteredStream, StreamMemory};
 use super::served_body::ServedBody;
 use crate::memory::{CallerConnection, CallerMemory, ConnectionTable};
 
@@ -262,9 +262,10 @@
         // Without this timeout a caller whose host has gone silent would hold a connection forever.
         let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let entry = self.table.open(peer);
-        let heads = self.memory.as_ref();
-        let heads = heads.map(|memory| HeadMemory::new(Arc::clone(memory), limits.max_head_bytes));
-        let stream = MeteredStream::new(stream, Arc::clone(&entry.connection), heads);
+        let memory = self.memory.as_ref();
+        let memory =
+            memory.map(|memory| StreamMemory::new(Arc::clone(memory), limits.max_head_bytes));
+        let stream = MeteredStream::new(stream, Arc::clone(&entry.connection), memory);
         let (router, mut stop) = (Arc::clone(&self.router), self.stop.clone());
         async move {
             let caller = Arc::clone(&entry.connection);
--- a/crates/crocusdaled/src/memory/connection_table.rs
+++ b/crates/crocusdaled/src/memory/connection_table.rs
@@ -38,6 +38,8 @@
     peer: SocketAddr,
     progress: Mutex<ConnectionProgress>,
     held: AtomicUsize,
+    /// Whether a large body has begun to arrive.
+    has_large_body: AtomicBool,
     is_closing: AtomicBool,
     close: Notify,
 }
@@ -94,6 +96,7 @@
             peer,
             progress: Mutex::new(progress),
             held: AtomicUsize::new(0),
+            has_large_body: AtomicBool::new(false),
             is_closing: AtomicBool::new(false),
             close: Notify::new(),
         });
@@ -174,6 +177,17 @@
         lock(&self.progress).begin(phase, self.clock.now());
     }
 
+    /// Records that there is room for the body that arrives, and that it is large.
+    pub(crate) fn begin_large_body(&self) {
+        self.has_large_body.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether a large body has begun to arrive since the last call.
+    pub(crate) fn take_large_body(&self) -> bool {
+        self.has_large_body.load(Ordering::Relaxed)
+            && self.has_large_body.swap(false, Ordering::Relaxed)
+    }
+
     /// Records that the answer to a request begins. A connection that discards the rest of a body
     /// goes on to do so.
     pub(crate) fn begin_answer(&self) {
