--- a/crates/crocusdale_core/tests/memory_test.rs
+++ b/crates/crocusdale_core/tests/memory_test.rs
@@ -56,8 +56,10 @@
         for rest in [20 * MB, 40 * MB, LARGEST_REST] {
             let room = plan.room(MemoryUsage { resident_bytes: rest, ..MemoryUsage::default() });
             let connections = plan.connection_bytes(plan.connections());
-            let sum = plan.margin_bytes() + connections + rest + room;
+            let sum = plan.margin_bytes() + connections + plan.lookup_bytes() + rest + room;
             assert!(sum <= memory, "{sum} bytes on a VM of {memory_mb} MB with {rest} at rest");
+            let backlog = MemoryPlan::backlog(plan.connections()) * deployed_limits().receive_bytes;
+            assert!(backlog <= plan.margin_bytes(), "{backlog} bytes wait to be accepted");
             let budget = Arc::new(ByteBudget::new(room));
             assert!(budget.try_hold(BODY_LIMIT, HoldClass::of(BODY_LIMIT)).is_some(), "{room}");
         }
@@ -87,6 +89,8 @@
     assert_eq!(plan.room(grown), room - 20 * MB);
     let with_bodies = MemoryUsage { resident_bytes: 30 * MB, body_bytes: 10 * MB, ..usage };
     assert_eq!(plan.room(with_bodies), room, "bodies are not part of the rest");
+    let with_connections = MemoryUsage { connections: 100, ..usage };
+    assert!(plan.room(with_connections) > room, "connections are part of what is resident");
     let full = MemoryUsage { resident_bytes: 200 * MB, ..usage };
     assert_eq!(plan.room(full), 120 * MB / 16);
 }
--- a/crates/crocusdaled/src/http/http_listener.rs
+++ b/crates/crocusdaled/src/http/http_listener.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crocusdale_core::configuration::CallerLimits;
-use crocusdale_core::memory::ConnectionPhase;
+use crocusdale_core::memory::{ConnectionPhase, MemoryPlan};
 use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -35,8 +35,6 @@
 /// Factor by which a connection is kept longer than the idle time that callers are told, so that
 /// the daemon never closes a connection that its caller is about to reuse.
 const IDLE_TIMEOUT_FACTOR: f64 = 1.5;
-/// Largest number of connections that wait to be accepted.
-const MAX_BACKLOG: usize = 1_024;
 /// Time after which another connection is closed if the one that had to make place is still open.
 const PLACE_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Default of the time that open connections have to finish once the listener stops.
@@ -143,7 +141,7 @@
             socket.set_recv_buffer_size(u32::try_from(receive_bytes).unwrap_or(u32::MAX))?;
         }
         socket.bind(address)?;
-        let backlog = self.max_connections.min(MAX_BACKLOG);
+        let backlog = MemoryPlan::backlog(self.max_connections);
         socket.listen(u32::try_from(backlog).unwrap_or(u32::MAX))
     }
 }
--- a/crates/crocusdaled/src/main.rs
+++ b/crates/crocusdaled/src/main.rs
@@ -128,7 +128,7 @@
         callers.bind(settings.caller).await.context("can't bind the address of [listen] caller")?;
     let operator_listener = HttpListenerBuilder::default()
         .max_connections(plan.operator_connections())
-        .receive_bytes(limits.receive_bytes);
+        .receive_bytes(plan.lookup_receive_bytes());
     let operator_listener = operator_listener.bind(settings.operator).await;
     let operator_listener =
         operator_listener.context("can't bind the address of [listen] operator")?;
@@ -235,7 +235,7 @@
     for (address, key, max_connections) in listeners {
         let listener = HttpListenerBuilder::default()
             .max_connections(max_connections)
-            .receive_bytes(limits.receive_bytes);
+            .receive_bytes(plan.lookup_receive_bytes());
         let listener = listener.bind(address).await;
         let listener =
             listener.with_context(|| format!("can't bind the address of [listen] {key}"))?;
